--- /dev/null
+++ b/packages/coordination/src/index.ts
@@ -0,0 +1,12 @@
+/**
+ * The public face of the library: the parts that another program embeds. Everything else under
+ * `core/` is internal and may change.
+ */
+export * from './core/clock/clock.js';
+export * from './core/events/event.js';
+export * from './core/failures/failure.js';
+export * from './core/hashing/hashing.js';
+export * from './core/model/configuration.js';
+export * from './core/model/member.js';
+export * from './core/model/outcome.js';
+export * from './core/random/random.js';
