Type what a process tells of itself, and name the configuration's keys

Cause: the command line, the daemon and the authority all need the same shapes and keys. Conclusion: seams only; nothing reads them yet.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,6 +3,7 @@
  * `core/` is internal and may change.
  */
 export * from './core/clock/clock.js';
+export * from './core/config/keys.js';
 export * from './core/events/event.js';
 export * from './core/failures/failure.js';
 export * from './core/hashing/hashing.js';
@@ -10,3 +11,4 @@
 export * from './core/model/member.js';
 export * from './core/model/outcome.js';
 export * from './core/random/random.js';
+export * from './core/status/status.js';
