--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -4,6 +4,10 @@
  */
 export * from './core/clock/clock.js';
 export * from './core/config/keys.js';
+export * from './core/dependencies/budget.js';
+export * from './core/dependencies/graph.js';
+export * from './core/dependencies/readiness.js';
+export * from './core/dependencies/shedding.js';
 export * from './core/events/event.js';
 export * from './core/failures/failure.js';
 export * from './core/hashing/hashing.js';
--- /dev/null
+++ b/packages/coordination/test/core/dependencies/budget.test.ts
@@ -0,0 +1,84 @@
+/** Deadlines and retries that flow down the dependencies. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  acceptBudget,
+  createRetryAllowance,
+  earnRetry,
+  MAX_RETRIES_PER_REQUEST,
+  MAX_SAVED_RETRIES,
+  passOnBudget,
+  spendRetry,
+  takeRetry,
+} from '../../../src/core/dependencies/budget.js';
+
+const SERVICE = { deadlineMs: 10_000, retryBudgetRatio: 0.1 };
+
+describe('call budgets', () => {
+  describe('when a call is accepted', () => {
+    it('are the service’s own where none is asked for', () => {
+      const budget = acceptBudget(SERVICE, null);
+      assert.deepEqual(budget, { remainingMs: 10_000, retriesLeft: MAX_RETRIES_PER_REQUEST });
+    });
+
+    it('never exceed the service’s, nor fall below nothing', () => {
+      const wide = acceptBudget(SERVICE, { remainingMs: 1e9, retriesLeft: 99 });
+      assert.deepEqual(wide, { remainingMs: 10_000, retriesLeft: MAX_RETRIES_PER_REQUEST });
+      const narrow = acceptBudget(SERVICE, { remainingMs: -5, retriesLeft: -1 });
+      assert.deepEqual(narrow, { remainingMs: 0, retriesLeft: 0 });
+    });
+  });
+
+  describe('when passed on', () => {
+    it('lose the time spent and a reserve', () => {
+      const passed = passOnBudget({ remainingMs: 10_000, retriesLeft: 1 }, 2_000);
+      assert.deepEqual(passed, { remainingMs: 7_600, retriesLeft: 1 });
+    });
+
+    it('shrink at every level until a call would be of no use', () => {
+      let budget = acceptBudget({ deadlineMs: 1_000 }, null);
+      let levels = 0;
+      for (;;) {
+        const passed = passOnBudget(budget, 50);
+        if (passed === null) break;
+        assert.ok(passed.remainingMs < budget.remainingMs);
+        budget = passed;
+        levels += 1;
+      }
+      assert.ok(levels > 3 && levels < 20);
+    });
+  });
+
+  describe('second tries', () => {
+    it('are shared by the whole call tree', () => {
+      const first = takeRetry({ remainingMs: 100, retriesLeft: 2 });
+      assert.ok(first);
+      const passed = passOnBudget(first, 0);
+      assert.equal(passed?.retriesLeft, 1);
+      const second = takeRetry(first);
+      assert.equal(second && takeRetry(second), null);
+    });
+
+    /*
+     * Story: a switch fails and every call of a service fails. Callers see errors at once, yet the
+     * targets that still answer must not get twice the load. The allowance runs dry after its
+     * burst and then grants one retry per ten first tries.
+     */
+    it('stay a ratio of first tries when everything fails', () => {
+      const allowance = createRetryAllowance();
+      let retries = 0;
+      for (let call = 0; call < 1_000; call += 1) {
+        earnRetry(allowance, SERVICE);
+        if (spendRetry(allowance)) retries += 1;
+      }
+      assert.ok(retries <= MAX_SAVED_RETRIES + 100, `${String(retries)} retries`);
+      assert.ok(retries >= 100);
+    });
+
+    it('are saved up to a bound only', () => {
+      const allowance = createRetryAllowance();
+      for (let call = 0; call < 1_000; call += 1) earnRetry(allowance, SERVICE);
+      assert.equal(allowance.balance, MAX_SAVED_RETRIES);
+    });
+  });
+});
