Compile the operators' text, with every fault at once at its line and column

Cause: members act on a typed configuration; operators write YAML with units. Change: schema, quantities, names, cycles, bounds (1 MB, depth, tokens, aliases, faults), the difference in operators' terms, and the JSON Schema for editors, kept current by a test. Found: the YAML library compares every key with every other (minutes for a megabyte of equal keys) and recurses; a lexer pass bounds depth and tokens first, duplicate keys are found by a set.

--- a/packages/config-text/src/index.ts
+++ b/packages/config-text/src/index.ts
@@ -1,1 +1,15 @@
-export {};
+/**
+ * The operators' text: its schema, its checks with line and column, what it compiles to, and the
+ * difference between two of its versions.
+ */
+export { compileText } from './core/compile/compile.js';
+export { MAX_DOCUMENT_BYTES, MAX_FAULTS, MAX_TEXT_BYTES } from './core/compile/limits.js';
+export { diffConfigurations } from './core/diff/diff.js';
+export {
+  DifferenceChange,
+  DifferenceSubject,
+  differenceText,
+  type Difference,
+} from './core/diff/difference.js';
+export type { TextFault, TextPosition } from './core/faults/fault.js';
+export { textJsonSchema } from './core/schema/json-schema.js';
