--- a/packages/config-text/src/core/compile/limits.ts
+++ b/packages/config-text/src/core/compile/limits.ts
@@ -16,7 +16,7 @@
 /** Levels of nesting; the schema itself needs six. */
 export const MAX_NESTING_DEPTH = 32;
 
-/** Words and signs of the YAML; the largest deployment takes a third of it. */
+/** Words and signs of the YAML; the target size takes a fifth of it. */
 export const MAX_TOKENS = 300_000;
 
 /** Faults reported at once; the last one counts those left out. */
