Speak to the outside systems over HTTP

The ports had no adapters. Each folder now has one over undici, with typed failures that say whether the call may have run: false only when the library never began to write the request.

--- /dev/null
+++ b/packages/platform/src/http/transport.ts
@@ -0,0 +1,225 @@
+/**
+ * HTTP exchanges as the adapters need them: one buffered exchange, or one streamed answer with
+ * back-pressure. Both say whether the request may have reached the other side, because a caller
+ * that believes "it did not run" of a request that did would run it twice.
+ */
+import type { Dispatcher } from 'undici';
+import { Agent } from 'undici';
+
+/** Connections to one origin that are kept open but idle, in milliseconds. */
+const KEEP_ALIVE_MS = 30_000;
+
+/** How an exchange failed. */
+export enum TroubleKind {
+  /** No connection could be made. */
+  Unreachable = 'unreachable',
+  /** The connection broke before the answer was whole. */
+  Broken = 'broken',
+  /** No whole answer within the time allowed. */
+  TimedOut = 'timed-out',
+  /** The answer was larger than allowed. */
+  TooLarge = 'too-large',
+}
+
+/** A failed exchange. `mayHaveRun` is false only when no byte of the request was sent. */
+export interface Trouble {
+  readonly kind: TroubleKind;
+  readonly mayHaveRun: boolean;
+  readonly detail: string;
+}
+
+/** One request. */
+export interface HttpRequest {
+  readonly origin: string;
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: string | Buffer | null;
+}
+
+/** One whole answer. Header names are lower case. */
+export interface HttpAnswer {
+  readonly status: number;
+  readonly headers: Readonly<Record<string, string>>;
+  readonly body: Buffer;
+}
+
+/** What a streamed answer brings; exactly one of `onEnd` and `onTrouble` is called, once, last. */
+export interface HttpStreamHandlers {
+  readonly onStart: (status: number) => void;
+  readonly onData: (chunk: Buffer) => void;
+  readonly onEnd: () => void;
+  readonly onTrouble: (trouble: Trouble) => void;
+}
+
+/** A running streamed answer. After `stop` no handler is called. */
+export interface HttpStream {
+  readonly stop: () => void;
+  readonly pause: () => void;
+  readonly resume: () => void;
+}
+
+/** Connections shared by the calls of one adapter. */
+export interface HttpTransport {
+  readonly exchange: (
+    request: HttpRequest,
+    limits: { readonly timeoutMs: number; readonly maxAnswerBytes: number },
+  ) => Promise<HttpAnswer | Trouble>;
+  readonly stream: (request: HttpRequest, handlers: HttpStreamHandlers) => HttpStream;
+  /** Closes idle connections and fails running exchanges. */
+  readonly close: () => Promise<void>;
+}
+
+/** Tells a failed exchange from an answer. */
+export function isTrouble(outcome: HttpAnswer | Trouble): outcome is Trouble {
+  return 'kind' in outcome;
+}
+
+/** Options of {@link createHttpTransport}. */
+export interface HttpTransportOptions {
+  /** How long to wait for a connection, in milliseconds. */
+  readonly connectTimeoutMs: number;
+  /** Most connections to one origin at once; more requests wait in line. */
+  readonly maxConnections: number;
+}
+
+/** Makes a transport with its own connections. */
+export function createHttpTransport(options: HttpTransportOptions): HttpTransport {
+  const agent = new Agent({
+    connections: options.maxConnections,
+    connect: { timeout: options.connectTimeoutMs },
+    keepAliveTimeout: KEEP_ALIVE_MS,
+    // Streams may be silent for long; each call bounds its own time instead.
+    headersTimeout: 0,
+    bodyTimeout: 0,
+  });
+  return {
+    exchange: (request, limits) => exchange(agent, request, limits),
+    stream: (request, handlers) => stream(agent, request, handlers),
+    close: () => agent.destroy(),
+  };
+}
+
+function exchange(
+  agent: Agent,
+  request: HttpRequest,
+  limits: { readonly timeoutMs: number; readonly maxAnswerBytes: number },
+): Promise<HttpAnswer | Trouble> {
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    let status = 0;
+    let headers: Record<string, string> = {};
+    let sent = false;
+    const finish = (outcome: HttpAnswer | Trouble): void => {
+      clearTimeout(timer);
+      resolve(outcome);
+    };
+    const giveUp = (kind: TroubleKind, detail: string): void => {
+      finish({ kind, mayHaveRun: sent, detail });
+      running.stop();
+    };
+    const timer = setTimeout(() => {
+      giveUp(TroubleKind.TimedOut, `no whole answer within ${String(limits.timeoutMs)} ms`);
+    }, limits.timeoutMs);
+    const running = dispatch(agent, request, {
+      onSent: () => {
+        sent = true;
+      },
+      onStart: (code, received) => {
+        status = code;
+        headers = received;
+      },
+      onData: (chunk) => {
+        bytes += chunk.length;
+        if (bytes > limits.maxAnswerBytes) giveUp(TroubleKind.TooLarge, `over ${String(bytes)} B`);
+        else chunks.push(chunk);
+      },
+      onEnd: () => {
+        finish({ status, headers, body: Buffer.concat(chunks) });
+      },
+      onTrouble: finish,
+    });
+  });
+}
+
+function stream(agent: Agent, request: HttpRequest, handlers: HttpStreamHandlers): HttpStream {
+  return dispatch(agent, request, { ...handlers, onSent: () => undefined });
+}
+
+interface DispatchHandlers {
+  readonly onSent: () => void;
+  readonly onStart: (status: number, headers: Record<string, string>) => void;
+  readonly onData: (chunk: Buffer) => void;
+  readonly onEnd: () => void;
+  readonly onTrouble: (trouble: Trouble) => void;
+}
+
+function dispatch(agent: Agent, request: HttpRequest, handlers: DispatchHandlers): HttpStream {
+  let controller: Dispatcher.DispatchController | null = null;
+  let stopped = false;
+  let paused = false;
+  const fail = (error: Error): void => {
+    if (stopped) return;
+    stopped = true;
+    // The library calls onRequestStart before it writes; without it no byte has left.
+    const mayHaveRun = controller !== null;
+    const kind = mayHaveRun ? TroubleKind.Broken : TroubleKind.Unreachable;
+    handlers.onTrouble({ kind, mayHaveRun, detail: error.message });
+  };
+  agent.dispatch(
+    {
+      origin: request.origin,
+      method: request.method,
+      path: request.path,
+      headers: request.headers,
+      body: request.body,
+    },
+    {
+      onRequestStart: (started) => {
+        controller = started;
+        if (stopped) started.abort(new Error('stopped by the caller'));
+        else handlers.onSent();
+      },
+      onResponseStart: (started, status, headers) => {
+        if (stopped) return;
+        if (paused) started.pause();
+        handlers.onStart(status, plainHeaders(headers));
+      },
+      onResponseData: (_started, chunk) => {
+        if (!stopped) handlers.onData(chunk);
+      },
+      onResponseEnd: () => {
+        if (stopped) return;
+        stopped = true;
+        handlers.onEnd();
+      },
+      onResponseError: (_started, error) => {
+        fail(error);
+      },
+    },
+  );
+  return {
+    stop: () => {
+      if (stopped) return;
+      stopped = true;
+      controller?.abort(new Error('stopped by the caller'));
+    },
+    pause: () => {
+      paused = true;
+      controller?.pause();
+    },
+    resume: () => {
+      paused = false;
+      controller?.resume();
+    },
+  };
+}
+
+function plainHeaders(headers: Record<string, string | string[] | undefined>) {
+  const plain: Record<string, string> = {};
+  for (const [name, value] of Object.entries(headers)) {
+    if (value !== undefined) plain[name] = Array.isArray(value) ? value.join(', ') : value;
+  }
+  return plain;
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -2,8 +2,19 @@
  * The ports to the outside systems and their adapters. A port is a record of functions, so that a
  * user's real system replaces a stand-in without touching a decision.
  */
+export * from './engine/client.js';
+export { EngineErrorCode } from './engine/errors.js';
+export * from './engine/failures.js';
 export * from './engine/port.js';
+export * from './key-value/client.js';
+export * from './key-value/failures.js';
 export * from './key-value/port.js';
+export * from './plain-service/client.js';
+export * from './plain-service/failures.js';
 export * from './plain-service/port.js';
+export * from './vm-list/client.js';
+export * from './vm-list/failures.js';
 export * from './vm-list/port.js';
+export * from './weight-store/client.js';
+export * from './weight-store/failures.js';
 export * from './weight-store/port.js';
--- /dev/null
+++ b/packages/platform/src/key-value/client.ts
@@ -0,0 +1,155 @@
+/**
+ * The key-value port over the etcd v3 JSON gateway. No call is repeated here: only the caller knows
+ * whether a second one does harm. A call that found no connection makes the next one try the next
+ * endpoint.
+ */
+import type { Failure } from '@cassiamast/coordination';
+import type { Result } from 'neverthrow';
+import { err, ok, ResultAsync } from 'neverthrow';
+import type { JsonObject } from '../http/json.js';
+import { asNumber, asObject, asText, parseJsonObject } from '../http/json.js';
+import type { HttpRequest, Trouble } from '../http/transport.js';
+import { createHttpTransport, isTrouble } from '../http/transport.js';
+import {
+  KEY_VALUE_ANSWER_LOST,
+  KEY_VALUE_LEASE_GONE,
+  KEY_VALUE_PROTOCOL,
+  KEY_VALUE_REFUSED,
+  KEY_VALUE_UNREACHABLE,
+} from './failures.js';
+import type { KeyValueLease, KeyValuePort } from './port.js';
+import { startWatch } from './watch.js';
+import * as wire from './wire.js';
+
+/** Values hold up to a megabyte; base64 and a list of them need room above that. */
+const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
+const DEFAULT_CALL_TIMEOUT_MS = 1_500;
+const DEFAULT_MAX_CONNECTIONS = 16;
+const MS_PER_S = 1_000;
+const NOT_FOUND = 404;
+
+/** Options of {@link createKeyValueClient}. */
+export interface KeyValueClientOptions {
+  /** Base addresses such as `http://10.0.0.5:2379`, all of one service; at least one. */
+  readonly endpoints: readonly string[];
+  /** How long one call may take, in milliseconds. */
+  readonly callTimeoutMs?: number;
+  /** Most connections to one endpoint; a waiting watch occupies one. */
+  readonly maxConnections?: number;
+}
+
+/** The port with the means to let go of its connections. */
+export interface KeyValueClient extends KeyValuePort {
+  readonly close: () => Promise<void>;
+}
+
+/** Makes a client of the key-value service. */
+export function createKeyValueClient(options: KeyValueClientOptions): KeyValueClient {
+  const callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
+  const transport = createHttpTransport({
+    connectTimeoutMs: callTimeoutMs,
+    maxConnections: options.maxConnections ?? DEFAULT_MAX_CONNECTIONS,
+  });
+  let turn = 0;
+  const endpoint = (): string => options.endpoints[turn % options.endpoints.length] ?? '';
+  const useNextEndpoint = (): void => {
+    turn += 1;
+  };
+  const call = (path: string, body: JsonObject): ResultAsync<JsonObject, Failure> =>
+    new ResultAsync(post(path, body));
+
+  async function post(path: string, body: JsonObject): Promise<Result<JsonObject, Failure>> {
+    const origin = endpoint();
+    const outcome = await transport.exchange(jsonPost(origin, path, body), {
+      timeoutMs: callTimeoutMs,
+      maxAnswerBytes: MAX_ANSWER_BYTES,
+    });
+    if (isTrouble(outcome)) {
+      if (!outcome.mayHaveRun) useNextEndpoint();
+      return err(troubleFailure(path, origin, outcome));
+    }
+    return readAnswer(path, origin, outcome.status, outcome.body.toString('utf8'));
+  }
+
+  return {
+    get: (key) =>
+      call('/v3/kv/range', { key: wire.encode(key) }).map(
+        (answer) => wire.readEntries(answer)[0] ?? null,
+      ),
+    list: (prefix, limit) =>
+      call('/v3/kv/range', {
+        key: wire.encode(prefix),
+        range_end: wire.rangeEnd(prefix),
+        limit: String(limit),
+      }).map(wire.readEntries),
+    transact: (compares, writes) =>
+      call('/v3/kv/txn', wire.transactionBody(compares, writes)).map((answer) => ({
+        succeeded: answer.succeeded === true,
+        revision: wire.readRevision(answer),
+        current: wire.readTransactionEntries(answer),
+      })),
+    grantLease: (ttlMs) =>
+      // The protocol counts whole seconds: rounding up never promises more than was granted.
+      call('/v3/lease/grant', { TTL: String(Math.ceil(ttlMs / MS_PER_S)) }).map(readLease),
+    keepLeaseAlive: (leaseId) =>
+      call('/v3/lease/keepalive', { ID: leaseId }).andThen((answer) => {
+        const lease = readLease(asObject(answer.result) ?? {});
+        return lease.ttlMs > 0
+          ? ok(lease)
+          : err(KEY_VALUE_LEASE_GONE.of({ leaseId, mayHaveRun: false }));
+      }),
+    revokeLease: (leaseId) =>
+      call('/v3/lease/revoke', { ID: leaseId })
+        .map(() => null)
+        .mapErr((failure) =>
+          isNotFound(failure) ? KEY_VALUE_LEASE_GONE.of({ leaseId, mayHaveRun: false }) : failure,
+        ),
+    watch: (key, fromRevision, onChange, onEnd) =>
+      startWatch(transport, endpoint(), { key, fromRevision, onChange, onEnd, useNextEndpoint }),
+    close: () => transport.close(),
+  };
+}
+
+function jsonPost(origin: string, path: string, body: JsonObject): HttpRequest {
+  return {
+    origin,
+    path,
+    method: 'POST',
+    headers: { 'content-type': 'application/json' },
+    body: JSON.stringify(body),
+  };
+}
+
+function troubleFailure(call: string, endpoint: string, trouble: Trouble): Failure {
+  const { mayHaveRun, detail } = trouble;
+  const kind = mayHaveRun ? KEY_VALUE_ANSWER_LOST : KEY_VALUE_UNREACHABLE;
+  return kind.of({ call, endpoint, mayHaveRun, detail });
+}
+
+function readAnswer(
+  call: string,
+  endpoint: string,
+  status: number,
+  text: string,
+): Result<JsonObject, Failure> {
+  const body = parseJsonObject(text);
+  if (status !== 200) {
+    // A gateway may say "unavailable" of a write that its member still commits; a 4xx is checked
+    // before anything is written.
+    const detail = asText(body?.message, 'no reason given');
+    const data = { call, endpoint, status, detail, mayHaveRun: status >= 500 };
+    return err(KEY_VALUE_REFUSED.of(data));
+  }
+  if (body !== null) return ok(body);
+  const detail = 'the body is not a JSON object';
+  return err(KEY_VALUE_PROTOCOL.of({ call, endpoint, mayHaveRun: true, detail }));
+}
+
+function readLease(answer: JsonObject): KeyValueLease {
+  return { leaseId: asText(answer.ID, '0'), ttlMs: asNumber(answer.TTL) * MS_PER_S };
+}
+
+function isNotFound(failure: Failure): boolean {
+  if (!KEY_VALUE_REFUSED.is(failure)) return false;
+  return failure.data.status === NOT_FOUND;
+}
