Stand in for the outside systems

Nothing could be run or tested without the platform's systems. The stand-ins speak the protocols of the adapters: an engine that batches continuously over a prefix cache, keeps streams past their connections, takes orders, moves KV cache and crashes; the key-value service as a subset of the etcd v3 JSON gateway with its outages, lost answers and bad watches; a plain service, a weight store and a lagging VM list. Answers are a function of prompt, seed and position, so that a crossed, doubled or cut one is seen by anyone.

--- a/packages/platform/src/engine/errors.ts
+++ b/packages/platform/src/engine/errors.ts
@@ -14,6 +14,9 @@
   NotServing = 'not_serving',
   Overloaded = 'overloaded',
   StreamUnknown = 'stream_unknown',
+  /** A stream with this id is or was running here: the request was sent twice. */
+  StreamExists = 'stream_exists',
+  OrderInProgress = 'order_in_progress',
   OutOfCacheMemory = 'out_of_cache_memory',
   KvTransferFailed = 'kv_transfer_failed',
   ModelUnknown = 'model_unknown',
@@ -35,49 +38,49 @@
 /** The failure for an answer with an error status. */
 export function statusFailure(place: CallPlace, status: number, text: string): Failure {
   const error = asObject(parseJsonObject(text)?.error) ?? {};
-  return errorFailure(place, status, error, status >= 500);
+  return errorFailure(place, status, error, false);
 }
 
 /**
- * The failure for an error object, in an answer or in the middle of a stream. Refusals by name are
- * given before any work; `mayHaveRun` decides for those that are not known by name.
+ * The failure for an error object. One that ends a stream comes after the work has begun; one in
+ * place of an answer comes before, if its name is known.
  */
 export function errorFailure(
   place: CallPlace,
   status: number,
   error: JsonObject,
-  mayHaveRun: boolean,
+  inStream: boolean,
 ): Failure {
   const detail = asText(error.message, 'no reason given');
-  const notRun = { ...place, mayHaveRun: false, detail };
+  const refused = { ...place, mayHaveRun: inStream, detail };
   const retryAfterMs = asNumber(error.retry_after_ms);
   switch (error.code) {
     case EngineErrorCode.FenceOld:
       return failures.ENGINE_ORDER_FENCED.of({
-        ...notRun,
+        ...refused,
         orderId: asText(error.order_id),
         fence: asNumber(error.fence),
         highestFence: asNumber(error.highest_fence),
       });
     case EngineErrorCode.NotServing:
-      return failures.ENGINE_NOT_SERVING.of({ ...notRun, retryAfterMs });
+      return failures.ENGINE_NOT_SERVING.of({ ...refused, retryAfterMs });
     case EngineErrorCode.Overloaded:
-      return failures.ENGINE_OVERLOADED.of({ ...notRun, retryAfterMs });
+      return failures.ENGINE_OVERLOADED.of({ ...refused, retryAfterMs });
     case EngineErrorCode.StreamUnknown:
       // Unknown now says nothing of the past: the engine may have run it before a restart.
       return failures.ENGINE_STREAM_UNKNOWN.of({
-        ...notRun,
+        ...refused,
         mayHaveRun: true,
         streamId: asText(error.stream_id),
       });
     case EngineErrorCode.OutOfCacheMemory:
-      return failures.ENGINE_OUT_OF_CACHE_MEMORY.of({ ...notRun, mayHaveRun: true });
+      return failures.ENGINE_OUT_OF_CACHE_MEMORY.of({ ...refused, mayHaveRun: true });
     case EngineErrorCode.KvTransferFailed:
-      return failures.ENGINE_KV_TRANSFER_FAILED.of(notRun);
+      return failures.ENGINE_KV_TRANSFER_FAILED.of(refused);
     default:
       return failures.ENGINE_REFUSED.of({
-        ...notRun,
-        mayHaveRun,
+        ...refused,
+        mayHaveRun: inStream || status >= 500 || error.code === EngineErrorCode.StreamExists,
         status,
         code: asText(error.code, 'unnamed'),
       });
--- /dev/null
+++ b/packages/stand-ins/src/core/engine/batch.ts
@@ -0,0 +1,203 @@
+/**
+ * Continuous batching as a pure model: requests join and leave the batch at each step, prompts are
+ * computed in chunks beside running answers, and a step takes longer the larger its batch and
+ * context. The caller waits for the step's duration before it hands on what the step brought.
+ */
+import type { EngineRequest } from '@cassiamast/platform';
+import { FinishReason } from '@cassiamast/platform';
+import { EngineRole } from '@cassiamast/coordination';
+import type { AnswerSource } from './answer.js';
+import { answerSource, answerToken } from './answer.js';
+import type { EngineOptions } from './options.js';
+import type { PrefixCache } from './prefix-cache.js';
+import { cachedPrefixTokens, shrinkTo, storeBlocks } from './prefix-cache.js';
+import type { TokenizedPrompt } from './prompt.js';
+
+/** One request in the engine. */
+export interface Work {
+  readonly request: EngineRequest;
+  readonly prompt: TokenizedPrompt;
+  readonly source: AnswerSource;
+  /** Order of arrival, among requests of equal priority. */
+  readonly arrival: number;
+  /** Prompt tokens whose KV cache was brought from another engine. */
+  readonly importedTokens: number;
+  cachedTokens: number;
+  /** Tokens still to compute before the next token of the answer. */
+  toPrefill: number;
+  /** Position of the next token in the whole answer. */
+  nextIndex: number;
+}
+
+/** The batch and its waiting line. */
+export interface Batch {
+  role: EngineRole;
+  waiting: Work[];
+  running: Work[];
+  arrivals: number;
+}
+
+/** What a step brings to one stream. */
+export enum EmissionKind {
+  Token = 'token',
+  Finished = 'finished',
+  OutOfCacheMemory = 'out-of-cache-memory',
+  /** The request kills the engine. */
+  Crash = 'crash',
+}
+
+/** One thing that a step brings. */
+export interface Emission {
+  readonly kind: EmissionKind;
+  readonly work: Work;
+  readonly token?: string;
+  readonly index?: number;
+  readonly reason?: FinishReason;
+}
+
+/** A step. */
+export interface Step {
+  readonly durationMs: number;
+  readonly emissions: readonly Emission[];
+}
+
+/** An empty batch. */
+export function createBatch(role: EngineRole): Batch {
+  return { role, waiting: [], running: [], arrivals: 0 };
+}
+
+/** Puts a request in the waiting line, before those of lower priority. */
+export function enqueue(
+  batch: Batch,
+  request: EngineRequest,
+  prompt: TokenizedPrompt,
+  importedTokens: number,
+  variant: string,
+): Work {
+  const work: Work = {
+    request,
+    prompt,
+    source: answerSource(request.prompt, request.seed, variant),
+    arrival: batch.arrivals++,
+    importedTokens,
+    cachedTokens: 0,
+    toPrefill: prompt.tokens,
+    nextIndex: request.continueFrom.length,
+  };
+  const behind = batch.waiting.findIndex((other) => other.request.priority < request.priority);
+  batch.waiting.splice(behind === -1 ? batch.waiting.length : behind, 0, work);
+  return work;
+}
+
+/** Takes a request out, wherever it is. */
+export function removeWork(batch: Batch, streamId: string): void {
+  const others = (work: Work): boolean => work.request.streamId !== streamId;
+  batch.waiting = batch.waiting.filter(others);
+  batch.running = batch.running.filter(others);
+}
+
+/** Tokens of KV cache that a running request holds. */
+export function contextTokens(work: Work): number {
+  return work.prompt.tokens + work.nextIndex;
+}
+
+/** Tokens of KV cache that all running requests hold. */
+export function runningContextTokens(batch: Batch): number {
+  return batch.running.reduce((sum, work) => sum + contextTokens(work), 0);
+}
+
+/** Runs one step, or gives null when there is nothing to do. */
+export function runStep(
+  batch: Batch,
+  cache: PrefixCache,
+  options: EngineOptions,
+  nowMs: number,
+): Step | null {
+  const emissions: Emission[] = [];
+  admit(batch, cache, options, nowMs);
+  if (batch.running.length === 0) return null;
+  const prefilled = prefill(batch, cache, options, nowMs);
+  const decoding = batch.running.filter((work) => work.toPrefill === 0);
+  const contextKtokens = decoding.reduce((sum, work) => sum + contextTokens(work), 0) / 1_000;
+  for (const work of decoding) emissions.push(...decode(work, options));
+  const ended = new Set(
+    emissions.filter((one) => one.kind === EmissionKind.Finished).map((one) => one.work),
+  );
+  batch.running = batch.running.filter((work) => !ended.has(work));
+  emissions.push(...dropForMemory(batch, options));
+  shrinkTo(cache, options.kvCapacityTokens - runningContextTokens(batch), nowMs, options);
+  const durationMs =
+    options.stepBaseMs +
+    options.stepPerRequestMs * decoding.length +
+    options.stepPerContextKtokenMs * contextKtokens +
+    prefilled / options.prefillTokensPerMs;
+  return { durationMs, emissions };
+}
+
+function admit(batch: Batch, cache: PrefixCache, options: EngineOptions, nowMs: number): void {
+  const { maxBatch } = options.roleSpeeds[batch.role];
+  let usedTokens = runningContextTokens(batch);
+  for (;;) {
+    const next = batch.waiting[0];
+    if (next === undefined || batch.running.length >= maxBatch) return;
+    usedTokens += contextTokens(next);
+    if (usedTokens > options.kvCapacityTokens) return;
+    batch.waiting.shift();
+    const cached = cachedPrefixTokens(cache, next.prompt.blocks);
+    next.cachedTokens = Math.max(cached, next.importedTokens);
+    // At least the last token is computed, since it yields the answer's next one.
+    next.toPrefill = Math.max(1, contextTokens(next) - next.cachedTokens);
+    batch.running.push(next);
+    shrinkTo(cache, options.kvCapacityTokens - usedTokens, nowMs, options);
+  }
+}
+
+/** Computes one chunk of prompts, first come first, and gives the tokens computed. */
+function prefill(batch: Batch, cache: PrefixCache, options: EngineOptions, nowMs: number): number {
+  let budget = options.roleSpeeds[batch.role].prefillChunkTokens;
+  const chunk = budget;
+  for (const work of batch.running) {
+    if (work.toPrefill === 0 || budget === 0) continue;
+    const computed = Math.min(budget, work.toPrefill);
+    work.toPrefill -= computed;
+    budget -= computed;
+    if (work.toPrefill === 0) storeBlocks(cache, work.prompt.blocks, nowMs, options);
+  }
+  return chunk - budget;
+}
+
+function decode(work: Work, options: EngineOptions): readonly Emission[] {
+  const { request } = work;
+  if (request.prefillOnly) {
+    return [{ kind: EmissionKind.Finished, work, reason: FinishReason.PrefillDone }];
+  }
+  const index = work.nextIndex;
+  if (index >= request.maxTokens) {
+    return [{ kind: EmissionKind.Finished, work, reason: FinishReason.Length }];
+  }
+  const own = index - request.continueFrom.length;
+  if (own >= options.crashAfterTokens && request.prompt.includes(options.crashMarker)) {
+    return [{ kind: EmissionKind.Crash, work }];
+  }
+  work.nextIndex += 1;
+  const token = answerToken(work.source, index);
+  const emission: Emission = { kind: EmissionKind.Token, work, token, index };
+  if (work.nextIndex < request.maxTokens) return [emission];
+  return [emission, { kind: EmissionKind.Finished, work, reason: FinishReason.Length }];
+}
+
+/** Gives up the least important, latest request while the running ones do not fit. */
+function dropForMemory(batch: Batch, options: EngineOptions): readonly Emission[] {
+  const dropped: Emission[] = [];
+  while (runningContextTokens(batch) > options.kvCapacityTokens) {
+    const victim = batch.running.reduce((worst, work) =>
+      work.request.priority < worst.request.priority ||
+      (work.request.priority === worst.request.priority && work.arrival > worst.arrival)
+        ? work
+        : worst,
+    );
+    batch.running = batch.running.filter((work) => work !== victim);
+    dropped.push({ kind: EmissionKind.OutOfCacheMemory, work: victim });
+  }
+  return dropped;
+}
--- /dev/null
+++ b/packages/stand-ins/src/core/plain-service/plain-service.ts
@@ -0,0 +1,127 @@
+/**
+ * A stand-in of a plain service: counts the runs of each request id, so that "ran at most once" can
+ * be checked from outside, and can be slow or die before, during or after a run.
+ */
+import type { IncomingMessage } from 'node:http';
+import type { Exchange, Route } from '../http/http-server.js';
+import { sendJson, startHttpServer } from '../http/http-server.js';
+
+/** Where in a run the service dies. */
+export enum DeathPoint {
+  Before = 'before',
+  During = 'during',
+  After = 'after',
+}
+
+/** Faults of the service; also set by `POST /faults`. */
+export interface PlainServiceFaults {
+  /** Each run takes this long. */
+  slowMs: number;
+  /** Where the next run dies, with its connection; null for none. */
+  dieNext: DeathPoint | null;
+}
+
+/** Options of {@link startPlainService}. */
+export interface PlainServiceOptions {
+  readonly host?: string;
+  readonly port?: number;
+  /** Named in each answer. */
+  readonly name?: string;
+  readonly runMs?: number;
+}
+
+/** A running plain service. */
+export interface PlainServiceStandIn {
+  readonly address: string;
+  readonly port: number;
+  readonly setFaults: (change: Partial<PlainServiceFaults>) => void;
+  /** Runs begun, by request id. */
+  readonly runs: () => ReadonlyMap<string, number>;
+  readonly stop: () => Promise<void>;
+}
+
+/** Requests whose runs are remembered; the oldest is forgotten first. */
+const MAX_REMEMBERED = 100_000;
+const REQUEST_ID_HEADER = 'x-request-id';
+
+/** Starts the stand-in. It answers any path with what it got and what it did. */
+export async function startPlainService(
+  options: PlainServiceOptions = {},
+): Promise<PlainServiceStandIn> {
+  const runs = new Map<string, number>();
+  const faults: PlainServiceFaults = { slowMs: options.runMs ?? 0, dieNext: null };
+  const setFaults = (change: Partial<PlainServiceFaults>): void => {
+    Object.assign(faults, change);
+  };
+  const run: Route = async (exchange) => {
+    const death = faults.dieNext;
+    faults.dieNext = null;
+    if (death === DeathPoint.Before) {
+      exchange.response.destroy();
+      return;
+    }
+    const requestId = requestIdOf(exchange.request);
+    const count = countRun(runs, requestId);
+    if (faults.slowMs > 0) await delay(faults.slowMs);
+    if (death !== null) exchange.response.destroy();
+    else answer(exchange, options.name ?? 'plain-service', requestId, count);
+  };
+  const server = await startHttpServer({
+    host: options.host ?? '127.0.0.1',
+    port: options.port ?? 0,
+    route: (method, path) => {
+      if (method === 'POST' && path === '/faults') {
+        return ({ body, response }) => {
+          setFaults(body as Partial<PlainServiceFaults>);
+          sendJson(response, 200, faults);
+        };
+      }
+      if (method === 'GET' && path === '/runs') {
+        return ({ response }) => {
+          sendJson(response, 200, Object.fromEntries(runs));
+        };
+      }
+      return run;
+    },
+  });
+  return {
+    address: server.address,
+    port: server.port,
+    setFaults,
+    runs: () => runs,
+    stop: server.stop,
+  };
+}
+
+function requestIdOf(request: IncomingMessage): string {
+  const value = request.headers[REQUEST_ID_HEADER];
+  return typeof value === 'string' ? value : 'unnamed';
+}
+
+function countRun(runs: Map<string, number>, requestId: string): number {
+  const count = (runs.get(requestId) ?? 0) + 1;
+  runs.set(requestId, count);
+  if (runs.size > MAX_REMEMBERED) {
+    const oldest = runs.keys().next();
+    if (oldest.done !== true) runs.delete(oldest.value);
+  }
+  return count;
+}
+
+function answer(exchange: Exchange, name: string, requestId: string, run: number): void {
+  const { request, response, url, rawBody } = exchange;
+  sendJson(response, 200, {
+    service: name,
+    requestId,
+    run,
+    method: request.method,
+    path: url.pathname,
+    echo: rawBody.toString('utf8'),
+  });
+}
+
+function delay(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,17 @@
-export {};
+/**
+ * Private stand-ins of the outside systems, small and true to their protocols, for tests, the demo
+ * and the benchmarks.
+ */
+export * from './core/engine/answer.js';
+export type { EngineStandIn } from './core/engine/engine.js';
+export { startEngine } from './core/engine/engine.js';
+export type { EngineFaults } from './core/engine/faults.js';
+export type { EngineOptions, HeldModel, RoleSpeed } from './core/engine/options.js';
+export { DEFAULT_ENGINE } from './core/engine/options.js';
+export { tokenize } from './core/engine/prompt.js';
+export type { EngineCounts } from './core/engine/state.js';
+export type { KeyValueFaults } from './core/key-value/faults.js';
+export * from './core/key-value/key-value.js';
+export * from './core/plain-service/plain-service.js';
+export * from './core/vm-list/vm-list.js';
+export * from './core/weight-store/weight-store.js';
