Relay a request from caller through entry and sidecar to an engine

Cause: no process exists yet. Change: cassiamastd with checked settings, a supervisor tree, the control port (JSON-RPC over HTTP, streams as server-sent events), the callers' port (OpenAI-compatible), the sidecar's attempts that keep the answer whole, back-pressure end to end.

--- /dev/null
+++ b/packages/daemon/src/entry/caller-request.ts
@@ -0,0 +1,43 @@
+/**
+ * A caller's request in the product's own terms, whatever interface it came through.
+ */
+import type { RequestKey } from '@cassiamast/coordination';
+
+/** Which interface the answer must be written in. */
+export enum AnswerFormat {
+  Completion = 'completion',
+  Chat = 'chat',
+}
+
+/** A place in an answer that the caller already holds. */
+export interface AnswerPosition {
+  /** How many tokens the caller holds. */
+  readonly tokens: number;
+  /** Hash of the text of these tokens. */
+  readonly textHash: string;
+}
+
+/** A request to a model engine. */
+export interface ModelRequest {
+  readonly key: RequestKey;
+  /** Whether the caller chose the key: without one, a resend is a new request. */
+  readonly keyFromCaller: boolean;
+  readonly service: string;
+  readonly format: AnswerFormat;
+  /** As the caller wrote it; written back into answers. */
+  readonly modelText: string;
+  readonly model: string;
+  readonly adapter: string | null;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly temperature: number;
+  readonly seed: number;
+  readonly stream: boolean;
+  readonly includeUsage: boolean;
+  /** 0 (lowest) to 7 (highest). */
+  readonly priority: number;
+  readonly timeoutMs: number;
+  /** Hash of what is asked, without the key: recognises a request by its content. */
+  readonly contentHash: string;
+  readonly resumeFrom: AnswerPosition | null;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/headers.ts
@@ -0,0 +1,50 @@
+/**
+ * The headers of the callers' interface: Idempotency-Key (IETF draft), Last-Event-ID (HTML),
+ * Prefer: wait (RFC 7240) for the deadline and Priority: u (RFC 9218).
+ */
+import type { IncomingHttpHeaders } from 'node:http';
+import type { AnswerPosition } from './caller-request.js';
+
+const MAX_KEY_CHARACTERS = 255;
+const MS_PER_S = 1000;
+/** RFC 9218 urgency: 0 is the most urgent, 7 the least, 3 the default. */
+const DEFAULT_URGENCY = 3;
+const LEAST_URGENT = 7;
+const QUOTED_STRING = /^"((?:[^"\\]|\\["\\])*)"$/;
+
+/** The idempotency key, null when absent, undefined when malformed. */
+export function readIdempotencyKey(headers: IncomingHttpHeaders): string | null | undefined {
+  const header = headers['idempotency-key'];
+  if (header === undefined) return null;
+  if (typeof header !== 'string') return undefined;
+  // The draft has a quoted structured string; clients in use send the bare value as well.
+  const text = QUOTED_STRING.exec(header)?.[1]?.replace(/\\(["\\])/g, '$1') ?? header;
+  return text.length > 0 && text.length <= MAX_KEY_CHARACTERS ? text : undefined;
+}
+
+/** The place a returning caller wants to go on from. */
+export function readLastEventId(headers: IncomingHttpHeaders): AnswerPosition | null | undefined {
+  const header = headers['last-event-id'];
+  if (header === undefined || header === '') return null;
+  const match = typeof header === 'string' ? /^(\d{1,9})-([0-9a-f]{1,16})$/.exec(header) : null;
+  if (match === null) return undefined;
+  return { tokens: Number(match[1]), textHash: match[2] ?? '' };
+}
+
+/** The id of the event that brings a caller to this place. */
+export function formatEventId(position: AnswerPosition): string {
+  return `${String(position.tokens)}-${position.textHash}`;
+}
+
+/** The caller's deadline, bounded by the service's own. */
+export function readTimeoutMs(headers: IncomingHttpHeaders, serviceDeadlineMs: number): number {
+  const match = /(?:^|[,;\s])wait=(\d{1,6})/.exec(String(headers.prefer ?? ''));
+  if (match === null) return serviceDeadlineMs;
+  return Math.min(serviceDeadlineMs, Number(match[1]) * MS_PER_S);
+}
+
+/** Engine priority, higher is more urgent, from the caller's urgency. */
+export function readPriority(headers: IncomingHttpHeaders): number {
+  const match = /(?:^|[,;\s])u=([0-7])/.exec(String(headers.priority ?? ''));
+  return LEAST_URGENT - (match === null ? DEFAULT_URGENCY : Number(match[1]));
+}
--- /dev/null
+++ b/packages/daemon/src/entry/openai-request.ts
@@ -0,0 +1,96 @@
+/** Checks bodies of the OpenAI-compatible completions and chat completions. */
+import { err, ok, type Result } from 'neverthrow';
+import { z } from 'zod';
+import { AnswerFormat } from './caller-request.js';
+
+const DEFAULT_MAX_TOKENS = 256;
+const MAX_TEMPERATURE = 2;
+const MAX_STOP_TEXTS = 4;
+
+const commonFields = {
+  model: z.string().min(1).max(200),
+  max_tokens: z.number().int().min(1).nullish(),
+  temperature: z.number().min(0).max(MAX_TEMPERATURE).nullish(),
+  seed: z.number().int().nullish(),
+  stream: z.boolean().nullish(),
+  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  n: z.literal(1).nullish(),
+  stop: z.union([z.string(), z.array(z.string()).max(MAX_STOP_TEXTS)]).nullish(),
+};
+
+const completionBody = z.looseObject({ ...commonFields, prompt: z.string() });
+
+const textPart = z.looseObject({ type: z.literal('text'), text: z.string() });
+const chatMessage = z.looseObject({
+  role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
+  content: z.union([z.string(), z.array(textPart)]),
+});
+const chatBody = z.looseObject({
+  ...commonFields,
+  max_completion_tokens: z.number().int().min(1).nullish(),
+  messages: z.array(chatMessage).min(1),
+});
+
+/** What a body asks for, before headers and configuration are looked at. */
+export interface AskedCompletion {
+  readonly model: string;
+  readonly prompt: string;
+  readonly maxTokens: number;
+  readonly temperature: number;
+  readonly seed: number | null;
+  readonly stream: boolean;
+  readonly includeUsage: boolean;
+}
+
+/** Checks a body; the faults name the field. */
+export function parseAsked(
+  format: AnswerFormat,
+  body: unknown,
+): Result<AskedCompletion, readonly string[]> {
+  return format === AnswerFormat.Chat ? parseChat(body) : parseCompletion(body);
+}
+
+function parseCompletion(body: unknown): Result<AskedCompletion, readonly string[]> {
+  const parsed = completionBody.safeParse(body);
+  if (!parsed.success) return err(faultsOf(parsed.error));
+  const { data } = parsed;
+  return ok({ ...commonOf(data, data.max_tokens), prompt: data.prompt });
+}
+
+function parseChat(body: unknown): Result<AskedCompletion, readonly string[]> {
+  const parsed = chatBody.safeParse(body);
+  if (!parsed.success) return err(faultsOf(parsed.error));
+  const { data } = parsed;
+  const maxTokens = data.max_completion_tokens ?? data.max_tokens;
+  return ok({ ...commonOf(data, maxTokens), prompt: renderMessages(data.messages) });
+}
+
+function commonOf(
+  data: z.infer<typeof completionBody> | z.infer<typeof chatBody>,
+  maxTokens: number | null | undefined,
+): Omit<AskedCompletion, 'prompt'> {
+  return {
+    model: data.model,
+    maxTokens: maxTokens ?? DEFAULT_MAX_TOKENS,
+    temperature: data.temperature ?? 1,
+    seed: data.seed ?? null,
+    stream: data.stream ?? false,
+    includeUsage: data.stream_options?.include_usage ?? false,
+  };
+}
+
+/** The engine takes one text: roles become headings, as chat templates do. */
+function renderMessages(messages: readonly z.infer<typeof chatMessage>[]): string {
+  const rendered = messages.map(
+    (message) => `<|${message.role}|>\n${contentText(message.content)}`,
+  );
+  return `${rendered.join('\n')}\n<|assistant|>\n`;
+}
+
+function contentText(content: z.infer<typeof chatMessage>['content']): string {
+  return typeof content === 'string' ? content : content.map((part) => part.text).join('');
+}
+
+function faultsOf(error: z.ZodError): readonly string[] {
+  return error.issues.map((issue) => `${issue.path.join('.') || 'body'}: ${issue.message}`);
+}
--- /dev/null
+++ b/packages/daemon/src/main.ts
@@ -0,0 +1,48 @@
+#!/usr/bin/env node
+/**
+ * `cassiamastd --settings FILE`: runs one process, an entry or a sidecar, until it is told to stop.
+ * SIGTERM and SIGINT shut it down gracefully: no new work, running answers end, then it exits.
+ */
+import { parseArgs } from 'node:util';
+import { type Failure, FailureError } from '@cassiamast/coordination';
+import { consola } from 'consola';
+import { loadSettings } from './settings/settings.js';
+import { startProcess } from './wiring/start-process.js';
+
+/** Exit codes, as documented in docs/RUNNING.md. */
+enum ExitCode {
+  Stopped = 0,
+  Failed = 1,
+  BadUsage = 2,
+}
+
+function fail(failure: Failure, code: ExitCode): never {
+  consola.error(`${failure.title}: ${failure.message}\n${failure.hint}`);
+  process.exit(code);
+}
+
+async function main(): Promise<void> {
+  const { values } = parseArgs({ options: { settings: { type: 'string', short: 's' } } });
+  if (values.settings === undefined) {
+    consola.error('Usage: cassiamastd --settings FILE');
+    process.exit(ExitCode.BadUsage);
+  }
+  const loaded = await loadSettings(values.settings, process.env);
+  if (loaded.isErr()) fail(loaded.error, ExitCode.BadUsage);
+  const running = await startProcess(loaded.value, (failure) => {
+    fail(failure, ExitCode.Failed);
+  });
+  const stop = (): void => {
+    running.stop().then(
+      () => process.exit(ExitCode.Stopped),
+      () => process.exit(ExitCode.Failed),
+    );
+  };
+  process.once('SIGTERM', stop);
+  process.once('SIGINT', stop);
+}
+
+main().catch((error: unknown) => {
+  if (error instanceof FailureError) fail(error.failure, ExitCode.Failed);
+  throw error;
+});
--- /dev/null
+++ b/packages/daemon/src/node/control-server.ts
@@ -0,0 +1,180 @@
+/**
+ * The control port of a member: JSON-RPC calls, streams and the Prometheus text, for members and
+ * the command line only. Listening on it is also the slot's lock: the operating system lets one
+ * process hold the address, a paused process keeps it and a dead one loses it.
+ */
+import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import { type Address, FailureError } from '@cassiamast/coordination';
+import {
+  JSONRPCErrorException,
+  JSONRPCServer,
+  type JSONRPCRequest,
+  isJSONRPCRequest,
+} from 'json-rpc-2.0';
+import type { Child } from '../supervisor/supervisor.js';
+import { METRICS_PATH, RPC_PATH, type RpcMethod, STREAM_PATH } from '../protocol/methods.js';
+import { formatAddress } from './address.js';
+import { ADDRESS_TAKEN, CONTROL_BUSY, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
+import { readBody } from './http-body.js';
+import type { AllowsAddress } from './networks.js';
+import type { MemberProof } from './secret.js';
+
+/** A configuration document of 1 MB as JSON in JSON, with room to spare. */
+const MAX_CALL_BYTES = 8 * 1024 * 1024;
+const MAX_CONNECTIONS = 4_096;
+const REQUEST_TIMEOUT_MS = 10_000;
+/** JSON-RPC leaves this range to servers. */
+export const RPC_FAILURE_CODE = -32_000;
+
+/** Answers one call; throws FailureError to answer with a typed failure. */
+export type RpcHandler = (params: unknown) => unknown;
+
+/** Answers one call with a stream. */
+export type StreamHandler = (request: JSONRPCRequest, response: ServerResponse) => void;
+
+/** What a control port needs. */
+export interface ControlServerOptions {
+  readonly address: Address;
+  readonly allows: AllowsAddress;
+  readonly proof: MemberProof;
+  readonly handlers: Readonly<Partial<Record<RpcMethod, RpcHandler>>>;
+  readonly streams: Readonly<Partial<Record<RpcMethod, StreamHandler>>>;
+  readonly metricsText: () => Promise<string>;
+}
+
+/** Turns a failure into the error of a JSON-RPC answer, data and all. */
+export function toRpcError(error: unknown): JSONRPCErrorException {
+  if (!(error instanceof FailureError)) throw error;
+  return new JSONRPCErrorException(error.failure.message, RPC_FAILURE_CODE, error.failure);
+}
+
+/** Makes the control port a child of the supervisor tree. */
+export function createControlServer(options: ControlServerOptions): Child {
+  const rpc = new JSONRPCServer({ errorListener: () => undefined });
+  for (const [method, handler] of Object.entries(options.handlers)) {
+    rpc.addMethod(method, async (params: unknown) => {
+      try {
+        return await handler(params);
+      } catch (error) {
+        throw toRpcError(error);
+      }
+    });
+  }
+  let server: Server | null = null;
+  return {
+    name: 'control-server',
+    start: async () => {
+      server = createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
+        void serve(options, rpc, request, response);
+      });
+      server.maxConnections = MAX_CONNECTIONS;
+      server.on('connection', (socket) => {
+        if (!options.allows(socket.remoteAddress)) socket.destroy();
+      });
+      await listenExclusively(server, options.address);
+    },
+    stop: async () => {
+      const closing = server;
+      server = null;
+      if (closing === null) return;
+      await new Promise<void>((resolve) => {
+        closing.close(() => {
+          resolve();
+        });
+        closing.closeAllConnections();
+      });
+    },
+  };
+}
+
+/** Binds an address that no other process may hold. */
+export function listenExclusively(server: Server, address: Address): Promise<void> {
+  return new Promise((resolve, reject) => {
+    server.once('error', (error) => {
+      reject(
+        new FailureError(
+          ADDRESS_TAKEN.of({ address: formatAddress(address), cause: error.message }),
+        ),
+      );
+    });
+    server.listen({ host: address.host, port: address.port, exclusive: true }, resolve);
+  });
+}
+
+async function serve(
+  options: ControlServerOptions,
+  rpc: JSONRPCServer,
+  request: IncomingMessage,
+  response: ServerResponse,
+): Promise<void> {
+  if (!options.proof.isMember(request.headers.authorization)) {
+    answerJson(response, 401, NOT_A_MEMBER.of(undefined));
+    return;
+  }
+  if (request.method === 'GET' && request.url === METRICS_PATH) {
+    response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
+    response.end(await options.metricsText());
+    return;
+  }
+  const call = await readCall(request);
+  if (call === null) {
+    answerJson(response, 400, MALFORMED_CALL.of({ fault: 'no JSON-RPC request' }));
+    return;
+  }
+  if (request.url === STREAM_PATH) openStream(options, call, response);
+  else if (request.url === RPC_PATH) await answerCall(rpc, call, response);
+  else answerJson(response, 404, MALFORMED_CALL.of({ fault: 'unknown path' }));
+}
+
+async function readCall(request: IncomingMessage): Promise<JSONRPCRequest | null> {
+  const body = await readBody(request, MAX_CALL_BYTES);
+  if (body.isErr()) return null;
+  try {
+    const call: unknown = JSON.parse(body.value.toString('utf8'));
+    return isJSONRPCRequest(call) ? call : null;
+  } catch {
+    return null;
+  }
+}
+
+function openStream(
+  options: ControlServerOptions,
+  call: JSONRPCRequest,
+  response: ServerResponse,
+): void {
+  const handler = options.streams[call.method as RpcMethod];
+  if (handler === undefined) {
+    answerJson(response, 404, MALFORMED_CALL.of({ fault: `no stream ${call.method}` }));
+    return;
+  }
+  handler(call, response);
+}
+
+async function answerCall(
+  rpc: JSONRPCServer,
+  call: JSONRPCRequest,
+  response: ServerResponse,
+): Promise<void> {
+  const answer = await rpc.receive(call);
+  if (answer === null) {
+    response.writeHead(204);
+    response.end();
+    return;
+  }
+  answerJson(response, 200, answer);
+}
+
+function answerJson(response: ServerResponse, status: number, body: unknown): void {
+  if (response.destroyed) return;
+  const text = JSON.stringify(body);
+  response.writeHead(status, {
+    'content-type': 'application/json',
+    'content-length': Buffer.byteLength(text),
+  });
+  response.end(text);
+}
+
+/** The answer to a stream that finds all places taken. */
+export function refuseStream(response: ServerResponse, limit: number): void {
+  answerJson(response, 503, CONTROL_BUSY.of({ limit }));
+}
--- /dev/null
+++ b/packages/daemon/src/node/failures.ts
@@ -0,0 +1,49 @@
+/** Failures of the members' transports. */
+import { defineFailure } from '@cassiamast/coordination';
+
+/** A call to a member brought no usable answer. */
+export const MEMBER_UNREACHABLE = defineFailure({
+  name: 'member-unreachable',
+  title: 'A member did not answer',
+  message: (data: {
+    readonly member: string;
+    readonly method: string;
+    readonly cause: string;
+    /** False only when the call certainly never left this process. */
+    readonly mayHaveRun: boolean;
+  }) => `${data.member} did not answer ${data.method}: ${data.cause}`,
+  hint: 'Look at the member itself and at the network between the two VMs.',
+});
+
+/** The control address is taken, by another process or by this one's paused predecessor. */
+export const ADDRESS_TAKEN = defineFailure({
+  name: 'address-taken',
+  title: 'The control address is taken',
+  message: (data: { readonly address: string; readonly cause: string }) =>
+    `Can not bind ${data.address}: ${data.cause}`,
+  hint: 'Another process, perhaps paused, still holds this slot; only one may. End it first.',
+});
+
+/** A member sent something that is no valid call. */
+export const MALFORMED_CALL = defineFailure({
+  name: 'malformed-call',
+  title: 'The call is malformed',
+  message: (data: { readonly fault: string }) => `The call was refused: ${data.fault}`,
+  hint: 'Both members should run the same version.',
+});
+
+/** A call without the members' shared secret. */
+export const NOT_A_MEMBER = defineFailure({
+  name: 'not-a-member',
+  title: 'The caller of the control port is no member',
+  message: () => 'The call carried no valid secret.',
+  hint: 'Members share one secret (secretFile); the command line needs it as well.',
+});
+
+/** The process holds as many connections or streams as its limit allows. */
+export const CONTROL_BUSY = defineFailure({
+  name: 'control-busy',
+  title: 'The control port is at its limit',
+  message: (data: { readonly limit: number }) => `All ${String(data.limit)} places are in use.`,
+  hint: 'Transient; members retry elsewhere. If it lasts, look for a member that calls in a loop.',
+});
--- /dev/null
+++ b/packages/daemon/src/wiring/process.ts
@@ -0,0 +1,18 @@
+/** What every daemon process has, whichever kind it is. */
+import type { Clocks, Hashing, Random } from '@cassiamast/coordination';
+import type { ConsolaInstance } from 'consola';
+import type { KeyValueClient } from '@cassiamast/platform';
+import type { RpcClient } from '../node/rpc-client.js';
+import type { MemberProof } from '../node/secret.js';
+
+/** The surroundings of a process, made once at its start. */
+export interface ProcessContext {
+  readonly memberId: string;
+  readonly clocks: Clocks;
+  readonly random: Random;
+  readonly hashing: Hashing;
+  readonly log: ConsolaInstance;
+  readonly proof: MemberProof;
+  readonly rpc: RpcClient;
+  readonly keyValue: KeyValueClient;
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -0,0 +1,68 @@
+/**
+ * Starts a whole process from its settings: makes the surroundings, wires the parts of its kind
+ * and puts them under one root supervisor.
+ */
+import { randomInt } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { type Failure, MemberKind, createHashing, seededRandom } from '@cassiamast/coordination';
+import { createKeyValueClient } from '@cassiamast/platform';
+import { formatAddress } from '../node/address.js';
+import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { createLog } from '../node/logging.js';
+import { createRpcClient } from '../node/rpc-client.js';
+import { createMemberProof } from '../node/secret.js';
+import type { LoadedSettings } from '../settings/settings.js';
+import { createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
+import type { ProcessContext } from './process.js';
+import { wireEntry } from './wire-entry.js';
+import { wireSidecar } from './wire-sidecar.js';
+
+const MAX_SEED = 0x7fff_ffff;
+
+/** A process that runs. */
+export interface RunningProcess {
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a process; `onFailure` is told when a part keeps failing. */
+export async function startProcess(
+  loaded: LoadedSettings,
+  onFailure: (failure: Failure) => void,
+): Promise<RunningProcess> {
+  const { settings, secret } = loaded;
+  const memberId = formatAddress(settings.control);
+  const proof = createMemberProof(secret);
+  const context: ProcessContext = {
+    memberId,
+    clocks: SYSTEM_CLOCKS,
+    random: seededRandom(randomInt(MAX_SEED)),
+    hashing: await createHashing(),
+    log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
+    proof,
+    rpc: createRpcClient(proof),
+    keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
+  };
+  const root = createSupervisor({
+    name: 'root',
+    children:
+      settings.kind === MemberKind.Entry
+        ? wireEntry(context, settings)
+        : wireSidecar(context, settings),
+    limit: DEFAULT_RESTART_LIMIT,
+    log: context.log,
+    nowMs: context.clocks.monotonicMs,
+    sleep: async (delayMs) => {
+      await sleep(delayMs);
+    },
+  });
+  await root.start(onFailure);
+  context.log.info(`${settings.kind} serves`);
+  return {
+    stop: async () => {
+      context.log.info(`${settings.kind} stops`);
+      await root.stop();
+      await context.rpc.close();
+      await context.keyValue.close();
+    },
+  };
+}
