Add the members' datagram port

Cause: membership and load reports need small unacknowledged messages. Change: one sealed JSON-RPC notification a datagram, exclusive bind, bytes counted with headers. Conclusion: used once the membership machine is wired.

--- /dev/null
+++ b/packages/daemon/src/node/datagrams.ts
@@ -0,0 +1,118 @@
+/**
+ * Datagrams between members: one sealed JSON-RPC notification each, on the same port number as the
+ * control port. Small, unconnected and unacknowledged: what must arrive is the machines' concern.
+ */
+import { createSocket, type Socket } from 'node:dgram';
+import { isIPv6 } from 'node:net';
+import { type Address, FailureError } from '@cassiamast/coordination';
+import { createJSONRPCNotification, isJSONRPCRequest } from 'json-rpc-2.0';
+import type { RpcMethod } from '../protocol/methods.js';
+import type { Child } from '../supervisor/supervisor.js';
+import { formatAddress, parseAddress } from './address.js';
+import { ADDRESS_TAKEN } from './failures.js';
+import type { MemberProof } from './secret.js';
+
+/** IP and UDP headers, counted with every datagram as control bytes. */
+export const DATAGRAM_HEADER_BYTES = 28;
+
+/** Bytes and datagrams sent and received since the start, headers included. */
+export interface DatagramCounts {
+  sentBytes: number;
+  sentDatagrams: number;
+  receivedBytes: number;
+  receivedDatagrams: number;
+  /** Datagrams without a valid seal or that are no JSON-RPC notification. */
+  rejected: number;
+}
+
+/** Sends and receives datagrams. */
+export interface Datagrams {
+  readonly child: Child;
+  readonly send: (member: string, method: RpcMethod, params: unknown) => void;
+  readonly counts: DatagramCounts;
+}
+
+/** What receives datagrams. */
+export type OnDatagram = (method: RpcMethod, params: unknown) => void;
+
+/** Makes the datagram port of a member. */
+export function createDatagrams(
+  address: Address,
+  proof: MemberProof,
+  onDatagram: OnDatagram,
+): Datagrams {
+  const counts: DatagramCounts = {
+    sentBytes: 0,
+    sentDatagrams: 0,
+    receivedBytes: 0,
+    receivedDatagrams: 0,
+    rejected: 0,
+  };
+  let socket: Socket | null = null;
+
+  function receive(data: Buffer): void {
+    counts.receivedBytes += data.length + DATAGRAM_HEADER_BYTES;
+    counts.receivedDatagrams += 1;
+    const call = decode(proof, data);
+    if (call === null) counts.rejected += 1;
+    else onDatagram(call.method as RpcMethod, call.params);
+  }
+
+  return {
+    counts,
+    send: (member, method, params) => {
+      if (socket === null) return;
+      const text = JSON.stringify(createJSONRPCNotification(method, params));
+      const data = Buffer.from(proof.seal(text));
+      counts.sentBytes += data.length + DATAGRAM_HEADER_BYTES;
+      counts.sentDatagrams += 1;
+      const { host, port } = parseAddress(member);
+      // An unreachable peer is what the membership's probes find out; here it is no failure.
+      socket.send(data, port, host, () => undefined);
+    },
+    child: {
+      name: 'datagrams',
+      start: (reportFailure) =>
+        new Promise((resolve, reject) => {
+          const opened = createSocket({ type: isIPv6(address.host) ? 'udp6' : 'udp4' });
+          const failure = (error: Error): FailureError =>
+            new FailureError(
+              ADDRESS_TAKEN.of({ address: formatAddress(address), cause: error.message }),
+            );
+          opened.once('error', (error) => {
+            reject(failure(error));
+          });
+          opened.on('message', receive);
+          opened.bind({ port: address.port, address: address.host, exclusive: true }, () => {
+            opened.removeAllListeners('error');
+            opened.on('error', (error) => {
+              reportFailure(failure(error).failure);
+            });
+            socket = opened;
+            resolve();
+          });
+        }),
+      stop: () =>
+        new Promise((resolve) => {
+          const closing = socket;
+          socket = null;
+          if (closing === null) resolve();
+          else closing.close(resolve);
+        }),
+    },
+  };
+}
+
+function decode(
+  proof: MemberProof,
+  data: Buffer,
+): { readonly method: string; readonly params?: unknown } | null {
+  const text = proof.open(data.toString('utf8'));
+  if (text === null) return null;
+  try {
+    const call: unknown = JSON.parse(text);
+    return isJSONRPCRequest(call) ? call : null;
+  } catch {
+    return null;
+  }
+}
