--- /dev/null
+++ b/packages/coordination/src/core/membership/index.ts
@@ -0,0 +1,19 @@
+/** Membership: who is alive, who is leaving, and small hints of other subsystems. */
+export * from './effects.js';
+export * from './failures.js';
+export * from './leaving-signs.js';
+export {
+  DATAGRAM_HEADER_BYTES,
+  announceLeaving,
+  announceLeft,
+  membershipWakeAtMs,
+  receiveMembershipMessage,
+  tickMembership,
+} from './membership.js';
+export * from './messages.js';
+export type * from './options.js';
+export type { MembershipState, SelfDescription } from './state.js';
+export { MEMBERSHIP_GUARDS, MEMBERSHIP_OPTIONS, createMembership, parseMemberId } from './state.js';
+export { answerSync, receiveSyncAnswer, syncFailed } from './syncing.js';
+export { findMember, membersIn, presentMembers } from './view.js';
+export * from './wire.js';
--- /dev/null
+++ b/packages/coordination/src/core/membership/membership.ts
@@ -0,0 +1,312 @@
+/**
+ * The membership machine: SWIM with suspicion and refutation, sized so that a member costs the
+ * same at 14 and at 1,140 members. Its process feeds it datagrams, page answers and wake-ups, and
+ * performs the effects. See docs/design/membership.md for the ways weighed and the arithmetic.
+ */
+import { MemberState } from '../model/member.js';
+import type { MembershipContext, MembershipEffect } from './effects.js';
+import { MembershipEffectKind } from './effects.js';
+import type { Hints, MembershipMessage } from './messages.js';
+import { MembershipMethod } from './messages.js';
+import { newsIsEmpty, takeNews } from './news-queue.js';
+import {
+  continueProbe,
+  endRelayedProbes,
+  newsFor,
+  ping,
+  probeAnswered,
+  relayProbe,
+  sendLimit,
+  startProbe,
+} from './probing.js';
+import type { MembershipState } from './state.js';
+import { continueSync, syncWakeAtMs } from './syncing.js';
+import { Spread, applyNews, changeSelf, forget, pickPeer } from './view.js';
+import { datagramBytes, encodeMembershipMessage } from './wire.js';
+
+/** UDP and IPv4 headers of one datagram. */
+export const DATAGRAM_HEADER_BYTES = 28;
+
+/** Peers told at once of a member's own leaving; gossip does the rest. */
+const FAREWELL_PEERS = 6;
+
+/** A partition that was seen to heal is probed across at full rate for this long. */
+const HEALING_MS = 60_000;
+
+/**
+ * Failure guarded against: a process that stood still wakes up, finds all its timers overdue and
+ * takes everybody for dead. It shows as a wake-up much later than asked for. The probe under way is
+ * dropped without a verdict, and suspects get the lost time back.
+ */
+function noticePause(state: MembershipState, nowMs: number): void {
+  const latenessMs = nowMs - state.wakeAtMs;
+  if (latenessMs <= state.options.guards.pauseThresholdMs) return;
+  state.probe = null;
+  state.relayed.clear();
+  for (const id of state.suspects) {
+    const record = state.records.get(id);
+    if (record !== undefined) record.suspectDeadlineMs += latenessMs;
+  }
+  state.wakeAtMs = nowMs;
+}
+
+function declareDead(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  for (const id of [...state.suspects]) {
+    const record = state.records.get(id);
+    if (record === undefined || state.silent.has(id)) continue;
+    if (context.nowMs < record.suspectDeadlineMs) continue;
+    const { incarnation } = record.member;
+    const news = { id, state: MemberState.Dead, incarnation, details: null };
+    // Everybody who heard of the suspicion runs the same timer: the verdict needs no spreading.
+    effects.push(...applyNews(state, news, Spread.Keep, 'suspicion not contradicted', context));
+  }
+  return effects;
+}
+
+function forgetLongDead(state: MembershipState, nowMs: number): void {
+  for (const id of [...state.dead]) {
+    const record = state.records.get(id);
+    if (record !== undefined && nowMs - record.changedAtMs >= state.options.deadRetentionMs) {
+      forget(state, id);
+    }
+  }
+}
+
+/** Probes one remembered dead member, so that parted halves find each other again. */
+function probeOneDead(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  if (context.nowMs < state.timers.deadProbeAtMs) return [];
+  const healing = context.nowMs < state.healingUntilMs;
+  const { probeIntervalMs, deadProbeIntervalMs, guards } = state.options;
+  const intervalMs = healing ? probeIntervalMs : deadProbeIntervalMs;
+  state.timers.deadProbeAtMs = context.nowMs + intervalMs * (0.5 + context.random());
+  forgetLongDead(state, context.nowMs);
+  if (state.dead.size === 0 || !guards.probesDead) return [];
+  const dead = [...state.dead];
+  const id = dead[Math.floor(context.random() * dead.length)] ?? '';
+  state.sequence += 1;
+  return [ping(state, id, state.sequence, context)];
+}
+
+function gossipTo(
+  state: MembershipState,
+  to: string,
+  context: MembershipContext,
+): MembershipEffect {
+  const news = takeNews(state.news, state.options.newsBytesPerMessage, sendLimit(state));
+  const message: MembershipMessage = {
+    method: MembershipMethod.Gossip,
+    hints: context.hints(),
+    news,
+  };
+  const bytes = datagramBytes(encodeMembershipMessage(message)) + DATAGRAM_HEADER_BYTES;
+  state.gossipBytes -= bytes;
+  return { kind: MembershipEffectKind.SendDatagram, to, message };
+}
+
+function pushNews(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  if (context.nowMs < state.timers.gossipAtMs) return [];
+  const { gossipIntervalMs, gossipFanout, gossipBytesPerS } = state.options;
+  state.timers.gossipAtMs = context.nowMs + gossipIntervalMs;
+  const elapsedS = Math.max(0, context.nowMs - state.gossipRefilledAtMs) / 1_000;
+  const refilled = state.gossipBytes + elapsedS * gossipBytesPerS;
+  state.gossipBytes = Math.min(gossipBytesPerS, refilled);
+  state.gossipRefilledAtMs = context.nowMs;
+  const effects: MembershipEffect[] = [];
+  for (let sent = 0; sent < gossipFanout; sent += 1) {
+    if (newsIsEmpty(state.news) || state.gossipBytes < state.options.newsBytesPerMessage) break;
+    const to = pickPeer(state, [], context);
+    if (to !== null) effects.push(gossipTo(state, to, context));
+  }
+  return effects;
+}
+
+function earliestDeadline(state: MembershipState): number {
+  let earliestMs = Infinity;
+  for (const id of state.suspects) {
+    if (state.silent.has(id)) continue;
+    earliestMs = Math.min(earliestMs, state.records.get(id)?.suspectDeadlineMs ?? Infinity);
+  }
+  for (const relayed of state.relayed.values()) earliestMs = Math.min(earliestMs, relayed.endsAtMs);
+  return earliestMs;
+}
+
+/** When the machine wants its next {@link tickMembership}; wakes at any other time do no harm. */
+export function membershipWakeAtMs(state: MembershipState): number {
+  const { probe, timers } = state;
+  const probeWakeMs = probe === null ? timers.probeAtMs : (probe.indirectAtMs ?? probe.endsAtMs);
+  const gossipWakeMs = newsIsEmpty(state.news) ? Infinity : timers.gossipAtMs;
+  return Math.min(
+    probeWakeMs,
+    gossipWakeMs,
+    timers.deadProbeAtMs,
+    syncWakeAtMs(state),
+    earliestDeadline(state),
+  );
+}
+
+function step(
+  state: MembershipState,
+  context: MembershipContext,
+  act: () => MembershipEffect[],
+): MembershipEffect[] {
+  noticePause(state, context.nowMs);
+  const effects = act();
+  state.wakeAtMs = Math.max(context.nowMs, membershipWakeAtMs(state));
+  return effects;
+}
+
+function nextProbe(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  if (state.probe !== null || context.nowMs < state.timers.probeAtMs) return [];
+  state.timers.probeAtMs = context.nowMs + state.options.probeIntervalMs;
+  return startProbe(state, context);
+}
+
+/** Does whatever is due. */
+export function tickMembership(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (state.self.state === MemberState.Dead) return [];
+  return step(state, context, () => [
+    ...continueProbe(state, context),
+    ...nextProbe(state, context),
+    ...endRelayedProbes(state, context),
+    ...declareDead(state, context),
+    ...continueSync(state, context),
+    ...probeOneDead(state, context),
+    ...pushNews(state, context),
+  ]);
+}
+
+function noteReturn(state: MembershipState, from: string, context: MembershipContext): void {
+  if (!state.dead.has(from)) return;
+  state.returnedPeer ??= from;
+  state.healingUntilMs = context.nowMs + HEALING_MS;
+  state.timers.deadProbeAtMs = Math.min(
+    state.timers.deadProbeAtMs,
+    context.nowMs + state.options.probeIntervalMs * context.random(),
+  );
+  state.timers.syncAtMs = Math.min(
+    state.timers.syncAtMs,
+    context.nowMs + state.options.syncPageIntervalMs * (1 + context.random()),
+  );
+}
+
+function hintsHeard(from: string, hints: Hints, askedAtMs: number | null): MembershipEffect[] {
+  if (hints.length === 0) return [];
+  return [{ kind: MembershipEffectKind.HintsHeard, from, hints, askedAtMs }];
+}
+
+function receiveAck(
+  state: MembershipState,
+  from: string,
+  sequence: number,
+  hints: Hints,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const { probe } = state;
+  if (probe?.sequence === sequence) {
+    const effects = probeAnswered(state, context);
+    return [...effects, ...hintsHeard(from, hints, probe.startedAtMs)];
+  }
+  const relayed = state.relayed.get(sequence);
+  if (relayed === undefined) return hintsHeard(from, hints, null);
+  state.relayed.delete(sequence);
+  const ack: MembershipMessage = {
+    method: MembershipMethod.Ack,
+    sequence: relayed.requesterSequence,
+    hints: context.hints(),
+    news: newsFor(state, relayed.requester),
+  };
+  const relay = { kind: MembershipEffectKind.SendDatagram, to: relayed.requester, message: ack };
+  return [...hintsHeard(from, hints, null), relay as MembershipEffect];
+}
+
+function receiveNews(
+  state: MembershipState,
+  from: string,
+  message: MembershipMessage,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (!('news' in message)) return [];
+  return message.news.flatMap((news) =>
+    applyNews(state, news, Spread.Tell, `told by ${from}`, context),
+  );
+}
+
+function answerMessage(
+  state: MembershipState,
+  from: string,
+  message: MembershipMessage,
+  context: MembershipContext,
+): MembershipEffect[] {
+  switch (message.method) {
+    case MembershipMethod.Ping: {
+      const { sequence } = message;
+      const news = newsFor(state, from);
+      const ack: MembershipMessage = {
+        method: MembershipMethod.Ack,
+        sequence,
+        hints: context.hints(),
+        news,
+      };
+      const answer = { kind: MembershipEffectKind.SendDatagram, to: from, message: ack } as const;
+      return [answer, ...hintsHeard(from, message.hints, null)];
+    }
+    case MembershipMethod.Ack:
+      return receiveAck(state, from, message.sequence, message.hints, context);
+    case MembershipMethod.Probe:
+      return relayProbe(state, from, message.sequence, message.target, context);
+    case MembershipMethod.Nack:
+      if (state.probe?.sequence === message.sequence) state.probe.nacks += 1;
+      return [];
+    case MembershipMethod.Gossip:
+      return hintsHeard(from, message.hints, null);
+  }
+}
+
+/** Takes one datagram in; `from` is the member id that its source address gives. */
+export function receiveMembershipMessage(
+  state: MembershipState,
+  from: string,
+  message: MembershipMessage,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (state.self.state === MemberState.Dead) return [];
+  return step(state, context, () => {
+    state.lastHeardMs = context.nowMs;
+    noteReturn(state, from, context);
+    const news = receiveNews(state, from, message, context);
+    return [...news, ...answerMessage(state, from, message, context)];
+  });
+}
+
+function farewell(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  for (let told = 0; told < FAREWELL_PEERS; told += 1) {
+    const to = pickPeer(state, [], context);
+    if (to !== null) effects.push(gossipTo(state, to, context));
+  }
+  return effects;
+}
+
+/** Says that this process shuts down: it takes no new work but goes on with what it has. */
+export function announceLeaving(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (state.self.state !== MemberState.Alive) return [];
+  const incarnation = state.self.incarnation + 1;
+  changeSelf(state, { ...state.self, state: MemberState.Leaving, incarnation }, context);
+  return farewell(state, context);
+}
+
+/** The last word before the process ends: spares the others suspicion and its timeout. */
+export function announceLeft(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  changeSelf(state, { ...state.self, state: MemberState.Dead }, context);
+  return farewell(state, context);
+}
--- /dev/null
+++ b/packages/coordination/src/core/membership/probing.ts
@@ -0,0 +1,227 @@
+/**
+ * The probe: ping one member a second, ask a few others when it does not answer, suspect it when
+ * they get no answer either. A probe that nobody at all answers says more about the prober than
+ * about the probed, and is not held against the probed member in public.
+ */
+import { MemberState } from '../model/member.js';
+import { randomBelow } from '../random/random.js';
+import type { MembershipContext, MembershipEffect } from './effects.js';
+import { MembershipEffectKind } from './effects.js';
+import type { MemberNews } from './messages.js';
+import { MembershipMethod } from './messages.js';
+import { takeNews } from './news-queue.js';
+import type { MembershipState, PendingProbe } from './state.js';
+import { Spread, applyNews, findMember, pickPeer, replaceMember } from './view.js';
+
+/** Most that a member's own bad health stretches its timeouts. */
+const MAX_HEALTH_PENALTY = 8;
+
+/** Relayed probes at a time; more are refused by silence, and the requester asks others as well. */
+const MAX_RELAYED_PROBES = 64;
+
+/** How often each piece of news is sent by each member at the present size. */
+export function sendLimit(state: MembershipState): number {
+  const members = state.records.size + 1;
+  return state.options.retransmitFactor * Math.ceil(Math.log10(members + 1));
+}
+
+/** The news for one message. What is believed of the receiver goes first, so that it can contradict. */
+export function newsFor(state: MembershipState, receiver: string): MemberNews[] {
+  const held = state.records.get(receiver)?.member;
+  const doubted = held?.state === MemberState.Suspect || held?.state === MemberState.Dead;
+  const news = takeNews(state.news, state.options.newsBytesPerMessage, sendLimit(state));
+  if (held === undefined || !doubted) return news;
+  const { id, incarnation } = held;
+  return [{ id, state: held.state, incarnation, details: null }, ...news];
+}
+
+/** A ping to one member. */
+export function ping(
+  state: MembershipState,
+  to: string,
+  sequence: number,
+  context: MembershipContext,
+): MembershipEffect {
+  const news = newsFor(state, to);
+  const message = {
+    method: MembershipMethod.Ping,
+    sequence,
+    hints: context.hints(),
+    news,
+  } as const;
+  return { kind: MembershipEffectKind.SendDatagram, to, message };
+}
+
+function shuffle(ids: string[], context: MembershipContext): void {
+  for (let last = ids.length - 1; last > 0; last -= 1) {
+    const other = randomBelow(context.random, last + 1);
+    const moved = ids[last] ?? '';
+    ids[last] = ids[other] ?? '';
+    ids[other] = moved;
+  }
+}
+
+/** The next member of the round; the dead drop out of the order here. */
+function nextTarget(state: MembershipState, context: MembershipContext): string | null {
+  for (let tries = state.probeOrder.length; tries > 0; tries -= 1) {
+    if (state.probeIndex >= state.probeOrder.length) {
+      state.probeIndex = 0;
+      shuffle(state.probeOrder, context);
+    }
+    const id = state.probeOrder[state.probeIndex];
+    if (id === undefined) return null;
+    const member = findMember(state, id);
+    if (member !== undefined && member.state !== MemberState.Dead) {
+      state.probeIndex += 1;
+      return id;
+    }
+    state.probeOrder.splice(state.probeIndex, 1);
+  }
+  return null;
+}
+
+/** Starts the next probe of the round. */
+export function startProbe(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  const target = nextTarget(state, context);
+  if (target === null) return [];
+  state.sequence += 1;
+  const stretch = 1 + state.healthPenalty;
+  state.probe = {
+    target,
+    sequence: state.sequence,
+    startedAtMs: context.nowMs,
+    indirectAtMs: context.nowMs + state.options.probeTimeoutMs * stretch,
+    endsAtMs: context.nowMs + state.options.probeIntervalMs * stretch,
+    helpersAsked: 0,
+    nacks: 0,
+  };
+  return [ping(state, target, state.sequence, context)];
+}
+
+function askHelpers(
+  state: MembershipState,
+  probe: PendingProbe,
+  context: MembershipContext,
+): MembershipEffect[] {
+  probe.indirectAtMs = null;
+  const asked: string[] = [];
+  for (let helper = 0; helper < state.options.indirectProbes; helper += 1) {
+    const to = pickPeer(state, [probe.target, ...asked], context);
+    if (to !== null) asked.push(to);
+  }
+  probe.helpersAsked = asked.length;
+  const { sequence, target } = probe;
+  const message = { method: MembershipMethod.Probe, sequence, target } as const;
+  return asked.map((to) => ({ kind: MembershipEffectKind.SendDatagram, to, message }));
+}
+
+/**
+ * Decides on a probe without an answer. Failure guarded against: a member that was itself cut off
+ * returns and declares the whole fleet dead, and everybody has to contradict. It shows as a probe
+ * that not even the helpers answered; such a suspicion is kept to oneself, never grows into a death
+ * and is dropped on the first answer. Hearing others is not enough, since datagrams may be lost one
+ * way only.
+ */
+function probeFailed(
+  state: MembershipState,
+  probe: PendingProbe,
+  context: MembershipContext,
+): MembershipEffect[] {
+  state.healthPenalty = Math.min(MAX_HEALTH_PENALTY, state.healthPenalty + 1);
+  const record = state.records.get(probe.target);
+  if (record === undefined) return [];
+  const heardSomebody = state.lastHeardMs > probe.startedAtMs;
+  const connected = probe.helpersAsked > 0 ? probe.nacks > 0 : heardSomebody;
+  const { id, incarnation } = record.member;
+  if (!connected && state.options.guards.silenceIsOwnFault) {
+    return suspectInSilence(state, id, context);
+  }
+  const news = { id, state: MemberState.Suspect, incarnation, details: null };
+  return applyNews(state, news, Spread.Tell, 'no answer to direct and indirect probes', context);
+}
+
+function suspectInSilence(
+  state: MembershipState,
+  id: string,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const record = state.records.get(id);
+  if (record === undefined) return [];
+  const held = record.member.state;
+  if (held === MemberState.Suspect || held === MemberState.Dead) return [];
+  const member = { ...record.member, state: MemberState.Suspect };
+  const effect = replaceMember(state, record, member, 'no answer, and none from helpers', context);
+  record.stateBeforeSilence = held;
+  state.silent.add(id);
+  return [effect];
+}
+
+/** Takes suspicions back that were formed while this member was cut off. */
+export function endSilence(state: MembershipState, context: MembershipContext): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  for (const id of [...state.silent]) {
+    const record = state.records.get(id);
+    if (!record?.stateBeforeSilence) continue;
+    const member = { ...record.member, state: record.stateBeforeSilence };
+    effects.push(replaceMember(state, record, member, 'contact is back', context));
+  }
+  state.silent.clear();
+  return effects;
+}
+
+/** Moves the probe under way on. */
+export function continueProbe(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const { probe } = state;
+  if (probe === null) return [];
+  if (context.nowMs >= probe.endsAtMs) {
+    state.probe = null;
+    return probeFailed(state, probe, context);
+  }
+  if (probe.indirectAtMs !== null && context.nowMs >= probe.indirectAtMs) {
+    return askHelpers(state, probe, context);
+  }
+  return [];
+}
+
+/** The probe under way was answered. */
+export function probeAnswered(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  state.probe = null;
+  state.healthPenalty = Math.max(0, state.healthPenalty - 1);
+  return endSilence(state, context);
+}
+
+/** Pings a third member on behalf of `requester`. */
+export function relayProbe(
+  state: MembershipState,
+  requester: string,
+  requesterSequence: number,
+  target: string,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (state.relayed.size >= MAX_RELAYED_PROBES) return [];
+  state.sequence += 1;
+  const endsAtMs = context.nowMs + state.options.probeTimeoutMs;
+  state.relayed.set(state.sequence, { requester, requesterSequence, endsAtMs });
+  return [ping(state, target, state.sequence, context)];
+}
+
+/** Tells requesters whose target did not answer that at least this helper lives. */
+export function endRelayedProbes(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const effects: MembershipEffect[] = [];
+  for (const [sequence, relayed] of state.relayed) {
+    if (context.nowMs < relayed.endsAtMs) continue;
+    state.relayed.delete(sequence);
+    const message = { method: MembershipMethod.Nack, sequence: relayed.requesterSequence } as const;
+    effects.push({ kind: MembershipEffectKind.SendDatagram, to: relayed.requester, message });
+  }
+  return effects;
+}
--- /dev/null
+++ b/packages/coordination/src/core/membership/syncing.ts
@@ -0,0 +1,168 @@
+/**
+ * Comparing views. A joining member fetches the whole view page by page from its seeds and then
+ * from random peers; later each member compares its digests with one random peer now and then,
+ * which repairs whatever gossip missed for a few hundred bytes.
+ */
+import type { Result } from 'neverthrow';
+import { err, ok } from 'neverthrow';
+import type { Failure } from '../failures/failure.js';
+import { randomBelow } from '../random/random.js';
+import { DIGEST_BUCKETS, bucketOf } from './digest.js';
+import type { MembershipContext, MembershipEffect } from './effects.js';
+import { MembershipEffectKind } from './effects.js';
+import { syncBusy } from './failures.js';
+import type { MemberNews, SyncAnswer, SyncRequest } from './messages.js';
+import type { MembershipState, PendingSync } from './state.js';
+import { Spread, applyNews, newsOf, pickPeer } from './view.js';
+
+/** A comparison that stands still this long is given up: its answer was lost. */
+const SYNC_TIMEOUT_MS = 10_000;
+
+/** A member that knows nobody tries its seeds this often. */
+const JOIN_RETRY_MS = 1_000;
+
+function choosePeer(state: MembershipState, context: MembershipContext): string | null {
+  const returned = state.returnedPeer;
+  state.returnedPeer = null;
+  if (returned !== null) return returned;
+  const peer = pickPeer(state, [], context);
+  if (peer !== null || state.seeds.length === 0) return peer;
+  return state.seeds[randomBelow(context.random, state.seeds.length)] ?? null;
+}
+
+function scheduleSync(state: MembershipState, context: MembershipContext): void {
+  const alone = state.records.size === 0;
+  const intervalMs = alone ? JOIN_RETRY_MS : state.options.syncIntervalMs;
+  state.timers.syncAtMs = context.nowMs + intervalMs * (0.5 + context.random());
+}
+
+function requestPage(
+  state: MembershipState,
+  sync: PendingSync,
+  context: MembershipContext,
+): MembershipEffect {
+  sync.nextPageAtMs = null;
+  sync.askedAtMs = context.nowMs;
+  const request: SyncRequest = { digests: [...state.digests], fromBucket: sync.nextBucket };
+  return { kind: MembershipEffectKind.RequestSync, to: sync.peer, request };
+}
+
+/** Starts or continues a comparison when one is due. */
+export function continueSync(
+  state: MembershipState,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const { sync } = state;
+  if (sync !== null) return continuePages(state, sync, context);
+  if (context.nowMs < state.timers.syncAtMs) return [];
+  scheduleSync(state, context);
+  const peer = choosePeer(state, context);
+  if (peer === null) return [];
+  const started = { peer, askedAtMs: context.nowMs, nextPageAtMs: null, nextBucket: 0 };
+  state.sync = started;
+  return [requestPage(state, started, context)];
+}
+
+function continuePages(
+  state: MembershipState,
+  sync: PendingSync,
+  context: MembershipContext,
+): MembershipEffect[] {
+  if (sync.nextPageAtMs !== null && context.nowMs >= sync.nextPageAtMs) {
+    return [requestPage(state, sync, context)];
+  }
+  const waitingSinceMs = context.nowMs - sync.askedAtMs;
+  if (sync.nextPageAtMs === null && waitingSinceMs >= SYNC_TIMEOUT_MS) state.sync = null;
+  return [];
+}
+
+/** When the comparison wants to be woken. */
+export function syncWakeAtMs(state: MembershipState): number {
+  if (state.sync === null) return state.timers.syncAtMs;
+  return state.sync.nextPageAtMs ?? state.sync.askedAtMs + SYNC_TIMEOUT_MS;
+}
+
+function takePageAllowance(state: MembershipState, nowMs: number): boolean {
+  const { syncPagesPerS } = state.options;
+  const elapsedS = Math.max(0, nowMs - state.syncRefilledAtMs) / 1_000;
+  state.syncPages = Math.min(syncPagesPerS, state.syncPages + elapsedS * syncPagesPerS);
+  state.syncRefilledAtMs = nowMs;
+  if (state.syncPages < 1) return false;
+  state.syncPages -= 1;
+  return true;
+}
+
+function differingBuckets(state: MembershipState, request: SyncRequest): Set<number> {
+  const differing = new Set<number>();
+  for (let bucket = request.fromBucket; bucket < DIGEST_BUCKETS; bucket += 1) {
+    if (state.digests[bucket] !== request.digests[bucket]) differing.add(bucket);
+  }
+  return differing;
+}
+
+function newsByBucket(
+  state: MembershipState,
+  wanted: ReadonlySet<number>,
+  context: MembershipContext,
+): Map<number, MemberNews[]> {
+  const grouped = new Map<number, MemberNews[]>();
+  const members = [...state.records.values()].map((record) => record.member);
+  for (const member of [...members, state.self]) {
+    const bucket = bucketOf(member.id, context.hash32);
+    if (!wanted.has(bucket)) continue;
+    const group = grouped.get(bucket) ?? [];
+    group.push(newsOf(member));
+    grouped.set(bucket, group);
+  }
+  return grouped;
+}
+
+/**
+ * Serves one page of this member's view. Errors: `sync-busy` when more pages are asked for than
+ * this member serves a second, as when a failure domain returns at once; the asker goes elsewhere.
+ */
+export function answerSync(
+  state: MembershipState,
+  request: SyncRequest,
+  context: MembershipContext,
+): Result<SyncAnswer, Failure> {
+  const differing = differingBuckets(state, request);
+  if (differing.size === 0) return ok({ members: [], nextBucket: null });
+  if (!takePageAllowance(state, context.nowMs)) {
+    return err(syncBusy.of({ retryAfterMs: 1_000 / state.options.syncPagesPerS }));
+  }
+  const grouped = newsByBucket(state, differing, context);
+  const members: MemberNews[] = [];
+  for (const bucket of differing) {
+    if (members.length >= state.options.syncPageMembers) return ok({ members, nextBucket: bucket });
+    members.push(...(grouped.get(bucket) ?? []));
+  }
+  return ok({ members, nextBucket: null });
+}
+
+/** Takes a page in and asks for the next one after a pause. */
+export function receiveSyncAnswer(
+  state: MembershipState,
+  from: string,
+  answer: SyncAnswer,
+  context: MembershipContext,
+): MembershipEffect[] {
+  const effects = answer.members.flatMap((news) =>
+    applyNews(state, news, Spread.Keep, `view of ${from}`, context),
+  );
+  const { sync } = state;
+  if (sync?.peer !== from) return effects;
+  if (answer.nextBucket === null || answer.nextBucket <= sync.nextBucket) {
+    state.sync = null;
+    return effects;
+  }
+  sync.nextBucket = answer.nextBucket;
+  sync.nextPageAtMs = context.nowMs + state.options.syncPageIntervalMs;
+  return effects;
+}
+
+/** The peer did not answer or was busy: another one is tried soon. */
+export function syncFailed(state: MembershipState, context: MembershipContext): void {
+  state.sync = null;
+  state.timers.syncAtMs = context.nowMs + JOIN_RETRY_MS * (0.5 + context.random());
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -10,3 +10,4 @@
 export * from './core/model/member.js';
 export * from './core/model/outcome.js';
 export * from './core/random/random.js';
+export * from './core/membership/index.js';
--- /dev/null
+++ b/packages/coordination/test/core/membership/membership.test.ts
@@ -0,0 +1,244 @@
+/** Membership on a virtual clock: joining, detection, refutation, pauses, partitions. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  MEMBERSHIP_GUARDS,
+  MEMBERSHIP_OPTIONS,
+  MemberState,
+  MembershipEffectKind,
+  announceLeaving,
+  announceLeft,
+  findMember,
+  membersIn,
+  presentMembers,
+} from '../../../src/index.js';
+import type { FleetMember } from '../../fixtures/fleet.js';
+import { Fleet } from '../../fixtures/fleet.js';
+
+const JOINED_MS = 40_000;
+
+function beliefs(fleet: Fleet, about: FleetMember): (MemberState | undefined)[] {
+  return fleet.members
+    .filter((member) => !member.killed && member !== about)
+    .map((member) => findMember(member.state, about.id)?.state);
+}
+
+function assertAllBelieve(fleet: Fleet, about: FleetMember, state: MemberState): void {
+  assert.deepEqual([...new Set(beliefs(fleet, about))], [state]);
+}
+
+function assertWhole(fleet: Fleet): void {
+  for (const member of fleet.members) {
+    assert.equal(membersIn(member.state, MemberState.Alive).length, fleet.members.length);
+  }
+}
+
+describe('membership', () => {
+  describe('joining', () => {
+    it('brings everybody to know everybody through three seeds', () => {
+      const fleet = new Fleet({ size: 60, seed: 1 });
+      fleet.runUntil(JOINED_MS);
+      assertWhole(fleet);
+    });
+
+    it('takes a restarted process at its old address in, with its new incarnation', () => {
+      const fleet = new Fleet({ size: 14, seed: 2 });
+      fleet.runUntil(JOINED_MS);
+      fleet.member(5).killed = true;
+      fleet.runUntil(JOINED_MS + 500);
+      fleet.start(5, 7);
+      fleet.runUntil(JOINED_MS + 20_000);
+      assertWhole(fleet);
+      assert.equal(findMember(fleet.member(0).state, fleet.member(5).id)?.incarnation, 7);
+    });
+
+    /**
+     * A VM is replaced and its new clock is behind: the process starts with a lower number than the
+     * one that others remember as dead. Without a correction it would be ignored for two hours.
+     */
+    it('corrects an incarnation drawn from a clock that is behind', () => {
+      const fleet = new Fleet({ size: 14, seed: 3 });
+      fleet.member(5).killed = true;
+      fleet.start(5, 1_000);
+      fleet.runUntil(JOINED_MS);
+      fleet.member(5).killed = true;
+      fleet.runUntil(JOINED_MS + 20_000);
+      assertAllBelieve(fleet, fleet.member(5), MemberState.Dead);
+      fleet.start(5, 3);
+      fleet.runUntil(JOINED_MS + 60_000);
+      assertWhole(fleet);
+    });
+  });
+
+  describe('failure detection', () => {
+    it('finds a killed member suspect within 4 s and dead within 9 s everywhere', () => {
+      const fleet = new Fleet({ size: 60, seed: 4 });
+      fleet.runUntil(JOINED_MS);
+      fleet.member(9).killed = true;
+      fleet.runUntil(JOINED_MS + 4_000);
+      assert.ok(!beliefs(fleet, fleet.member(9)).includes(MemberState.Alive));
+      fleet.runUntil(JOINED_MS + 9_000);
+      assertAllBelieve(fleet, fleet.member(9), MemberState.Dead);
+    });
+
+    it('finds a whole failure domain dead at once, and nobody else', () => {
+      const fleet = new Fleet({ size: 60, seed: 5 });
+      fleet.runUntil(JOINED_MS);
+      const lost = fleet.members.filter((member) => member.failureDomain === 'fd-1');
+      for (const member of lost) member.killed = true;
+      fleet.runUntil(JOINED_MS + 15_000);
+      for (const member of lost) assertAllBelieve(fleet, member, MemberState.Dead);
+      for (const member of fleet.members) {
+        if (!member.killed) assert.equal(presentMembers(member.state).length, 40);
+      }
+    });
+
+    it('declares nobody dead while a tenth of all datagrams is lost', () => {
+      const deaths: string[] = [];
+      const fleet = new Fleet({
+        size: 30,
+        seed: 6,
+        loses: (_from, _to, random) => random() < 0.1,
+        onChanged: (_observer, change) => {
+          if (change.member.state === MemberState.Dead) deaths.push(change.member.id);
+        },
+      });
+      fleet.runUntil(300_000);
+      assert.deepEqual(deaths, []);
+    });
+  });
+
+  /**
+   * A process stands still for a minute and wakes up with all timers overdue. Without the guard it
+   * takes everybody for dead, since nobody answered it. Others may rightly have taken it for dead;
+   * it contradicts and is back.
+   */
+  describe('a paused process', () => {
+    function pauseOne(pauseThresholdMs: number): { wrong: number; fleet: Fleet } {
+      let wrong = 0;
+      const guards = { ...MEMBERSHIP_GUARDS, pauseThresholdMs };
+      const fleet = new Fleet({
+        size: 14,
+        seed: 7,
+        options: { ...MEMBERSHIP_OPTIONS, guards },
+        onChanged: (observer, change) => {
+          const settled = change.member.state === MemberState.Dead;
+          if (observer.id === '10.0.0.4:7000' && settled) wrong += 1;
+        },
+      });
+      fleet.runUntil(JOINED_MS);
+      fleet.member(4).pausedUntilMs = JOINED_MS + 60_000;
+      fleet.runUntil(JOINED_MS + 59_000);
+      assertAllBelieve(fleet, fleet.member(4), MemberState.Dead);
+      fleet.runUntil(JOINED_MS + 90_000);
+      return { wrong, fleet };
+    }
+
+    it('declares nobody dead and is taken back', () => {
+      const { wrong, fleet } = pauseOne(MEMBERSHIP_GUARDS.pauseThresholdMs);
+      assert.equal(wrong, 0);
+      assertWhole(fleet);
+    });
+  });
+
+  /**
+   * One member's network is cut for a minute. It hears nobody, so what it concludes about the others
+   * says nothing about them; when the cut ends nobody else may be bothered by its conclusions.
+   */
+  describe('a member that was cut off', () => {
+    for (const direction of ['both ways', 'outwards only', 'inwards only']) {
+      it(`keeps its suspicions to itself: ${direction}`, () => {
+        const cut = '10.0.0.4:7000';
+        let wrong = 0;
+        const fleet = new Fleet({
+          size: 14,
+          seed: 8,
+          loses: (from, to, _random, nowMs) => {
+            if (nowMs < JOINED_MS || nowMs > JOINED_MS + 60_000) return false;
+            const outwards = from.id === cut && direction !== 'inwards only';
+            const inwards = to.id === cut && direction !== 'outwards only';
+            return outwards || inwards;
+          },
+          onChanged: (_observer, change) => {
+            if (change.member.id === cut || change.member.state !== MemberState.Dead) return;
+            wrong += 1;
+          },
+        });
+        fleet.runUntil(JOINED_MS + 100_000);
+        assert.equal(wrong, 0);
+        assertWhole(fleet);
+      });
+    }
+  });
+
+  /**
+   * Two regions lose each other for an hour. Each goes on by itself and takes the other for dead;
+   * afterwards nobody would ever probe the dead again, and the halves would stay apart for good.
+   */
+  describe('regions parted for an hour', () => {
+    function partAndHeal(probesDead: boolean): Fleet {
+      const endMs = JOINED_MS + 3_600_000;
+      const fleet = new Fleet({
+        size: 16,
+        seed: 9,
+        failureDomains: 2,
+        options: { ...MEMBERSHIP_OPTIONS, guards: { ...MEMBERSHIP_GUARDS, probesDead } },
+        loses: (from, to, _random, nowMs) =>
+          nowMs >= JOINED_MS && nowMs < endMs && from.failureDomain !== to.failureDomain,
+      });
+      fleet.runUntil(endMs - 1);
+      assert.equal(presentMembers(fleet.member(0).state).length, 8);
+      fleet.runUntil(endMs + 60_000);
+      return fleet;
+    }
+
+    it('find each other within a minute of the end', () => {
+      assertWhole(partAndHeal(true));
+    });
+
+    it('stay apart when the dead are not probed: the guard is needed', () => {
+      assert.equal(presentMembers(partAndHeal(false).member(0).state).length, 8);
+    });
+  });
+
+  describe('a graceful end', () => {
+    it('is known as leaving within two seconds, and as dead without suspicion', () => {
+      const suspected: string[] = [];
+      const fleet = new Fleet({
+        size: 60,
+        seed: 10,
+        onChanged: (_observer, change) => {
+          if (change.member.state === MemberState.Suspect) suspected.push(change.member.id);
+        },
+      });
+      fleet.runUntil(JOINED_MS);
+      const leaver = fleet.member(20);
+      fleet.perform(leaver, announceLeaving(leaver.state, fleet.context()));
+      fleet.runUntil(JOINED_MS + 2_000);
+      assertAllBelieve(fleet, leaver, MemberState.Leaving);
+      fleet.perform(leaver, announceLeft(leaver.state, fleet.context()));
+      leaver.killed = true;
+      fleet.runUntil(JOINED_MS + 4_000);
+      assertAllBelieve(fleet, leaver, MemberState.Dead);
+      assert.deepEqual(suspected, []);
+    });
+  });
+
+  describe('bounds', () => {
+    it('refuses a further member with a typed failure when the table is full', () => {
+      const refusals = new Set<string>();
+      const options = { ...MEMBERSHIP_OPTIONS, maxMembers: 5 };
+      const fleet = new Fleet({ size: 8, seed: 11, options });
+      const perform = fleet.perform.bind(fleet);
+      fleet.perform = (member, effects) => {
+        for (const effect of effects) {
+          if (effect.kind === MembershipEffectKind.Refused) refusals.add(effect.failure.name);
+        }
+        perform(member, effects);
+      };
+      fleet.runUntil(JOINED_MS);
+      assert.deepEqual([...refusals], ['members-full']);
+      for (const member of fleet.members) assert.ok(member.state.records.size <= 5);
+    });
+  });
+});
