--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -3,6 +3,11 @@
  * `core/` is internal and may change.
  */
 export * from './core/clock/clock.js';
+export * from './core/config/keys.js';
+export * from './core/dependencies/budget.js';
+export * from './core/dependencies/graph.js';
+export * from './core/dependencies/readiness.js';
+export * from './core/dependencies/shedding.js';
 export * from './core/events/event.js';
 export * from './core/failures/failure.js';
 export * from './core/hashing/hashing.js';
@@ -10,3 +15,5 @@
 export * from './core/model/member.js';
 export * from './core/model/outcome.js';
 export * from './core/random/random.js';
+export * from './core/status/status.js';
+export * from './core/membership/index.js';
