--- a/packages/platform/src/key-value/watch.ts
+++ b/packages/platform/src/key-value/watch.ts
@@ -32,12 +32,19 @@
   const decoder = new TextDecoder();
   let pending = '';
   let status = 0;
+  // The caller may stop the watch from within `onChange`, with more lines already read.
+  let stopped = false;
   const describe = (detail: string) => ({ call: PATH, endpoint, mayHaveRun: false, detail });
-  const end = (failure: Failure): void => {
+  const stop = (): void => {
+    stopped = true;
     stream.stop();
+  };
+  const end = (failure: Failure): void => {
+    stop();
     options.onEnd(failure);
   };
   const takeLine = (line: string): boolean => {
+    if (stopped) return false;
     if (line.trim() === '') return true;
     const result = asObject(parseJsonObject(line)?.result);
     if (result === null) {
@@ -48,7 +55,9 @@
       end(KEY_VALUE_WATCH_ENDED.of(describe('the service cancelled the watch')));
       return false;
     }
-    readChanges(result).forEach(options.onChange);
+    for (const change of readChanges(result)) {
+      if (!stopped) options.onChange(change);
+    }
     return true;
   };
   const stream = transport.stream(
@@ -84,5 +93,5 @@
       },
     },
   );
-  return stream.stop;
+  return stop;
 }
--- a/packages/stand-ins/src/core/engine/answer.ts
+++ b/packages/stand-ins/src/core/engine/answer.ts
@@ -17,7 +17,7 @@
   .join(' ')
   .split(' ');
 
-const FIRST_TOKEN = /^seed-([0-9a-z]+)$/;
+const FIRST_TOKEN = /^seed-(-?[0-9a-z]+)$/;
 const SEED_RADIX = 36;
 
 /** What fixes an answer. `variant` stands for an engine that computes something else. */
--- a/packages/stand-ins/src/core/engine/kv-routes.ts
+++ b/packages/stand-ins/src/core/engine/kv-routes.ts
@@ -5,6 +5,7 @@
 import { request as httpRequest } from 'undici';
 import type { Route } from '../http/http-server.js';
 import { sendJson } from '../http/http-server.js';
+import { delay } from '../time/delay.js';
 import type { EngineContext } from './engine.js';
 import { takeFault } from './faults.js';
 import { storeBlocks } from './prefix-cache.js';
@@ -86,9 +87,3 @@
     return null;
   }
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/stand-ins/src/core/engine/order-execution.ts
+++ b/packages/stand-ins/src/core/engine/order-execution.ts
@@ -5,6 +5,7 @@
 import type { EngineOrder } from '@cassiamast/platform';
 import { OrderKind } from '@cassiamast/platform';
 import { request as httpRequest } from 'undici';
+import { delay } from '../time/delay.js';
 import type { EngineContext } from './engine.js';
 import { takeFault } from './faults.js';
 import { completeOrder } from './orders.js';
@@ -33,7 +34,7 @@
   switch (order.kind) {
     case OrderKind.SetRole:
       dropWork(context, life);
-      setTimeout(done, context.options.roleChangeMs);
+      void delay(context.options.roleChangeMs).then(done);
       return;
     case OrderKind.LoadModel:
       void load(context, life).then(done);
@@ -87,9 +88,3 @@
     return STORE_RETRY_MS;
   }
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/stand-ins/src/core/key-value/key-value.ts
+++ b/packages/stand-ins/src/core/key-value/key-value.ts
@@ -4,6 +4,7 @@
  */
 import type { Exchange, JsonBody, Route } from '../http/http-server.js';
 import { sendJson, startHttpServer } from '../http/http-server.js';
+import { delay } from '../time/delay.js';
 import type { KeyValueFaults } from './faults.js';
 import { noFaults, takeOne } from './faults.js';
 import type { Store, StoredChange } from './store.js';
@@ -219,9 +220,3 @@
     changes,
   };
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
--- a/packages/stand-ins/src/core/plain-service/plain-service.ts
+++ b/packages/stand-ins/src/core/plain-service/plain-service.ts
@@ -5,6 +5,7 @@
 import type { IncomingMessage } from 'node:http';
 import type { Exchange, Route } from '../http/http-server.js';
 import { sendJson, startHttpServer } from '../http/http-server.js';
+import { delay } from '../time/delay.js';
 
 /** Where in a run the service dies. */
 export enum DeathPoint {
@@ -119,9 +120,3 @@
     echo: rawBody.toString('utf8'),
   });
 }
-
-function delay(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
