--- a/packages/daemon/src/node/datagrams.ts
+++ b/packages/daemon/src/node/datagrams.ts
@@ -2,11 +2,10 @@
  * Datagrams between members: one sealed JSON-RPC notification each, on the same port number as the
  * control port. Small, unconnected and unacknowledged: what must arrive is the machines' concern.
  */
-import { createSocket, type Socket } from 'node:dgram';
+import { createSocket, type RemoteInfo, type Socket } from 'node:dgram';
 import { isIPv6 } from 'node:net';
 import { type Address, FailureError } from '@cassiamast/coordination';
 import { createJSONRPCNotification, isJSONRPCRequest } from 'json-rpc-2.0';
-import type { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
 import { formatAddress, parseAddress } from './address.js';
 import { ADDRESS_TAKEN } from './failures.js';
@@ -28,12 +27,12 @@
 /** Sends and receives datagrams. */
 export interface Datagrams {
   readonly child: Child;
-  readonly send: (member: string, method: RpcMethod, params: unknown) => void;
+  readonly send: (member: string, method: string, params: unknown) => void;
   readonly counts: DatagramCounts;
 }
 
-/** What receives datagrams. */
-export type OnDatagram = (method: RpcMethod, params: unknown) => void;
+/** What receives datagrams; `from` is the sender's member id. */
+export type OnDatagram = (from: string, method: string, params: unknown) => void;
 
 /** Makes the datagram port of a member. */
 export function createDatagrams(
@@ -50,12 +49,18 @@
   };
   let socket: Socket | null = null;
 
-  function receive(data: Buffer): void {
+  function receive(data: Buffer, sender: RemoteInfo): void {
     counts.receivedBytes += data.length + DATAGRAM_HEADER_BYTES;
     counts.receivedDatagrams += 1;
     const call = decode(proof, data);
     if (call === null) counts.rejected += 1;
-    else onDatagram(call.method as RpcMethod, call.params);
+    // Members send from their control port, so the source address names the member.
+    else
+      onDatagram(
+        formatAddress({ host: sender.address, port: sender.port }),
+        call.method,
+        call.params,
+      );
   }
 
   return {
