--- a/packages/daemon/src/node/rpc-client.ts
+++ b/packages/daemon/src/node/rpc-client.ts
@@ -142,10 +142,10 @@
         ended = deliver(JSON.parse(event.data) as unknown, handlers);
       },
     });
-    body.setEncoding('utf8');
-    body.on('data', (text: string) => {
+    const decoder = new TextDecoder();
+    body.on('data', (bytes: Uint8Array) => {
       try {
-        parser.feed(text);
+        parser.feed(decoder.decode(bytes, { stream: true }));
       } catch (error) {
         reject(error as Error);
       }
