--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -17,3 +17,4 @@
 export * from './core/random/random.js';
 export * from './core/status/status.js';
 export * from './core/membership/index.js';
+export * from './core/config/index.js';
