Lay the policy parts and the bench thin

Change: first versions of the four parts, a fake engine on a virtual clock, thirteen seeded traces, baselines and the search for the best fixed split. No bound, no tests yet.

--- /dev/null
+++ b/benchmark/src/main.ts
@@ -0,0 +1,30 @@
+/**
+ * `npm run bench -- <what>`: runs one benchmark. Each is loaded only when it is asked for, so that
+ * one that measures memory is not charged for the others.
+ */
+
+/** Benchmarks by name; each takes the arguments after its name and gives the exit code. */
+const BENCHMARKS: Readonly<Record<string, () => Promise<(args: readonly string[]) => unknown>>> = {
+  policy: async () => (await import('./policy/command.js')).runPolicyCommand,
+  check: async () => (await import('./policy/check-command.js')).runCheckCommand,
+};
+
+const USAGE = `Usage: npm run bench -- <benchmark> [options]
+
+  policy   goodput and role changes on seeded traces, on a virtual clock
+           --seed N [--trace NAME] [--policy NAME] [--scale K] [--json] [--report FILE] [--cost]
+  check    the exact figures of the virtual clock against benchmark/bounds.yaml
+`;
+
+async function main(args: readonly string[]): Promise<number> {
+  const [name, ...rest] = args;
+  const load = name === undefined ? undefined : BENCHMARKS[name];
+  if (load === undefined) {
+    process.stdout.write(USAGE);
+    return name === undefined ? 0 : 2;
+  }
+  const run = await load();
+  return Number((await run(rest)) ?? 0);
+}
+
+process.exitCode = await main(process.argv.slice(2));
--- /dev/null
+++ b/benchmark/src/policy/compare.ts
@@ -0,0 +1,69 @@
+/** Plays the policies on a trace: the fixed splits are searched, services are added up. */
+import type { Hash32 } from '@cassiamast/coordination';
+import { fixedSplit, POLICIES } from './policies.js';
+import type { Policy } from './policy.js';
+import { runService } from './run.js';
+import type { RunResult } from './run.js';
+import type { ServiceTrace, Trace } from './trace.js';
+
+/** Figures of one policy on one trace; the order is that of the table. */
+export type ComparisonRow = Readonly<Record<string, string | number>>;
+
+/** What a comparison is run with. */
+export interface CompareOptions {
+  readonly hash32: Hash32;
+  readonly seed: number;
+  /** Names of the policies to play, or null for all. */
+  readonly only: readonly string[] | null;
+}
+
+/** Plays all policies on a trace. */
+export function compareOnTrace(trace: Trace, options: CompareOptions): readonly ComparisonRow[] {
+  const { hash32, seed, only } = options;
+  const wanted = (name: string): boolean => only === null || only.includes(name);
+  const rows: ComparisonRow[] = [];
+  for (const policy of POLICIES) {
+    if (!wanted(policy.name)) continue;
+    const results = trace.services.map((service) => runService(service, policy, hash32, seed));
+    rows.push(rowOf(policy.name, results));
+  }
+  if (wanted('best-fixed')) {
+    const best = trace.services.map((service) => bestFixed(service, hash32, seed));
+    rows.push(rowOf('best-fixed', best));
+  }
+  return rows;
+}
+
+/** Splits that are searched; with many engines only every few, as neighbours differ little. */
+const MAX_SPLITS = 12;
+
+/** The fixed split that does best, chosen with hindsight. */
+export function bestFixed(service: ServiceTrace, hash32: Hash32, seed: number): RunResult {
+  const stride = Math.max(1, Math.ceil(service.engines / MAX_SPLITS));
+  let best: RunResult | null = null;
+  for (let readers = 0; readers < service.engines; readers += stride) {
+    const policy: Policy = fixedSplit(readers);
+    const result = runService(service, policy, hash32, seed);
+    if (best === null || result.goodputPerS > best.goodputPerS) best = result;
+  }
+  return best ?? runService(service, fixedSplit(0), hash32, seed);
+}
+
+function rowOf(policy: string, results: readonly RunResult[]): ComparisonRow {
+  const sum = (of: (result: RunResult) => number): number =>
+    results.reduce((total, result) => total + of(result), 0);
+  const worst = (of: (result: RunResult) => number): number => Math.max(...results.map(of));
+  return {
+    policy,
+    goodputPerS: sum((result) => result.goodputPerS),
+    roleChanges: sum((result) => result.roleChanges),
+    ttftP95Ms: worst((result) => result.ttftP95Ms),
+    interTokenP95Ms: worst((result) => result.interTokenP95Ms),
+    shedNotRun: sum((result) => result.shedNotRun),
+    worstWorkspaceWaitRatio: worst((result) => result.worstWorkspaceWaitRatio),
+    late: sum((result) => result.statistics.lateFirstToken),
+    slow: sum((result) => result.statistics.slowAnswers),
+    restarts: sum((result) => result.statistics.restarts),
+    offeredPerS: 0,
+  };
+}
--- /dev/null
+++ b/packages/coordination/src/core/roles/demand.ts
@@ -0,0 +1,106 @@
+/**
+ * Demand for the two phases, as an entry meters it at arrival and as the planner adds it up. Work
+ * is counted in engine time: how long one engine of the fitting role would be busy with it.
+ */
+import { EngineRole } from '../model/configuration.js';
+import type { EngineProfile } from '../routing/engine-profile.js';
+
+/** Demand that one entry saw over a span. */
+export interface DemandReport {
+  readonly entry: string;
+  /** End of the span on the receiver's monotonic clock: time of arrival less stated age. */
+  readonly atMs: number;
+  /** Rises with each report. */
+  readonly sequence: number;
+  readonly spanMs: number;
+  readonly requests: number;
+  readonly prefillMs: number;
+  readonly decodeMs: number;
+}
+
+/** Counters of one entry. */
+export interface DemandMeter {
+  readonly entry: string;
+  readonly profile: EngineProfile;
+  sequence: number;
+  sinceMs: number;
+  requests: number;
+  prefillMs: number;
+  decodeMs: number;
+}
+
+/** Makes a meter that starts counting now. */
+export function createDemandMeter(
+  entry: string,
+  profile: EngineProfile,
+  nowMs: number,
+): DemandMeter {
+  return {
+    entry,
+    profile,
+    sequence: 0,
+    sinceMs: nowMs,
+    requests: 0,
+    prefillMs: 0,
+    decodeMs: 0,
+  };
+}
+
+/** Batch over which the fixed time of a step is shared when an engine is well used. */
+const TYPICAL_BATCH = 160;
+
+/** Engine time that writing an answer takes, in milliseconds. */
+export function decodeWorkMs(
+  profile: EngineProfile,
+  promptTokens: number,
+  outputTokens: number,
+): number {
+  const contextTokens = promptTokens + outputTokens / 2;
+  const perTokenMs =
+    profile.perSequenceMs +
+    contextTokens * profile.perContextTokenMs +
+    profile.roles[EngineRole.Decode].stepBaseMs / TYPICAL_BATCH;
+  return outputTokens * perTokenMs;
+}
+
+/** Counts an arrival, also one that is refused: demand is what was wanted. */
+export function noteArrival(
+  meter: DemandMeter,
+  arrival: {
+    readonly promptTokens: number;
+    readonly prefillTokens: number;
+    readonly expectedOutputTokens: number;
+  },
+): void {
+  meter.requests += 1;
+  meter.prefillMs +=
+    arrival.prefillTokens * meter.profile.roles[EngineRole.Prefill].prefillMsPerToken;
+  meter.decodeMs += decodeWorkMs(meter.profile, arrival.promptTokens, arrival.expectedOutputTokens);
+}
+
+/** Reads the counters off and starts anew. */
+export function takeDemandReport(meter: DemandMeter, nowMs: number): DemandReport {
+  meter.sequence += 1;
+  const report: DemandReport = {
+    entry: meter.entry,
+    atMs: nowMs,
+    sequence: meter.sequence,
+    spanMs: nowMs - meter.sinceMs,
+    requests: meter.requests,
+    prefillMs: meter.prefillMs,
+    decodeMs: meter.decodeMs,
+  };
+  meter.sinceMs = nowMs;
+  meter.requests = 0;
+  meter.prefillMs = 0;
+  meter.decodeMs = 0;
+  return report;
+}
+
+/** Demand on a service over some seconds, in engines: milliseconds of work per millisecond. */
+export interface DemandSample {
+  readonly atMs: number;
+  readonly requestsPerS: number;
+  readonly prefillEngines: number;
+  readonly decodeEngines: number;
+}
--- /dev/null
+++ b/packages/coordination/src/core/routing/candidates.ts
@@ -0,0 +1,59 @@
+/**
+ * Which targets are weighed for a request: a random few of the subset, those that probably hold
+ * the beginning of the prompt, and the prefix's homes. The number does not grow with the fleet.
+ */
+import { randomBelow } from '../random/random.js';
+import type { Random } from '../random/random.js';
+import { likelyHolders } from './prefix-index.js';
+import { homesOf } from './router.js';
+import type { Router } from './router.js';
+import type { TargetView } from './target-view.js';
+
+/** Candidates of the two phases. */
+export interface Candidates {
+  readonly readers: readonly TargetView[];
+  readonly writers: readonly TargetView[];
+}
+
+/** Picks the candidates for a prompt that begins with these blocks. */
+export function pickCandidates(
+  router: Router,
+  prefixBlocks: readonly string[],
+  excluded: ReadonlySet<string>,
+  random: Random,
+): Candidates {
+  const readers = sample(router.readers, router.options.choices, random);
+  const writers = sample(router.writers, router.options.choices, random);
+  for (const view of affine(router, prefixBlocks)) {
+    if (!view.accepting) continue;
+    const list = router.options.profile.roles[view.role].maxBatch > 0 ? writers : readers;
+    if (!list.includes(view)) list.push(view);
+  }
+  if (excluded.size === 0) return { readers, writers };
+  return {
+    readers: readers.filter((view) => !excluded.has(view.name)),
+    writers: writers.filter((view) => !excluded.has(view.name)),
+  };
+}
+
+function affine(router: Router, prefixBlocks: readonly string[]): readonly TargetView[] {
+  const first = prefixBlocks[0];
+  if (first === undefined) return [];
+  const found: TargetView[] = [...homesOf(router, first)];
+  for (const index of likelyHolders(router.prefixes, prefixBlocks)) {
+    const view = router.byIndex[index];
+    if (view !== undefined) found.push(view);
+  }
+  return found;
+}
+
+/** Up to `count` different members of the list; all, in order, where it is no longer. */
+function sample<T>(list: readonly T[], count: number, random: Random): T[] {
+  if (list.length <= count) return [...list];
+  const chosen = new Set<T>();
+  for (let draw = 0; draw < count; draw += 1) {
+    const member = list[randomBelow(random, list.length)];
+    if (member !== undefined) chosen.add(member);
+  }
+  return [...chosen];
+}
