Keep the configuration under one set of keys, history included

Cause: two parts named the document's key differently, and an edit did not write the history. Change: the editor uses config/keys.ts and writes head, document and history in one transaction; one effectivePriorities serves admission and dependencies.

--- a/packages/coordination/src/core/admission/shedding.ts
+++ b/packages/coordination/src/core/admission/shedding.ts
@@ -1,35 +1,8 @@
 /**
- * What is shed first when an entry itself has too much to do: the services of lowest priority. A
- * service that others depend on counts as important as the most important of those.
+ * What is shed first when an entry itself has too much to do: the services of lowest priority.
+ * Priorities are the effective ones of `dependencies/`: a service that others depend on counts as
+ * important as the most important of those.
  */
-import type { ServiceSpec } from '../model/configuration.js';
-
-/** The part of a service's configuration that matters here. */
-export type Sheddable = Pick<ServiceSpec, 'name' | 'priority' | 'dependsOn'>;
-
-/** Priority of each service, raised to that of its dependents. */
-export function effectivePriorities(services: readonly Sheddable[]): ReadonlyMap<string, number> {
-  const priorities = new Map(services.map((service) => [service.name, service.priority]));
-  // Each round carries priorities one dependency further; it ends since priorities only rise.
-  let raised = true;
-  while (raised) {
-    raised = false;
-    for (const service of services) raised = raiseDependencies(service, priorities) || raised;
-  }
-  return priorities;
-}
-
-function raiseDependencies(service: Sheddable, priorities: Map<string, number>): boolean {
-  const own = priorities.get(service.name) ?? 0;
-  let raised = false;
-  for (const name of service.dependsOn) {
-    if ((priorities.get(name) ?? own) >= own) continue;
-    priorities.set(name, own);
-    raised = true;
-  }
-  return raised;
-}
-
 /** Pressure from which the lowest priority is shed; all but the highest are shed at 1. */
 const SHED_FROM = 0.8;
 
--- a/packages/coordination/src/core/config/editor.ts
+++ b/packages/coordination/src/core/config/editor.ts
@@ -9,14 +9,13 @@
 import type { ConfigurationDocument } from '../model/configuration.js';
 import { editConflict, editNotSent, editUnknown } from './failures.js';
 import type { ConfigurationHead } from './head.js';
+import { REMEMBERED_EDITS, headAfter, parseDocument, parseHead } from './head.js';
 import {
+  CONFIGURATION_CURRENT_KEY,
   CONFIGURATION_HEAD_KEY,
-  CONFIGURATION_KEY,
-  REMEMBERED_EDITS,
-  headAfter,
-  parseDocument,
-  parseHead,
-} from './head.js';
+  historyKey,
+  prunedVersion,
+} from './keys.js';
 
 /** An edit as the command line prepared it. */
 export interface ConfigurationEdit extends Omit<ConfigurationDocument, 'version'> {
@@ -43,7 +42,8 @@
   | {
       readonly kind: EditEffectKind.Transact;
       readonly compares: readonly { readonly key: string; readonly modRevision: number }[];
-      readonly writes: readonly { readonly key: string; readonly value: string }[];
+      /** A null value removes the key. */
+      readonly writes: readonly { readonly key: string; readonly value: string | null }[];
     }
   | { readonly kind: EditEffectKind.Done; readonly outcome: Result<number, Failure> };
 
@@ -121,17 +121,21 @@
 ): EditEffect[] {
   const { baseVersion, ...fields } = state.edit;
   const document: ConfigurationDocument = { ...fields, version: baseVersion + 1 };
+  const value = JSON.stringify(document);
+  const pruned = prunedVersion(document.version);
   state.submitted = true;
   return [
     {
       kind: EditEffectKind.Transact,
       compares: [
         { key: CONFIGURATION_HEAD_KEY, modRevision: keys.head?.modRevision ?? 0 },
-        { key: CONFIGURATION_KEY, modRevision: keys.document?.modRevision ?? 0 },
+        { key: CONFIGURATION_CURRENT_KEY, modRevision: keys.document?.modRevision ?? 0 },
       ],
       writes: [
         { key: CONFIGURATION_HEAD_KEY, value: JSON.stringify(headAfter(head, document)) },
-        { key: CONFIGURATION_KEY, value: JSON.stringify(document) },
+        { key: CONFIGURATION_CURRENT_KEY, value },
+        { key: historyKey(document.version), value },
+        ...(pruned === null ? [] : [{ key: historyKey(pruned), value: null }]),
       ],
     },
   ];
--- a/packages/coordination/src/core/config/head.ts
+++ b/packages/coordination/src/core/config/head.ts
@@ -5,12 +5,6 @@
  */
 import type { ConfigurationDocument } from '../model/configuration.js';
 
-/** The key of the whole document. */
-export const CONFIGURATION_KEY = 'cassiamast/configuration';
-
-/** The key of the {@link ConfigurationHead}. */
-export const CONFIGURATION_HEAD_KEY = 'cassiamast/configuration-head';
-
 /** Edits remembered in the head: an editor whose answer was lost finds its edit among these. */
 export const REMEMBERED_EDITS = 64;
 
--- a/packages/coordination/src/core/config/keys.ts
+++ b/packages/coordination/src/core/config/keys.ts
@@ -6,6 +6,9 @@
 /** Holds the current {@link ConfigurationDocument} as JSON; changed by compare-and-swap only. */
 export const CONFIGURATION_CURRENT_KEY = 'cassiamast/config/current';
 
+/** Holds the small {@link ConfigurationHead} that members watch instead of the whole document. */
+export const CONFIGURATION_HEAD_KEY = 'cassiamast/config/head';
+
 /** Every key of the history begins with this. */
 export const CONFIGURATION_HISTORY_PREFIX = 'cassiamast/config/history/';
 
--- a/packages/coordination/test/core/config/editor.test.ts
+++ b/packages/coordination/test/core/config/editor.test.ts
@@ -4,7 +4,7 @@
 import type { ConfigurationEdit, EditEffect, EditState, ReadKey } from '../../../src/index.js';
 import {
   CONFIGURATION_HEAD_KEY,
-  CONFIGURATION_KEY,
+  CONFIGURATION_CURRENT_KEY,
   EditEffectKind,
   REMEMBERED_EDITS,
   keysRead,
@@ -32,7 +32,7 @@
 
   read(): { head: ReadKey; document: ReadKey } {
     const head = this.keys.get(CONFIGURATION_HEAD_KEY) ?? null;
-    return { head, document: this.keys.get(CONFIGURATION_KEY) ?? null };
+    return { head, document: this.keys.get(CONFIGURATION_CURRENT_KEY) ?? null };
   }
 
   transact(transaction: Transaction): boolean {
@@ -42,7 +42,8 @@
     if (!holds) return false;
     this.revision += 1;
     for (const { key, value } of transaction.writes) {
-      this.keys.set(key, { value, modRevision: this.revision });
+      if (value === null) this.keys.delete(key);
+      else this.keys.set(key, { value, modRevision: this.revision });
     }
     return true;
   }
