Wire membership and the configuration machine into the daemon

Cause: every process polled the key-value service, which 1,140 processes can not. Change: SWIM membership over datagrams, one watcher per failure domain, versions by gossip, fetches and freshness; new work stops when the process is cut off.

--- a/packages/daemon/src/wiring/process.ts
+++ b/packages/daemon/src/wiring/process.ts
@@ -4,6 +4,7 @@
 import type { KeyValueClient } from '@cassiamast/platform';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { MemberProof } from '../node/secret.js';
+import type { Telemetry } from '../node/telemetry.js';
 
 /** The surroundings of a process, made once at its start. */
 export interface ProcessContext {
@@ -15,4 +16,7 @@
   readonly proof: MemberProof;
   readonly rpc: RpcClient;
   readonly keyValue: KeyValueClient;
+  readonly telemetry: Telemetry;
+  /** Member ids to join through: the settings' peers and what the VM list shows. */
+  readonly seeds: readonly string[];
 }
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -11,6 +11,7 @@
 import { createLog } from '../node/logging.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
+import { createTelemetry } from '../node/telemetry.js';
 import type { LoadedSettings } from '../settings/settings.js';
 import { createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
@@ -41,6 +42,8 @@
     proof,
     rpc: createRpcClient(proof),
     keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
+    telemetry: createTelemetry(() => undefined),
+    seeds: settings.peers,
   };
   const root = createSupervisor({
     name: 'root',
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -1,8 +1,12 @@
 /** Wires a sidecar: the parts of the supervisor tree and who hears of what. */
-import type { ConfigurationDocument, Failure, TargetSpec } from '@cassiamast/coordination';
+import {
+  type Configuration,
+  type Failure,
+  MemberKind,
+  type TargetSpec,
+} from '@cassiamast/coordination';
 import { createEngineClient, type EngineClient } from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
-import { createConfigurationPoll } from '../node/configuration-poll.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
 import { createPeriodic } from '../node/timers.js';
@@ -12,6 +16,7 @@
 import { createStreamRoutes } from '../sidecar/stream-routes.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
+import { wireMember } from './wire-member.js';
 
 const SWEEP_MS = 1_000;
 
@@ -20,11 +25,10 @@
   let target: TargetSpec | null = null;
   let engine: EngineClient | null = null;
 
-  function putInForce(document: ConfigurationDocument): void {
-    const found = document.compiled.services
+  function putInForce(compiled: Configuration): void {
+    const found = compiled.services
       .flatMap((service) => service.targets)
       .find((candidate) => candidate.name === settings.target);
-    context.log.info(`configuration ${String(document.version)} is in force`);
     if (found === undefined) {
       target = null;
       return;
@@ -50,16 +54,26 @@
     notServing,
   });
 
+  const member = wireMember(context, settings, {
+    kind: MemberKind.Sidecar,
+    target: settings.target,
+    onInForce: ({ compiled }) => {
+      putInForce(compiled);
+    },
+    onMembers: () => undefined,
+    onDatagram: () => undefined,
+  });
+
   return [
     createControlServer({
       address: settings.control,
       allows: allowNetworks(settings.controlNetworks),
       proof: context.proof,
-      handlers: {},
+      handlers: member.handlers,
       streams: createStreamRoutes(attempts),
-      metricsText: () => Promise.resolve(''),
+      metricsText: context.telemetry.metricsText,
     }),
-    createConfigurationPoll(context.keyValue, putInForce),
+    ...member.children,
     createPeriodic(
       'attempt-sweep',
       () => SWEEP_MS,
