Add the request machines: placement, records, claims, poison, retries

Cause: the daemon and the fuzzer need the types and effects of requests to build against. Change: rendezvous placement; the holder's table with joins and paced repair; the entry's request machine; the sidecar's attempt machine with dispatch sessions; claim aggregator and client; the poison ledger; retry budgets.

--- /dev/null
+++ b/packages/coordination/src/core/records/drive-rounds.ts
@@ -0,0 +1,67 @@
+/**
+ * Rounds of the request machine: one question put to every present holder until all have answered.
+ * Calls are idempotent, so an unanswered holder is simply asked again; when the members change, the
+ * round goes on with the new holders.
+ */
+import { DriveEffectKind } from './drive-messages.js';
+import { DriveTimer } from './drive-types.js';
+import { nextId, setTimer } from './drive-support.js';
+import type { Turn } from './drive-support.js';
+import { HolderReplyKind } from './messages.js';
+import type { HolderCall, HolderReply } from './messages.js';
+import { joinRecords } from './record.js';
+
+/** Asks all present holders. */
+export function beginRound(turn: Turn, call: HolderCall): void {
+  turn.drive.round = { id: nextId(turn.drive), call, replies: new Map() };
+  turn.drive.roundsAsked = 0;
+  askMissing(turn);
+}
+
+/** Asks those present holders that have not answered yet. */
+export function askMissing(turn: Turn): void {
+  const { round } = turn.drive;
+  if (round === null) return;
+  turn.drive.roundsAsked += 1;
+  for (const to of turn.context.holders()) {
+    if (round.replies.has(to)) continue;
+    turn.out.push({ kind: DriveEffectKind.CallHolder, to, roundId: round.id, call: round.call });
+  }
+  setTimer(turn, DriveTimer.Holders, turn.context.options.holderTimeoutMs);
+}
+
+/** Takes one reply; returns whether it belongs to the present round. */
+export function takeReply(turn: Turn, roundId: number, from: string, reply: HolderReply): boolean {
+  const { drive } = turn;
+  if (drive.round?.id !== roundId) return false;
+  drive.round.replies.set(from, reply);
+  const isSameBody = reply.record?.bodyHash === drive.request.bodyHash;
+  if (reply.record !== null && isSameBody) drive.known = joinRecords(drive.known, reply.record);
+  return true;
+}
+
+/** Whether every present holder has answered, in whatever way. */
+export function roundIsComplete(turn: Turn): boolean {
+  const { round } = turn.drive;
+  const holders = turn.context.holders();
+  return round !== null && holders.length > 0 && holders.every((id) => round.replies.has(id));
+}
+
+/** Whether some reply of the round is of this kind. */
+export function someReply(turn: Turn, kind: HolderReplyKind): boolean {
+  const replies = turn.drive.round?.replies.values() ?? [];
+  return [...replies].some((reply) => reply.kind === kind);
+}
+
+/**
+ * Guards acceptance, dispatch and the telling of an answer. Failure: one holder dies and the other
+ * never had the record; it shows as a resend that runs anew and gets another text. The guard holds
+ * because each present holder has acknowledged before the step is taken.
+ */
+export function allHoldersDone(
+  replies: ReadonlyMap<string, HolderReply>,
+  holders: readonly string[],
+): boolean {
+  if (holders.length === 0) return false;
+  return holders.every((id) => replies.get(id)?.kind === HolderReplyKind.Done);
+}
--- /dev/null
+++ b/packages/coordination/src/core/records/host-commit.ts
@@ -0,0 +1,90 @@
+/**
+ * Bringing ends to the holders: the whole answer, or the news of a crash, is sent again until every
+ * present holder has it. Only then are readers told the end, so that what a caller was told cannot
+ * be replaced by another run's answer.
+ */
+import { HostEffectKind, HostedPhase } from './host-types.js';
+import type { HostedAttempt } from './host-types.js';
+import { feedAll } from './host-streams.js';
+import type { HostTurn } from './host-streams.js';
+import { HolderCallKind, HolderReplyKind, StreamFailureReason } from './messages.js';
+import type { HolderReply } from './messages.js';
+import type { Answer, AnswerEnding } from './record.js';
+
+/** The answer is whole: starts to bring it to the holders. */
+export function commitAnswer(turn: HostTurn, hosted: HostedAttempt, ending: AnswerEnding): void {
+  hosted.ending = ending;
+  hosted.phase = HostedPhase.Committing;
+  const answer: Answer = {
+    attemptId: hosted.attempt.id,
+    attemptNumber: hosted.attempt.number,
+    tokens: hosted.tokens.slice(),
+    ending,
+  };
+  const { record } = hosted;
+  hosted.holderCall = { kind: HolderCallKind.Finish, record, answer, failure: null };
+  askHolders(turn, hosted);
+}
+
+/** The engine crashed under the attempt: brings the news to the record. */
+export function commitCrash(turn: HostTurn, hosted: HostedAttempt): void {
+  const crashedAttemptIds = [
+    ...new Set([...hosted.record.crashedAttemptIds, hosted.attempt.id]),
+  ].sort();
+  hosted.record = { ...hosted.record, crashedAttemptIds };
+  hosted.holderCall = { kind: HolderCallKind.Restore, record: hosted.record };
+  askHolders(turn, hosted);
+}
+
+/** Asks the holders that have not acknowledged. */
+export function askHolders(turn: HostTurn, hosted: HostedAttempt): void {
+  if (hosted.holderCall === null) return;
+  hosted.holdersAskedAtMs = turn.context.nowMs;
+  const attemptId = hosted.attempt.id;
+  for (const to of turn.context.holdersOfKey(hosted.record.keyText)) {
+    if (hosted.holderReplies.get(to)?.kind === HolderReplyKind.Done) continue;
+    const call = hosted.holderCall;
+    turn.out.push({ kind: HostEffectKind.CallHolder, to, attemptId, call });
+  }
+}
+
+/** Takes a holder's reply. */
+export function onHolderReply(
+  turn: HostTurn,
+  hosted: HostedAttempt,
+  from: string,
+  reply: HolderReply,
+): void {
+  if (hosted.holderCall === null) return;
+  hosted.holderReplies.set(from, reply);
+  if (hosted.phase === HostedPhase.Committing && reply.kind === HolderReplyKind.Standing) {
+    supersede(turn, hosted, reply);
+    return;
+  }
+  checkCommitted(turn, hosted);
+}
+
+/** Tells the end once the holders have it. */
+export function checkCommitted(turn: HostTurn, hosted: HostedAttempt): void {
+  if (hosted.holderCall === null) return;
+  const holders = turn.context.holdersOfKey(hosted.record.keyText);
+  if (!turn.context.options.mayTellEnd(hosted.holderReplies, holders)) return;
+  hosted.holderCall = null;
+  hosted.expiresAtMs = turn.context.nowMs + turn.context.options.retentionMs;
+  if (hosted.phase !== HostedPhase.Committing) return;
+  hosted.phase = HostedPhase.Ended;
+  feedAll(turn, hosted);
+}
+
+function supersede(turn: HostTurn, hosted: HostedAttempt, reply: HolderReply): void {
+  hosted.holderCall = null;
+  hosted.phase = HostedPhase.Failed;
+  hosted.failure = {
+    reason: StreamFailureReason.Superseded,
+    mayHaveRun: true,
+    record: reply.record,
+    retryAfterMs: 0,
+  };
+  hosted.expiresAtMs = turn.context.nowMs + turn.context.options.retentionMs;
+  feedAll(turn, hosted);
+}
--- /dev/null
+++ b/packages/coordination/src/core/records/options.ts
@@ -0,0 +1,87 @@
+/**
+ * Ordinary bounds of the request machines, with the reason for each, and all guards in place.
+ */
+import { DEFAULT_AGGREGATOR_OPTIONS } from '../claims/aggregator.js';
+import type { ClaimClientOptions } from '../claims/client.js';
+import type { PoisonOptions } from '../poison/client-types.js';
+import { mayBegin } from '../poison/client.js';
+import { CONVICTING_CRASHES, isConvicted } from '../poison/ledger.js';
+import { DEFAULT_RETRY_OPTIONS, withdrawRetry } from '../retries/retries.js';
+import { mayRunAgain } from './drive-attempts.js';
+import { fitsAnswer, matchesResume } from './drive-delivery.js';
+import { allHoldersDone } from './drive-rounds.js';
+import type { DriveOptions } from './drive-types.js';
+import type { HolderOptions } from './holder.js';
+import { acceptsFinish, acceptsNote } from './holder.js';
+import { leavesAlone } from './host-dispatch.js';
+import type { HostOptions } from './host-types.js';
+import type { RepairOptions } from './repair.js';
+import { judgeSequence } from './sessions.js';
+
+/** Holders answer within milliseconds; half a second covers a pause, five tries a detection. */
+export const DEFAULT_DRIVE_OPTIONS: DriveOptions = {
+  retry: DEFAULT_RETRY_OPTIONS,
+  holderTimeoutMs: 500,
+  holderRounds: 12,
+  reattachAfterMs: 100,
+  reattachTries: 10,
+  cancelTimeoutMs: 1000,
+  retryAfterMs: 1000,
+  convictingCrashes: CONVICTING_CRASHES,
+  accepts: allHoldersDone,
+  mayDispatch: allHoldersDone,
+  mayTellAnswer: allHoldersDone,
+  fitsAnswer,
+  matchesResume,
+  mayRunAgain,
+  withdrawRetry,
+};
+
+/** 24 MB leave a member within its 32 MB for control; a fifth is kept for ends. */
+export const DEFAULT_HOLDER_OPTIONS: HolderOptions = {
+  maxRecords: 20_000,
+  maxBytes: 24_000_000,
+  createBytesRatio: 0.8,
+  answerRetentionMs: 600_000,
+  unfinishedRetentionMs: 600_000,
+  fullRetryAfterMs: 5000,
+  sweepPerTick: 500,
+  acceptsFinish,
+  acceptsNote,
+};
+
+/** 200 records a tick: at ten ticks a second a member's records are restored within seconds. */
+export const DEFAULT_REPAIR_OPTIONS: RepairOptions = { repairsPerTick: 200, resendAfterMs: 1000 };
+
+/** One session an entry; the window is far beyond the dispatches that can overtake each other. */
+export const DEFAULT_HOST_OPTIONS: HostOptions = {
+  sessions: { maxSessions: 1024, windowSize: 4096 },
+  maxAttempts: 2000,
+  maxBytes: 64_000_000,
+  maxAnswerTokens: 65_536,
+  maxSuspectedHashes: 1024,
+  maxForbidden: 1024,
+  retentionMs: 60_000,
+  holderRetryMs: 500,
+  busyRetryAfterMs: 250,
+  judgeSequence,
+  mayTellEnd: allHoldersDone,
+  leavesAlone,
+};
+
+/** Longer than the aggregator's own limit, so that its refusal arrives before this one. */
+export const DEFAULT_CLAIM_CLIENT_OPTIONS: ClaimClientOptions = {
+  resendAfterMs: 1000,
+  giveUpAfterMs: DEFAULT_AGGREGATOR_OPTIONS.giveUpAfterMs + 1000,
+  maxPending: 2000,
+};
+
+/** Crashes are rare; a report outlives an outage of an hour. */
+export const DEFAULT_POISON_OPTIONS: PoisonOptions = {
+  maxOperations: 1000,
+  retryMs: 500,
+  reportForMs: 3_600_000,
+  laterMs: 500,
+  isConvicted,
+  mayBegin,
+};
--- /dev/null
+++ b/packages/coordination/src/core/records/repair.ts
@@ -0,0 +1,108 @@
+/**
+ * Restores the second copy of records after members changed. Paced: a lost failure domain touches
+ * every record at once, and the copies must not crowd out the requests. A member that is no longer
+ * a holder keeps its copy until both present holders have acknowledged theirs.
+ */
+import { HolderCallKind, HolderReplyKind } from './messages.js';
+import type { HolderCall, HolderReply } from './messages.js';
+import { dropRecord, recordAt } from './holder.js';
+import type { HolderState } from './holder.js';
+import type { RequestRecord } from './record.js';
+
+/** Pace of repair. */
+export interface RepairOptions {
+  /** Records sent in one tick. */
+  readonly repairsPerTick: number;
+  /** Wait before a copy that was not acknowledged is sent again. */
+  readonly resendAfterMs: number;
+}
+
+/** A copy on its way. */
+interface PendingRepair {
+  readonly missing: Set<string>;
+  readonly sentAtMs: number;
+  /** The record as sent: one that changed since must be sent again before it may be dropped. */
+  readonly sent: RequestRecord;
+}
+
+/** What is still to be restored. Bounded by the number of records held. */
+export interface RepairState {
+  queue: string[];
+  readonly pending: Map<string, PendingRepair>;
+}
+
+/** A copy to send. */
+export interface RepairSend {
+  readonly to: string;
+  readonly call: HolderCall;
+}
+
+/** Who should hold a key. */
+export type HoldersOfKey = (keyText: string) => readonly string[];
+
+/** Nothing to restore. */
+export function createRepair(): RepairState {
+  return { queue: [], pending: new Map() };
+}
+
+/** Starts over after the members changed: every record is checked against its holders. */
+export function scheduleRepair(repair: RepairState, holder: HolderState): void {
+  repair.pending.clear();
+  repair.queue = [...holder.records.keys()];
+}
+
+/** Sends the next copies, and again those that were not acknowledged in time. */
+export function tickRepair(
+  repair: RepairState,
+  holder: HolderState,
+  selfId: string,
+  holdersOfKey: HoldersOfKey,
+  options: RepairOptions,
+  nowMs: number,
+): readonly RepairSend[] {
+  requeueUnanswered(repair, options, nowMs);
+  const sends: RepairSend[] = [];
+  for (const keyText of repair.queue.splice(0, options.repairsPerTick)) {
+    const held = holder.records.get(keyText);
+    if (held === undefined) continue;
+    const others = holdersOfKey(keyText).filter((member) => member !== selfId);
+    if (others.length === 0) continue;
+    repair.pending.set(keyText, {
+      missing: new Set(others),
+      sentAtMs: nowMs,
+      sent: held.record,
+    });
+    const call: HolderCall = { kind: HolderCallKind.Restore, record: recordAt(held, nowMs) };
+    sends.push(...others.map((to) => ({ to, call })));
+  }
+  return sends;
+}
+
+/** Takes a holder's acknowledgement; drops the copy here when its place is elsewhere now. */
+export function onRepairReply(
+  repair: RepairState,
+  holder: HolderState,
+  selfId: string,
+  holdersOfKey: HoldersOfKey,
+  answer: { readonly from: string; readonly keyText: string; readonly reply: HolderReply },
+): void {
+  const pending = repair.pending.get(answer.keyText);
+  if (pending === undefined || answer.reply.kind !== HolderReplyKind.Done) return;
+  pending.missing.delete(answer.from);
+  if (pending.missing.size > 0) return;
+  repair.pending.delete(answer.keyText);
+  if (holder.records.get(answer.keyText)?.record !== pending.sent) {
+    repair.queue.push(answer.keyText);
+    return;
+  }
+  const holders = holdersOfKey(answer.keyText);
+  if (holders.length > 0 && !holders.includes(selfId)) dropRecord(holder, answer.keyText);
+}
+
+function requeueUnanswered(repair: RepairState, options: RepairOptions, nowMs: number): void {
+  for (const [keyText, pending] of repair.pending) {
+    if (nowMs - pending.sentAtMs < options.resendAfterMs) continue;
+    repair.pending.delete(keyText);
+    repair.queue.push(keyText);
+  }
+}
