--- a/packages/daemon/src/entry/caller-answer.ts
+++ b/packages/daemon/src/entry/caller-answer.ts
@@ -1,14 +1,12 @@
 /**
- * Writes one answer to one caller, as a stream of events or as one body. Knows the place the
- * caller is at: every token is written once, in order, and none after the end.
+ * Writes one answer to one caller: as a stream of events, as one body, or as a plain service's
+ * response. What may be written, and when, the request machine decides; here it takes its form.
  */
 import type { ServerResponse } from 'node:http';
-import { type Hash64, RunState } from '@cassiamast/coordination';
-import type { FinishReason } from '@cassiamast/platform';
+import type { AnswerEnding } from '@cassiamast/coordination';
+import { FinishReason } from '@cassiamast/platform';
 import { startEventStream, type EventStreamWriter } from '../node/event-stream.js';
-import type { AnswerPosition, ModelRequest } from './caller-request.js';
-import { ANSWER_CHANGED, type Refusal } from './failures.js';
-import { formatEventId } from './headers.js';
+import type { Refusal } from './failures.js';
 import {
   type AnswerHead,
   type AnswerUsage,
@@ -18,56 +16,32 @@
   wholeBody,
 } from './openai-answer.js';
 import { sendProblem, toProblem } from './problem.js';
-import { extendTextHash } from './text-hash.js';
 
 /** The writing side of one answer. */
 export interface CallerAnswer {
-  /** Tokens written or, for a whole body, gathered so far. */
-  readonly position: () => AnswerPosition;
   /** Takes the next tokens; false asks to wait for `onDrain`. */
-  readonly tokens: (tokens: readonly string[]) => boolean;
-  readonly finish: (reason: FinishReason, usage: AnswerUsage) => void;
+  readonly tokens: (tokens: readonly string[], eventId: string) => boolean;
+  readonly finish: (ending: AnswerEnding, outputTokens: number, eventId: string) => void;
   /** Tells the failure: as a problem, or as the last event when the answer has begun. */
   readonly refuse: (refusal: Refusal) => void;
-  /** Whether the caller is still connected and the answer not ended. */
-  readonly isOpen: () => boolean;
 }
 
-/** What an answer is written with. */
-export interface CallerAnswerOptions {
-  readonly request: ModelRequest;
+/** What every answer is written with. */
+export interface AnswerOptions {
   readonly response: ServerResponse;
-  readonly head: AnswerHead;
   readonly headers: Readonly<Record<string, string>>;
-  readonly hash64: Hash64;
-  readonly onDrain: () => void;
 }
 
-/** Makes the writer that the request asked for. */
-export function createCallerAnswer(options: CallerAnswerOptions): CallerAnswer {
-  return options.request.stream ? streamedAnswer(options) : wholeAnswer(options);
-}
-
-/** Follows an answer's place; checks a returning caller's text when its place is passed. */
-function createTracker(options: CallerAnswerOptions): {
-  readonly position: () => AnswerPosition;
-  readonly advance: (token: string) => void;
-} {
-  let tokens = 0;
-  let textHash = '';
-  return {
-    position: () => ({ tokens, textHash }),
-    advance: (token) => {
-      tokens += 1;
-      textHash = extendTextHash(options.hash64, textHash, token);
-    },
-  };
+/** What a model's answer is written with. */
+export interface ModelAnswerOptions extends AnswerOptions {
+  readonly head: AnswerHead;
+  readonly includeUsage: boolean;
+  readonly onDrain: () => void;
 }
 
-function streamedAnswer(options: CallerAnswerOptions): CallerAnswer {
-  const { request, response, head, headers } = options;
-  const tracker = createTracker(options);
-  const heldTokens = request.resumeFrom?.tokens ?? 0;
+/** Streams a model's answer. */
+export function streamedAnswer(options: ModelAnswerOptions): CallerAnswer {
+  const { response, head, headers } = options;
   let stream: EventStreamWriter | null = null;
   let isFirst = true;
 
@@ -76,76 +50,46 @@
     return stream;
   }
 
-  function writeChunk(text: string, reason: FinishReason | null): boolean {
-    const id = formatEventId(tracker.position());
+  function writeChunk(text: string, reason: FinishReason | null, id: string): boolean {
     const goOn = open().write({ id, data: chunkData(head, text, isFirst, reason) });
     isFirst = false;
     return goOn;
   }
 
-  function refuse(refusal: Refusal): void {
-    if (stream === null) {
-      sendProblem(response, refusal, headers);
-      return;
-    }
-    stream.write({ data: JSON.stringify(toProblem(refusal)) });
-    stream.end();
-  }
-
   return {
-    position: tracker.position,
-    tokens: (tokens) => {
-      let text = '';
-      for (const token of tokens) {
-        const isHeld = tracker.position().tokens < heldTokens;
-        tracker.advance(token);
-        if (!isHeld) text += token;
-        else if (isOtherText(tracker.position(), request.resumeFrom)) {
-          refuse(OTHER_TEXT);
-          return false;
-        }
+    tokens: (tokens, eventId) => writeChunk(tokens.join(''), null, eventId),
+    finish: (ending, outputTokens, eventId) => {
+      writeChunk('', reasonOf(ending), eventId);
+      if (options.includeUsage) {
+        open().write({ data: usageData(head, usageOf(ending, outputTokens)) });
       }
-      return text === '' ? true : writeChunk(text, null);
-    },
-    finish: (reason, usage) => {
-      writeChunk('', reason);
-      if (request.includeUsage) open().write({ data: usageData(head, usage) });
       open().write({ data: DONE_DATA });
       open().end();
     },
-    refuse,
-    isOpen: () => !response.destroyed && !response.writableEnded,
+    refuse: (refusal) => {
+      if (stream === null) {
+        sendProblem(response, refusal, headers);
+        return;
+      }
+      stream.write({ data: JSON.stringify(toProblem(refusal)) });
+      stream.end();
+    },
   };
 }
 
-/**
- * A caller came back with the beginning of an answer whose memory was lost, and the rerun made
- * another text. Splicing the two would give a finding that no model ever made, so it is refused.
- */
-function isOtherText(position: AnswerPosition, held: AnswerPosition | null): boolean {
-  return held !== null && position.tokens === held.tokens && position.textHash !== held.textHash;
-}
-
-const OTHER_TEXT: Refusal = {
-  failure: ANSWER_CHANGED.of(undefined),
-  status: 409,
-  runState: RunState.Ran,
-  retryAfterMs: 0,
-};
-
-function wholeAnswer(options: CallerAnswerOptions): CallerAnswer {
+/** Writes a model's answer in one body. */
+export function wholeAnswer(options: ModelAnswerOptions): CallerAnswer {
   const { response, head, headers } = options;
-  const tracker = createTracker(options);
   const texts: string[] = [];
   return {
-    position: tracker.position,
     tokens: (tokens) => {
-      for (const token of tokens) tracker.advance(token);
       texts.push(...tokens);
       return true;
     },
-    finish: (reason, usage) => {
-      const body = wholeBody(head, texts.join(''), reason, usage);
+    finish: (ending, outputTokens) => {
+      const usage = usageOf(ending, outputTokens);
+      const body = wholeBody(head, texts.join(''), reasonOf(ending), usage);
+      if (response.destroyed) return;
       response.writeHead(200, {
         ...headers,
         'content-type': 'application/json',
@@ -156,6 +100,37 @@
     refuse: (refusal) => {
       sendProblem(response, refusal, headers);
     },
-    isOpen: () => !response.destroyed && !response.writableEnded,
   };
 }
+
+/** Relays a plain service's response. */
+export function plainAnswer(options: AnswerOptions): CallerAnswer {
+  const { response, headers } = options;
+  return {
+    tokens: () => true,
+    finish: ({ plain }) => {
+      if (plain === null || response.destroyed) return;
+      const body = Buffer.from(plain.bodyBase64, 'base64');
+      response.writeHead(plain.status, {
+        ...plain.headers,
+        ...headers,
+        'content-length': body.length,
+      });
+      response.end(body);
+    },
+    refuse: (refusal) => {
+      sendProblem(response, refusal, headers);
+    },
+  };
+}
+
+function reasonOf(ending: AnswerEnding): FinishReason {
+  return ending.reason === (FinishReason.Length as string)
+    ? FinishReason.Length
+    : FinishReason.Stop;
+}
+
+function usageOf(ending: AnswerEnding, outputTokens: number): AnswerUsage {
+  const { promptTokens, cachedTokens } = ending;
+  return { promptTokens, cachedTokens, outputTokens };
+}
--- a/packages/daemon/src/entry/caller-request.ts
+++ b/packages/daemon/src/entry/caller-request.ts
@@ -1,7 +1,7 @@
 /**
  * A caller's request in the product's own terms, whatever interface it came through.
  */
-import type { RequestKey } from '@cassiamast/coordination';
+import type { RequestKey, ResumePoint } from '@cassiamast/coordination';
 
 /** Which interface the answer must be written in. */
 export enum AnswerFormat {
@@ -9,14 +9,6 @@
   Chat = 'chat',
 }
 
-/** A place in an answer that the caller already holds. */
-export interface AnswerPosition {
-  /** How many tokens the caller holds. */
-  readonly tokens: number;
-  /** Hash of the text of these tokens. */
-  readonly textHash: string;
-}
-
 /** A request to a model engine. */
 export interface ModelRequest {
   readonly key: RequestKey;
@@ -39,5 +31,6 @@
   readonly timeoutMs: number;
   /** Hash of what is asked, without the key: recognises a request by its content. */
   readonly contentHash: string;
-  readonly resumeFrom: AnswerPosition | null;
+  /** Where a returning caller goes on: the last event that it read. */
+  readonly resumeFrom: ResumePoint | null;
 }
--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -17,9 +17,10 @@
   REQUEST_TOO_LARGE,
   UNAUTHENTICATED,
 } from './failures.js';
-import { parseModelRequest, refuseNotRun } from './model-request.js';
+import { parseModelRequest } from './model-request.js';
 import { parsePlainCall, type PlainCall, PLAIN_PATH_PREFIX } from './plain-call.js';
 import { sendProblem } from './problem.js';
+import { refuseNotRun } from './refusals.js';
 import { listModels } from './service-directory.js';
 
 /** A phone on a poor network still sends a large prompt within this. */
--- /dev/null
+++ b/packages/daemon/src/entry/claim-driver.ts
@@ -0,0 +1,90 @@
+/** This entry's side of claims: asks the key's aggregator, again when no answer comes. */
+import {
+  type ClaimClientContext,
+  type ClaimClientEffect,
+  ClaimClientEffectKind,
+  type ClaimReply,
+  type ClaimRequest,
+  DEFAULT_CLAIM_CLIENT_OPTIONS,
+  askClaim,
+  createClaimClient,
+  onClaimReply,
+  tickClaimClient,
+} from '@cassiamast/coordination';
+import type { TakeClaim } from '../node/claim-aggregator-driver.js';
+import type { RpcClient } from '../node/rpc-client.js';
+import { createPeriodic } from '../node/timers.js';
+import { RpcMethod } from '../protocol/methods.js';
+import type { Child } from '../supervisor/supervisor.js';
+
+const TICK_MS = 100;
+
+/** What the driver needs. */
+export interface ClaimDriverOptions {
+  readonly selfId: string;
+  readonly nowMs: () => number;
+  readonly rpc: RpcClient;
+  readonly aggregatorOf: (keyText: string) => string | null;
+  /** The aggregator of this member, for keys whose aggregator it is itself. */
+  readonly takeLocally: TakeClaim;
+}
+
+/** Claims of one entry. */
+export interface ClaimDriver {
+  readonly child: Child;
+  readonly take: (request: ClaimRequest, onReply: (reply: ClaimReply) => void) => void;
+}
+
+/** Makes the driver. */
+export function createClaimDriver(options: ClaimDriverOptions): ClaimDriver {
+  const state = createClaimClient();
+  const waiting = new Map<string, (reply: ClaimReply) => void>();
+  let lastCall = 0;
+
+  const context = (): ClaimClientContext => ({
+    nowMs: options.nowMs(),
+    options: DEFAULT_CLAIM_CLIENT_OPTIONS,
+    aggregatorOf: options.aggregatorOf,
+  });
+
+  function perform(effects: readonly ClaimClientEffect[]): void {
+    for (const effect of effects) {
+      if (effect.kind === ClaimClientEffectKind.Send) void send(effect);
+      else {
+        waiting.get(effect.callId)?.(effect.reply);
+        waiting.delete(effect.callId);
+      }
+    }
+  }
+
+  async function send(
+    effect: Extract<ClaimClientEffect, { kind: ClaimClientEffectKind.Send }>,
+  ): Promise<void> {
+    const { callId, request, to } = effect;
+    if (to === options.selfId) {
+      perform(onClaimReply(state, callId, await options.takeLocally(request)));
+      return;
+    }
+    const timeoutMs = DEFAULT_CLAIM_CLIENT_OPTIONS.giveUpAfterMs;
+    const reply = await options.rpc.call<ClaimReply>(to, RpcMethod.ClaimTake, request, {
+      timeoutMs,
+    });
+    if (reply.isOk()) perform(onClaimReply(state, callId, reply.value));
+  }
+
+  return {
+    take: (request, onReply) => {
+      lastCall += 1;
+      const callId = String(lastCall);
+      waiting.set(callId, onReply);
+      perform(askClaim(state, callId, request, context()));
+    },
+    child: createPeriodic(
+      'claims',
+      () => TICK_MS,
+      () => {
+        perform(tickClaimClient(state, context()));
+      },
+    ),
+  };
+}
--- a/packages/daemon/src/entry/failures.ts
+++ b/packages/daemon/src/entry/failures.ts
@@ -46,48 +46,6 @@
   hint: 'GET /v1/models lists what is served.',
 });
 
-/** The same idempotency key came with another body. */
-export const KEY_REUSED = defineFailure({
-  name: 'idempotency-key-reused',
-  title: 'The idempotency key belongs to another request',
-  message: () => 'This Idempotency-Key was used with a different body.',
-  hint: 'Use a new key for a new request; resend the same body to get the same answer.',
-});
-
-/** A returning caller holds text that this answer does not begin with. */
-export const ANSWER_CHANGED = defineFailure({
-  name: 'answer-changed',
-  title: 'The answer can not be continued',
-  message: () => 'The text you hold is not the beginning of the answer that could be made again.',
-  hint: 'Resend without Last-Event-ID to get the whole answer.',
-});
-
-/** There is no target that may take the work now. */
-export const NO_TARGET = defineFailure({
-  name: 'no-target',
-  title: 'No target is free to take the request',
-  message: (data: { readonly service: string }) => `Service ${data.service} has no ready target.`,
-  hint: 'Come back after the time in Retry-After.',
-});
-
-/** Every attempt failed within the budget. */
-export const ATTEMPTS_FAILED = defineFailure({
-  name: 'attempts-failed',
-  title: 'The request could not be completed',
-  message: (data: { readonly attempts: number; readonly last: string }) =>
-    `${String(data.attempts)} attempts failed; last: ${data.last}`,
-  hint: 'Resend with the same Idempotency-Key after the time in Retry-After.',
-});
-
-/** The deadline passed. */
-export const DEADLINE_PASSED = defineFailure({
-  name: 'deadline-passed',
-  title: 'The deadline passed',
-  message: (data: { readonly timeoutMs: number }) =>
-    `The request was not done within ${String(data.timeoutMs)} ms.`,
-  hint: 'Resend with the same Idempotency-Key, or with a longer "Prefer: wait=" time.',
-});
-
 /** The entry is shutting down or cut off. */
 export const ENTRY_NOT_SERVING = defineFailure({
   name: 'entry-not-serving',
@@ -95,3 +53,12 @@
   message: (data: { readonly reason: string }) => `This entry takes no new work: ${data.reason}.`,
   hint: 'Resend; the balancer sends it to another entry.',
 });
+
+/** The entry holds as many deliveries as it may. */
+export const ENTRY_BUSY = defineFailure({
+  name: 'entry-busy',
+  title: 'This entry is busy',
+  message: (data: { readonly limit: number }) =>
+    `This entry holds ${String(data.limit)} requests, its limit.`,
+  hint: 'Resend; the balancer may send it to another entry.',
+});
--- a/packages/daemon/src/entry/headers.ts
+++ b/packages/daemon/src/entry/headers.ts
@@ -3,7 +3,7 @@
  * Prefer: wait (RFC 7240) for the deadline and Priority: u (RFC 9218).
  */
 import type { IncomingHttpHeaders } from 'node:http';
-import type { AnswerPosition } from './caller-request.js';
+import { type ResumePoint, parseEventId } from '@cassiamast/coordination';
 
 const MAX_KEY_CHARACTERS = 255;
 const MS_PER_S = 1000;
@@ -22,18 +22,12 @@
   return text.length > 0 && text.length <= MAX_KEY_CHARACTERS ? text : undefined;
 }
 
-/** The place a returning caller wants to go on from. */
-export function readLastEventId(headers: IncomingHttpHeaders): AnswerPosition | null | undefined {
+/** The place a returning caller wants to go on from; undefined when it is none of our ids. */
+export function readLastEventId(headers: IncomingHttpHeaders): ResumePoint | null | undefined {
   const header = headers['last-event-id'];
   if (header === undefined || header === '') return null;
-  const match = typeof header === 'string' ? /^(\d{1,9})-([0-9a-f]{1,16})$/.exec(header) : null;
-  if (match === null) return undefined;
-  return { tokens: Number(match[1]), textHash: match[2] ?? '' };
-}
-
-/** The id of the event that brings a caller to this place. */
-export function formatEventId(position: AnswerPosition): string {
-  return `${String(position.tokens)}-${position.textHash}`;
+  if (typeof header !== 'string') return undefined;
+  return parseEventId(header) ?? undefined;
 }
 
 /** The caller's deadline, bounded by the service's own. */
--- a/packages/daemon/src/entry/model-request.ts
+++ b/packages/daemon/src/entry/model-request.ts
@@ -1,17 +1,13 @@
 /** Turns an HTTP exchange on the callers' port into a checked {@link ModelRequest} or a refusal. */
 import { createHash } from 'node:crypto';
 import type { IncomingHttpHeaders } from 'node:http';
-import {
-  type Configuration,
-  type Failure,
-  RunState,
-  type WorkspaceSpec,
-} from '@cassiamast/coordination';
+import type { Configuration, WorkspaceSpec } from '@cassiamast/coordination';
 import { err, ok, type Result } from 'neverthrow';
 import type { AnswerFormat, ModelRequest } from './caller-request.js';
 import { NOT_SERVED, REQUEST_MALFORMED, type Refusal } from './failures.js';
 import { readIdempotencyKey, readLastEventId, readPriority, readTimeoutMs } from './headers.js';
 import { type AskedCompletion, parseAsked } from './openai-request.js';
+import { refuseNotRun } from './refusals.js';
 import { findModel, type ModelChoice } from './service-directory.js';
 
 const CONTENT_HASH_CHARACTERS = 32;
@@ -28,15 +24,6 @@
   readonly makeKey: () => string;
 }
 
-/** A refusal before anything ran. */
-export function refuseNotRun(
-  failure: Failure,
-  status: number,
-  retryAfterMs: number | null = null,
-): Refusal {
-  return { failure, status, runState: RunState.NotRun, retryAfterMs };
-}
-
 /** Checks a request; every fault of the body is named at once. */
 export function parseModelRequest(input: ModelRequestInput): Result<ModelRequest, Refusal> {
   const json = parseJson(input.body);
--- a/packages/daemon/src/entry/plain-call.ts
+++ b/packages/daemon/src/entry/plain-call.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { NOT_SERVED, REQUEST_MALFORMED, type Refusal } from './failures.js';
 import { readIdempotencyKey, readTimeoutMs } from './headers.js';
-import { refuseNotRun } from './model-request.js';
+import { refuseNotRun } from './refusals.js';
 import { findPlainService, isRepeatable } from './service-directory.js';
 
 /** Paths of plain services begin with this, then the service's name. */
--- /dev/null
+++ b/packages/daemon/src/entry/requests.ts
@@ -0,0 +1,181 @@
+/**
+ * The deliveries of an entry: one for each caller's connection, in a bounded table. A full table
+ * refuses before anything runs.
+ */
+import { randomUUID } from 'node:crypto';
+import type { ServerResponse } from 'node:http';
+import {
+  type Configuration,
+  type DriveEvent,
+  DriveEventKind,
+  type GoalsSpec,
+  requestKeyText,
+} from '@cassiamast/coordination';
+import type { LoneRunReply } from '../node/poison-driver.js';
+import { PayloadKind } from '../protocol/stream.js';
+import { type CallerAnswer, plainAnswer, streamedAnswer, wholeAnswer } from './caller-answer.js';
+import { AnswerFormat, type ModelRequest } from './caller-request.js';
+import { ENTRY_BUSY } from './failures.js';
+import type { PlainCall } from './plain-call.js';
+import { sendProblem } from './problem.js';
+import { refuseNotRun } from './refusals.js';
+import { type RequestRun, type RunOptions, createRequestRun } from './request-run.js';
+import type { RunServices } from './run-services.js';
+
+/** Some 20 KB each at the most: 8,192 open answers stay under 160 MB. */
+export const MAX_RUNS = 8_192;
+
+const BUSY_RETRY_AFTER_MS = 1_000;
+const MS_PER_S = 1_000;
+const NO_GOALS: GoalsSpec = { firstTokenMs: Infinity, interTokenMs: Infinity };
+
+/** What the deliveries need. */
+export interface RequestsOptions {
+  readonly entryIncarnation: string;
+  readonly services: RunServices;
+  readonly configuration: () => Configuration | null;
+  readonly wallMs: () => number;
+}
+
+/** The deliveries of one entry. */
+export interface Requests {
+  readonly model: (request: ModelRequest, response: ServerResponse) => void;
+  readonly plain: (call: PlainCall, response: ServerResponse) => void;
+  readonly loneRunReplied: (reply: LoneRunReply) => void;
+  readonly membersChanged: () => void;
+  readonly count: () => number;
+  /** Deliveries whose caller is still connected. */
+  readonly openCount: () => number;
+}
+
+type NewRun = Omit<RunOptions, 'id' | 'services' | 'onDone'>;
+
+/** Makes an empty table. */
+export function createRequests(options: RequestsOptions): Requests {
+  const { services } = options;
+  const runs = new Map<string, RequestRun>();
+  let lastRun = 0;
+
+  function begin(response: ServerResponse, make: (run: () => RequestRun | null) => NewRun): void {
+    if (runs.size >= MAX_RUNS) {
+      const failure = ENTRY_BUSY.of({ limit: MAX_RUNS });
+      sendProblem(response, refuseNotRun(failure, 503, BUSY_RETRY_AFTER_MS));
+      return;
+    }
+    lastRun += 1;
+    const id = `${options.entryIncarnation}#${String(lastRun)}`;
+    const made = make(() => runs.get(id) ?? null);
+    const run = createRequestRun({ ...made, id, services, onDone: () => runs.delete(id) });
+    runs.set(id, run);
+    response.on('close', () => {
+      run.handle({ kind: DriveEventKind.CallerGone });
+    });
+    run.start();
+  }
+
+  function broadcast(event: DriveEvent): void {
+    for (const run of [...runs.values()]) run.handle(event);
+  }
+
+  function serviceGoals(name: string): GoalsSpec {
+    const { services: specs } = options.configuration() ?? { services: [] };
+    return specs.find((service) => service.name === name)?.goals ?? NO_GOALS;
+  }
+
+  return {
+    model: (request, response) => {
+      begin(response, (run) => {
+        const answer = modelAnswer(options, request, response, () => run()?.drained());
+        return toModelRun(request, answer, serviceGoals(request.service));
+      });
+    },
+    plain: (call, response) => {
+      begin(response, () => toPlainRun(call, response));
+    },
+    loneRunReplied: (reply) => {
+      runs.get(reply.id.slice(0, reply.id.lastIndexOf('|')))?.loneRunReplied(reply);
+    },
+    membersChanged: () => {
+      broadcast({ kind: DriveEventKind.MembersChanged });
+    },
+    count: () => runs.size,
+    openCount: () => [...runs.values()].filter((run) => run.drive.callerPresent).length,
+  };
+}
+
+function modelAnswer(
+  options: RequestsOptions,
+  request: ModelRequest,
+  response: ServerResponse,
+  onDrain: () => void,
+): CallerAnswer {
+  const prefix = request.format === AnswerFormat.Chat ? 'chatcmpl' : 'cmpl';
+  const answerOptions = {
+    response,
+    headers: { 'idempotency-key': request.key.idempotencyKey },
+    head: {
+      id: `${prefix}-${randomUUID()}`,
+      format: request.format,
+      modelText: request.modelText,
+      createdS: Math.floor(options.wallMs() / MS_PER_S),
+    },
+    includeUsage: request.includeUsage,
+    onDrain,
+  };
+  return request.stream ? streamedAnswer(answerOptions) : wholeAnswer(answerOptions);
+}
+
+function toModelRun(request: ModelRequest, answer: CallerAnswer, goals: GoalsSpec): NewRun {
+  const { model, adapter, prompt, maxTokens, temperature, seed, priority } = request;
+  return {
+    answer,
+    goals,
+    prompt,
+    maxOutputTokens: maxTokens,
+    keyIsFresh: !request.keyFromCaller,
+    payload: {
+      kind: PayloadKind.Model,
+      model,
+      adapter,
+      prompt,
+      maxTokens,
+      temperature,
+      seed,
+      priority,
+      reader: null,
+    },
+    request: {
+      keyText: requestKeyText(request.key),
+      workspace: request.key.workspace,
+      service: request.service,
+      bodyHash: request.contentHash,
+      repeatable: true,
+      payload: null,
+      deadlineMs: request.timeoutMs,
+      // A whole body holds everything from the start: nothing to go on from.
+      resume: request.stream ? request.resumeFrom : null,
+    },
+  };
+}
+
+function toPlainRun(call: PlainCall, response: ServerResponse): NewRun {
+  const { method, path, headers, bodyBase64, timeoutMs } = call;
+  return {
+    answer: plainAnswer({ response, headers: { 'idempotency-key': call.key.idempotencyKey } }),
+    goals: NO_GOALS,
+    prompt: '',
+    maxOutputTokens: 0,
+    keyIsFresh: !call.keyFromCaller,
+    payload: { kind: PayloadKind.Plain, method, path, headers, bodyBase64, timeoutMs },
+    request: {
+      keyText: requestKeyText(call.key),
+      workspace: call.key.workspace,
+      service: call.service,
+      bodyHash: call.contentHash,
+      repeatable: call.repeatable,
+      payload: null,
+      deadlineMs: timeoutMs,
+      resume: null,
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/node/claim-aggregator-driver.ts
@@ -0,0 +1,97 @@
+/** Runs the claim aggregator: any member may be asked to batch claims into one transaction. */
+import {
+  type AggregatorEffect,
+  AggregatorEffectKind,
+  type AggregatorEvent,
+  AggregatorEventKind,
+  type ClaimReply,
+  type ClaimRequest,
+  DEFAULT_AGGREGATOR_OPTIONS,
+  type Random,
+  createAggregator,
+  handleAggregatorEvent,
+} from '@cassiamast/coordination';
+import type { KeyValuePort } from '@cassiamast/platform';
+import type { Telemetry } from './telemetry.js';
+
+/** What the driver needs. */
+export interface ClaimAggregatorOptions {
+  readonly nowMs: () => number;
+  readonly random: Random;
+  readonly keyValue: KeyValuePort;
+  readonly telemetry: Telemetry;
+}
+
+/** Takes a claim; the reply comes when its transaction is decided. */
+export type TakeClaim = (request: ClaimRequest) => Promise<ClaimReply>;
+
+/** Makes the aggregator of this member. */
+export function createClaimAggregator(options: ClaimAggregatorOptions): TakeClaim {
+  const { keyValue, telemetry } = options;
+  const state = createAggregator();
+  const waiting = new Map<string, (reply: ClaimReply) => void>();
+  let lastCall = 0;
+
+  function handle(event: AggregatorEvent): void {
+    const context = {
+      nowMs: options.nowMs(),
+      random: options.random,
+      options: DEFAULT_AGGREGATOR_OPTIONS,
+    };
+    for (const effect of handleAggregatorEvent(state, event, context)) perform(effect);
+  }
+
+  function perform(effect: AggregatorEffect): void {
+    switch (effect.kind) {
+      case AggregatorEffectKind.GrantLease:
+        void grantLease(effect.ttlMs);
+        return;
+      case AggregatorEffectKind.Transact:
+        void transact(effect);
+        return;
+      case AggregatorEffectKind.Reply:
+        waiting.get(effect.callId)?.(effect.reply);
+        waiting.delete(effect.callId);
+        return;
+      case AggregatorEffectKind.SetTimer: {
+        const { timerId } = effect;
+        setTimeout(() => {
+          handle({ kind: AggregatorEventKind.TimerFired, timerId });
+        }, effect.afterMs);
+      }
+    }
+  }
+
+  async function grantLease(ttlMs: number): Promise<void> {
+    telemetry.count('key_value_writes_total');
+    const lease = await keyValue.grantLease(ttlMs);
+    handle(
+      lease.match<AggregatorEvent>(
+        ({ leaseId }) => ({ kind: AggregatorEventKind.LeaseGranted, leaseId }),
+        () => ({ kind: AggregatorEventKind.LeaseFailed }),
+      ),
+    );
+  }
+
+  async function transact(
+    effect: Extract<AggregatorEffect, { kind: AggregatorEffectKind.Transact }>,
+  ): Promise<void> {
+    telemetry.count('key_value_writes_total');
+    const result = await keyValue.transact(effect.compares, effect.writes);
+    handle(
+      result.match<AggregatorEvent>(
+        (outcome) => ({ kind: AggregatorEventKind.Transacted, outcome }),
+        () => ({ kind: AggregatorEventKind.TransactionFailed }),
+      ),
+    );
+  }
+
+  return (request) =>
+    new Promise((resolve) => {
+      lastCall += 1;
+      const callId = String(lastCall);
+      waiting.set(callId, resolve);
+      telemetry.count('claims_asked_total');
+      handle({ kind: AggregatorEventKind.Asked, callId, request });
+    });
+}
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -12,7 +12,7 @@
   isJSONRPCRequest,
 } from 'json-rpc-2.0';
 import type { Child } from '../supervisor/supervisor.js';
-import { METRICS_PATH, RPC_PATH, type RpcMethod, STREAM_PATH } from '../protocol/methods.js';
+import { METRICS_PATH, RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { formatAddress } from './address.js';
 import { ADDRESS_TAKEN, CONTROL_BUSY, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
 import { readBody } from './http-body.js';
@@ -37,8 +37,9 @@
   readonly address: Address;
   readonly allows: AllowsAddress;
   readonly proof: MemberProof;
-  readonly handlers: Readonly<Partial<Record<RpcMethod, RpcHandler>>>;
-  readonly streams: Readonly<Partial<Record<RpcMethod, StreamHandler>>>;
+  /** By method name. */
+  readonly handlers: Readonly<Record<string, RpcHandler>>;
+  readonly streams: Readonly<Record<string, StreamHandler>>;
   readonly metricsText: () => Promise<string>;
 }
 
@@ -142,7 +143,7 @@
   call: JSONRPCRequest,
   response: ServerResponse,
 ): void {
-  const handler = options.streams[call.method as RpcMethod];
+  const handler = options.streams[call.method];
   if (handler === undefined) {
     answerJson(response, 404, MALFORMED_CALL.of({ fault: `no stream ${call.method}` }));
     return;
--- /dev/null
+++ b/packages/daemon/src/node/holder-driver.ts
@@ -0,0 +1,117 @@
+/**
+ * Runs this member's table of records, and calls the tables of the others. A call to this member
+ * itself takes no way over the network.
+ */
+import {
+  DEFAULT_HOLDER_OPTIONS,
+  DEFAULT_REPAIR_OPTIONS,
+  type Failure,
+  type HolderCall,
+  HolderCallKind,
+  type HolderOptions,
+  type HolderReply,
+  type HolderState,
+  createHolder,
+  createRepair,
+  handleHolderCall,
+  onRepairReply,
+  scheduleRepair,
+  sweepHolder,
+  tickRepair,
+} from '@cassiamast/coordination';
+import { ResultAsync, okAsync } from 'neverthrow';
+import type { Child } from '../supervisor/supervisor.js';
+import type { RpcHandler } from './control-server.js';
+import type { RpcClient } from './rpc-client.js';
+import type { Telemetry } from './telemetry.js';
+import { createPeriodic } from './timers.js';
+
+const TICK_MS = 100;
+const CALL_TIMEOUT_MS = 2_000;
+
+/** What the driver needs. */
+export interface HolderDriverOptions {
+  readonly selfId: string;
+  readonly nowMs: () => number;
+  readonly rpc: RpcClient;
+  readonly telemetry: Telemetry;
+  readonly holdersOf: (keyText: string) => readonly string[];
+  readonly answerRetentionMs: () => number;
+}
+
+/** Calls a holder, which may be this member. */
+export type CallHolder = (to: string, call: HolderCall) => ResultAsync<HolderReply, Failure>;
+
+/** The records of this member. */
+export interface HolderDriver {
+  readonly child: Child;
+  readonly state: HolderState;
+  readonly handlers: Readonly<Record<HolderCallKind, RpcHandler>>;
+  readonly callHolder: CallHolder;
+  /** To be called after the placement changed: copies are restored at their new places. */
+  readonly placementChanged: () => void;
+}
+
+/** Makes the driver. */
+export function createHolderDriver(options: HolderDriverOptions): HolderDriver {
+  const state = createHolder();
+  const repair = createRepair();
+
+  function holderOptions(): HolderOptions {
+    return { ...DEFAULT_HOLDER_OPTIONS, answerRetentionMs: options.answerRetentionMs() };
+  }
+
+  function answer(call: HolderCall): HolderReply {
+    return handleHolderCall(state, call, holderOptions(), options.nowMs());
+  }
+
+  const callHolder: CallHolder = (to, call) => {
+    if (to === options.selfId) return okAsync(answer(call));
+    return options.rpc.call<HolderReply>(to, call.kind, call, { timeoutMs: CALL_TIMEOUT_MS });
+  };
+
+  async function sendRepair(to: string, call: HolderCall): Promise<void> {
+    if (call.kind !== HolderCallKind.Restore) return;
+    const { keyText } = call.record;
+    const reply = await callHolder(to, call);
+    reply.map((value) => {
+      const news = { from: to, keyText, reply: value };
+      onRepairReply(repair, state, options.selfId, options.holdersOf, news);
+    });
+  }
+
+  function tick(): void {
+    const nowMs = options.nowMs();
+    sweepHolder(state, holderOptions(), nowMs);
+    const sends = tickRepair(
+      repair,
+      state,
+      options.selfId,
+      options.holdersOf,
+      DEFAULT_REPAIR_OPTIONS,
+      nowMs,
+    );
+    for (const { to, call } of sends) void sendRepair(to, call);
+    options.telemetry.count('records_repaired_total', sends.length);
+    options.telemetry.gauge('records_held', state.records.size);
+    options.telemetry.gauge('records_held_bytes', state.totalBytes);
+  }
+
+  const handler: RpcHandler = (params) => answer(params as HolderCall);
+  return {
+    state,
+    callHolder,
+    handlers: {
+      [HolderCallKind.Create]: handler,
+      [HolderCallKind.Note]: handler,
+      [HolderCallKind.Finish]: handler,
+      [HolderCallKind.Restore]: handler,
+      [HolderCallKind.Release]: handler,
+      [HolderCallKind.Read]: handler,
+    },
+    placementChanged: () => {
+      scheduleRepair(repair, state);
+    },
+    child: createPeriodic('records', () => TICK_MS, tick),
+  };
+}
--- a/packages/daemon/src/node/rpc-client.ts
+++ b/packages/daemon/src/node/rpc-client.ts
@@ -7,7 +7,7 @@
 import { createJSONRPCRequest, isJSONRPCResponse, type JSONRPCResponse } from 'json-rpc-2.0';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { Agent, request as httpRequest } from 'undici';
-import { RPC_PATH, type RpcMethod, STREAM_PATH } from '../protocol/methods.js';
+import { RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { MEMBER_UNREACHABLE } from './failures.js';
 import type { MemberProof } from './secret.js';
 
@@ -42,13 +42,13 @@
 export interface RpcClient {
   readonly call: <Answer>(
     member: string,
-    method: RpcMethod,
+    method: string,
     params: unknown,
     options: CallOptions,
   ) => ResultAsync<Answer, Failure>;
   readonly stream: (
     member: string,
-    method: RpcMethod,
+    method: string,
     params: unknown,
     handlers: MemberStreamHandlers,
   ) => MemberStream;
@@ -73,7 +73,7 @@
   }
 
   return {
-    call: <Answer>(member: string, method: RpcMethod, params: unknown, options: CallOptions) => {
+    call: <Answer>(member: string, method: string, params: unknown, options: CallOptions) => {
       const exchange = async (): Promise<JSONRPCResponse> => {
         const answer = await httpRequest(`http://${member}${RPC_PATH}`, {
           dispatcher: agent,
--- /dev/null
+++ b/packages/daemon/src/protocol/load.ts
@@ -0,0 +1,57 @@
+/**
+ * Load reports as datagrams: positional, because a field's name would cost more than its value. A
+ * report states its own age, so that no two clocks are compared.
+ */
+import { EngineRole, type LoadReport } from '@cassiamast/coordination';
+
+/** A report as its sender knows it; `ageMs` is counted on the sender's clock. */
+export type SentLoadReport = Omit<LoadReport, 'atMs'> & { readonly ageMs: number };
+
+const ROLES = [EngineRole.Prefill, EngineRole.Decode, EngineRole.Mixed] as const;
+const FIELDS = 13;
+
+/** Encodes a report. */
+export function encodeLoad(report: SentLoadReport): readonly unknown[] {
+  return [
+    report.target,
+    Math.round(report.ageMs),
+    report.sequence,
+    report.epoch,
+    ROLES.indexOf(report.role),
+    report.accepting ? 1 : 0,
+    report.runningRequests,
+    report.waitingRequests,
+    report.waitingPrefillTokens,
+    report.runningContextTokens,
+    report.kvUsedTokens,
+    report.kvCapacityTokens,
+    Math.round(report.stepMs),
+  ];
+}
+
+/** Decodes a report that arrived at `nowMs`; null when it is malformed. */
+export function decodeLoad(params: unknown, nowMs: number): LoadReport | null {
+  if (!Array.isArray(params) || params.length !== FIELDS) return null;
+  const [target, ageMs, sequence, epoch, roleIndex, ...counts] = params as unknown[];
+  const role = typeof roleIndex === 'number' ? ROLES[roleIndex] : undefined;
+  if (typeof target !== 'string' || typeof epoch !== 'string' || role === undefined) return null;
+  if (typeof ageMs !== 'number' || typeof sequence !== 'number') return null;
+  if (!counts.every((count): count is number => typeof count === 'number')) return null;
+  const [accepting = 0, running = 0, waiting = 0, waitingPrefill = 0, context = 0] = counts;
+  const [, , , , , kvUsed = 0, kvCapacity = 0, stepMs = 0] = counts;
+  return {
+    target,
+    atMs: nowMs - ageMs,
+    sequence,
+    epoch,
+    role,
+    accepting: accepting === 1,
+    runningRequests: running,
+    waitingRequests: waiting,
+    waitingPrefillTokens: waitingPrefill,
+    runningContextTokens: context,
+    kvUsedTokens: kvUsed,
+    kvCapacityTokens: kvCapacity,
+    stepMs,
+  };
+}
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -1,32 +1,31 @@
 /**
  * The methods that members call on each other, as JSON-RPC 2.0 over HTTP (`POST /rpc`), as a
  * stream (`POST /streams`, answered by server-sent events that each hold one JSON-RPC message) or
- * as one notification in a datagram.
+ * as one notification in a datagram. Calls to holders are named by the library's `HolderCallKind`,
+ * membership's datagrams by its `MembershipMethod`.
  */
 
-/** Every method name. */
+/** Every method name of the daemon's own. */
 export enum RpcMethod {
-  RecordCreate = 'record.create',
-  RecordNoteAttempt = 'record.noteAttempt',
-  RecordRead = 'record.read',
-  RecordFinish = 'record.finish',
-  RecordCopy = 'record.copy',
   ClaimTake = 'claim.take',
-  ClaimRead = 'claim.read',
+  SessionOpen = 'session.open',
   StreamOpen = 'stream.open',
   StreamAttach = 'stream.attach',
-  StreamCancel = 'stream.cancel',
+  StreamOpened = 'stream.opened',
   StreamTokens = 'stream.tokens',
-  PlainCall = 'plain.call',
+  AttemptCancel = 'attempt.cancel',
+  LoneRunProbe = 'lone-run.probe',
+  PrefillRun = 'prefill.run',
+  SuspicionNote = 'suspicion.note',
   OrderTicket = 'order.ticket',
   OrderSubmit = 'order.submit',
   EngineState = 'engine.state',
   ConfigFetch = 'config.fetch',
   ConfigAnnounce = 'config.announce',
   MemberSync = 'member.sync',
-  MemberMessage = 'member',
-  LoadReport = 'load',
+  LoadReport = 'load.report',
   LoadSubscribe = 'load.subscribe',
+  DemandReport = 'demand.report',
   StatusRead = 'status.read',
   TimelineRead = 'timeline.read',
   MetricsRead = 'metrics.read',
--- /dev/null
+++ b/packages/daemon/src/sidecar/backend.ts
@@ -0,0 +1,18 @@
+/**
+ * What the sidecar's attempts run on: a model engine or a plain service. A backend starts work and
+ * reports what becomes of it as events of the library's attempt machine.
+ */
+import type { Attempt, HostEvent } from '@cassiamast/coordination';
+
+/** Runs attempts. */
+export interface Backend {
+  readonly start: (attempt: Attempt, payload: unknown, continueFrom: readonly string[]) => void;
+  /** Takes up a stream that a former sidecar started. */
+  readonly resume: (attemptId: string, fromIndex: number) => void;
+  readonly cancel: (attemptId: string) => void;
+  /** Releases every connection. */
+  readonly close: () => Promise<void>;
+}
+
+/** Takes what a backend reports. */
+export type OnBackendEvent = (event: HostEvent) => void;
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -12,13 +12,14 @@
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
 import { createTelemetry } from '../node/telemetry.js';
-import type { LoadedSettings } from '../settings/settings.js';
-import { createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
+import type { LoadedSettings, Settings } from '../settings/settings.js';
+import { type Child, createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 import { wireEntry } from './wire-entry.js';
 import { wireSidecar } from './wire-sidecar.js';
 
 const MAX_SEED = 0x7fff_ffff;
+const DRAIN_POLL_MS = 50;
 
 /** A process that runs. */
 export interface RunningProcess {
@@ -45,12 +46,10 @@
     telemetry: createTelemetry(() => undefined),
     seeds: settings.peers,
   };
+  const wired = wire(context, settings);
   const root = createSupervisor({
     name: 'root',
-    children:
-      settings.kind === MemberKind.Entry
-        ? wireEntry(context, settings)
-        : wireSidecar(context, settings),
+    children: wired.children,
     limit: DEFAULT_RESTART_LIMIT,
     log: context.log,
     nowMs: context.clocks.monotonicMs,
@@ -63,9 +62,35 @@
   return {
     stop: async () => {
       context.log.info(`${settings.kind} stops`);
+      await drain(wired, context.clocks.monotonicMs);
       await root.stop();
       await context.rpc.close();
       await context.keyValue.close();
     },
   };
 }
+
+/** A wired process of either kind, as its shutdown sees it. */
+interface Wired {
+  readonly children: readonly Child[];
+  readonly beginDrain: () => void;
+  /** Answers or attempts that a shutdown must not cut. */
+  readonly running: () => number;
+  readonly drainMs: () => number;
+}
+
+function wire(context: ProcessContext, settings: Settings): Wired {
+  if (settings.kind === MemberKind.Entry) {
+    const entry = wireEntry(context, settings);
+    return { ...entry, running: entry.openAnswers };
+  }
+  const sidecar = wireSidecar(context, settings);
+  return { ...sidecar, running: sidecar.runningAttempts };
+}
+
+/** Graceful shutdown: no new work, then the running work ends, within the operators' bound. */
+async function drain(wired: Wired, nowMs: () => number): Promise<void> {
+  const giveUpAtMs = nowMs() + wired.drainMs();
+  wired.beginDrain();
+  while (wired.running() > 0 && nowMs() < giveUpAtMs) await sleep(DRAIN_POLL_MS);
+}
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -1,20 +1,65 @@
 /** Wires an entry: the parts of the supervisor tree and who hears of what. */
 import { randomUUID } from 'node:crypto';
-import { type Configuration, MemberKind } from '@cassiamast/coordination';
+import {
+  type Configuration,
+  DEFAULT_DRIVE_OPTIONS,
+  type DriveContext,
+  type DriveRequest,
+  MemberKind,
+  type RetryBudget,
+  type RetryOptions,
+  createRetryBudget,
+} from '@cassiamast/coordination';
+import { createVmListClient } from '@cassiamast/platform';
 import { type Authenticate, createAuthenticate } from '../entry/authenticate.js';
 import { createCallerServer } from '../entry/caller-server.js';
-import { createModelRunner } from '../entry/model-runner.js';
+import { createClaimDriver } from '../entry/claim-driver.js';
+import { createContacts } from '../entry/contacts.js';
+import { createEntryFigures } from '../entry/entry-figures.js';
+import { createPolicies } from '../entry/policies.js';
+import { createRequests } from '../entry/requests.js';
+import type { RunServices } from '../entry/run-services.js';
+import { createSessionDriver } from '../entry/session-driver.js';
+import { createTargetDirectory } from '../entry/target-directory.js';
+import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
+import { createPeriodic } from '../node/timers.js';
+import { type VmListDriver, createVmListDriver } from '../node/vm-list-driver.js';
+import { decodeLoad } from '../protocol/load.js';
+import { RpcMethod } from '../protocol/methods.js';
 import type { EntrySettings } from '../settings/settings.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 import { wireMember } from './wire-member.js';
 
-/** The children of an entry's root supervisor, in the order of their start. */
-export function wireEntry(context: ProcessContext, settings: EntrySettings): readonly Child[] {
+const SUBSCRIBE_MS = 3_000;
+const PUMP_MS = 10;
+const LEDGER_MS = 60_000;
+/** An earlier submission matters until its record is dropped; before the first text, this long. */
+const DEFAULT_HORIZON_MS = 1_200_000;
+
+/** An entry with what its shutdown needs. */
+export interface WiredEntry {
+  readonly children: readonly Child[];
+  /** Answers still being told to connected callers. */
+  readonly openAnswers: () => number;
+  /** Stops new work and says so to the members. */
+  readonly beginDrain: () => void;
+  readonly drainMs: () => number;
+}
+
+/** The parts of an entry, in the order of their start. */
+export function wireEntry(context: ProcessContext, settings: EntrySettings): WiredEntry {
+  const { clocks, hashing, random, rpc, telemetry } = context;
+  const nowMs = clocks.monotonicMs;
+  const entryIncarnation = `${context.memberId}/${randomUUID()}`;
   let configuration: Configuration | null = null;
   let authenticate: Authenticate = () => null;
+  let isDraining = false;
+
+  const contacts = createContacts({ nowMs, hash32: hashing.hash32, horizonMs });
+  const figures = createEntryFigures(telemetry);
 
   const member = wireMember(context, settings, {
     kind: MemberKind.Entry,
@@ -22,40 +67,167 @@
     onInForce: ({ compiled }) => {
       configuration = compiled;
       authenticate = createAuthenticate(compiled.workspaces);
+      policies.refresh();
+    },
+    onMembers: (changed) => {
+      contacts.changed(changed);
+      policies.refresh();
+      requests.membersChanged();
+    },
+    onLoneRunReply: (reply) => {
+      requests.loneRunReplied(reply);
+    },
+    onSuspicion: () => undefined,
+    onDatagram: (_from, method, params) => {
+      if (method !== (RpcMethod.LoadReport as string)) return;
+      const report = decodeLoad(params, nowMs());
+      if (report !== null) policies.noteLoad(report);
     },
-    onMembers: () => undefined,
-    onDatagram: () => undefined,
   });
 
-  const runModelRequest = createModelRunner({
-    rpc: context.rpc,
+  const vmList: VmListDriver | null =
+    settings.vmList === undefined
+      ? null
+      : createVmListDriver(createVmListClient({ address: settings.vmList.url }), nowMs, () => {
+          policies.refresh();
+        });
+
+  const directory = createTargetDirectory({
+    configuration: () => configuration,
+    findMember: member.membership.find,
+    listedLeaving: (memberId) => vmList?.listedLeaving(memberId) ?? null,
+  });
+
+  const policies = createPolicies({
+    entry: context.memberId,
+    failureDomain: settings.failureDomain,
+    nowMs,
+    random,
+    hash32: hashing.hash32,
     configuration: () => configuration,
-    random: context.random,
-    hash64: context.hashing.hash64,
-    wallMs: context.clocks.wallMs,
+    directory,
+    emit: telemetry.emit,
+  });
+
+  const claims = createClaimDriver({
+    selfId: context.memberId,
+    nowMs,
+    rpc,
+    aggregatorOf: member.placement.aggregatorOf,
+    takeLocally: member.takeClaim,
   });
 
-  return [
-    createControlServer({
-      address: settings.control,
-      allows: allowNetworks(settings.controlNetworks),
-      proof: context.proof,
-      handlers: member.handlers,
-      streams: {},
-      metricsText: context.telemetry.metricsText,
-    }),
-    ...member.children,
-    createCallerServer({
-      address: settings.callers,
-      maxConnections: settings.maxCallerConnections,
-      configuration: () => configuration,
-      authenticate: () => authenticate,
-      notServingReason: member.configuration.newWorkRefused,
-      makeKey: randomUUID,
-      onModelRequest: runModelRequest,
-      onPlainCall: (_call, response) => {
-        response.writeHead(501).end();
-      },
-    }),
-  ];
+  const services: RunServices = {
+    nowMs,
+    rpc,
+    telemetry,
+    sessions: createSessionDriver(rpc, entryIncarnation),
+    claims,
+    poison: member.poison,
+    callHolder: member.holder.callHolder,
+    policyOf: policies.of,
+    driveContext,
+    noteAnswered: figures.answered,
+    noteRefused: figures.refused,
+  };
+
+  const requests = createRequests({
+    entryIncarnation,
+    services,
+    configuration: () => configuration,
+    wallMs: clocks.wallMs,
+  });
+
+  const budgets = new Map<
+    string,
+    { readonly budget: RetryBudget; readonly options: RetryOptions }
+  >();
+
+  function budgetOf(service: string): { budget: RetryBudget; options: RetryOptions } {
+    const known = budgets.get(service);
+    if (known !== undefined) return known;
+    const ratio = directory.service(service)?.retryBudgetRatio ?? DEFAULT_DRIVE_OPTIONS.retry.ratio;
+    const options = { ...DEFAULT_DRIVE_OPTIONS.retry, ratio };
+    const made = { budget: createRetryBudget(options), options };
+    budgets.set(service, made);
+    return made;
+  }
+
+  function driveContext(request: DriveRequest, keyIsFresh: boolean): DriveContext {
+    const { budget, options } = budgetOf(request.service);
+    return {
+      nowMs: nowMs(),
+      random,
+      hash32: hashing.hash32,
+      entryId: context.memberId,
+      options: { ...DEFAULT_DRIVE_OPTIONS, retry: options },
+      budget,
+      holders: () => member.placement.holdersOf(request.keyText),
+      isLive: member.isLive,
+      suspicion: () => member.poison.suspicionOf(request.bodyHash),
+      provesAbsence: (absentAt) => keyIsFresh || contacts.provesAbsence(request.keyText, absentAt),
+    };
+  }
+
+  function horizonMs(): number {
+    if (configuration === null) return DEFAULT_HORIZON_MS;
+    const deadlinesMs = configuration.services.map((service) => service.deadlineMs);
+    return configuration.limits.answerRetentionMs + Math.max(0, ...deadlinesMs);
+  }
+
+  function subscribe(): void {
+    for (const [name, policy] of policies.models()) {
+      const wanted = new Set(policy.subset());
+      for (const target of directory.service(name)?.targets ?? []) {
+        if (!wanted.has(target.name)) continue;
+        member.datagrams.send(formatAddress(target.sidecar), RpcMethod.LoadSubscribe, []);
+      }
+    }
+  }
+
+  function notServingReason(): string | null {
+    return isDraining ? 'it is shutting down' : member.configuration.newWorkRefused();
+  }
+
+  const serviceNames = (): readonly string[] =>
+    (configuration?.services ?? []).map((service) => service.name);
+
+  return {
+    children: [
+      createControlServer({
+        address: settings.control,
+        allows: allowNetworks(settings.controlNetworks),
+        proof: context.proof,
+        handlers: member.handlers,
+        streams: {},
+        metricsText: telemetry.metricsText,
+      }),
+      ...member.children,
+      ...(vmList === null ? [] : [vmList.child]),
+      claims.child,
+      createPeriodic('subscriptions', () => SUBSCRIBE_MS * (0.5 + random() / 2), subscribe),
+      createPeriodic(
+        'poison-ledger-reader',
+        () => LEDGER_MS * (0.5 + random()),
+        () => member.poison.readLedger(serviceNames()),
+      ),
+      createPeriodic('queue-pump', () => PUMP_MS, policies.pump),
+      createCallerServer({
+        address: settings.callers,
+        maxConnections: settings.maxCallerConnections,
+        configuration: () => configuration,
+        authenticate: () => authenticate,
+        notServingReason,
+        makeKey: randomUUID,
+        onModelRequest: requests.model,
+        onPlainCall: requests.plain,
+      }),
+    ],
+    openAnswers: requests.openCount,
+    beginDrain: () => {
+      isDraining = true;
+      member.membership.announceLeaving();
+    },
+    drainMs: () => configuration?.limits.drainMs ?? 0,
+  };
 }
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -3,6 +3,8 @@
  * calls that members make on each other for these.
  */
 import {
+  type ClaimRequest,
+  DEFAULT_HOLDER_OPTIONS,
   EventKind,
   type Failure,
   FailureError,
@@ -16,27 +18,38 @@
   randomBelow,
 } from '@cassiamast/coordination';
 import type { Result } from 'neverthrow';
+import { type TakeClaim, createClaimAggregator } from '../node/claim-aggregator-driver.js';
 import {
   type ConfigurationDriver,
   createConfigurationDriver,
 } from '../node/configuration-driver.js';
 import type { RpcHandler } from '../node/control-server.js';
 import { createDatagrams, type Datagrams } from '../node/datagrams.js';
+import { type HolderDriver, createHolderDriver } from '../node/holder-driver.js';
 import { createMembershipDriver, type MembershipDriver } from '../node/membership-driver.js';
+import { type PlacementDriver, createPlacementDriver } from '../node/placement-driver.js';
+import { type LoneRunReply, type PoisonDriver, createPoisonDriver } from '../node/poison-driver.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Settings } from '../settings/settings.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 
 const MS_PER_S = 1_000;
+/** Names the choice of the members that watch the configuration. */
+const CONFIGURATION_WATCH = 'configuration';
 
 /** What the kinds of daemon build on. */
 export interface MemberParts {
   readonly children: readonly Child[];
-  readonly handlers: Readonly<Partial<Record<RpcMethod, RpcHandler>>>;
+  readonly handlers: Readonly<Record<string, RpcHandler>>;
   readonly membership: MembershipDriver;
   readonly configuration: ConfigurationDriver;
   readonly datagrams: Datagrams;
+  readonly placement: PlacementDriver;
+  readonly holder: HolderDriver;
+  readonly takeClaim: TakeClaim;
+  readonly poison: PoisonDriver;
+  readonly isLive: (memberId: string) => boolean;
 }
 
 /** What a kind of daemon hears of. */
@@ -45,6 +58,8 @@
   readonly target: string;
   readonly onInForce: (configuration: MemberConfiguration) => void;
   readonly onMembers: (changed: Member) => void;
+  readonly onLoneRunReply: (reply: LoneRunReply) => void;
+  readonly onSuspicion: (bodyHash: string, crashes: number) => void;
   /** Datagrams that are neither membership's nor the configuration's. */
   readonly onDatagram: (from: string, method: string, params: unknown) => void;
 }
@@ -56,10 +71,12 @@
   hooks: MemberHooks,
 ): MemberParts {
   const { clocks, random, hashing, rpc, telemetry } = context;
+  let answerRetentionMs = DEFAULT_HOLDER_OPTIONS.answerRetentionMs;
 
   const datagrams = createDatagrams(settings.control, context.proof, (from, method, params) => {
     if (method === (RpcMethod.ConfigAnnounce as string)) configuration.announced(from, params);
     else if (method.startsWith(MEMBERSHIP_PREFIX)) membership.receive(from, method, params);
+    else if (method === (RpcMethod.SuspicionNote as string)) poison.heard(params);
     else hooks.onDatagram(from, method, params);
   });
 
@@ -82,7 +99,46 @@
     onHints: (from, hints, askedAtMs) => {
       configuration.hintsHeard(from, hints, askedAtMs);
     },
-    onMembers: hooks.onMembers,
+    onMembers: (changed) => {
+      placement.membersChanged();
+      holder.placementChanged();
+      hooks.onMembers(changed);
+    },
+  });
+
+  const placement = createPlacementDriver(membership.present, hashing.hash32);
+  const isLive = (memberId: string): boolean => {
+    const state = membership.find(memberId)?.state;
+    return state !== undefined && state !== MemberState.Dead;
+  };
+
+  const holder = createHolderDriver({
+    selfId: context.memberId,
+    nowMs: clocks.monotonicMs,
+    rpc,
+    telemetry,
+    holdersOf: placement.holdersOf,
+    answerRetentionMs: () => answerRetentionMs,
+  });
+
+  const takeClaim = createClaimAggregator({
+    nowMs: clocks.monotonicMs,
+    random,
+    keyValue: context.keyValue,
+    telemetry,
+  });
+
+  const poison = createPoisonDriver({
+    nowMs: clocks.monotonicMs,
+    random,
+    keyValue: context.keyValue,
+    rpc,
+    telemetry,
+    present: membership.present,
+    isLive,
+    sendDatagram: datagrams.send,
+    onLoneRunReply: hooks.onLoneRunReply,
+    onSuspicion: hooks.onSuspicion,
   });
 
   const configuration: ConfigurationDriver = createConfigurationDriver({
@@ -94,18 +150,22 @@
     rpc,
     telemetry,
     sendDatagram: datagrams.send,
-    isWatcher: () => isWatcher(membership, settings.failureDomain, hashing.hash32),
+    isWatcher: () =>
+      placement.watcherOf(CONFIGURATION_WATCH, settings.failureDomain) === context.memberId,
     pickPeer: () => pickPeer(membership, random),
     sees: (memberId) => isReachable(membership.find(memberId)),
     onInForce: (inForce) => {
+      answerRetentionMs = inForce.compiled.limits.answerRetentionMs;
       context.log.info(`configuration ${String(inForce.version)} is in force`);
       hooks.onInForce(inForce);
     },
   });
 
   return {
-    children: [datagrams.child, membership.child, configuration.child],
+    children: [datagrams.child, membership.child, configuration.child, holder.child, poison.child],
     handlers: {
+      ...holder.handlers,
+      [RpcMethod.ClaimTake]: (params) => takeClaim(params as ClaimRequest),
       [RpcMethod.MemberSync]: (params) => orThrow(membership.answerSync(params as SyncRequest)),
       [RpcMethod.ConfigFetch]: (params) =>
         orThrow(configuration.serveFetch(params as FetchRequest)),
@@ -113,6 +173,11 @@
     membership,
     configuration,
     datagrams,
+    placement,
+    holder,
+    takeClaim,
+    poison,
+    isLive,
   };
 }
 
@@ -138,20 +203,6 @@
   };
 }
 
-/** Whether this member watches the key-value service for its failure domain. */
-function isWatcher(
-  membership: MembershipDriver,
-  failureDomain: string,
-  hash32: (text: string) => number,
-): boolean {
-  const { self } = membership.state;
-  const ownRank = hash32(self.id);
-  return membership
-    .present()
-    .filter((member) => member.failureDomain === failureDomain && isReachable(member))
-    .every((member) => hash32(member.id) <= ownRank);
-}
-
 function isReachable(member: Member | undefined): boolean {
   return member?.state === MemberState.Alive || member?.state === MemberState.Leaving;
 }
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -1,85 +1,162 @@
 /** Wires a sidecar: the parts of the supervisor tree and who hears of what. */
 import {
   type Configuration,
-  type Failure,
+  HostEventKind,
   MemberKind,
+  PoisonWorkKind,
+  TargetKind,
   type TargetSpec,
 } from '@cassiamast/coordination';
-import { createEngineClient, type EngineClient } from '@cassiamast/platform';
+import {
+  type EngineClient,
+  createEngineClient,
+  createPlainServiceClient,
+} from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
-import { createPeriodic } from '../node/timers.js';
+import { RpcMethod } from '../protocol/methods.js';
 import type { SidecarSettings } from '../settings/settings.js';
-import { createEngineAttempts, type EngineAttempts } from '../sidecar/engine-attempts.js';
-import { TARGET_NOT_SERVING } from '../sidecar/failures.js';
-import { createStreamRoutes } from '../sidecar/stream-routes.js';
+import type { Backend } from '../sidecar/backend.js';
+import { type EngineBackend, createEngineBackend } from '../sidecar/engine-backend.js';
+import { type HostDriver, createHostDriver } from '../sidecar/host-driver.js';
+import { createLoadReporter } from '../sidecar/load-reporter.js';
+import { createPlainBackend } from '../sidecar/plain-backend.js';
+import { createPrefill } from '../sidecar/prefill.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 import { wireMember } from './wire-member.js';
 
-const SWEEP_MS = 1_000;
-
-/** The children of a sidecar's root supervisor, in the order of their start. */
-export function wireSidecar(context: ProcessContext, settings: SidecarSettings): readonly Child[] {
-  let target: TargetSpec | null = null;
-  let engine: EngineClient | null = null;
+/** A sidecar with what its shutdown needs. */
+export interface WiredSidecar {
+  readonly children: readonly Child[];
+  readonly runningAttempts: () => number;
+  readonly beginDrain: () => void;
+  readonly drainMs: () => number;
+}
 
-  function putInForce(compiled: Configuration): void {
-    const found = compiled.services
-      .flatMap((service) => service.targets)
-      .find((candidate) => candidate.name === settings.target);
-    if (found === undefined) {
-      target = null;
-      return;
-    }
-    if (target !== null && formatAddress(target.backend) === formatAddress(found.backend)) return;
-    target = found;
-    engine = createEngineClient({ address: `http://${formatAddress(found.backend)}` });
-  }
+/** The target beside this process as the configuration in force has it. */
+interface Beside {
+  readonly service: string;
+  readonly kind: TargetKind;
+  readonly spec: TargetSpec;
+}
 
-  function notServing(): Failure | null {
-    if (engine !== null) return null;
-    return TARGET_NOT_SERVING.of({ target: settings.target, reason: 'not in the configuration' });
-  }
+/** The parts of a sidecar, in the order of their start. */
+export function wireSidecar(context: ProcessContext, settings: SidecarSettings): WiredSidecar {
+  const { clocks, telemetry } = context;
+  const nowMs = clocks.monotonicMs;
+  let configuration: Configuration | null = null;
+  let beside: Beside | null = null;
+  let backend: Backend | null = null;
+  let engine: EngineClient | null = null;
+  let engineBackend: EngineBackend | null = null;
+  let isDraining = false;
 
-  const attempts: EngineAttempts = createEngineAttempts({
+  const member = wireMember(context, settings, {
+    kind: MemberKind.Sidecar,
     target: settings.target,
-    generate: (request, handlers) => {
-      if (engine !== null) return engine.generate(request, handlers);
-      throw new Error('opened without an engine');
+    onInForce: ({ compiled }) => {
+      configuration = compiled;
+      takeTarget(findTarget(compiled, settings.target));
+      applyDrain();
+    },
+    onMembers: () => {
+      host.handle({ kind: HostEventKind.MembersChanged });
+    },
+    onLoneRunReply: () => undefined,
+    onSuspicion: (bodyHash, crashes) => {
+      const kind = crashes > 0 ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
+      host.handle({ kind, bodyHash });
+    },
+    onDatagram: (from, method) => {
+      if (method === (RpcMethod.LoadSubscribe as string)) reporter.subscribe(from);
     },
-    nowMs: context.clocks.monotonicMs,
-    onEnd: () => undefined,
-    notServing,
   });
 
-  const member = wireMember(context, settings, {
-    kind: MemberKind.Sidecar,
+  const host: HostDriver = createHostDriver({
+    selfId: context.memberId,
     target: settings.target,
-    onInForce: ({ compiled }) => {
-      putInForce(compiled);
+    nowMs,
+    telemetry,
+    holdersOf: member.placement.holdersOf,
+    callHolder: member.holder.callHolder,
+    backend: () => backend,
+    reportCrash: (service, suspects) => {
+      for (const { attemptId, bodyHash } of suspects) {
+        const kind = PoisonWorkKind.ReportCrash;
+        member.poison.ask(`${attemptId}|crash`, { kind, service, bodyHash, attemptId });
+      }
     },
-    onMembers: () => undefined,
-    onDatagram: () => undefined,
   });
 
-  return [
-    createControlServer({
-      address: settings.control,
-      allows: allowNetworks(settings.controlNetworks),
-      proof: context.proof,
-      handlers: member.handlers,
-      streams: createStreamRoutes(attempts),
-      metricsText: context.telemetry.metricsText,
-    }),
-    ...member.children,
-    createPeriodic(
-      'attempt-sweep',
-      () => SWEEP_MS,
-      () => {
-        attempts.sweep();
-      },
-    ),
-  ];
+  const reporter = createLoadReporter({
+    target: settings.target,
+    nowMs,
+    engine: () => engine,
+    accepting: () => !host.state.draining,
+    onEpoch: (epoch) => engineBackend?.noteEpoch(epoch),
+    sendDatagram: member.datagrams.send,
+  });
+
+  const prefill = createPrefill({ rpc: context.rpc, engine: () => engine, telemetry });
+
+  function takeTarget(found: Beside | null): void {
+    const before = beside === null ? '' : formatAddress(beside.spec.backend);
+    const after = found === null ? '' : formatAddress(found.spec.backend);
+    beside = found;
+    if (before === after) return;
+    void backend?.close();
+    engine = null;
+    engineBackend = null;
+    backend = found === null ? null : makeBackend(found);
+  }
+
+  function makeBackend(found: Beside): Backend {
+    const address = `http://${formatAddress(found.spec.backend)}`;
+    if (found.kind === TargetKind.PlainService) {
+      return createPlainBackend(createPlainServiceClient({ address }), host.handle);
+    }
+    engine = createEngineClient({ address });
+    engineBackend = createEngineBackend({ engine, onEvent: host.handle, prefill: prefill.request });
+    return engineBackend;
+  }
+
+  /** No new work while the process stops or the operators have withdrawn the target. */
+  function applyDrain(): void {
+    const draining = isDraining || beside === null || beside.spec.withdrawn;
+    if (draining === host.state.draining) return;
+    host.handle({ kind: HostEventKind.DrainChanged, draining });
+  }
+
+  return {
+    children: [
+      createControlServer({
+        address: settings.control,
+        allows: allowNetworks(settings.controlNetworks),
+        proof: context.proof,
+        handlers: { ...member.handlers, ...host.handlers, ...prefill.handlers },
+        streams: host.streams,
+        metricsText: telemetry.metricsText,
+      }),
+      ...member.children,
+      host.child,
+      reporter.child,
+    ],
+    runningAttempts: host.runningCount,
+    beginDrain: () => {
+      isDraining = true;
+      applyDrain();
+      member.membership.announceLeaving();
+    },
+    drainMs: () => configuration?.limits.drainMs ?? 0,
+  };
+}
+
+function findTarget(configuration: Configuration, name: string): Beside | null {
+  for (const service of configuration.services) {
+    const spec = service.targets.find((candidate) => candidate.name === name);
+    if (spec !== undefined) return { service: service.name, kind: service.kind, spec };
+  }
+  return null;
 }
