--- a/packages/stand-ins/src/core/engine/batch.ts
+++ b/packages/stand-ins/src/core/engine/batch.ts
@@ -59,6 +59,8 @@
 export interface Step {
   readonly durationMs: number;
   readonly emissions: readonly Emission[];
+  /** Requests that entered the batch: from now on they run. */
+  readonly admitted: readonly Work[];
 }
 
 /** An empty batch. */
@@ -114,7 +116,7 @@
   nowMs: number,
 ): Step | null {
   const emissions: Emission[] = [];
-  admit(batch, cache, options, nowMs);
+  const admitted = admit(batch, cache, options, nowMs);
   if (batch.running.length === 0) return null;
   const prefilled = prefill(batch, cache, options, nowMs);
   const decoding = batch.running.filter((work) => work.toPrefill === 0);
@@ -131,23 +133,30 @@
     options.stepPerRequestMs * decoding.length +
     options.stepPerContextKtokenMs * contextKtokens +
     prefilled / options.prefillTokensPerMs;
-  return { durationMs, emissions };
+  return { durationMs, emissions, admitted };
 }
 
-function admit(batch: Batch, cache: PrefixCache, options: EngineOptions, nowMs: number): void {
+function admit(
+  batch: Batch,
+  cache: PrefixCache,
+  options: EngineOptions,
+  nowMs: number,
+): readonly Work[] {
+  const admitted: Work[] = [];
   const { maxBatch } = options.roleSpeeds[batch.role];
   let usedTokens = runningContextTokens(batch);
   for (;;) {
     const next = batch.waiting[0];
-    if (next === undefined || batch.running.length >= maxBatch) return;
+    if (next === undefined || batch.running.length >= maxBatch) return admitted;
     usedTokens += contextTokens(next);
-    if (usedTokens > options.kvCapacityTokens) return;
+    if (usedTokens > options.kvCapacityTokens) return admitted;
     batch.waiting.shift();
     const cached = cachedPrefixTokens(cache, next.prompt.blocks);
     next.cachedTokens = Math.max(cached, next.importedTokens);
     // At least the last token is computed, since it yields the answer's next one.
     next.toPrefill = Math.max(1, contextTokens(next) - next.cachedTokens);
     batch.running.push(next);
+    admitted.push(next);
     shrinkTo(cache, options.kvCapacityTokens - usedTokens, nowMs, options);
   }
 }
--- a/packages/stand-ins/src/core/engine/engine.ts
+++ b/packages/stand-ins/src/core/engine/engine.ts
@@ -15,6 +15,8 @@
 import { DEFAULT_ENGINE } from './options.js';
 import { carryOutOrder } from './order-execution.js';
 import { createEngineRoutes } from './routes.js';
+import type { RunCounts } from '../runs/run-counts.js';
+import { countRun, promptFingerprint } from '../runs/run-counts.js';
 import type { EngineCounts, EngineLife } from './state.js';
 import { keepKvHandle, loadFigures, newEngineCounts, startLife } from './state.js';
 import { addToken, endStream, forgetEnded } from './streams.js';
@@ -24,6 +26,8 @@
   readonly address: string;
   readonly port: number;
   readonly counts: () => Readonly<EngineCounts>;
+  /** How often a prompt entered the batch, over all lives of the engine. */
+  readonly runsOf: (prompt: string) => number;
   readonly setFaults: (change: Partial<EngineFaults>) => void;
   /** Loses all state and connections; the engine is back after `restartMs`. */
   readonly crash: () => void;
@@ -36,6 +40,7 @@
 export interface EngineContext {
   readonly options: EngineOptions;
   readonly counts: EngineCounts;
+  readonly runs: RunCounts;
   readonly faults: EngineFaults;
   readonly nowMs: () => number;
   /** The current life; a crash replaces it. */
@@ -50,6 +55,7 @@
   const options: EngineOptions = { ...DEFAULT_ENGINE, ...given };
   const nowMs = (): number => performance.now();
   const counts = newEngineCounts();
+  const runs: RunCounts = new Map();
   const faults = noEngineFaults();
   let starts = 0;
   let stopped = false;
@@ -78,6 +84,7 @@
     const current = life;
     const step = runStep(current.batch, current.cache, options, nowMs());
     if (step === null) return null;
+    for (const work of step.admitted) countRun(runs, promptFingerprint(work.request.prompt));
     const durationMs = step.durationMs * faults.slowFactor;
     current.lastStepMs = durationMs;
     return {
@@ -91,6 +98,7 @@
   const context: EngineContext = {
     options,
     counts,
+    runs,
     faults,
     nowMs,
     life: () => life,
@@ -118,6 +126,7 @@
     address: server.address,
     port: server.port,
     counts: () => ({ ...counts }),
+    runsOf: (prompt) => runs.get(promptFingerprint(prompt)) ?? 0,
     setFaults: (change) => {
       Object.assign(faults, change);
     },
--- a/packages/stand-ins/src/core/engine/routes.ts
+++ b/packages/stand-ins/src/core/engine/routes.ts
@@ -42,6 +42,7 @@
     ['POST /orders', orders(context, carryOut)],
     ['POST /faults', faults(context)],
     ['GET /counts', counts(context)],
+    ['GET /runs', runs(context)],
     ...createKvRoutes(context),
   ]);
   return (method, path) => {
@@ -223,3 +224,9 @@
     sendJson(response, Status.Ok, context.counts);
   };
 }
+
+function runs(context: EngineContext): Route {
+  return ({ response }) => {
+    sendJson(response, Status.Ok, Object.fromEntries(context.runs));
+  };
+}
--- a/packages/stand-ins/src/core/plain-service/plain-service.ts
+++ b/packages/stand-ins/src/core/plain-service/plain-service.ts
@@ -5,6 +5,8 @@
 import type { IncomingMessage } from 'node:http';
 import type { Exchange, Route } from '../http/http-server.js';
 import { sendJson, startHttpServer } from '../http/http-server.js';
+import type { RunCounts } from '../runs/run-counts.js';
+import { countRun } from '../runs/run-counts.js';
 import { delay } from '../time/delay.js';
 
 /** Where in a run the service dies. */
@@ -36,20 +38,21 @@
   readonly address: string;
   readonly port: number;
   readonly setFaults: (change: Partial<PlainServiceFaults>) => void;
-  /** Runs begun, by request id. */
+  /** Runs begun, by call id or else request id. */
   readonly runs: () => ReadonlyMap<string, number>;
   readonly stop: () => Promise<void>;
 }
 
-/** Requests whose runs are remembered; the oldest is forgotten first. */
-const MAX_REMEMBERED = 100_000;
 const REQUEST_ID_HEADER = 'x-request-id';
 
+/** Header by which a caller, not the sidecar, names a call; counts then go by it. */
+export const CALL_ID_HEADER = 'x-call-id';
+
 /** Starts the stand-in. It answers any path with what it got and what it did. */
 export async function startPlainService(
   options: PlainServiceOptions = {},
 ): Promise<PlainServiceStandIn> {
-  const runs = new Map<string, number>();
+  const runs = new Map() as RunCounts;
   const faults: PlainServiceFaults = { slowMs: options.runMs ?? 0, dieNext: null };
   const setFaults = (change: Partial<PlainServiceFaults>): void => {
     Object.assign(faults, change);
@@ -95,20 +98,10 @@
 }
 
 function requestIdOf(request: IncomingMessage): string {
-  const value = request.headers[REQUEST_ID_HEADER];
+  const value = request.headers[CALL_ID_HEADER] ?? request.headers[REQUEST_ID_HEADER];
   return typeof value === 'string' ? value : 'unnamed';
 }
 
-function countRun(runs: Map<string, number>, requestId: string): number {
-  const count = (runs.get(requestId) ?? 0) + 1;
-  runs.set(requestId, count);
-  if (runs.size > MAX_REMEMBERED) {
-    const oldest = runs.keys().next();
-    if (oldest.done !== true) runs.delete(oldest.value);
-  }
-  return count;
-}
-
 function answer(exchange: Exchange, name: string, requestId: string, run: number): void {
   const { request, response, url, rawBody } = exchange;
   sendJson(response, 200, {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -13,5 +13,6 @@
 export type { KeyValueFaults } from './core/key-value/faults.js';
 export * from './core/key-value/key-value.js';
 export * from './core/plain-service/plain-service.js';
+export { promptFingerprint } from './core/runs/run-counts.js';
 export * from './core/vm-list/vm-list.js';
 export * from './core/weight-store/weight-store.js';
--- a/packages/stand-ins/src/main.ts
+++ b/packages/stand-ins/src/main.ts
@@ -1,7 +1,8 @@
 /**
- * Runs one stand-in as a process: `main.js <kind> [--settings FILE.yaml] [--port N] [--host H]`.
- * The settings file holds the options of the kind's start function. The first line on standard
- * output is the address, as JSON.
+ * Runs stand-ins as a process: `main.js <kind> [--settings FILE.yaml] [--port N] [--host H]`. The
+ * settings file holds the options of the kind's start function; for the kind `several` it holds a
+ * list `standIns`, each with its `kind` and options. A line of JSON on standard output tells the
+ * address of each.
  */
 import { readFileSync } from 'node:fs';
 import { parseArgs } from 'node:util';
@@ -25,6 +26,9 @@
   ['vm-list', startVmList],
 ]);
 
+/** Starts many stand-ins in one process, to keep a laptop's fleet small. */
+const SEVERAL = 'several';
+
 const USAGE_EXIT_CODE = 2;
 
 const { values, positionals } = parseArgs({
@@ -36,21 +40,44 @@
   },
 });
 
-const start = KINDS.get(positionals[0] ?? '');
-if (start === undefined) {
-  console.error(`Usage: main.js ${[...KINDS.keys()].join('|')} [--settings FILE] [--port N]`);
-  process.exit(USAGE_EXIT_CODE);
+interface StandInSettings {
+  readonly kind: string;
+  readonly options: Record<string, unknown>;
 }
 
-const standIn = await start({ ...readSettings(values.settings), ...readFlags() });
-console.log(JSON.stringify({ kind: positionals[0], address: standIn.address }));
+const running = await Promise.all(wanted().map(startOne));
 
 for (const signal of ['SIGINT', 'SIGTERM'] as const) {
   process.once(signal, () => {
-    void standIn.stop().then(() => process.exit(0));
+    void Promise.all(running.map((standIn) => standIn.stop())).then(() => process.exit(0));
+  });
+}
+
+async function startOne({ kind, options }: StandInSettings) {
+  const start = KINDS.get(kind);
+  if (start === undefined) failUsage();
+  const standIn = await start(options);
+  console.log(JSON.stringify({ kind, address: standIn.address }));
+  return standIn;
+}
+
+function wanted(): readonly StandInSettings[] {
+  const kind = positionals[0] ?? '';
+  const settings = readSettings(values.settings);
+  if (kind !== SEVERAL) return [{ kind, options: { ...settings, ...readFlags() } }];
+  if (!Array.isArray(settings.standIns)) failUsage();
+  return (settings.standIns as Record<string, unknown>[]).map((one) => {
+    const { kind: name, ...options } = one;
+    return { kind: String(name), options };
   });
 }
 
+function failUsage(): never {
+  const kinds = [...KINDS.keys(), SEVERAL].join('|');
+  console.error(`Usage: main.js ${kinds} [--settings FILE] [--port N] [--host H]`);
+  process.exit(USAGE_EXIT_CODE);
+}
+
 function readSettings(path: string | undefined): Record<string, unknown> {
   if (path === undefined) return {};
   return (parse(readFileSync(path, 'utf8')) ?? {}) as Record<string, unknown>;
--- a/packages/stand-ins/test/core/engine/streams.test.ts
+++ b/packages/stand-ins/test/core/engine/streams.test.ts
@@ -28,6 +28,7 @@
       assert.equal(reading.text, expectedAnswer(request.prompt, request.seed, 20));
       assert.equal(reading.finished?.reason, FinishReason.Length);
       assert.equal(reading.finished.outputTokens, 20);
+      assert.equal(pair.engine.runsOf(request.prompt), 1);
     });
 
     it('stays apart from others in the same batch', async () => {
@@ -130,6 +131,7 @@
       const reading = await readAll((handlers) => pair.client.generate(request, handlers));
       assert.ok(reading.failure !== null && ENGINE_REFUSED.is(reading.failure));
       assert.equal(reading.failure.data.mayHaveRun, false);
+      assert.equal(pair.engine.runsOf(request.prompt), 0);
     });
 
     it('comes when the waiting line is full', async () => {
