--- /dev/null
+++ b/packages/coordination/src/core/authority/failures.ts
@@ -0,0 +1,66 @@
+/** Failures of authority and orders. Each says whether the order may have had an effect. */
+import { defineFailure } from '../failures/failure.js';
+
+/** The sidecar does not know yet whom to obey. */
+export const authorityNotLearned = defineFailure({
+  name: 'authority-not-learned',
+  title: 'The sidecar has just started',
+  message: (data: { target: string }) =>
+    `The sidecar of ${data.target} has not yet learned the current fencing number, or its engine ` +
+    `may still take up an order of its predecessor. No order was taken.`,
+  hint: 'Nothing to do: the planner asks again.',
+});
+
+/** The planner's fencing number is lower than one already seen. */
+export const fenceTooOld = defineFailure({
+  name: 'fence-too-old',
+  title: 'The order comes from a planner that was replaced',
+  message: (data: { fence: number; highestFence: number }) =>
+    `Fencing number ${String(data.fence)} is lower than ${String(data.highestFence)}. The order ` +
+    `had no effect.`,
+  hint: 'Nothing to do: the present planner decides anew.',
+});
+
+/** The engine already carries out an order. */
+export const orderBusy = defineFailure({
+  name: 'order-busy',
+  title: 'An order is being carried out',
+  message: (data: { orderId: string }) => `Order ${data.orderId} has not ended yet.`,
+  hint: 'Nothing to do: the planner waits for its end.',
+});
+
+/** The ticket is unknown, used, replaced by a later one, or too old. */
+export const ticketInvalid = defineFailure({
+  name: 'ticket-invalid',
+  title: 'The ticket of the order is not valid',
+  message: (data: { ticketId: string }) =>
+    `Ticket ${data.ticketId} was used, replaced or has expired. The order had no effect.`,
+  hint: 'Nothing to do: the planner asks for a fresh ticket if it still wants the change.',
+});
+
+/** The lease key names another planner. */
+export const authorityLost = defineFailure({
+  name: 'authority-lost',
+  title: 'The planner no longer holds the lease',
+  message: (data: { planner: string; fence: number }) =>
+    `${data.planner} (fencing number ${String(data.fence)}) does not hold the lease. The order had ` +
+    `no effect.`,
+  hint: 'Nothing to do: the present planner decides anew.',
+});
+
+/** The lease key could not be read in time. */
+export const authorityUnverifiable = defineFailure({
+  name: 'authority-unverifiable',
+  title: 'The lease could not be read back',
+  message: (data: { orderId: string }) =>
+    `Order ${data.orderId} had no effect: the key-value service did not answer in time.`,
+  hint: 'Role changes and loads wait until the key-value service is back; requests go on.',
+});
+
+/** The engine refused the order or lost it by a restart. */
+export const orderNotDone = defineFailure({
+  name: 'order-not-done',
+  title: 'The engine did not carry the order out',
+  message: (data: { orderId: string; reason: string }) => `Order ${data.orderId}: ${data.reason}.`,
+  hint: 'Look at the time line of the target; the planner decides anew from its state.',
+});
--- /dev/null
+++ b/packages/coordination/src/core/authority/index.ts
@@ -0,0 +1,7 @@
+/** Authority: the planner's lease, the gate in front of each engine, and giving an order. */
+export * from './failures.js';
+export * from './gate-state.js';
+export * from './lease-holder.js';
+export * from './order-gate.js';
+export * from './order-giver.js';
+export * from './orders.js';
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -12,3 +12,4 @@
 export * from './core/random/random.js';
 export * from './core/membership/index.js';
 export * from './core/config/index.js';
+export * from './core/authority/index.js';
