--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -13,3 +13,5 @@
 export * from './core/membership/index.js';
 export * from './core/config/index.js';
 export * from './core/authority/index.js';
+export * from './core/drain/index.js';
+export * from './core/loads/index.js';
