--- a/packages/coordination/src/core/drain/planned-changes.ts
+++ b/packages/coordination/src/core/drain/planned-changes.ts
@@ -177,22 +177,3 @@
   }
   return { admitted, waiting };
 }
-
-/**
- * The order in which whole services are drained: a service comes after all that depend on it. The
- * compiled configuration has no cycles; were there one, its members would come last, by name.
- */
-export function drainOrder(
-  services: readonly Pick<ServiceStanding, 'name' | 'dependsOn'>[],
-): string[] {
-  const left = new Map(services.map((service) => [service.name, service]));
-  const order: string[] = [];
-  while (left.size > 0) {
-    const needed = new Set([...left.values()].flatMap((service) => service.dependsOn));
-    const free = [...left.keys()].filter((name) => !needed.has(name)).sort();
-    const next = free.length > 0 ? free : [...left.keys()].sort();
-    for (const name of next) left.delete(name);
-    order.push(...next);
-  }
-  return order;
-}
--- a/packages/coordination/test/core/drain/planned-changes.test.ts
+++ b/packages/coordination/test/core/drain/planned-changes.test.ts
@@ -9,7 +9,6 @@
   WaitReason,
   addChange,
   admitChanges,
-  drainOrder,
 } from '../../../src/index.js';
 
 function service(name: string, targets: number, floorTargets: number): ServiceStanding {
@@ -111,15 +110,6 @@
         ['low-1'],
       );
     });
-
-    it('order the drains: whoever depends goes first', () => {
-      const services = [
-        { name: 'store', dependsOn: [] },
-        { name: 'portal', dependsOn: ['llm', 'store'] },
-        { name: 'llm', dependsOn: ['store'] },
-      ];
-      assert.deepEqual(drainOrder(services), ['portal', 'llm', 'store']);
-    });
   });
 
   describe('bounds', () => {
