Give the fake engine a step that binds at the inter-token goal

Cause: with a small fixed step time, reading prompts amid answers was free and roles did not matter.

--- a/benchmark/src/policy/compare.ts
+++ b/benchmark/src/policy/compare.ts
@@ -29,7 +29,7 @@
   }
   if (wanted('best-fixed')) {
     const best = trace.services.map((service) => bestFixed(service, hash32, seed));
-    rows.push(rowOf('best-fixed', best));
+    rows.push({ ...rowOf('best-fixed', best), split: best.map((b) => b.policy).join() });
   }
   return rows;
 }
@@ -64,6 +64,5 @@
     late: sum((result) => result.statistics.lateFirstToken),
     slow: sum((result) => result.statistics.slowAnswers),
     restarts: sum((result) => result.statistics.restarts),
-    offeredPerS: 0,
   };
 }
--- a/benchmark/src/policy/fleet.ts
+++ b/benchmark/src/policy/fleet.ts
@@ -122,19 +122,26 @@
       profile: DEFAULT_ENGINE_PROFILE,
       hash32,
       latencyMs: (failureDomain) => (failureDomain === domain ? 0.2 : HOP_MS),
+      peerFactor: peersPerTarget(trace),
       ...policy.routerOptions,
     }),
     admission: createAdmission<LiveRequest>({
       service: trace.service,
       ...DEFAULT_ADMISSION_OPTIONS,
     }),
-    meter: createDemandMeter(name, DEFAULT_ENGINE_PROFILE, 0),
+    meter: createDemandMeter(name, DEFAULT_ENGINE_PROFILE, INTER_TOKEN_GOAL_MS, 0),
     random: seededRandom(seed * 31 + index + 1),
     turn: index,
     pumpScheduled: false,
   };
 }
 
+/** Entries that use the same target, as each can work it out from the numbers of both. */
+function peersPerTarget(trace: ServiceTrace): number {
+  const part = Math.min(1, DEFAULT_ROUTER_OPTIONS.subsetTargets / trace.engines);
+  return Math.max(1, trace.entries * part);
+}
+
 /** Targets as the membership shows them now. */
 export function targetInfos(fleet: Fleet): readonly TargetInfo[] {
   return fleet.engines.map((engine) => ({
--- a/benchmark/src/policy/generate.ts
+++ b/benchmark/src/policy/generate.ts
@@ -5,6 +5,7 @@
  */
 import { DEFAULT_ENGINE_PROFILE, decodeWorkMs, EngineRole } from '@cassiamast/coordination';
 import type { Random } from '@cassiamast/coordination';
+import { INTER_TOKEN_GOAL_MS } from './statistics.js';
 import type { TraceRequest } from './trace.js';
 
 /** The mix at one time. */
@@ -65,8 +66,12 @@
   // Work grows with length by more than a line, as the context does; a few rounds settle it.
   for (let round = 0; round < 20; round += 1) {
     const perToken =
-      decodeWorkMs(DEFAULT_ENGINE_PROFILE, promptTokens + prefixTokens, outputTokens) /
-      outputTokens;
+      decodeWorkMs(
+        DEFAULT_ENGINE_PROFILE,
+        INTER_TOKEN_GOAL_MS,
+        promptTokens + prefixTokens,
+        outputTokens,
+      ) / outputTokens;
     outputTokens = Math.max(1, (workMs * (1 - prefillShare)) / perToken);
   }
   return { promptTokens, outputTokens };
--- a/packages/coordination/src/core/roles/demand.ts
+++ b/packages/coordination/src/core/roles/demand.ts
@@ -22,6 +22,7 @@
 export interface DemandMeter {
   readonly entry: string;
   readonly profile: EngineProfile;
+  readonly interTokenGoalMs: number;
   sequence: number;
   sinceMs: number;
   requests: number;
@@ -33,11 +34,13 @@
 export function createDemandMeter(
   entry: string,
   profile: EngineProfile,
+  interTokenGoalMs: number,
   nowMs: number,
 ): DemandMeter {
   return {
     entry,
     profile,
+    interTokenGoalMs,
     sequence: 0,
     sinceMs: nowMs,
     requests: 0,
@@ -46,21 +49,24 @@
   };
 }
 
-/** Batch over which the fixed time of a step is shared when an engine is well used. */
-const TYPICAL_BATCH = 160;
-
-/** Engine time that writing an answer takes, in milliseconds. */
+/**
+ * Engine time that writing an answer takes where steps are as long as the goal allows: the fixed
+ * time of a step is then shared most widely. Shorter steps share it less and take more time.
+ */
 export function decodeWorkMs(
   profile: EngineProfile,
+  interTokenGoalMs: number,
   promptTokens: number,
   outputTokens: number,
 ): number {
   const contextTokens = promptTokens + outputTokens / 2;
-  const perTokenMs =
-    profile.perSequenceMs +
-    contextTokens * profile.perContextTokenMs +
-    profile.roles[EngineRole.Decode].stepBaseMs / TYPICAL_BATCH;
-  return outputTokens * perTokenMs;
+  const perTokenMs = profile.perSequenceMs + contextTokens * profile.perContextTokenMs;
+  return (outputTokens * perTokenMs) / writerEfficiency(profile, interTokenGoalMs);
+}
+
+/** Part of a writer's time that is not the fixed time of its steps, when they are at the goal. */
+export function writerEfficiency(profile: EngineProfile, interTokenGoalMs: number): number {
+  return 1 - profile.roles[EngineRole.Decode].stepBaseMs / interTokenGoalMs;
 }
 
 /** Counts an arrival, also one that is refused: demand is what was wanted. */
@@ -75,7 +81,12 @@
   meter.requests += 1;
   meter.prefillMs +=
     arrival.prefillTokens * meter.profile.roles[EngineRole.Prefill].prefillMsPerToken;
-  meter.decodeMs += decodeWorkMs(meter.profile, arrival.promptTokens, arrival.expectedOutputTokens);
+  meter.decodeMs += decodeWorkMs(
+    meter.profile,
+    meter.interTokenGoalMs,
+    arrival.promptTokens,
+    arrival.expectedOutputTokens,
+  );
 }
 
 /** Reads the counters off and starts anew. */
