--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -105,7 +105,7 @@
     service: name,
   });
   const outliers: Outliers = createOutliers({ ...DEFAULT_OUTLIER_OPTIONS, service: name });
-  const meter = createDemandMeter(options.entry, profile, options.nowMs());
+  const meter = createDemandMeter(options.entry, profile, goals.interTokenMs, options.nowMs());
   const rule: StartRule = {
     ...DEFAULT_START_SLACK,
     firstTokenGoalMs: goals.firstTokenMs,
--- a/packages/daemon/src/node/holder-driver.ts
+++ b/packages/daemon/src/node/holder-driver.ts
@@ -54,7 +54,7 @@
 
 /** Makes the driver. */
 export function createHolderDriver(options: HolderDriverOptions): HolderDriver {
-  const state = createHolder();
+  const state = createHolder(options.nowMs());
   const repair = createRepair();
 
   function holderOptions(): HolderOptions {
