Prove answers whole through resends, broken connections and engine crashes

Cause: the wired machines had only been run on the happy path. Change: tests with real daemons: one key through two entries, two at once, a caller that breaks off and resumes elsewhere, an engine that crashes in mid-answer, a guessed key.

--- /dev/null
+++ b/packages/daemon/test/outcomes/model-requests.test.ts
@@ -0,0 +1,105 @@
+/** Model requests through failures of entries, sidecars, engines and callers' connections. */
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { AnswerVerdict, checkAnswer } from '@cassiamast/stand-ins';
+import { askStream, askWhole } from '../fixtures/callers.js';
+import { API_KEY, type Fleet, startFleet } from '../fixtures/fleet.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const PROMPT = 'Maintenance history of MSN 2817: list open findings against the return conditions.';
+const LONG = 200;
+const SHORT = 12;
+
+describe('model requests', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await startFleet({ entries: 3, engines: 3, engine: { stepBaseMs: 3, restartMs: 200 } });
+  });
+  after(() => fleet.stop());
+
+  function totalRuns(prompt: string): number {
+    return fleet.engines.reduce((sum, engine) => sum + engine.runsOf(prompt), 0);
+  }
+
+  describe('sent again', () => {
+    // An inspector's tablet loses the answer on the way and sends the finding's request again. A
+    // second run would word the finding differently, and the lessor would get two.
+    it('brings the same answer through another entry, run once', async () => {
+      const prompt = `${PROMPT} sent again`;
+      const ask = { url: fleet.url(0), prompt, maxTokens: SHORT, key: 'again-1' };
+      const first = await askWhole(ask);
+      const second = await askWhole({ ...ask, url: fleet.url(1) });
+      assert.equal(first.status, 200);
+      assert.equal(checkAnswer(prompt, SHORT, first.text), AnswerVerdict.Whole);
+      assert.equal(second.text, first.text);
+      assert.equal(totalRuns(prompt), 1);
+    });
+
+    it('refuses the same key with another body, by type', async () => {
+      const ask = { url: fleet.url(0), prompt: `${PROMPT} a`, maxTokens: SHORT, key: 'again-2' };
+      await askWhole(ask);
+      const other = await askWhole({ ...ask, prompt: `${PROMPT} b` });
+      assert.equal(other.status, 422);
+    });
+
+    // Both of a caller's retries arrive at once, through two entries.
+    it('gives both of two simultaneous sendings one answer', async () => {
+      const prompt = `${PROMPT} twice at once`;
+      const ask = { url: fleet.url(0), prompt, maxTokens: SHORT, key: 'again-3' };
+      const [first, second] = await Promise.all([
+        askWhole(ask),
+        askWhole({ ...ask, url: fleet.url(2) }),
+      ]);
+      assert.equal(checkAnswer(prompt, SHORT, first.text), AnswerVerdict.Whole);
+      assert.equal(second.text, first.text);
+      assert.equal(totalRuns(prompt), 1);
+    });
+  });
+
+  describe('over a broken connection', () => {
+    // A phone loses its network in mid-answer and comes back through another entry with the id of
+    // the last event it read. It must get the rest: nothing twice, nothing missing.
+    it('goes on from the last event that the caller read', async () => {
+      const prompt = `${PROMPT} broken connection`;
+      const ask = { url: fleet.url(0), prompt, maxTokens: LONG, key: 'resume-1' };
+      const first = askStream(ask);
+      await waitFor(() => first.text.length > 100);
+      first.breakOff();
+      await first.closed;
+      const { lastEventId } = first;
+      const second = askStream({ ...ask, url: fleet.url(1), lastEventId });
+      await second.closed;
+      assert.equal(second.done, true);
+      assert.equal(checkAnswer(prompt, LONG, first.text + second.text), AnswerVerdict.Whole);
+      assert.equal(totalRuns(prompt), 1);
+    });
+  });
+
+  describe('when the engine crashes in mid-answer', () => {
+    // An engine dies while a caller reads. What the caller has read stays true: another engine
+    // goes on behind the tokens that were sent.
+    it('goes on at another engine behind the tokens sent', async () => {
+      const prompt = `${PROMPT} crash in mid-answer`;
+      const ask = { url: fleet.url(0), prompt, maxTokens: LONG, key: 'crash-1' };
+      const answer = askStream(ask);
+      await waitFor(() => answer.text.length > 100);
+      const running = fleet.engines.find((engine) => engine.runsOf(prompt) > 0);
+      assert.ok(running !== undefined);
+      running.crash();
+      await answer.closed;
+      assert.equal(answer.done, true, JSON.stringify(answer.problem));
+      assert.equal(checkAnswer(prompt, LONG, answer.text), AnswerVerdict.Whole);
+    });
+  });
+
+  describe('another workspace', () => {
+    it('can not read an answer by guessing its key', async () => {
+      const ask = { url: fleet.url(0), prompt: `${PROMPT} secret`, maxTokens: SHORT, key: 'mine' };
+      assert.equal((await askWhole(ask)).status, 200);
+      const guessed = await askWhole({ ...ask, apiKey: 'somebody-else' });
+      assert.equal(guessed.status, 401);
+      assert.notEqual(API_KEY, 'somebody-else');
+    });
+  });
+});
