Plan roles and loads in the entry that holds a service's lease

Cause: engines could not change role nor load; orders had no gate in the daemon. Change: the lease, gate, order and planner machines driven by entry and sidecar; a drain that lapses by itself goes before a role change; load reports name what an engine lacks.

--- /dev/null
+++ b/packages/daemon/src/planning/service-planner.ts
@@ -0,0 +1,259 @@
+/**
+ * Plans one service in the entry that holds its lease: which engines change their role, and which
+ * models are loaded, one decision a second. Without the lease it only listens.
+ */
+import {
+  ChangeKind,
+  DEFAULT_ENGINE_PROFILE,
+  DEFAULT_PLANNER_OPTIONS,
+  type DemandReport,
+  type EngineRole,
+  EventKind,
+  type Failure,
+  LOAD_OPTIONS,
+  LoadOutcome,
+  type LoadState,
+  type LoadWish,
+  type PlannerTarget,
+  type Random,
+  type RolePlanner,
+  type ServiceSpec,
+  type TargetSpec,
+  admitChanges,
+  createLoads,
+  createRolePlanner,
+  loadEnded,
+  planLoads,
+  planRoles,
+} from '@cassiamast/coordination';
+import { OrderKind, type WeightStorePort } from '@cassiamast/platform';
+import type { ModelPolicy } from '../entry/model-policy.js';
+import type { TargetDirectory } from '../entry/target-directory.js';
+import { formatAddress } from '../node/address.js';
+import type { RpcClient } from '../node/rpc-client.js';
+import type { Telemetry } from '../node/telemetry.js';
+import type { MissingLoad } from '../protocol/load.js';
+import type { LeaseDriver } from './lease-driver.js';
+import { type OrderDriver, createOrderDriver } from './order-driver.js';
+
+/** Entries of the target size, with room. */
+const MAX_DEMAND_REPORTS = 1_024;
+
+/** What the planner needs. */
+export interface ServicePlannerOptions {
+  readonly selfId: string;
+  readonly service: string;
+  readonly nowMs: () => number;
+  readonly random: Random;
+  readonly rpc: RpcClient;
+  readonly telemetry: Telemetry;
+  readonly lease: LeaseDriver;
+  readonly directory: TargetDirectory;
+  readonly policy: () => ModelPolicy | null;
+  readonly entriesAlive: () => number;
+  readonly weightStore: WeightStorePort | null;
+  readonly drainMs: () => number;
+}
+
+/** The planner of one service. */
+export interface ServicePlanner {
+  readonly noteDemand: (report: DemandReport) => void;
+  readonly noteMissing: (target: string, missing: MissingLoad | null) => void;
+  /** Decides; to be called once a second. */
+  readonly plan: () => Promise<void>;
+  /** Moves orders under way on; to be called a few times a second. */
+  readonly tick: () => void;
+  readonly roleChanges: () => number;
+}
+
+interface UnderWay {
+  readonly driver: OrderDriver;
+  readonly role: EngineRole | null;
+}
+
+/** Makes the planner. */
+export function createServicePlanner(options: ServicePlannerOptions): ServicePlanner {
+  const { telemetry, lease, directory } = options;
+  const demand = new Map<string, DemandReport>();
+  const missing = new Map<string, MissingLoad>();
+  const underWay = new Map<string, UnderWay>();
+  let planner: RolePlanner | null = null;
+  let loads: LoadState | null = null;
+  let roleChanges = 0;
+
+  function plannerOf(spec: ServiceSpec): RolePlanner {
+    planner ??= createRolePlanner({
+      ...DEFAULT_PLANNER_OPTIONS,
+      service: spec.name,
+      profile: DEFAULT_ENGINE_PROFILE,
+      floorTargets: spec.floorTargets,
+    });
+    return planner;
+  }
+
+  function viewOf(spec: ServiceSpec, policy: ModelPolicy): readonly PlannerTarget[] {
+    return spec.targets.flatMap((target) => {
+      const view = policy.router.views.get(target.name);
+      if (view === undefined) return [];
+      return {
+        name: target.name,
+        failureDomain: target.failureDomain,
+        role: view.role,
+        accepting: view.accepting,
+        changingTo: underWay.get(target.name)?.role ?? null,
+        report: view.report,
+      };
+    });
+  }
+
+  function planRoleChanges(spec: ServiceSpec): void {
+    const policy = options.policy();
+    if (policy === null || !spec.rolesMayChange) return;
+    const view = {
+      targets: viewOf(spec, policy),
+      demand: [...demand.values()],
+      entriesAlive: options.entriesAlive(),
+    };
+    const { orders, events } = planRoles(plannerOf(spec), view, options.nowMs());
+    for (const event of events) telemetry.emit(event);
+    for (const { target, role } of orders) {
+      if (mayBegin(spec, target, ChangeKind.RoleChange)) giveRoleOrder(spec, target, role);
+    }
+  }
+
+  /** The floor and the one-domain-at-a-time rule, over what is already under way. */
+  function mayBegin(spec: ServiceSpec, target: string, kind: ChangeKind): boolean {
+    const standing = {
+      name: spec.name,
+      dependsOn: spec.dependsOn,
+      floorTargets: spec.floorTargets,
+      removed: false,
+      targets: spec.targets.map((one) => ({
+        name: one.name,
+        failureDomain: one.failureDomain,
+        serving: directory.isOpen(one),
+      })),
+    };
+    const request = {
+      id: `${target}/${kind}`,
+      kind,
+      service: spec.name,
+      target,
+      forced: false,
+      askedAtMs: options.nowMs(),
+    };
+    return admitChanges([standing], [request], new Set(underWay.keys())).admitted.length > 0;
+  }
+
+  function giveRoleOrder(spec: ServiceSpec, target: string, role: EngineRole): void {
+    const found = spec.targets.find((one) => one.name === target);
+    if (found === undefined) return;
+    give(found, role, true, { kind: OrderKind.SetRole, role }, (failure) => {
+      if (failure === null) roleChanges += 1;
+    });
+  }
+
+  function give(
+    target: TargetSpec,
+    role: EngineRole | null,
+    drains: boolean,
+    body: Readonly<Record<string, unknown>>,
+    onEnded: (failure: Failure | null) => void,
+  ): void {
+    const service = options.service;
+    const driver = createOrderDriver({
+      planner: options.selfId,
+      fence: lease.state.fence,
+      sidecar: formatAddress(target.sidecar),
+      body,
+      drains,
+      drainGiveUpMs: options.drainMs(),
+      nowMs: options.nowMs,
+      rpc: options.rpc,
+      mayOrder: lease.mayOrder,
+      onSent: () => {
+        const figures = { ...flatten(body), fence: lease.state.fence };
+        telemetry.emit({ kind: EventKind.OrderGiven, service, target: target.name, figures });
+      },
+      onEnded: (failure) => {
+        underWay.delete(target.name);
+        onEnded(failure);
+      },
+    });
+    underWay.set(target.name, { driver, role });
+  }
+
+  async function planLoading(spec: ServiceSpec): Promise<void> {
+    const { weightStore } = options;
+    const wishes = wishesOf(spec);
+    if (weightStore === null || wishes.length === 0) return;
+    const status = await weightStore.status();
+    if (status.isErr() || !lease.mayOrder()) return;
+    loads ??= createLoads(LOAD_OPTIONS, options.nowMs());
+    const context = { nowMs: options.nowMs(), random: options.random };
+    for (const wish of planLoads(loads, wishes, status.value, context)) giveLoadOrder(spec, wish);
+  }
+
+  function wishesOf(spec: ServiceSpec): readonly LoadWish[] {
+    return spec.targets.flatMap((target) => {
+      const lacks = missing.get(target.name);
+      if (lacks === undefined || underWay.has(target.name) || !directory.isOpen(target)) return [];
+      const sizeMb = spec.models.find((model) => model.name === lacks.model)?.sizeMb ?? 0;
+      return {
+        ...lacks,
+        target: target.name,
+        service: spec.name,
+        failureDomain: target.failureDomain,
+        sizeMb,
+        holders: spec.targets.length - missing.size,
+      };
+    });
+  }
+
+  function giveLoadOrder(spec: ServiceSpec, wish: LoadWish): void {
+    const target = spec.targets.find((one) => one.name === wish.target);
+    if (target === undefined) return;
+    const { model, version, adapter } = wish;
+    const figures = { model, version, adapter: adapter ?? '', holders: wish.holders };
+    const reason = 'the engine lacks it and the weight store has room';
+    telemetry.emit({
+      kind: EventKind.LoadDecision,
+      service: spec.name,
+      target: wish.target,
+      reason,
+      figures,
+    });
+    const body = { kind: OrderKind.LoadModel, model, version, adapter };
+    give(target, null, false, body, (failure) => {
+      if (loads === null) return;
+      const outcome = failure === null ? LoadOutcome.Done : LoadOutcome.Failed;
+      loadEnded(loads, wish.target, outcome, { nowMs: options.nowMs(), random: options.random });
+      if (failure === null) missing.delete(wish.target);
+    });
+  }
+
+  return {
+    noteDemand: (report) => {
+      if (demand.size >= MAX_DEMAND_REPORTS && !demand.has(report.entry)) return;
+      demand.set(report.entry, report);
+    },
+    noteMissing: (target, lacks) => {
+      if (lacks === null) missing.delete(target);
+      else missing.set(target, lacks);
+    },
+    plan: async () => {
+      const spec = directory.service(options.service);
+      if (spec === null || !lease.mayOrder()) return;
+      planRoleChanges(spec);
+      await planLoading(spec);
+    },
+    tick: () => {
+      for (const { driver } of [...underWay.values()]) driver.tick();
+    },
+    roleChanges: () => roleChanges,
+  };
+}
+
+function flatten(body: Readonly<Record<string, unknown>>): Record<string, string> {
+  return Object.fromEntries(Object.entries(body).map(([name, value]) => [name, String(value)]));
+}
--- a/packages/daemon/src/protocol/load.ts
+++ b/packages/daemon/src/protocol/load.ts
@@ -5,10 +5,26 @@
 import { EngineRole, type LoadReport } from '@cassiamast/coordination';
 
 /** A report as its sender knows it; `ageMs` is counted on the sender's clock. */
-export type SentLoadReport = Omit<LoadReport, 'atMs'> & { readonly ageMs: number };
+export type SentLoadReport = Omit<LoadReport, 'atMs'> & {
+  readonly ageMs: number;
+  readonly missing: MissingLoad | null;
+};
+
+/** The next model or adapter that the target's engine lacks. */
+export interface MissingLoad {
+  readonly model: string;
+  readonly version: string;
+  readonly adapter: string | null;
+}
+
+/** A report as it arrived. */
+export interface ReceivedLoad {
+  readonly report: LoadReport;
+  readonly missing: MissingLoad | null;
+}
 
 const ROLES = [EngineRole.Prefill, EngineRole.Decode, EngineRole.Mixed] as const;
-const FIELDS = 13;
+const FIELDS = 14;
 
 /** Encodes a report. */
 export function encodeLoad(report: SentLoadReport): readonly unknown[] {
@@ -26,20 +42,24 @@
     report.kvUsedTokens,
     report.kvCapacityTokens,
     Math.round(report.stepMs),
+    report.missing === null
+      ? 0
+      : [report.missing.model, report.missing.version, report.missing.adapter],
   ];
 }
 
 /** Decodes a report that arrived at `nowMs`; null when it is malformed. */
-export function decodeLoad(params: unknown, nowMs: number): LoadReport | null {
+export function decodeLoad(params: unknown, nowMs: number): ReceivedLoad | null {
   if (!Array.isArray(params) || params.length !== FIELDS) return null;
-  const [target, ageMs, sequence, epoch, roleIndex, ...counts] = params as unknown[];
+  const [target, ageMs, sequence, epoch, roleIndex, ...rest] = params as unknown[];
+  const counts = rest.slice(0, -1);
   const role = typeof roleIndex === 'number' ? ROLES[roleIndex] : undefined;
   if (typeof target !== 'string' || typeof epoch !== 'string' || role === undefined) return null;
   if (typeof ageMs !== 'number' || typeof sequence !== 'number') return null;
   if (!counts.every((count): count is number => typeof count === 'number')) return null;
   const [accepting = 0, running = 0, waiting = 0, waitingPrefill = 0, context = 0] = counts;
   const [, , , , , kvUsed = 0, kvCapacity = 0, stepMs = 0] = counts;
-  return {
+  const report: LoadReport = {
     target,
     atMs: nowMs - ageMs,
     sequence,
@@ -54,4 +74,12 @@
     kvCapacityTokens: kvCapacity,
     stepMs,
   };
+  return { report, missing: decodeMissing(rest.at(-1)) };
+}
+
+function decodeMissing(value: unknown): MissingLoad | null {
+  if (!Array.isArray(value)) return null;
+  const [model, version, adapter] = value as unknown[];
+  if (typeof model !== 'string' || typeof version !== 'string') return null;
+  return { model, version, adapter: typeof adapter === 'string' ? adapter : null };
 }
--- a/packages/daemon/src/sidecar/load-reporter.ts
+++ b/packages/daemon/src/sidecar/load-reporter.ts
@@ -3,10 +3,10 @@
  * with their number, so that a sidecar's reports stay under their part of the control budget
  * however many entries want them.
  */
-import { EngineRole } from '@cassiamast/coordination';
-import type { EngineClient, EngineLoad } from '@cassiamast/platform';
+import { EngineRole, type ModelSpec } from '@cassiamast/coordination';
+import type { EngineClient, EngineLoad, EngineState } from '@cassiamast/platform';
 import { createPeriodic } from '../node/timers.js';
-import { encodeLoad } from '../protocol/load.js';
+import { type MissingLoad, encodeLoad } from '../protocol/load.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
 
@@ -28,6 +28,8 @@
   readonly nowMs: () => number;
   readonly engine: () => EngineClient | null;
   readonly accepting: () => boolean;
+  /** Models that the operators want the engine to hold. */
+  readonly wantedModels: () => readonly ModelSpec[];
   readonly onEpoch: (epoch: string) => void;
   readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
 }
@@ -47,6 +49,7 @@
   const subscribers = new Map<string, number>();
   let load: EngineLoad | null = null;
   let role: EngineRole | null = null;
+  let missing: MissingLoad | null = null;
   let readAtMs = 0;
 
   function intervalMs(): number {
@@ -66,6 +69,7 @@
     if (loaded.isErr() || state.isErr()) return;
     load = loaded.value;
     role = state.value.role;
+    missing = findMissing(state.value, options.wantedModels());
     readAtMs = atMs;
     options.onEpoch(state.value.epoch);
   }
@@ -80,6 +84,7 @@
       epoch,
       role: role ?? EngineRole.Mixed,
       accepting: options.accepting(),
+      missing,
       ...figures,
     });
     for (const entry of subscribers.keys()) {
@@ -102,3 +107,14 @@
     }),
   };
 }
+
+/** The first model or adapter, at the wanted version, that the engine lacks. */
+function findMissing(state: EngineState, wanted: readonly ModelSpec[]): MissingLoad | null {
+  for (const { name, version, adapters } of wanted) {
+    const held = state.models.find((model) => model.name === name && model.version === version);
+    if (held === undefined) return { model: name, version, adapter: null };
+    const adapter = adapters.find((wantedAdapter) => !held.adapters.includes(wantedAdapter));
+    if (adapter !== undefined) return { model: name, version, adapter };
+  }
+  return null;
+}
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -10,7 +10,7 @@
   type RetryOptions,
   createRetryBudget,
 } from '@cassiamast/coordination';
-import { createVmListClient } from '@cassiamast/platform';
+import { createVmListClient, createWeightStoreClient } from '@cassiamast/platform';
 import { type Authenticate, createAuthenticate } from '../entry/authenticate.js';
 import { createCallerServer } from '../entry/caller-server.js';
 import { createClaimDriver } from '../entry/claim-driver.js';
@@ -26,6 +26,7 @@
 import { allowNetworks } from '../node/networks.js';
 import { createPeriodic } from '../node/timers.js';
 import { type VmListDriver, createVmListDriver } from '../node/vm-list-driver.js';
+import { createPlanning } from '../planning/planning.js';
 import { decodeLoad } from '../protocol/load.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { EntrySettings } from '../settings/settings.js';
@@ -79,9 +80,8 @@
     },
     onSuspicion: () => undefined,
     onDatagram: (_from, method, params) => {
-      if (method !== (RpcMethod.LoadReport as string)) return;
-      const report = decodeLoad(params, nowMs());
-      if (report !== null) policies.noteLoad(report);
+      if (method === (RpcMethod.DemandReport as string)) planning.heardDemand(params);
+      else if (method === (RpcMethod.LoadReport as string)) takeLoad(params);
     },
   });
 
@@ -175,11 +175,39 @@
     return configuration.limits.answerRetentionMs + Math.max(0, ...deadlinesMs);
   }
 
+  const planning = createPlanning({
+    selfId: context.memberId,
+    nowMs,
+    random,
+    hash32: hashing.hash32,
+    keyValue: context.keyValue,
+    weightStore:
+      settings.weightStore === undefined
+        ? null
+        : createWeightStoreClient({ address: settings.weightStore.url }),
+    rpc,
+    telemetry,
+    directory,
+    policies,
+    services: () => configuration?.services ?? [],
+    present: member.membership.present,
+    sendDatagram: member.datagrams.send,
+    drainMs: () => configuration?.limits.drainMs ?? 0,
+  });
+
+  function takeLoad(params: unknown): void {
+    const load = decodeLoad(params, nowMs());
+    if (load === null) return;
+    policies.noteLoad(load.report);
+    planning.noteLoad(load);
+  }
+
   function subscribe(): void {
+    const planned = new Set(planning.plannedServices());
     for (const [name, policy] of policies.models()) {
       const wanted = new Set(policy.subset());
       for (const target of directory.service(name)?.targets ?? []) {
-        if (!wanted.has(target.name)) continue;
+        if (!wanted.has(target.name) && !planned.has(name)) continue;
         member.datagrams.send(formatAddress(target.sidecar), RpcMethod.LoadSubscribe, []);
       }
     }
@@ -211,6 +239,7 @@
         () => LEDGER_MS * (0.5 + random()),
         () => member.poison.readLedger(serviceNames()),
       ),
+      ...planning.children,
       createPeriodic('queue-pump', () => PUMP_MS, policies.pump),
       createCallerServer({
         address: settings.callers,
@@ -226,6 +255,7 @@
     openAnswers: requests.openCount,
     beginDrain: () => {
       isDraining = true;
+      planning.giveUp();
       member.membership.announceLeaving();
     },
     drainMs: () => configuration?.limits.drainMs ?? 0,
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -4,6 +4,7 @@
   HostEventKind,
   MemberKind,
   PoisonWorkKind,
+  type ServiceSpec,
   TargetKind,
   type TargetSpec,
 } from '@cassiamast/coordination';
@@ -19,6 +20,7 @@
 import type { SidecarSettings } from '../settings/settings.js';
 import type { Backend } from '../sidecar/backend.js';
 import { type EngineBackend, createEngineBackend } from '../sidecar/engine-backend.js';
+import { createGateDriver } from '../sidecar/gate-driver.js';
 import { type HostDriver, createHostDriver } from '../sidecar/host-driver.js';
 import { createLoadReporter } from '../sidecar/load-reporter.js';
 import { createPlainBackend } from '../sidecar/plain-backend.js';
@@ -52,6 +54,7 @@
   let engine: EngineClient | null = null;
   let engineBackend: EngineBackend | null = null;
   let isDraining = false;
+  let isGateDraining = false;
 
   const member = wireMember(context, settings, {
     kind: MemberKind.Sidecar,
@@ -95,10 +98,25 @@
     nowMs,
     engine: () => engine,
     accepting: () => !host.state.draining,
+    wantedModels: () => findService(configuration, beside)?.models ?? [],
     onEpoch: (epoch) => engineBackend?.noteEpoch(epoch),
     sendDatagram: member.datagrams.send,
   });
 
+  const gate = createGateDriver({
+    target: settings.target,
+    nowMs,
+    keyValue: context.keyValue,
+    telemetry,
+    engine: () => engine,
+    service: () => beside?.service ?? null,
+    runningCount: host.runningCount,
+    onDrain: (draining) => {
+      isGateDraining = draining;
+      applyDrain();
+    },
+  });
+
   const prefill = createPrefill({ rpc: context.rpc, engine: () => engine, telemetry });
 
   function takeTarget(found: Beside | null): void {
@@ -124,7 +142,8 @@
 
   /** No new work while the process stops or the operators have withdrawn the target. */
   function applyDrain(): void {
-    const draining = isDraining || beside === null || beside.spec.withdrawn;
+    const isOut = beside === null || beside.spec.withdrawn;
+    const draining = isDraining || isGateDraining || isOut;
     if (draining === host.state.draining) return;
     host.handle({ kind: HostEventKind.DrainChanged, draining });
   }
@@ -135,12 +154,13 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
-        handlers: { ...member.handlers, ...host.handlers, ...prefill.handlers },
+        handlers: { ...member.handlers, ...host.handlers, ...gate.handlers, ...prefill.handlers },
         streams: host.streams,
         metricsText: telemetry.metricsText,
       }),
       ...member.children,
       host.child,
+      gate.child,
       reporter.child,
     ],
     runningAttempts: host.runningCount,
@@ -160,3 +180,10 @@
   }
   return null;
 }
+
+function findService(
+  configuration: Configuration | null,
+  beside: Beside | null,
+): ServiceSpec | null {
+  return configuration?.services.find((service) => service.name === beside?.service) ?? null;
+}
