Say how a process stands, and serve only once the targets are met

Change: an entry counts as serving once it has met half of its targets, or after 10 s; status.read. Conclusion: the balancer's health check now means that work can be taken.

--- a/packages/daemon/src/node/membership-driver.ts
+++ b/packages/daemon/src/node/membership-driver.ts
@@ -7,6 +7,7 @@
   type Hashing,
   type Hints,
   type Member,
+  MemberState,
   type MembershipContext,
   type MembershipEffect,
   MembershipEffectKind,
@@ -24,6 +25,7 @@
   encodeMembershipMessage,
   EventKind,
   findMember,
+  membersIn,
   membershipWakeAtMs,
   presentMembers,
   receiveMembershipMessage,
@@ -69,7 +71,8 @@
   /** Members that count for placement: alive, suspect or leaving, this process among them. */
   readonly present: () => readonly Member[];
   readonly find: (memberId: string) => Member | undefined;
-  /** All known members, dead ones as well. */
+  /** All known members, the remembered dead ones among them. */
+  readonly all: () => readonly Member[];
   readonly state: MembershipState;
   readonly announceLeaving: () => void;
 }
@@ -161,6 +164,7 @@
     },
     answerSync: (request) => answerSync(state, request, context()),
     present: () => presentMembers(state),
+    all: () => membersIn(state, ...Object.values(MemberState)),
     find: (memberId) => findMember(state, memberId),
     announceLeaving: () => {
       perform(announceLeaving(state, context()));
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -8,6 +8,7 @@
   MemberKind,
   type RetryBudget,
   type RetryOptions,
+  type StatusQuery,
   createRetryBudget,
 } from '@cassiamast/coordination';
 import { createVmListClient, createWeightStoreClient } from '@cassiamast/platform';
@@ -16,6 +17,7 @@
 import { createClaimDriver } from '../entry/claim-driver.js';
 import { createContacts } from '../entry/contacts.js';
 import { createEntryFigures } from '../entry/entry-figures.js';
+import { readServices } from '../entry/entry-status.js';
 import { createPolicies } from '../entry/policies.js';
 import { createRequests } from '../entry/requests.js';
 import type { RunServices } from '../entry/run-services.js';
@@ -24,6 +26,7 @@
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
+import { type ProcessStatusOptions, readStatus } from '../node/process-status.js';
 import { createPeriodic } from '../node/timers.js';
 import { type VmListDriver, createVmListDriver } from '../node/vm-list-driver.js';
 import { createPlanning } from '../planning/planning.js';
@@ -36,6 +39,8 @@
 
 const SUBSCRIBE_MS = 3_000;
 const PUMP_MS = 10;
+/** A fleet that has lost half of its targets must still be served once an entry restarts. */
+const JOIN_GRACE_MS = 10_000;
 const LEDGER_MS = 60_000;
 /** An earlier submission matters until its record is dropped; before the first text, this long. */
 const DEFAULT_HORIZON_MS = 1_200_000;
@@ -58,6 +63,8 @@
   let configuration: Configuration | null = null;
   let authenticate: Authenticate = () => null;
   let isDraining = false;
+  let joined = false;
+  const startedAtMs = nowMs();
 
   const contacts = createContacts({ nowMs, hash32: hashing.hash32, horizonMs });
   const figures = createEntryFigures(telemetry);
@@ -213,10 +220,45 @@
     }
   }
 
+  /** An entry that has not met its targets yet would refuse what another entry can serve. */
+  function hasJoined(): boolean {
+    const targets = (configuration?.services ?? []).flatMap((service) => service.targets);
+    const met = targets.filter(({ sidecar }) => member.isLive(formatAddress(sidecar)));
+    joined ||= met.length * 2 > targets.length || nowMs() - startedAtMs > JOIN_GRACE_MS;
+    return joined;
+  }
+
   function notServingReason(): string | null {
-    return isDraining ? 'it is shutting down' : member.configuration.newWorkRefused();
+    if (isDraining) return 'it is shutting down';
+    const refused = member.configuration.newWorkRefused();
+    return refused === null && !hasJoined() ? 'it has not met its targets yet' : refused;
   }
 
+  const statusOptions: ProcessStatusOptions = {
+    memberId: context.memberId,
+    kind: MemberKind.Entry,
+    failureDomain: settings.failureDomain,
+    target: '',
+    startedAtWallMs: clocks.wallMs(),
+    membership: member.membership,
+    configuration: member.configuration,
+    configurationSinceWallMs: member.configurationSinceWallMs,
+    telemetry,
+    isStopping: () => isDraining,
+    services: () =>
+      readServices({
+        nowMs,
+        services: () => configuration?.services ?? [],
+        directory,
+        policies,
+        figures,
+        findMember: member.membership.find,
+        selfId: context.memberId,
+        authorityOf: planning.authorityOf,
+        roleChanges: planning.roleChanges,
+      }),
+  };
+
   const serviceNames = (): readonly string[] =>
     (configuration?.services ?? []).map((service) => service.name);
 
@@ -226,7 +268,10 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
-        handlers: member.handlers,
+        handlers: {
+          ...member.handlers,
+          [RpcMethod.StatusRead]: (params) => readStatus(statusOptions, params as StatusQuery),
+        },
         streams: {},
         metricsText: telemetry.metricsText,
       }),
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -50,6 +50,7 @@
   readonly takeClaim: TakeClaim;
   readonly poison: PoisonDriver;
   readonly isLive: (memberId: string) => boolean;
+  readonly configurationSinceWallMs: () => number;
 }
 
 /** What a kind of daemon hears of. */
@@ -72,6 +73,7 @@
 ): MemberParts {
   const { clocks, random, hashing, rpc, telemetry } = context;
   let answerRetentionMs = DEFAULT_HOLDER_OPTIONS.answerRetentionMs;
+  let inForceSinceWallMs = 0;
 
   const datagrams = createDatagrams(settings.control, context.proof, (from, method, params) => {
     if (method === (RpcMethod.ConfigAnnounce as string)) configuration.announced(from, params);
@@ -156,6 +158,7 @@
     sees: (memberId) => isReachable(membership.find(memberId)),
     onInForce: (inForce) => {
       answerRetentionMs = inForce.compiled.limits.answerRetentionMs;
+      inForceSinceWallMs = clocks.wallMs();
       context.log.info(`configuration ${String(inForce.version)} is in force`);
       hooks.onInForce(inForce);
     },
@@ -178,6 +181,7 @@
     takeClaim,
     poison,
     isLive,
+    configurationSinceWallMs: () => inForceSinceWallMs,
   };
 }
 
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -5,6 +5,7 @@
   MemberKind,
   PoisonWorkKind,
   type ServiceSpec,
+  type StatusQuery,
   TargetKind,
   type TargetSpec,
 } from '@cassiamast/coordination';
@@ -16,6 +17,7 @@
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
+import { type ProcessStatusOptions, readStatus } from '../node/process-status.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { SidecarSettings } from '../settings/settings.js';
 import type { Backend } from '../sidecar/backend.js';
@@ -148,13 +150,34 @@
     host.handle({ kind: HostEventKind.DrainChanged, draining });
   }
 
+  const statusOptions: ProcessStatusOptions = {
+    memberId: context.memberId,
+    kind: MemberKind.Sidecar,
+    failureDomain: settings.failureDomain,
+    target: settings.target,
+    startedAtWallMs: clocks.wallMs(),
+    membership: member.membership,
+    configuration: member.configuration,
+    configurationSinceWallMs: member.configurationSinceWallMs,
+    telemetry,
+    isStopping: () => isDraining,
+    // The entries say how the services stand; a sidecar knows but its own target.
+    services: () => [],
+  };
+
   return {
     children: [
       createControlServer({
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
-        handlers: { ...member.handlers, ...host.handlers, ...gate.handlers, ...prefill.handlers },
+        handlers: {
+          ...member.handlers,
+          ...host.handlers,
+          ...gate.handlers,
+          ...prefill.handlers,
+          [RpcMethod.StatusRead]: (params) => readStatus(statusOptions, params as StatusQuery),
+        },
         streams: host.streams,
         metricsText: telemetry.metricsText,
       }),
--- /dev/null
+++ b/packages/daemon/test/outcomes/planned-change.test.ts
@@ -0,0 +1,81 @@
+/** Planned change cuts no request: shutdown of an entry and of a sidecar, withdrawal, edits. */
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import type { Configuration } from '@cassiamast/coordination';
+import { AnswerVerdict, checkAnswer } from '@cassiamast/stand-ins';
+import { askStream, askWhole } from '../fixtures/callers.js';
+import { type Fleet, start, startFleet } from '../fixtures/fleet.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const LONG = 150;
+const SHORT = 6;
+
+function withdraw(configuration: Configuration, name: string): Configuration {
+  const services = configuration.services.map((service) => ({
+    ...service,
+    targets: service.targets.map((target) =>
+      target.name === name ? { ...target, withdrawn: true } : target,
+    ),
+  }));
+  return { ...configuration, services };
+}
+
+describe('planned change', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await startFleet({ entries: 2, engines: 3, engine: { stepBaseMs: 5 } });
+  });
+  after(() => fleet.stop());
+
+  // The platform replaces an entry's VM while inspectors read their findings from it.
+  it('lets an entry that shuts down finish its open answers', async () => {
+    const prompt = 'Finding while the entry shuts down';
+    const answer = askStream({ url: fleet.url(1), prompt, maxTokens: LONG });
+    await waitFor(() => answer.text.length > 50);
+    const entry = fleet.entries[1];
+    assert.ok(entry !== undefined);
+    await Promise.all([entry.running.stop(), answer.closed]);
+    assert.equal(answer.done, true);
+    assert.equal(checkAnswer(prompt, LONG, answer.text), AnswerVerdict.Whole);
+    entry.running = await start(entry.settings);
+  });
+
+  // The process beside an engine is updated while the engine writes.
+  it('lets a sidecar that shuts down finish its attempts', async () => {
+    const prompt = 'Finding while the sidecar shuts down';
+    const answer = askStream({ url: fleet.url(0), prompt, maxTokens: LONG });
+    await waitFor(() => answer.text.length > 50);
+    const index = fleet.engines.findIndex((engine) => engine.runsOf(prompt) > 0);
+    const sidecar = fleet.sidecars[index];
+    assert.ok(sidecar !== undefined);
+    await Promise.all([sidecar.running.stop(), answer.closed]);
+    assert.equal(answer.done, true, JSON.stringify(answer.problem));
+    assert.equal(checkAnswer(prompt, LONG, answer.text), AnswerVerdict.Whole);
+    sidecar.running = await start(sidecar.settings);
+  });
+
+  // An operator withdraws a target in the text: its running work ends, nothing new goes there.
+  it('gives a withdrawn target no new work and cuts none', async () => {
+    const prompt = 'Finding while its target is withdrawn';
+    const answer = askStream({ url: fleet.url(0), prompt, maxTokens: LONG });
+    await waitFor(() => answer.text.length > 50);
+    const index = fleet.engines.findIndex((engine) => engine.runsOf(prompt) > 0);
+    const before = fleet.configuration();
+    await fleet.apply(withdraw(before, `inspect-${String(index)}`));
+    await answer.closed;
+    assert.equal(answer.done, true, JSON.stringify(answer.problem));
+    await waitFor(async () => {
+      const probe = `probe ${String(Math.floor(performance.now()))}`;
+      await askWhole({ url: fleet.url(0), prompt: probe, maxTokens: SHORT });
+      return fleet.engines[index]?.runsOf(probe) === 0;
+    });
+    for (let request = 0; request < 20; request += 1) {
+      const prompt = `after withdrawal ${String(request)}`;
+      const whole = await askWhole({ url: fleet.url(0), prompt, maxTokens: SHORT });
+      assert.equal(whole.status, 200);
+      assert.equal(fleet.engines[index]?.runsOf(prompt), 0);
+    }
+    await fleet.apply(before);
+  });
+});
--- /dev/null
+++ b/packages/daemon/test/outcomes/poisoned-requests.test.ts
@@ -0,0 +1,50 @@
+/** A request that crashes each engine that runs it. */
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import { AnswerVerdict, checkAnswer } from '@cassiamast/stand-ins';
+import { askStream, askWhole } from '../fixtures/callers.js';
+import { type Fleet, startFleet } from '../fixtures/fleet.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const MARKER = 'overlong-table-of-repairs';
+const SHORT = 8;
+const LONG = 150;
+
+describe('a poisoned request', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await startFleet({
+      entries: 3,
+      engines: 4,
+      engine: { stepBaseMs: 3, restartMs: 100, crashMarker: MARKER, crashAfterTokens: 3 },
+    });
+  });
+  after(() => fleet.stop());
+
+  function crashes(): number {
+    return fleet.engines.reduce((sum, engine) => sum + engine.counts().crashes, 0);
+  }
+
+  // One malformed maintenance history crashes whatever reads it. Its caller sends it again and
+  // again, under new keys, through every entry. The inspectors' other findings must go on.
+  it('gets a typed final answer after two crashes in all, and innocents finish', async () => {
+    const prompt = `History with an ${MARKER}`;
+    const innocent = 'An innocent defect entry in the same batch.';
+    const beside = askStream({ url: fleet.url(1), prompt: innocent, maxTokens: LONG });
+    await waitFor(() => beside.text.length > 20);
+    const first = await askWhole({ url: fleet.url(0), prompt, maxTokens: SHORT, key: 'p1' });
+    assert.equal(first.status, 422, JSON.stringify(first.problem));
+    await beside.closed;
+    assert.equal(beside.done, true, JSON.stringify(beside.problem));
+    assert.equal(checkAnswer(innocent, LONG, beside.text), AnswerVerdict.Whole);
+    assert.equal(crashes(), 2);
+  });
+
+  it('is known by its content under another key and through another entry', async () => {
+    const prompt = `History with an ${MARKER}`;
+    const again = await askWhole({ url: fleet.url(2), prompt, maxTokens: SHORT, key: 'p2' });
+    assert.equal(again.status, 422, JSON.stringify(again.problem));
+    assert.equal(crashes(), 2);
+  });
+});
