Measure the way through entry and sidecar

Nobody knew what the path costs. npm run bench -- path starts three entries, sidecars and engines as processes and measures, in one run and against calling the engine directly: added time to the first token, processor time per token and request, memory per open stream.

--- a/benchmark/src/main.ts
+++ b/benchmark/src/main.ts
@@ -6,6 +6,7 @@
 /** Benchmarks by name; each takes the arguments after its name and gives the exit code. */
 const BENCHMARKS: Readonly<Record<string, () => Promise<(args: readonly string[]) => unknown>>> = {
   policy: async () => (await import('./policy/command.js')).runPolicyCommand,
+  path: async () => (await import('./path/path.js')).runPath,
   check: async () => (await import('./policy/check-command.js')).runCheckCommand,
 };
 
@@ -13,6 +14,8 @@
 
   policy   goodput and role changes on seeded traces, on a virtual clock
            --seed N [--trace NAME] [--policy NAME] [--scale K] [--json] [--report FILE] [--cost]
+  path     what the way through entry and sidecar costs, against calling the engine directly
+           [--seconds N] [--base-port N] [--profile]
   check    the exact figures of the virtual clock against benchmark/bounds.yaml
 `;
 
