--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -213,6 +213,7 @@
       askId,
       outcome,
       place: null,
+      sidecarIncarnation: '',
       crashes: 0,
       retryAfterMs,
     });
@@ -363,12 +364,13 @@
     },
     loneRunReplied: (reply) => {
       const askId = Number(reply.id.slice(reply.id.lastIndexOf('|') + 1));
-      const { outcome, place, crashes, retryAfterMs } = reply;
+      const { outcome, place, sidecarIncarnation, crashes, retryAfterMs } = reply;
       handle({
         kind: DriveEventKind.LoneRunReplied,
         askId,
         outcome,
         place,
+        sidecarIncarnation,
         crashes,
         retryAfterMs,
       });
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -17,6 +17,7 @@
   LoneRunProbe = 'lone-run.probe',
   PrefillRun = 'prefill.run',
   SuspicionNote = 'suspicion.note',
+  SuspicionRead = 'suspicion.read',
   OrderTicket = 'order.ticket',
   OrderSubmit = 'order.submit',
   OrderRead = 'order.read',
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -182,8 +182,7 @@
     return outcome;
   }
 
-  const probe = (message: ProbeMessage): LoneProbe =>
-    probeLoneRun(state, message, DEFAULT_HOST_OPTIONS.maxForbidden);
+  const probe = (message: ProbeMessage): LoneProbe => probeLoneRun(state, message, context());
 
   return {
     state,
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -42,6 +42,8 @@
 /** A fleet that has lost half of its targets must still be served once an entry restarts. */
 const JOIN_GRACE_MS = 10_000;
 const LEDGER_MS = 60_000;
+/** Until the ledger was read once nothing is dispatched. */
+const LEDGER_RETRY_MS = 300;
 /** An earlier submission matters until its record is dropped; before the first text, this long. */
 const DEFAULT_HORIZON_MS = 1_200_000;
 
@@ -281,7 +283,7 @@
       createPeriodic('subscriptions', () => SUBSCRIBE_MS * (0.5 + random() / 2), subscribe),
       createPeriodic(
         'poison-ledger-reader',
-        () => LEDGER_MS * (0.5 + random()),
+        () => (member.poison.isRead() ? LEDGER_MS : LEDGER_RETRY_MS) * (0.5 + random()),
         () => member.poison.readLedger(serviceNames()),
       ),
       ...planning.children,
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -60,7 +60,7 @@
   readonly onInForce: (configuration: MemberConfiguration) => void;
   readonly onMembers: (changed: Member) => void;
   readonly onLoneRunReply: (reply: LoneRunReply) => void;
-  readonly onSuspicion: (bodyHash: string, crashes: number) => void;
+  readonly onSuspicion: (bodyHash: string, isSuspect: boolean) => void;
   /** Datagrams that are neither membership's nor the configuration's. */
   readonly onDatagram: (from: string, method: string, params: unknown) => void;
 }
@@ -168,6 +168,7 @@
     children: [datagrams.child, membership.child, configuration.child, holder.child, poison.child],
     handlers: {
       ...holder.handlers,
+      [RpcMethod.SuspicionRead]: poison.answerRead,
       [RpcMethod.ClaimTake]: (params) => takeClaim(params as ClaimRequest),
       [RpcMethod.MemberSync]: (params) => orThrow(membership.answerSync(params as SyncRequest)),
       [RpcMethod.ConfigFetch]: (params) =>
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -70,8 +70,8 @@
       host.handle({ kind: HostEventKind.MembersChanged });
     },
     onLoneRunReply: () => undefined,
-    onSuspicion: (bodyHash, crashes) => {
-      const kind = crashes > 0 ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
+    onSuspicion: (bodyHash, isSuspect) => {
+      const kind = isSuspect ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
       host.handle({ kind, bodyHash });
     },
     onDatagram: (from, method) => {
