--- /dev/null
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -0,0 +1,236 @@
+/**
+ * Runs the work on the ledger of contents that crash targets, and keeps what this process knows of
+ * suspects. News of a suspect goes to every member at once: crashes are rare, and a second target
+ * must not be lost to the same content while the news travels.
+ */
+import {
+  DEFAULT_POISON_OPTIONS,
+  type LedgerSnapshot,
+  LoneProbe,
+  type Member,
+  type PoisonEffect,
+  PoisonEffectKind,
+  type PoisonEvent,
+  PoisonEventKind,
+  type PoisonWork,
+  PoisonWorkKind,
+  type ProbeMessage,
+  type Random,
+  type Suspicion,
+  snapshotOf,
+  readLedger,
+  clearSuspicion,
+  createPoisonClient,
+  createSuspicionTable,
+  handlePoisonEvent,
+  ledgerPrefixOf,
+  noteCrashes,
+  parseLedgerEntry,
+  suspicionOf,
+} from '@cassiamast/coordination';
+import type { KeyValuePort } from '@cassiamast/platform';
+import { RpcMethod } from '../protocol/methods.js';
+import type { Child } from '../supervisor/supervisor.js';
+import type { RpcClient } from './rpc-client.js';
+import type { Telemetry } from './telemetry.js';
+import { createPeriodic } from './timers.js';
+
+const TICK_MS = 100;
+const PROBE_TIMEOUT_MS = 1_000;
+const MAX_SUSPICIONS = 4_096;
+const MAX_PEERS_ASKED = 5;
+
+/** A reply to a request for a lone run. */
+export type LoneRunReply = Extract<PoisonEffect, { kind: PoisonEffectKind.LoneRunReplied }>;
+
+/** Answer to `suspicion.read`. */
+export interface SuspicionAnswer {
+  readonly isRead: boolean;
+  /** Crashed attempts by content. */
+  readonly contents: readonly (readonly [string, readonly string[]])[];
+}
+
+/** What the driver needs. */
+export interface PoisonDriverOptions {
+  readonly nowMs: () => number;
+  readonly random: Random;
+  readonly keyValue: KeyValuePort;
+  readonly rpc: RpcClient;
+  readonly telemetry: Telemetry;
+  readonly present: () => readonly Member[];
+  readonly isLive: (memberId: string) => boolean;
+  readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
+  readonly onLoneRunReply: (reply: LoneRunReply) => void;
+  /** Called when a content becomes suspect or is cleared. */
+  readonly onSuspicion: (bodyHash: string, isSuspect: boolean) => void;
+}
+
+/** Work on the ledger. */
+export interface PoisonDriver {
+  readonly child: Child;
+  readonly ask: (id: string, work: PoisonWork) => void;
+  readonly suspicionOf: (bodyHash: string) => Suspicion;
+  /** Takes in news that came in a datagram. */
+  readonly heard: (params: unknown) => void;
+  /** What a peer is given that can not read the ledger. */
+  readonly answerRead: () => SuspicionAnswer;
+  /** Reads the ledger of these services: a fresh process must not run a known suspect in a batch. */
+  readonly readLedger: (services: readonly string[]) => Promise<void>;
+  readonly isRead: () => boolean;
+}
+
+/** Makes the driver. */
+export function createPoisonDriver(options: PoisonDriverOptions): PoisonDriver {
+  const { keyValue, rpc, telemetry } = options;
+  const state = createPoisonClient();
+  const suspicions = createSuspicionTable(MAX_SUSPICIONS);
+
+  function handle(event: PoisonEvent): void {
+    const { random } = options;
+    const context = { nowMs: options.nowMs(), random, options: DEFAULT_POISON_OPTIONS };
+    for (const effect of handlePoisonEvent(state, event, context)) perform(effect);
+  }
+
+  function perform(effect: PoisonEffect): void {
+    switch (effect.kind) {
+      case PoisonEffectKind.Read:
+        void read(effect.id, effect.ledgerKey, effect.loneKey);
+        return;
+      case PoisonEffectKind.Transact:
+        void transact(effect);
+        return;
+      case PoisonEffectKind.Probe:
+        void probe(effect);
+        return;
+      case PoisonEffectKind.LoneRunReplied:
+        options.onLoneRunReply(effect);
+        return;
+      case PoisonEffectKind.Announce:
+        announce(effect.bodyHash, effect.crashedAttemptIds);
+    }
+  }
+
+  async function read(id: string, ledgerKey: string, loneKey: string): Promise<void> {
+    telemetry.count('key_value_reads_total', 2);
+    const [ledger, lone] = await Promise.all([keyValue.get(ledgerKey), keyValue.get(loneKey)]);
+    if (ledger.isErr() || lone.isErr()) handle({ kind: PoisonEventKind.CallFailed, id });
+    else handle({ kind: PoisonEventKind.Read, id, ledger: ledger.value, lone: lone.value });
+  }
+
+  async function transact(
+    effect: Extract<PoisonEffect, { kind: PoisonEffectKind.Transact }>,
+  ): Promise<void> {
+    telemetry.count('key_value_writes_total');
+    const result = await keyValue.transact(effect.compares, effect.writes);
+    const { id } = effect;
+    handle(
+      result.match<PoisonEvent>(
+        (outcome) => ({ kind: PoisonEventKind.Transacted, id, outcome }),
+        () => ({ kind: PoisonEventKind.CallFailed, id }),
+      ),
+    );
+  }
+
+  async function probe(
+    effect: Extract<PoisonEffect, { kind: PoisonEffectKind.Probe }>,
+  ): Promise<void> {
+    const { loneRun, id } = effect;
+    const { attemptId, sidecarIncarnation, place } = loneRun;
+    const message: ProbeMessage = { attemptId, sidecarIncarnation };
+    const answer = await rpc.call<LoneProbe>(place.sidecar, RpcMethod.LoneRunProbe, message, {
+      timeoutMs: PROBE_TIMEOUT_MS,
+    });
+    // A silent sidecar that membership still believes alive may be paused with the run in it.
+    const silent = options.isLive(place.sidecar) ? LoneProbe.Running : LoneProbe.Gone;
+    handle({ kind: PoisonEventKind.Probed, id, probe: answer.unwrapOr(silent) });
+  }
+
+  function take(bodyHash: string, crashedAttemptIds: readonly string[]): void {
+    const isSuspect = crashedAttemptIds.length > 0;
+    if (isSuspect) noteCrashes(suspicions, bodyHash, crashedAttemptIds, false);
+    else clearSuspicion(suspicions, bodyHash);
+    options.onSuspicion(bodyHash, isSuspect);
+  }
+
+  function announce(bodyHash: string, crashedAttemptIds: readonly string[]): void {
+    take(bodyHash, crashedAttemptIds);
+    for (const member of options.present()) {
+      options.sendDatagram(member.id, RpcMethod.SuspicionNote, [bodyHash, crashedAttemptIds]);
+    }
+  }
+
+  /** The ledger of all services, or null when the key-value service does not give it. */
+  async function listLedger(services: readonly string[]): Promise<LedgerSnapshot | null> {
+    const ledger = new Map<string, readonly string[]>();
+    for (const service of services) {
+      telemetry.count('key_value_reads_total');
+      const prefix = ledgerPrefixOf(service);
+      const entries = await keyValue.list(prefix, MAX_SUSPICIONS);
+      if (entries.isErr()) return null;
+      for (const entry of entries.value) {
+        ledger.set(entry.key.slice(prefix.length), parseLedgerEntry(entry).crashedAttemptIds);
+      }
+    }
+    return ledger;
+  }
+
+  /** In an outage a process that starts takes the word of a peer that had read the ledger. */
+  async function askPeer(): Promise<void> {
+    if (suspicions.isRead) return;
+    for (const peer of options.present().slice(0, MAX_PEERS_ASKED)) {
+      const answer = await rpc.call<SuspicionAnswer>(
+        peer.id,
+        RpcMethod.SuspicionRead,
+        {},
+        {
+          timeoutMs: PROBE_TIMEOUT_MS,
+        },
+      );
+      if (answer.isErr() || !answer.value.isRead) continue;
+      takeLedger(new Map(answer.value.contents), null);
+      return;
+    }
+  }
+
+  function takeLedger(ledger: LedgerSnapshot, service: string | null): void {
+    const { cleared, unwritten } = readLedger(suspicions, ledger);
+    for (const [bodyHash] of ledger) options.onSuspicion(bodyHash, true);
+    for (const bodyHash of cleared) options.onSuspicion(bodyHash, false);
+    if (service === null) return;
+    for (const [bodyHash, attemptIds] of unwritten) {
+      for (const attemptId of attemptIds) {
+        const kind = PoisonWorkKind.ReportCrash;
+        const work: PoisonWork = { kind, service, bodyHash, attemptId };
+        handle({ kind: PoisonEventKind.Asked, id: `${attemptId}|again`, work });
+      }
+    }
+  }
+
+  return {
+    ask: (id, work) => {
+      handle({ kind: PoisonEventKind.Asked, id, work });
+    },
+    suspicionOf: (bodyHash) => suspicionOf(suspicions, bodyHash),
+    heard: (params) => {
+      const [bodyHash, attemptIds] = Array.isArray(params) ? (params as unknown[]) : [];
+      if (typeof bodyHash !== 'string' || !Array.isArray(attemptIds)) return;
+      take(bodyHash, attemptIds.map(String));
+    },
+    answerRead: () => ({ isRead: suspicions.isRead, contents: [...snapshotOf(suspicions)] }),
+    readLedger: async (services) => {
+      const [first] = services;
+      if (first === undefined) return;
+      const ledger = await listLedger(services);
+      if (ledger === null) await askPeer();
+      else takeLedger(ledger, first);
+    },
+    isRead: () => suspicions.isRead,
+    child: createPeriodic(
+      'poison-ledger',
+      () => TICK_MS,
+      () => {
+        handle({ kind: PoisonEventKind.Tick });
+      },
+    ),
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -0,0 +1,220 @@
+/**
+ * Wires what every member has: datagrams, membership, the configuration and the telemetry, and the
+ * calls that members make on each other for these.
+ */
+import {
+  type ClaimRequest,
+  DEFAULT_HOLDER_OPTIONS,
+  EventKind,
+  type Failure,
+  FailureError,
+  type FetchRequest,
+  type Member,
+  type MemberConfiguration,
+  type MemberKind,
+  MemberState,
+  type SyncRequest,
+  type UnstampedEvent,
+  randomBelow,
+} from '@cassiamast/coordination';
+import type { Result } from 'neverthrow';
+import { type TakeClaim, createClaimAggregator } from '../node/claim-aggregator-driver.js';
+import {
+  type ConfigurationDriver,
+  createConfigurationDriver,
+} from '../node/configuration-driver.js';
+import type { RpcHandler } from '../node/control-server.js';
+import { createDatagrams, type Datagrams } from '../node/datagrams.js';
+import { type HolderDriver, createHolderDriver } from '../node/holder-driver.js';
+import { createMembershipDriver, type MembershipDriver } from '../node/membership-driver.js';
+import { type PlacementDriver, createPlacementDriver } from '../node/placement-driver.js';
+import { type LoneRunReply, type PoisonDriver, createPoisonDriver } from '../node/poison-driver.js';
+import { RpcMethod } from '../protocol/methods.js';
+import type { Settings } from '../settings/settings.js';
+import type { Child } from '../supervisor/supervisor.js';
+import type { ProcessContext } from './process.js';
+
+const MS_PER_S = 1_000;
+/** Names the choice of the members that watch the configuration. */
+const CONFIGURATION_WATCH = 'configuration';
+
+/** What the kinds of daemon build on. */
+export interface MemberParts {
+  readonly children: readonly Child[];
+  readonly handlers: Readonly<Record<string, RpcHandler>>;
+  readonly membership: MembershipDriver;
+  readonly configuration: ConfigurationDriver;
+  readonly datagrams: Datagrams;
+  readonly placement: PlacementDriver;
+  readonly holder: HolderDriver;
+  readonly takeClaim: TakeClaim;
+  readonly poison: PoisonDriver;
+  readonly isLive: (memberId: string) => boolean;
+  readonly configurationSinceWallMs: () => number;
+}
+
+/** What a kind of daemon hears of. */
+export interface MemberHooks {
+  readonly kind: MemberKind;
+  readonly target: string;
+  readonly onInForce: (configuration: MemberConfiguration) => void;
+  readonly onMembers: (changed: Member) => void;
+  readonly onLoneRunReply: (reply: LoneRunReply) => void;
+  readonly onSuspicion: (bodyHash: string, isSuspect: boolean) => void;
+  /** Datagrams that are neither membership's nor the configuration's. */
+  readonly onDatagram: (from: string, method: string, params: unknown) => void;
+}
+
+/** Makes the parts; nothing runs before the children are started. */
+export function wireMember(
+  context: ProcessContext,
+  settings: Settings,
+  hooks: MemberHooks,
+): MemberParts {
+  const { clocks, random, hashing, rpc, telemetry } = context;
+  let answerRetentionMs = DEFAULT_HOLDER_OPTIONS.answerRetentionMs;
+  let inForceSinceWallMs = 0;
+
+  const datagrams = createDatagrams(settings.control, context.proof, (from, method, params) => {
+    if (method === (RpcMethod.ConfigAnnounce as string)) configuration.announced(from, params);
+    else if (method.startsWith(MEMBERSHIP_PREFIX)) membership.receive(from, method, params);
+    else if (method === (RpcMethod.SuspicionNote as string)) poison.heard(params);
+    else hooks.onDatagram(from, method, params);
+  });
+
+  const membership: MembershipDriver = createMembershipDriver({
+    self: {
+      id: context.memberId,
+      incarnation: Math.floor(clocks.wallMs() / MS_PER_S),
+      kind: hooks.kind,
+      failureDomain: settings.failureDomain,
+      target: hooks.target,
+    },
+    peers: context.seeds,
+    nowMs: clocks.monotonicMs,
+    random,
+    hashing,
+    datagrams: () => datagrams,
+    rpc,
+    telemetry,
+    hints: () => configuration.hints(),
+    onHints: (from, hints, askedAtMs) => {
+      configuration.hintsHeard(from, hints, askedAtMs);
+    },
+    onMembers: (changed) => {
+      placement.membersChanged();
+      holder.placementChanged();
+      hooks.onMembers(changed);
+    },
+  });
+
+  const placement = createPlacementDriver(membership.present, hashing.hash32);
+  const isLive = (memberId: string): boolean => {
+    const state = membership.find(memberId)?.state;
+    return state !== undefined && state !== MemberState.Dead;
+  };
+
+  const holder = createHolderDriver({
+    selfId: context.memberId,
+    nowMs: clocks.monotonicMs,
+    rpc,
+    telemetry,
+    holdersOf: placement.holdersOf,
+    answerRetentionMs: () => answerRetentionMs,
+  });
+
+  const takeClaim = createClaimAggregator({
+    nowMs: clocks.monotonicMs,
+    random,
+    keyValue: context.keyValue,
+    telemetry,
+  });
+
+  const poison = createPoisonDriver({
+    nowMs: clocks.monotonicMs,
+    random,
+    keyValue: context.keyValue,
+    rpc,
+    telemetry,
+    present: membership.present,
+    isLive,
+    sendDatagram: datagrams.send,
+    onLoneRunReply: hooks.onLoneRunReply,
+    onSuspicion: hooks.onSuspicion,
+  });
+
+  const configuration: ConfigurationDriver = createConfigurationDriver({
+    selfId: context.memberId,
+    nowMs: clocks.monotonicMs,
+    random,
+    hashing,
+    keyValue: context.keyValue,
+    rpc,
+    telemetry,
+    sendDatagram: datagrams.send,
+    isWatcher: () =>
+      placement.watcherOf(CONFIGURATION_WATCH, settings.failureDomain) === context.memberId,
+    pickPeer: () => pickPeer(membership, random),
+    sees: (memberId) => isReachable(membership.find(memberId)),
+    onInForce: (inForce) => {
+      answerRetentionMs = inForce.compiled.limits.answerRetentionMs;
+      inForceSinceWallMs = clocks.wallMs();
+      context.log.info(`configuration ${String(inForce.version)} is in force`);
+      hooks.onInForce(inForce);
+    },
+  });
+
+  return {
+    children: [datagrams.child, membership.child, configuration.child, holder.child, poison.child],
+    handlers: {
+      ...holder.handlers,
+      [RpcMethod.SuspicionRead]: poison.answerRead,
+      [RpcMethod.ClaimTake]: (params) => takeClaim(params as ClaimRequest),
+      [RpcMethod.MemberSync]: (params) => orThrow(membership.answerSync(params as SyncRequest)),
+      [RpcMethod.ConfigFetch]: (params) =>
+        orThrow(configuration.serveFetch(params as FetchRequest)),
+    },
+    membership,
+    configuration,
+    datagrams,
+    placement,
+    holder,
+    takeClaim,
+    poison,
+    isLive,
+    configurationSinceWallMs: () => inForceSinceWallMs,
+  };
+}
+
+/** Names of membership's datagrams begin with this. */
+const MEMBERSHIP_PREFIX = 'member.';
+
+/** Hands a result's value on, or throws its failure for the transport to answer with. */
+export function orThrow<Value>(result: Result<Value, Failure>): Value {
+  if (result.isErr()) throw new FailureError(result.error);
+  return result.value;
+}
+
+/** The event that marks the start of a process on the time line. */
+export function startedEvent(
+  kind: MemberKind,
+  failureDomain: string,
+  target: string,
+): UnstampedEvent {
+  return {
+    kind: EventKind.ProcessStarted,
+    target,
+    figures: { kind, failureDomain },
+  };
+}
+
+function isReachable(member: Member | undefined): boolean {
+  return member?.state === MemberState.Alive || member?.state === MemberState.Leaving;
+}
+
+function pickPeer(membership: MembershipDriver, random: () => number): string | null {
+  const peers = membership
+    .present()
+    .filter((member) => member.id !== membership.state.self.id && isReachable(member));
+  return peers[randomBelow(random, peers.length)]?.id ?? null;
+}
