Meter what a process costs: bytes on every socket, processor time, memory

Cause: docs/CAPACITY.md needs measured control bytes a second, headers included. Change: a meter over Node's diagnostics channels, gauges in metrics and status.

--- a/packages/daemon/src/node/process-status.ts
+++ b/packages/daemon/src/node/process-status.ts
@@ -43,7 +43,7 @@
     membersByState: countStates(members),
     ...(query.withMembers ? { members: members.map(toMemberStatus) } : {}),
     services: options.services(),
-    counters: options.telemetry.counters(),
+    counters: { ...options.telemetry.counters(), ...options.telemetry.gauges() },
   };
 }
 
--- a/packages/daemon/src/node/telemetry.ts
+++ b/packages/daemon/src/node/telemetry.ts
@@ -22,6 +22,7 @@
   /** Records a duration; names are snake_case and end in `_ms`. */
   readonly record: (name: string, valueMs: number) => void;
   readonly counters: () => Readonly<Record<string, number>>;
+  readonly gauges: () => Readonly<Record<string, number>>;
   /** A quantile of a recorded duration, 0 when nothing was recorded. */
   readonly quantileMs: (name: string, quantile: number) => number;
   /** Everything in the Prometheus text exposition format. */
@@ -51,6 +52,7 @@
       histogram.recordValue(Math.min(HIGHEST_TRACKABLE_MS, Math.max(0, Math.round(valueMs))));
     },
     counters: () => Object.fromEntries(counters),
+    gauges: () => Object.fromEntries(gauges),
     quantileMs: (name, quantile) =>
       histograms.get(name)?.getValueAtPercentile(quantile * PERCENT) ?? 0,
     metricsText: () => writeMetrics(counters, gauges, histograms),
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -12,6 +12,7 @@
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
 import { createTelemetry } from '../node/telemetry.js';
+import { startTrafficMeter } from '../node/traffic-meter.js';
 import type { LoadedSettings, Settings } from '../settings/settings.js';
 import { type Child, createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
@@ -32,6 +33,7 @@
   onFailure: (failure: Failure) => void,
 ): Promise<RunningProcess> {
   const { settings, secret } = loaded;
+  const traffic = startTrafficMeter();
   const memberId = formatAddress(settings.control);
   const proof = createMemberProof(secret);
   const context: ProcessContext = {
@@ -44,6 +46,7 @@
     rpc: createRpcClient(proof),
     keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
     telemetry: createTelemetry(() => undefined),
+    traffic,
     seeds: settings.peers,
   };
   const wired = wire(context, settings);
@@ -66,6 +69,7 @@
       await root.stop();
       await context.rpc.close();
       await context.keyValue.close();
+      traffic.stop();
     },
   };
 }
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -29,12 +29,15 @@
 import { createMembershipDriver, type MembershipDriver } from '../node/membership-driver.js';
 import { type PlacementDriver, createPlacementDriver } from '../node/placement-driver.js';
 import { type LoneRunReply, type PoisonDriver, createPoisonDriver } from '../node/poison-driver.js';
+import { createPeriodic } from '../node/timers.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Settings } from '../settings/settings.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 
 const MS_PER_S = 1_000;
+const US_PER_MS = 1_000;
+const GAUGES_MS = 1_000;
 /** Names the choice of the members that watch the configuration. */
 const CONFIGURATION_WATCH = 'configuration';
 
