Play a deployment's whole fleet on one machine

A newcomer could not watch anything. npm run demo lays a deployment's text out on loopback ports, starts stand-ins, three entries and eleven sidecars, plays prompts (resent, broken, twice at once, calls that may not be repeated), checks each answer and run against the stand-ins and writes a report. An engine's stream is no longer broken off after its last event: that cost a new connection for each request.

--- /dev/null
+++ b/examples/src/demo/model-caller.ts
@@ -0,0 +1,225 @@
+/**
+ * A caller of the model: sends its prompt with an idempotency key and comes back with the same key,
+ * through other entries, until it has the whole answer or a refusal that says that it never ran.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import { AnswerVerdict, checkAnswer } from '@cassiamast/stand-ins';
+import type { CallerContext } from './context.js';
+import { entryFor, retryWaitMs } from './context.js';
+import type { Attempt, CallerRequest } from './exchange.js';
+import { AttemptEnd, exchangeStream, exchangeWhole } from './exchange.js';
+import { Manner } from './workload.js';
+import type { PlannedPrompt } from './workload.js';
+import { quantile, remark } from './tally.js';
+
+/** What a caller ended with. */
+enum Ending {
+  Answered = 'answered',
+  RefusedNotRun = 'refused-not-run',
+  GaveUp = 'gave-up',
+}
+
+/** One reading of an answer, over as many attempts as it took. */
+interface Reading {
+  text: string;
+  lastEventId: string;
+  ending: Ending;
+  accepted: boolean;
+  firstTextAtMs: number | null;
+  lastTextAtMs: number;
+  readonly gapsMs: number[];
+  attempts: number;
+}
+
+const GOOD_SHARE = 0.95;
+/** The refusal of a rerun that made another text: the caller starts over. */
+const ANSWER_CHANGED = 'answer-changed';
+const COMPLETIONS_PATH = '/v1/completions';
+
+/** Plays one planned request and counts what came of it. */
+export async function callModel(context: CallerContext, plan: PlannedPrompt): Promise<void> {
+  const { tally } = context;
+  tally.started += 1;
+  const startMs = context.nowMs();
+  const readings =
+    plan.manner === Manner.Twice
+      ? await Promise.all([read(context, plan, 0), read(context, plan, 1)])
+      : [await read(context, plan, 0)];
+  if (plan.manner === Manner.Resent && readings[0]?.ending === Ending.Answered) {
+    readings.push(await read(context, plan, 1));
+  }
+  tally.retries += readings.reduce((sum, reading) => sum + reading.attempts - 1, 0);
+  if (readings.some((reading) => reading.accepted)) tally.accepted += 1;
+  judge(context, plan, readings);
+  measure(context, plan, readings[0], startMs);
+}
+
+async function read(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  entryOffset: number,
+): Promise<Reading> {
+  const reading: Reading = {
+    text: '',
+    lastEventId: '',
+    ending: Ending.GaveUp,
+    accepted: false,
+    firstTextAtMs: null,
+    lastTextAtMs: 0,
+    gapsMs: [],
+    attempts: 0,
+  };
+  while (reading.attempts === 0 || context.nowMs() < context.giveUpAtMs) {
+    const attempt = await tryOnce(context, plan, reading, entryOffset);
+    reading.attempts += 1;
+    reading.accepted ||= attempt.accepted;
+    if (attempt.end === AttemptEnd.Done) {
+      reading.ending = Ending.Answered;
+      return reading;
+    }
+    await afterFailure(context, plan, reading, attempt);
+  }
+  return reading;
+}
+
+async function tryOnce(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  reading: Reading,
+  entryOffset: number,
+): Promise<Attempt> {
+  const stream = plan.manner !== Manner.Whole;
+  const sent = callerRequest(context, plan, reading, entryOffset, stream);
+  if (!stream) {
+    const attempt = await exchangeWhole(sent);
+    if (attempt.end === AttemptEnd.Done) reading.text = wholeText(attempt.body);
+    return attempt;
+  }
+  let events = 0;
+  const breaks = plan.manner === Manner.Broken && reading.attempts === 0;
+  return exchangeStream(sent, {
+    onText: (text, eventId) => {
+      noteText(context, reading, text, eventId);
+      events += 1;
+      return !(breaks && events >= plan.breakAfterEvents);
+    },
+  });
+}
+
+function callerRequest(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  reading: Reading,
+  entryOffset: number,
+  stream: boolean,
+): CallerRequest {
+  const entry = entryFor(context, plan.entry + entryOffset, reading.attempts);
+  const headers: Record<string, string> = {
+    authorization: `Bearer ${plan.apiKey}`,
+    'content-type': 'application/json',
+    'idempotency-key': `"${plan.idempotencyKey}"`,
+  };
+  if (reading.lastEventId !== '') headers['last-event-id'] = reading.lastEventId;
+  const { text, maxTokens } = plan.prompt;
+  const body = JSON.stringify({
+    model: context.model,
+    prompt: text,
+    max_tokens: maxTokens,
+    stream,
+  });
+  return { url: `${entry}${COMPLETIONS_PATH}`, method: 'POST', headers, body };
+}
+
+function wholeText(body: string): string {
+  const answer = JSON.parse(body) as { readonly choices?: readonly { readonly text?: string }[] };
+  return answer.choices?.[0]?.text ?? '';
+}
+
+function noteText(context: CallerContext, reading: Reading, text: string, eventId: string): void {
+  const nowMs = context.nowMs();
+  if (reading.firstTextAtMs === null) reading.firstTextAtMs = nowMs;
+  else reading.gapsMs.push(nowMs - reading.lastTextAtMs);
+  reading.lastTextAtMs = nowMs;
+  reading.text += text;
+  if (eventId !== '') reading.lastEventId = eventId;
+}
+
+async function afterFailure(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  reading: Reading,
+  attempt: Attempt,
+): Promise<void> {
+  const { problem } = attempt;
+  if (problem === null) {
+    reading.ending = Ending.GaveUp;
+    await sleep(retryWaitMs(0));
+    return;
+  }
+  if (problem.type.endsWith(ANSWER_CHANGED)) {
+    reading.text = '';
+    reading.lastEventId = '';
+  }
+  const notRun = problem.runState === 'not-run';
+  reading.ending = notRun ? Ending.RefusedNotRun : Ending.GaveUp;
+  if (!notRun) reading.accepted = true;
+  // Two copies sent at once race each other: what one is told can change before it is checked.
+  if (notRun && plan.manner !== Manner.Twice) await checkNotRun(context, plan, problem.type);
+  await sleep(retryWaitMs(problem.retryAfterMs));
+}
+
+async function checkNotRun(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  type: string,
+): Promise<void> {
+  const runs = await context.oracle.promptRuns(plan.prompt.text);
+  if (runs === 0) return;
+  context.tally.falseNotRun += 1;
+  remark(context.tally, `request ${String(plan.id)} (${plan.manner}): ${type} says not-run, ran`);
+}
+
+/** Counts the outcome of all readings of one request. */
+function judge(context: CallerContext, plan: PlannedPrompt, readings: readonly Reading[]): void {
+  const { tally } = context;
+  const place = `request ${String(plan.id)} (${plan.manner}, ${plan.prompt.kind})`;
+  const answered = readings.filter((reading) => reading.ending === Ending.Answered);
+  if (answered.length < readings.length) {
+    const refused = readings.every((reading) => reading.ending === Ending.RefusedNotRun);
+    if (refused) tally.refusedNotRun += 1;
+    else tally.lost += 1;
+    remark(tally, `${place}: ${readings.map((reading) => reading.ending).join(', ')}`);
+    if (answered.length === 0) return;
+  } else tally.answered += 1;
+  const verdicts = answered.map((reading) =>
+    checkAnswer(plan.prompt.text, plan.prompt.maxTokens, reading.text),
+  );
+  if (verdicts.includes(AnswerVerdict.Wrong)) tally.crossed += 1;
+  else if (verdicts.includes(AnswerVerdict.TooLong)) tally.doubled += 1;
+  else if (verdicts.includes(AnswerVerdict.Cut)) tally.lost += 1;
+  else if (new Set(answered.map((reading) => reading.text)).size > 1) tally.doubled += 1;
+  else return;
+  remark(tally, `${place}: ${verdicts.join(', ')}`);
+}
+
+/** Latency of the first reading; broken connections count with the time they took. */
+function measure(
+  context: CallerContext,
+  plan: PlannedPrompt,
+  reading: Reading | undefined,
+  startMs: number,
+): void {
+  const { tally, modelGoals } = context;
+  if (reading?.ending !== Ending.Answered) return;
+  const wholeMs = context.nowMs() - startMs;
+  if (reading.firstTextAtMs === null) {
+    const allowedMs = modelGoals.firstTokenMs + modelGoals.interTokenMs * plan.prompt.maxTokens;
+    if (wholeMs <= allowedMs) tally.good += 1;
+    return;
+  }
+  const ttftMs = reading.firstTextAtMs - startMs;
+  tally.ttftMs.push(ttftMs);
+  for (const gapMs of reading.gapsMs) tally.gapsMs.push(gapMs);
+  const smooth = quantile(reading.gapsMs, GOOD_SHARE) <= modelGoals.interTokenMs;
+  if (ttftMs <= modelGoals.firstTokenMs && smooth) tally.good += 1;
+}
--- /dev/null
+++ b/examples/src/deployment/main.ts
@@ -0,0 +1,38 @@
+/**
+ * Writes a shipped deployment out for this machine and prints the command that starts each of its
+ * processes: `main.js kalahari|tengis [--base-port 21000] [--out FOLDER]`.
+ */
+import { join } from 'node:path';
+import { parseArgs } from 'node:util';
+import { DeploymentName, readDeploymentText, settingsPath, writeLayout } from './files.js';
+import { layOutDeployment, ProcessKind } from './layout.js';
+
+const DEFAULT_BASE_PORT = '21000';
+const USAGE_EXIT_CODE = 2;
+
+const { values, positionals } = parseArgs({
+  allowPositionals: true,
+  options: {
+    'base-port': { type: 'string', default: DEFAULT_BASE_PORT },
+    out: { type: 'string' },
+  },
+});
+const name = Object.values(DeploymentName).find((known) => known === positionals[0]);
+if (name === undefined) {
+  console.error('Usage: main.js kalahari|tengis [--base-port N] [--out FOLDER]');
+  process.exit(USAGE_EXIT_CODE);
+}
+const folder = values.out ?? join('reports', 'running', name);
+const layout = layOutDeployment(readDeploymentText(name), Number(values['base-port']));
+writeLayout(layout, folder);
+
+for (const one of layout.processes) {
+  const settings = settingsPath(folder, one.name);
+  const command =
+    one.kind === ProcessKind.StandIns
+      ? `node packages/stand-ins/dist/src/main.js several --settings ${settings}`
+      : `node packages/daemon/dist/src/main.js --settings ${settings}`;
+  console.log(command);
+}
+console.log(`# key-value service: ${layout.keyValueUrl}`);
+console.log(`# callers: ${layout.callerUrls.join(' ')}`);
--- a/packages/platform/src/engine/stream.ts
+++ b/packages/platform/src/engine/stream.ts
@@ -2,6 +2,7 @@
  * One answer of an engine, read as server-sent events. Breaking the connection does not end the
  * answer on the engine: it goes on and can be taken up again, or cancelled by its id.
  */
+import type { Failure } from '@cassiamast/coordination';
 import { createParser } from 'eventsource-parser';
 import { asObject, parseJsonObject } from '../http/json.js';
 import type { HttpRequest, HttpStream, HttpTransport } from '../http/transport.js';
@@ -27,13 +28,14 @@
   let status = 0;
   let errorText = '';
   let done = false;
+  // After its last event the answer is left to end by itself: breaking it off would cost the
+  // connection, and a new one for each request.
   const finish = (report: () => void): void => {
     if (done) return;
     done = true;
-    stream.stop();
     report();
   };
-  const fail = (failure: Parameters<EngineStreamHandlers['onFailure']>[0]): void => {
+  const fail = (failure: Failure): void => {
     finish(() => {
       handlers.onFailure(failure);
     });
@@ -53,8 +55,12 @@
         return;
       }
       const chunk = body === null ? null : readChunk(body);
-      if (chunk === null) fail(ENGINE_PROTOCOL.of(broken('an event has no agreed form')));
-      else handlers.onChunk(chunk);
+      if (chunk !== null) {
+        handlers.onChunk(chunk);
+        return;
+      }
+      stream.stop();
+      fail(ENGINE_PROTOCOL.of(broken('an event has no agreed form')));
     },
   });
   const stream = transport.stream(request, {
