Mend more that the fuzzer found: commit marks, inherited streams, conflicts that hung

Cause: a late finish of a forgotten run replaced a told answer; a key with two bodies at its holders hung its callers; a restarted sidecar started a lone run beside streams that it did not know. Change: answers are committed at all holders before they are told, and committed ones win; conflicts end; a sidecar asks its engine what it inherited; crashes are noted where they are seen.

--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -3,14 +3,17 @@
  * (place, session, claim, note), dispatching it, attaching to one that runs, and its end.
  */
 import { EventKind } from '../events/event.js';
+import { RunState } from '../model/outcome.js';
 import { backOffMs } from '../retries/retries.js';
 import { closeStream, deliverAnswer, forgetUntold } from './drive-delivery.js';
 import {
+  abandonPrepared,
   convict,
   refuse,
   settleLoneRun,
   someMayHaveRun,
   tellFinalFailure,
+  tellRefusal,
 } from './drive-refusals.js';
 import { beginRound } from './drive-rounds.js';
 import { emit, nextId, remainingMs, setTimer } from './drive-support.js';
@@ -18,7 +21,7 @@
 import { DriveEffectKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd, Suspicion } from './drive-types.js';
 import type { Place, RequestDrive } from './drive-types.js';
-import { DEADLINE_PASSED, OUTCOME_UNKNOWN, TRIES_SPENT } from './failures.js';
+import { DEADLINE_PASSED, OUTCOME_UNKNOWN, RECORDS_UNREACHABLE, TRIES_SPENT } from './failures.js';
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderReply } from './messages.js';
 import { currentAttempt } from './record.js';
@@ -187,10 +190,17 @@
   beginRound(turn, { kind: HolderCallKind.Note, record: known, attempt, previousId });
 }
 
-/** All holders have the attempt: hands it to its sidecar. */
+/**
+ * All holders have the attempt: hands it to its sidecar, unless its content was convicted while it
+ * was prepared.
+ */
 export function dispatch(turn: Turn): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
   if (drive.attempt === null) return;
+  if (context.suspicion() === Suspicion.Convicted) {
+    abandonPrepared(turn);
+    return convict(turn, context.options.convictingCrashes);
+  }
   drive.round = null;
   const { attempt, known } = drive;
   openConnection(turn);
@@ -292,19 +302,44 @@
   decide(turn);
 }
 
-/** An answer is known: makes every holder have it, then tells it. */
+/**
+ * An answer is known: makes every holder have it, then have it as committed, then tells it. Holders
+ * that know another answer bring it in with their replies, and the joined one is tried again.
+ */
 export function reconcile(turn: Turn, answer: Answer): void {
   const { drive, context } = turn;
   closeStream(turn);
-  const agreeing = new Map<string, HolderReply>();
-  for (const [member, reply] of drive.round?.replies ?? []) {
-    const hasAnswer = reply.record?.answer?.attemptId === answer.attemptId;
-    if (hasAnswer) agreeing.set(member, { ...reply, kind: HolderReplyKind.Done });
-  }
-  if (context.options.mayTellAnswer(agreeing, context.holders())) {
+  const agreeing = repliesWith(turn, (held) => held.attemptId === answer.attemptId);
+  const agreed = context.options.mayTellAnswer(agreeing, context.holders());
+  const committed = repliesWith(
+    turn,
+    (held) => held.attemptId === answer.attemptId && held.committed,
+  );
+  if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
     deliverAnswer(turn, answer);
     return;
   }
   drive.phase = DrivePhase.Reconciling;
+  drive.reconcileCount += 1;
+  if (drive.reconcileCount > context.options.holderRounds) {
+    drive.pendingFailure = RECORDS_UNREACHABLE.of({ service: drive.request.service });
+    drive.pendingRetryAfterMs = context.options.retryAfterMs;
+    return tellRefusal(turn, RunState.Ran);
+  }
+  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committed: true } };
   beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
 }
+
+function repliesWith(
+  turn: Turn,
+  holdsAnswer: (answer: Answer) => boolean,
+): ReadonlyMap<string, HolderReply> {
+  const found = new Map<string, HolderReply>();
+  for (const [member, reply] of turn.drive.round?.replies ?? []) {
+    const answer = reply.record?.answer ?? null;
+    if (answer !== null && holdsAnswer(answer)) {
+      found.set(member, { ...reply, kind: HolderReplyKind.Done });
+    }
+  }
+  return found;
+}
--- a/packages/coordination/src/core/records/drive-messages.ts
+++ b/packages/coordination/src/core/records/drive-messages.ts
@@ -113,6 +113,8 @@
   AskAdmission = 'ask-admission',
   AskLoneRun = 'ask-lone-run',
   SettleLoneRun = 'settle-lone-run',
+  /** Put a crash into this process's own table of suspicions at once. */
+  NoteCrash = 'note-crash',
   OpenSession = 'open-session',
   ForgetSession = 'forget-session',
   TakeClaim = 'take-claim',
@@ -159,6 +161,7 @@
       /** True: ask the sidecar even when a session is at hand. */
       readonly verify: boolean;
     }
+  | { readonly kind: DriveEffectKind.NoteCrash; readonly attemptId: string }
   | { readonly kind: DriveEffectKind.ForgetSession; readonly sidecar: string }
   | {
       readonly kind: DriveEffectKind.TakeClaim;
--- a/packages/coordination/src/core/records/drive-streams.ts
+++ b/packages/coordination/src/core/records/drive-streams.ts
@@ -10,7 +10,7 @@
 import { DriveEffectKind, DriveEventKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd } from './drive-types.js';
 import type { DriveEvent } from './drive-messages.js';
-import { DEADLINE_PASSED, OUTCOME_UNKNOWN } from './failures.js';
+import { DEADLINE_PASSED, KEY_CONFLICT, OUTCOME_UNKNOWN } from './failures.js';
 import { CancelOutcome, StreamFailureReason } from './messages.js';
 import type { StreamEnd, StreamFailure } from './messages.js';
 import { currentAttempt, joinRecords } from './record.js';
@@ -88,7 +88,7 @@
       onLost(turn);
       return;
     case StreamFailureReason.Superseded:
-      onSuperseded(turn);
+      onSuperseded(turn, failure);
       return;
     case StreamFailureReason.Expired:
       attemptExpired(turn, failure);
@@ -199,8 +199,13 @@
   refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
 }
 
-function onSuperseded(turn: Turn): void {
+function onSuperseded(turn: Turn, failure: StreamFailure): void {
   const { drive } = turn;
+  if (failure.record === null) {
+    if (drive.attempt !== null) drive.over.add(drive.attempt.id);
+    refuse(turn, KEY_CONFLICT.of({ service: drive.request.service }), 0);
+    return;
+  }
   const current = currentAttempt(drive.known);
   const isStill = drive.known.answer === null && current?.id === drive.attempt?.id;
   if (isStill) attemptOver(turn, true);
@@ -219,6 +224,7 @@
   drive.isSuspect = true;
   const crashedAttemptIds = [...new Set([...drive.known.crashedAttemptIds, attempt.id])].sort();
   drive.known = { ...drive.known, crashedAttemptIds };
+  turn.out.push({ kind: DriveEffectKind.NoteCrash, attemptId: attempt.id });
   emit(turn, EventKind.RequestSuspected, 'its engine crashed while it ran', {
     target: attempt.target,
     figures: { crashes: crashedAttemptIds.length },
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -196,6 +196,8 @@
   lossCount: number;
   reattachCount: number;
   retryCount: number;
+  /** Times that the holders were asked to agree on the answer. */
+  reconcileCount: number;
   /** Whether the stream on the present connection was opened. */
   isOpen: boolean;
   readonly tokens: string[];
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -73,6 +73,7 @@
     lossCount: 0,
     reattachCount: 0,
     retryCount: 0,
+    reconcileCount: 0,
     isOpen: false,
     tokens: [],
     hashes: [EMPTY_TEXT_HASH],
@@ -218,6 +219,7 @@
       return;
     case DrivePhase.Noting:
       if (options.mayDispatch(drive.round.replies, context.holders())) dispatch(turn);
+      else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
     case DrivePhase.Reconciling:
@@ -233,6 +235,12 @@
   }
 }
 
+/** Another request took the key at a holder that had lost this one's record. */
+function onNoteConflict(turn: Turn): void {
+  abandonPrepared(turn);
+  refuse(turn, KEY_CONFLICT.of({ service: turn.drive.request.service }), 0);
+}
+
 function onCreateProgress(turn: Turn): void {
   const { drive, context } = turn;
   const { service } = drive.request;
--- a/packages/coordination/src/core/records/host-commit.ts
+++ b/packages/coordination/src/core/records/host-commit.ts
@@ -3,13 +3,14 @@
  * present holder has it. Only then are readers told the end, so that what a caller was told cannot
  * be replaced by another run's answer.
  */
+import { RecordPhase } from '../model/outcome.js';
 import { HostEffectKind, HostedPhase } from './host-types.js';
 import type { HostedAttempt } from './host-types.js';
 import { feedAll } from './host-streams.js';
 import type { HostTurn } from './host-streams.js';
 import { HolderCallKind, HolderReplyKind, StreamFailureReason } from './messages.js';
 import type { HolderReply } from './messages.js';
-import type { Answer, AnswerEnding } from './record.js';
+import type { Answer, AnswerEnding, RequestRecord } from './record.js';
 
 /** The answer is whole: starts to bring it to the holders. */
 export function commitAnswer(turn: HostTurn, hosted: HostedAttempt, ending: AnswerEnding): void {
@@ -20,10 +21,12 @@
     attemptNumber: hosted.attempt.number,
     tokens: hosted.tokens.slice(),
     ending,
+    committed: false,
   };
   const { record } = hosted;
   hosted.holderCall = { kind: HolderCallKind.Finish, record, answer, failure: null };
   askHolders(turn, hosted);
+  checkCommitted(turn, hosted);
 }
 
 /** The engine crashed under the attempt: brings the news to the record. */
@@ -57,18 +60,28 @@
 ): void {
   if (hosted.holderCall === null) return;
   hosted.holderReplies.set(from, reply);
-  if (hosted.phase === HostedPhase.Committing && reply.kind === HolderReplyKind.Standing) {
+  const otherAnswer = reply.record?.answer?.attemptId ?? hosted.attempt.id;
+  const isRefused =
+    reply.kind === HolderReplyKind.Standing ||
+    reply.kind === HolderReplyKind.Conflict ||
+    otherAnswer !== hosted.attempt.id;
+  if (hosted.phase === HostedPhase.Committing && isRefused) {
     supersede(turn, hosted, reply);
     return;
   }
   checkCommitted(turn, hosted);
 }
 
-/** Tells the end once the holders have it. */
+/** Goes on once every holder has acknowledged: first to the commit, then to telling the end. */
 export function checkCommitted(turn: HostTurn, hosted: HostedAttempt): void {
-  if (hosted.holderCall === null) return;
+  const { holderCall } = hosted;
+  if (holderCall === null) return;
   const holders = turn.context.holdersOfKey(hosted.record.keyText);
   if (!turn.context.options.mayTellEnd(hosted.holderReplies, holders)) return;
+  if (holderCall.kind === HolderCallKind.Finish && holderCall.answer !== null) {
+    markCommitted(turn, hosted, holderCall.answer);
+    return;
+  }
   hosted.holderCall = null;
   hosted.expiresAtMs = turn.context.nowMs + turn.context.options.retentionMs;
   if (hosted.phase !== HostedPhase.Committing) return;
@@ -76,6 +89,24 @@
   feedAll(turn, hosted);
 }
 
+/**
+ * Every holder has the answer: marks it as committed before anybody is told. Failure: an answer of
+ * a run that was forgotten arrives late at one holder; it shows as a resend that gets that text
+ * instead. The guard holds because an answer without the mark gives way to one with it.
+ */
+function markCommitted(turn: HostTurn, hosted: HostedAttempt, answer: Answer): void {
+  const record: RequestRecord = {
+    ...hosted.record,
+    phase: RecordPhase.Answered,
+    answer: { ...answer, committed: true },
+  };
+  hosted.holderReplies.clear();
+  hosted.holderCall = { kind: HolderCallKind.Restore, record };
+  askHolders(turn, hosted);
+  checkCommitted(turn, hosted);
+}
+
+/** Another attempt, or another request with this key, stands at a holder. */
 function supersede(turn: HostTurn, hosted: HostedAttempt, reply: HolderReply): void {
   hosted.holderCall = null;
   hosted.phase = HostedPhase.Failed;
--- a/packages/coordination/src/core/records/host-dispatch.ts
+++ b/packages/coordination/src/core/records/host-dispatch.ts
@@ -68,7 +68,8 @@
       }
       const running = runningAttempts(state);
       const isBlocked = !attempt.alone && !context.options.leavesAlone(running, false);
-      const isBusy = isBlocked || state.draining || isFull(turn, message);
+      const isInherited = state.inherited === null || state.inherited.mayBeLone;
+      const isBusy = isBlocked || isInherited || state.draining || isFull(turn, message);
       return { reason: isBusy ? StreamFailureReason.Busy : null, mayHaveRun: false };
     }
   }
@@ -104,7 +105,10 @@
   return hosted;
 }
 
-/** Starts what waits: a lone run once nothing else runs, others at once. */
+/**
+ * Starts what waits: a lone run once nothing else runs, others at once. Streams that a former
+ * incarnation left in the engine count as well: they would crash with a suspect unseen.
+ */
 export function startWhenAlone(turn: HostTurn): void {
   const { state, context } = turn;
   for (const hosted of state.attempts.values()) {
@@ -112,6 +116,7 @@
     const others = runningAttempts(state).filter((other) => other !== hosted);
     const started = others.filter((other) => other.phase !== HostedPhase.Waiting);
     if (!context.options.leavesAlone(started, hosted.attempt.alone)) continue;
+    if (hosted.attempt.alone && state.inherited?.count !== 0) continue;
     hosted.phase = HostedPhase.Running;
     turn.out.push({
       kind: HostEffectKind.StartEngine,
--- a/packages/coordination/src/core/records/host-engine.ts
+++ b/packages/coordination/src/core/records/host-engine.ts
@@ -84,6 +84,7 @@
 
 export function onCrash(turn: HostTurn): void {
   const { state } = turn;
+  state.inherited = { count: 0, mayBeLone: false };
   const running = runningAttempts(state).filter((hosted) => hosted.phase === HostedPhase.Running);
   for (const hosted of running) {
     failHosted(turn, hosted, StreamFailureReason.EngineCrashed, true);
--- a/packages/coordination/src/core/records/host-types.ts
+++ b/packages/coordination/src/core/records/host-types.ts
@@ -60,6 +60,13 @@
   forbidden: boolean;
 }
 
+/** What a sidecar finds in its engine that it did not start itself. */
+export interface InheritedStreams {
+  readonly count: number;
+  /** One of them may be a lone run: nothing is started beside it. */
+  readonly mayBeLone: boolean;
+}
+
 /** All that a sidecar knows of attempts. */
 export interface HostState {
   readonly sidecarId: string;
@@ -68,6 +75,8 @@
   readonly attempts: Map<string, HostedAttempt>;
   totalBytes: number;
   draining: boolean;
+  /** Streams of a former incarnation; null until the engine was asked. */
+  inherited: InheritedStreams | null;
   /** Contents that crashed a target, oldest first. */
   readonly suspectedHashes: Set<string>;
   /**
@@ -91,6 +100,8 @@
   /** The engine has no such stream. */
   EngineStreamMissing = 'engine-stream-missing',
   EngineCrashed = 'engine-crashed',
+  /** The engine was asked what it runs. */
+  EngineInherited = 'engine-inherited',
   HolderReplied = 'holder-replied',
   MembersChanged = 'members-changed',
   ContentSuspected = 'content-suspected',
@@ -136,6 +147,7 @@
     }
   | { readonly kind: HostEventKind.EngineStreamMissing; readonly attemptId: string }
   | { readonly kind: HostEventKind.EngineCrashed }
+  | { readonly kind: HostEventKind.EngineInherited; readonly inherited: InheritedStreams }
   | {
       readonly kind: HostEventKind.HolderReplied;
       readonly attemptId: string;
--- a/packages/coordination/src/core/records/host.ts
+++ b/packages/coordination/src/core/records/host.ts
@@ -31,6 +31,7 @@
     attempts: new Map(),
     totalBytes: 0,
     draining: false,
+    inherited: null,
     suspectedHashes: new Set(),
     awaitedLoneRuns: new Map(),
   };
@@ -80,6 +81,10 @@
     case HostEventKind.EngineCrashed:
       onCrash(turn);
       return;
+    case HostEventKind.EngineInherited:
+      state.inherited = event.inherited;
+      startWhenAlone(turn);
+      return;
     case HostEventKind.HolderReplied: {
       const hosted = state.attempts.get(event.attemptId);
       if (hosted !== undefined) onHolderReply(turn, hosted, event.from, event.reply);
--- a/packages/coordination/src/core/records/record.ts
+++ b/packages/coordination/src/core/records/record.ts
@@ -50,6 +50,8 @@
   readonly attemptNumber: number;
   readonly tokens: readonly string[];
   readonly ending: AnswerEnding;
+  /** Every holder of the time had it: only then may it have been told to anybody. */
+  readonly committed: boolean;
 }
 
 /** Everything that is known of a request. */
@@ -86,13 +88,14 @@
 
 /**
  * Joins two copies of one record: commutative, associative and idempotent, so that copies agree in
- * whatever order they meet. Of two answers the later attempt's wins: a later attempt was noted by
- * all holders, while an earlier one's answer can come to rest on a single holder that was away.
+ * whatever order they meet. Of two answers a committed one wins, since it may have been told; then
+ * the later attempt's: that attempt was noted by all holders, while an earlier one's answer can come
+ * to rest on a single holder that was away.
  */
 export function joinRecords(left: RequestRecord, right: RequestRecord): RequestRecord {
   if (left.bodyHash !== right.bodyHash) return compareRecords(left, right) >= 0 ? left : right;
   const attempts = joinAttempts(left.attempts, right.attempts);
-  const answer = laterAnswer(left.answer, right.answer);
+  const answer = standingAnswer(left.answer, right.answer);
   const failure = firstFailure(left.failure, right.failure);
   return {
     ...left,
@@ -129,12 +132,15 @@
   return left.id > right.id ? -1 : 1;
 }
 
-function laterAnswer(left: Answer | null, right: Answer | null): Answer | null {
+/** Of two answers the committed one stays; else the later attempt's. */
+function standingAnswer(left: Answer | null, right: Answer | null): Answer | null {
   if (left === null || right === null) return left ?? right;
+  if (left.attemptId === right.attemptId) return left.committed ? left : right;
+  if (left.committed !== right.committed) return left.committed ? left : right;
   if (left.attemptNumber !== right.attemptNumber) {
     return left.attemptNumber > right.attemptNumber ? left : right;
   }
-  return left.attemptId <= right.attemptId ? left : right;
+  return left.attemptId < right.attemptId ? left : right;
 }
 
 function firstFailure(left: Failure | null, right: Failure | null): Failure | null {
--- a/packages/fuzz/src/worlds/requests/engine.ts
+++ b/packages/fuzz/src/worlds/requests/engine.ts
@@ -38,8 +38,8 @@
   isUp: boolean;
   readonly streams: Map<string, EngineStream>;
   listener: EngineListener | null;
-  /** Whether a running sidecar sees what happens to it. */
-  isWatched: () => boolean;
+  /** Whether a running sidecar hosts an attempt and so sees what becomes of it. */
+  isWatched: (attemptId: string) => boolean;
 }
 
 /** What a caller asks of an engine; the payload of all simulated requests. */
@@ -133,7 +133,8 @@
   if (!engine.isUp) return;
   countFault(simulation.network.counts, 'engine-crash');
   const running = [...engine.streams.values()].filter((stream) => !stream.ended);
-  onEngineCrashed(simulation, engine.target, running, engine.isWatched());
+  const seen = running.filter((stream) => engine.isWatched(stream.attempt.id));
+  onEngineCrashed(simulation, engine.target, running, seen);
   engine.epoch += 1;
   engine.isUp = false;
   engine.streams.clear();
--- a/packages/fuzz/src/worlds/requests/entry.ts
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -16,6 +16,7 @@
   handleDriveEvent,
   handleHolderCall,
   holdersOf,
+  noteCrashes,
   openSession,
   rememberSession,
   suspicionOf,
@@ -131,6 +132,11 @@
       });
       return;
     }
+    case DriveEffectKind.NoteCrash: {
+      const { bodyHash } = drive.request;
+      noteCrashes(node.memory.suspicions, bodyHash, [effect.attemptId], false);
+      return;
+    }
     case DriveEffectKind.OpenSession:
       askSession(simulation, node, drive, effect);
       return;
--- a/packages/fuzz/src/worlds/requests/nodes.ts
+++ b/packages/fuzz/src/worlds/requests/nodes.ts
@@ -27,7 +27,7 @@
 import { claimContext, performClaims, performPoison, syncSuspicions } from './services.js';
 import { createEngine } from './engine.js';
 import { feedDrive, watchConnections } from './entry.js';
-import { feedHost, listenToEngine } from './sidecar.js';
+import { askInherited, feedHost, listenToEngine } from './sidecar.js';
 import { renewPlacement, updateView } from './membership.js';
 import { FAILURE_DOMAINS } from './simulation.js';
 import type { NodeMemory, SimulatedNode, Simulation, ViewEntry } from './simulation.js';
@@ -96,6 +96,7 @@
   }
   renewPlacement(simulation, node);
   listenToEngine(simulation, node);
+  askInherited(simulation, node);
   syncSuspicions(simulation, node);
   planTick(simulation, node);
 }
@@ -115,6 +116,7 @@
   sweepHolder(memory.holder, simulation.options.holder, nowMs);
   repair(simulation, node);
   feedHost(simulation, node, { kind: HostEventKind.Tick });
+  askInherited(simulation, node);
   watchConnections(simulation, node);
   const claims = tickClaimClient(memory.claimClient, claimContext(simulation, node));
   performClaims(simulation, node, claims);
--- a/packages/fuzz/src/worlds/requests/services.ts
+++ b/packages/fuzz/src/worlds/requests/services.ts
@@ -37,6 +37,7 @@
 import { feedDrive } from './entry.js';
 import { callKeyValue, readKey, transact } from './key-value.js';
 import { isLiveTo } from './membership.js';
+import { tell } from './oracle.js';
 import { feedHost, hostContext } from './sidecar.js';
 import { SERVICE } from './simulation.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
@@ -232,6 +233,9 @@
         node,
         (keyValue) => transact(keyValue, compares, writes),
         (outcome) => {
+          const done = outcome.succeeded ? 'writes' : 'fails to write';
+          const texts = writes.map(({ key, value }) => `${key} = ${value ?? 'nothing'}`);
+          tell(simulation, `${node.id} ${done} ${texts.join(', ')} for ${id}`);
           performPoison(simulation, node, { kind: PoisonEventKind.Transacted, id, outcome });
         },
         () => {
--- a/packages/fuzz/src/worlds/requests/sidecar.ts
+++ b/packages/fuzz/src/worlds/requests/sidecar.ts
@@ -130,7 +130,8 @@
       feedHost(simulation, node, event);
     });
   };
-  engine.isWatched = () => slot.status === ProcessStatus.Running;
+  engine.isWatched = (attemptId) =>
+    slot.status === ProcessStatus.Running && node.memory.host?.attempts.has(attemptId) === true;
   engine.listener = {
     onTokens: (attemptId, index, tokens) => {
       tell({ kind: HostEventKind.EngineTokens, attemptId, index, tokens });
@@ -156,3 +157,15 @@
     },
   };
 }
+
+/** Asks the engine what it runs that this sidecar did not start. */
+export function askInherited(simulation: Simulation, node: SimulatedNode): void {
+  const { engine, memory } = node;
+  if (engine === null || memory.host?.inherited?.count === 0) return;
+  const streams = [...engine.streams.values()].filter(
+    (stream) => !stream.ended && memory.host?.attempts.has(stream.attempt.id) !== true,
+  );
+  const mayBeLone = streams.some((stream) => stream.attempt.alone);
+  const inherited = { count: streams.length, mayBeLone };
+  feedHost(simulation, node, { kind: HostEventKind.EngineInherited, inherited });
+}
