--- a/packages/coordination/src/core/events/page/script.ts
+++ b/packages/coordination/src/core/events/page/script.ts
@@ -54,7 +54,7 @@
     context.fillRect(0, top, width, laneHeight);
     context.fillStyle = '#1d2733';
     context.font = '600 12px system-ui, sans-serif';
-    context.fillText(lane.kind + ' ' + lane.memberId, 10, top + 20);
+    context.fillText((lane.target || lane.kind) + ' ' + lane.memberId, 10, top + 20);
     context.fillStyle = '#6b7683';
     context.font = '11px system-ui, sans-serif';
     context.fillText(lane.failureDomain + ' · ' + lane.events + ' events' +
--- a/packages/coordination/src/core/events/timeline.ts
+++ b/packages/coordination/src/core/events/timeline.ts
@@ -18,6 +18,8 @@
   readonly memberId: string;
   readonly kind: MemberKind;
   readonly failureDomain: string;
+  /** The target beside a sidecar; empty or absent for an entry. */
+  readonly target?: string;
   readonly events: number;
   /** Events lost to the bound of its ring since it started. */
   readonly dropped: number;
--- a/packages/coordination/src/core/events/write-trace.ts
+++ b/packages/coordination/src/core/events/write-trace.ts
@@ -29,8 +29,9 @@
   return at.wallMs * US_PER_MS + Math.min(at.counter, MAX_COUNTER_US);
 }
 
-function laneName({ memberId, kind, failureDomain }: TimelineLane): string {
-  return `${kind} ${memberId} (${failureDomain})`;
+function laneName({ memberId, kind, failureDomain, target }: TimelineLane): string {
+  const what = target === undefined || target === '' ? kind : target;
+  return `${what} ${memberId} (${failureDomain})`;
 }
 
 function processEntries(lanes: readonly TimelineLane[]): TraceEvent[] {
--- a/packages/coordination/src/core/status/status.ts
+++ b/packages/coordination/src/core/status/status.ts
@@ -135,6 +135,8 @@
   readonly memberId: string;
   readonly kind: MemberKind;
   readonly failureDomain: string;
+  /** The target beside a sidecar; empty or absent for an entry. */
+  readonly target?: string;
   readonly events: readonly TimelineEvent[];
   /** Events that the ring lost to newer ones since the process started. */
   readonly dropped: number;
