--- a/examples/src/demo/model-caller.ts
+++ b/examples/src/demo/model-caller.ts
@@ -29,6 +29,8 @@
   lastTextAtMs: number;
   readonly gapsMs: number[];
   attempts: number;
+  /** The last refusal or break, in words. */
+  lastFailure: string;
 }
 
 const GOOD_SHARE = 0.95;
@@ -68,6 +70,7 @@
     lastTextAtMs: 0,
     gapsMs: [],
     attempts: 0,
+    lastFailure: '',
   };
   while (reading.attempts === 0 || context.nowMs() < context.giveUpAtMs) {
     const attempt = await tryOnce(context, plan, reading, entryOffset);
@@ -151,6 +154,7 @@
   attempt: Attempt,
 ): Promise<void> {
   const { problem } = attempt;
+  reading.lastFailure = problem === null ? 'broken' : `${problem.type} ${problem.runState}`;
   if (problem === null) {
     reading.ending = Ending.GaveUp;
     await sleep(retryWaitMs(0));
@@ -188,7 +192,8 @@
     const refused = readings.every((reading) => reading.ending === Ending.RefusedNotRun);
     if (refused) tally.refusedNotRun += 1;
     else tally.lost += 1;
-    remark(tally, `${place}: ${readings.map((reading) => reading.ending).join(', ')}`);
+    const endings = readings.map((one) => `${one.ending} after ${one.lastFailure || 'nothing'}`);
+    remark(tally, `${place}: ${endings.join(', ')}`);
     if (answered.length === 0) return;
   } else tally.answered += 1;
   const verdicts = answered.map((reading) =>
