--- a/examples/src/deployment/main.ts
+++ b/examples/src/deployment/main.ts
@@ -5,6 +5,7 @@
 import { join } from 'node:path';
 import { parseArgs } from 'node:util';
 import { DeploymentName, readDeploymentText, settingsPath, writeLayout } from './files.js';
+import type { ProcessLayout } from './layout.js';
 import { layOutDeployment, ProcessKind } from './layout.js';
 
 const DEFAULT_BASE_PORT = '21000';
@@ -26,13 +27,23 @@
 const layout = layOutDeployment(readDeploymentText(name), Number(values['base-port']));
 writeLayout(layout, folder);
 
-for (const one of layout.processes) {
+const commands = (isMeant: (one: ProcessLayout) => boolean): string[] =>
+  layout.processes.filter(isMeant).map(startCommand);
+
+console.log('# 1. the outside systems');
+console.log(commands((one) => one.kind === ProcessKind.StandIns).join('\n'));
+console.log('# 2. the text');
+console.log(
+  `node packages/cli/bin/run.js apply ${settingsPath(folder, 'configuration')} ` +
+    `--from-version 0 --key-value ${layout.keyValueUrl}`,
+);
+console.log('# 3. the daemons');
+console.log(commands((one) => one.kind !== ProcessKind.StandIns).join('\n'));
+console.log(`# callers connect to ${layout.callerUrls.join(' ')}`);
+
+function startCommand(one: ProcessLayout): string {
   const settings = settingsPath(folder, one.name);
-  const command =
-    one.kind === ProcessKind.StandIns
-      ? `node packages/stand-ins/dist/src/main.js several --settings ${settings}`
-      : `node packages/daemon/dist/src/main.js --settings ${settings}`;
-  console.log(command);
+  return one.kind === ProcessKind.StandIns
+    ? `node packages/stand-ins/dist/src/main.js several --settings ${settings} &`
+    : `node packages/daemon/dist/src/main.js --settings ${settings} &`;
 }
-console.log(`# key-value service: ${layout.keyValueUrl}`);
-console.log(`# callers: ${layout.callerUrls.join(' ')}`);
