Let an engine tell which streams run in it now

A restarted sidecar must know what its engine still runs. Load reports lag by their nature: one taken before the last stream began says that nothing runs. GET /v1/streams tells the ids as of now.

--- a/packages/platform/src/engine/client.ts
+++ b/packages/platform/src/engine/client.ts
@@ -106,6 +106,7 @@
     resumeStream: (streamId, fromIndex, handlers) =>
       open(request('GET', `${streamPath(streamId)}?from=${String(fromIndex)}`), streamId, handlers),
     cancel,
+    runningStreams: () => call('GET', '/v1/streams').map(wire.readStreamIds),
     state: () => call('GET', '/state').andThen(readWith('GET /state', wire.readState)),
     load: () => call('GET', '/load').map(wire.readLoad),
     cacheEvents: (afterSequence) =>
--- a/packages/platform/src/engine/port.ts
+++ b/packages/platform/src/engine/port.ts
@@ -142,6 +142,11 @@
     handlers: EngineStreamHandlers,
   ) => EngineStream;
   readonly cancel: (streamId: string) => ResultAsync<null, Failure>;
+  /**
+   * Ids of the streams that have not ended, as of now and not as of the last load report: what a
+   * sidecar that was restarted has inherited.
+   */
+  readonly runningStreams: () => ResultAsync<readonly string[], Failure>;
   readonly state: () => ResultAsync<EngineState, Failure>;
   readonly load: () => ResultAsync<EngineLoad, Failure>;
   readonly cacheEvents: (afterSequence: number) => ResultAsync<readonly CacheEvent[], Failure>;
--- a/packages/platform/src/engine/wire.ts
+++ b/packages/platform/src/engine/wire.ts
@@ -54,6 +54,11 @@
   };
 }
 
+/** The answer of `GET /v1/streams`. */
+export function readStreamIds(body: JsonObject): readonly string[] {
+  return asList(body.running).map((id) => asText(id));
+}
+
 /** The answer of `GET /load`. */
 export function readLoad(body: JsonObject): EngineLoad {
   return {
--- a/packages/stand-ins/src/core/engine/routes.ts
+++ b/packages/stand-ins/src/core/engine/routes.ts
@@ -14,7 +14,7 @@
 import { eventsAfter } from './prefix-cache.js';
 import { tokenize } from './prompt.js';
 import { readEngineRequest, readOrder } from './requests.js';
-import { attachReader, openStream } from './streams.js';
+import { attachReader, hasEnded, openStream } from './streams.js';
 
 const STREAMS = '/v1/streams/';
 const OVERLOAD_RETRY_MS = 500;
@@ -36,6 +36,7 @@
 ): (method: string, path: string) => Route | null {
   const exact = new Map<string, Route>([
     ['POST /v1/completions', completions(context)],
+    ['GET /v1/streams', listStreams(context)],
     ['GET /load', load(context)],
     ['GET /cache-events', cacheEvents(context)],
     ['GET /state', state(context)],
@@ -133,6 +134,14 @@
   };
 }
 
+function listStreams(context: EngineContext): Route {
+  return ({ response }) => {
+    const streams = [...context.life().streams.values()];
+    const running = streams.filter((stream) => !hasEnded(stream)).map((stream) => stream.id);
+    sendJson(response, Status.Ok, { running });
+  };
+}
+
 function cancel(context: EngineContext, streamId: string): Route {
   return ({ response }) => {
     const life = context.life();
--- a/packages/stand-ins/test/core/engine/streams.test.ts
+++ b/packages/stand-ins/test/core/engine/streams.test.ts
@@ -99,6 +99,27 @@
     });
   });
 
+  describe('the running streams', () => {
+    it('are told by their ids, as of now', async () => {
+      // A sidecar is restarted while its engine goes on. It must learn what still runs there; the
+      // load report is too old to tell.
+      const running: (readonly string[])[] = [];
+      void readAll(
+        (handlers) => pair.client.generate(work({ maxTokens: 100_000 }), handlers),
+        (count, stream) => {
+          if (count !== 1) return;
+          void pair.client.runningStreams().then((ids) => {
+            running.push(ids._unsafeUnwrap());
+            stream.cancel();
+          });
+        },
+      );
+      await until(() => running.length === 1);
+      assert.deepEqual(running, [['s1']]);
+      await until(async () => (await pair.client.runningStreams())._unsafeUnwrap().length === 0);
+    });
+  });
+
   describe('a cancel', () => {
     it('takes a running request out of the batch', async () => {
       const request = work({ maxTokens: 100_000 });
