Stamp every event with a hybrid clock; tell a fresh sidecar's engine apart from its own work

Cause: there was no time line; and the fuzzer found that streams of a former sidecar could run beside a lone run unseen. Change: a ring of stamped events per process, the clock in a header of each call and answer, timeline.read and metrics.read; a sidecar asks its engine what it runs before it starts work.

--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -113,6 +113,9 @@
       case DriveEffectKind.SettleLoneRun:
         settleLoneRun(effect.attemptId, effect.end);
         return;
+      case DriveEffectKind.NoteCrash:
+        services.poison.noteCrash(request.bodyHash, effect.attemptId);
+        return;
       case DriveEffectKind.OpenSession:
         void openSession(effect.askId, effect.sidecar, effect.verify);
         return;
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -18,6 +18,7 @@
 import { readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
 import type { MemberProof } from './secret.js';
+import { HYBRID_TIME_HEADER, type MessageClock } from './timeline.js';
 
 /** A configuration document of 1 MB as JSON in JSON, with room to spare. */
 const MAX_CALL_BYTES = 8 * 1024 * 1024;
@@ -37,6 +38,8 @@
   readonly address: Address;
   readonly allows: AllowsAddress;
   readonly proof: MemberProof;
+  /** Puts causes before effects on the time line. */
+  readonly clock: MessageClock;
   /** By method name. */
   readonly handlers: Readonly<Record<string, RpcHandler>>;
   readonly streams: Readonly<Record<string, StreamHandler>>;
@@ -112,6 +115,8 @@
     answerJson(response, 401, NOT_A_MEMBER.of(undefined));
     return;
   }
+  options.clock.hear(request.headers[HYBRID_TIME_HEADER]);
+  response.setHeader(HYBRID_TIME_HEADER, options.clock.now());
   if (request.method === 'GET' && request.url === METRICS_PATH) {
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
     response.end(await options.metricsText());
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -70,6 +70,8 @@
   readonly child: Child;
   readonly ask: (id: string, work: PoisonWork) => void;
   readonly suspicionOf: (bodyHash: string) => Suspicion;
+  /** A crash that this process saw itself: known here before the ledger has it. */
+  readonly noteCrash: (bodyHash: string, attemptId: string) => void;
   /** Takes in news that came in a datagram. */
   readonly heard: (params: unknown) => void;
   /** What a peer is given that can not read the ledger. */
@@ -211,6 +213,9 @@
       handle({ kind: PoisonEventKind.Asked, id, work });
     },
     suspicionOf: (bodyHash) => suspicionOf(suspicions, bodyHash),
+    noteCrash: (bodyHash, attemptId) => {
+      take(bodyHash, [attemptId]);
+    },
     heard: (params) => {
       const [bodyHash, attemptIds] = Array.isArray(params) ? (params as unknown[]) : [];
       if (typeof bodyHash !== 'string' || !Array.isArray(attemptIds)) return;
--- a/packages/daemon/src/node/rpc-client.ts
+++ b/packages/daemon/src/node/rpc-client.ts
@@ -10,6 +10,7 @@
 import { RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { MEMBER_UNREACHABLE } from './failures.js';
 import type { MemberProof } from './secret.js';
+import { HYBRID_TIME_HEADER, type MessageClock } from './timeline.js';
 
 const CONNECT_TIMEOUT_MS = 1_000;
 const KEEP_ALIVE_MS = 30_000;
@@ -55,8 +56,8 @@
   readonly close: () => Promise<void>;
 }
 
-/** Makes a client that proves its membership with every call. */
-export function createRpcClient(proof: MemberProof): RpcClient {
+/** Makes a client that proves its membership with every call; `clock` orders the time line. */
+export function createRpcClient(proof: MemberProof, clock: MessageClock): RpcClient {
   const agent = new Agent({
     connections: MAX_CONNECTIONS_PER_MEMBER,
     connect: { timeout: CONNECT_TIMEOUT_MS },
@@ -64,7 +65,11 @@
     headersTimeout: 0,
     bodyTimeout: 0,
   });
-  const headers = { authorization: proof.header, 'content-type': 'application/json' };
+  const headers = (): Record<string, string> => ({
+    authorization: proof.header,
+    'content-type': 'application/json',
+    [HYBRID_TIME_HEADER]: clock.now(),
+  });
   let lastId = 0;
 
   function encode(method: string, params: unknown): string {
@@ -78,10 +83,11 @@
         const answer = await httpRequest(`http://${member}${RPC_PATH}`, {
           dispatcher: agent,
           method: 'POST',
-          headers,
+          headers: headers(),
           body: encode(method, params),
           signal: AbortSignal.timeout(options.timeoutMs),
         });
+        clock.hear(answer.headers[HYBRID_TIME_HEADER]);
         const body: unknown = await answer.body.json();
         if (!isJSONRPCResponse(body)) throw new FailureError(body as Failure);
         return body;
@@ -98,12 +104,13 @@
         const answer = await httpRequest(`http://${member}${STREAM_PATH}`, {
           dispatcher: agent,
           method: 'POST',
-          headers,
+          headers: headers(),
           body: encode(method, params),
           signal: abort.signal,
         });
         if (answer.statusCode !== 200)
           throw new FailureError((await answer.body.json()) as Failure);
+        clock.hear(answer.headers[HYBRID_TIME_HEADER]);
         body = answer.body;
         await readEvents(answer.body, handlers, () => paused);
       };
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -17,6 +17,7 @@
   HostEffectKind,
   type HostEvent,
   HostEventKind,
+  HostedPhase,
   type HostState,
   type LoneProbe,
   type OpenSessionMessage,
@@ -66,6 +67,8 @@
   readonly streams: Readonly<Record<string, StreamHandler>>;
   readonly handle: (event: HostEvent) => void;
   readonly runningCount: () => number;
+  /** Attempts that the engine works on for this process. */
+  readonly startedCount: () => number;
 }
 
 /** One entry's connection. */
@@ -188,6 +191,8 @@
     state,
     handle,
     runningCount: () => runningAttempts(state).length,
+    startedCount: () =>
+      runningAttempts(state).filter((hosted) => hosted.phase === HostedPhase.Running).length,
     handlers: {
       [RpcMethod.SessionOpen]: (params) =>
         openSession(
--- a/packages/daemon/src/sidecar/load-reporter.ts
+++ b/packages/daemon/src/sidecar/load-reporter.ts
@@ -30,7 +30,8 @@
   readonly accepting: () => boolean;
   /** Models that the operators want the engine to hold. */
   readonly wantedModels: () => readonly ModelSpec[];
-  readonly onEpoch: (epoch: string) => void;
+  /** Called with each reading. */
+  readonly onRead: (load: EngineLoad, epoch: string) => void;
   readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
 }
 
@@ -71,7 +72,7 @@
     role = state.value.role;
     missing = findMissing(state.value, options.wantedModels());
     readAtMs = atMs;
-    options.onEpoch(state.value.epoch);
+    options.onRead(load, state.value.epoch);
   }
 
   function send(): void {
--- a/packages/daemon/src/wiring/process.ts
+++ b/packages/daemon/src/wiring/process.ts
@@ -5,6 +5,7 @@
 import type { RpcClient } from '../node/rpc-client.js';
 import type { MemberProof } from '../node/secret.js';
 import type { Telemetry } from '../node/telemetry.js';
+import type { Timeline } from '../node/timeline.js';
 import type { TrafficMeter } from '../node/traffic-meter.js';
 
 /** The surroundings of a process, made once at its start. */
@@ -18,6 +19,7 @@
   readonly rpc: RpcClient;
   readonly keyValue: KeyValueClient;
   readonly telemetry: Telemetry;
+  readonly timeline: Timeline;
   readonly traffic: TrafficMeter;
   /** Member ids to join through: the settings' peers and what the VM list shows. */
   readonly seeds: readonly string[];
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -12,6 +12,7 @@
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
 import { createTelemetry } from '../node/telemetry.js';
+import { createTimeline } from '../node/timeline.js';
 import { startTrafficMeter } from '../node/traffic-meter.js';
 import type { LoadedSettings, Settings } from '../settings/settings.js';
 import { type Child, createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
@@ -36,6 +37,7 @@
   const traffic = startTrafficMeter();
   const memberId = formatAddress(settings.control);
   const proof = createMemberProof(secret);
+  const timeline = createTimeline(memberId, settings.timelineEvents, SYSTEM_CLOCKS.wallMs);
   const context: ProcessContext = {
     memberId,
     clocks: SYSTEM_CLOCKS,
@@ -43,9 +45,12 @@
     hashing: await createHashing(),
     log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
     proof,
-    rpc: createRpcClient(proof),
+    rpc: createRpcClient(proof, timeline.clock),
     keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
-    telemetry: createTelemetry(() => undefined),
+    telemetry: createTelemetry((event) => {
+      timeline.put(event);
+    }),
+    timeline,
     traffic,
     seeds: settings.peers,
   };
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -270,6 +270,7 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
+        clock: context.timeline.clock,
         handlers: {
           ...member.handlers,
           [RpcMethod.StatusRead]: (params) => readStatus(statusOptions, params as StatusQuery),
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -11,6 +11,9 @@
   type FetchRequest,
   type Member,
   type MemberConfiguration,
+  type ProcessMetrics,
+  type ProcessTimeline,
+  type TimelineQuery,
   type MemberKind,
   MemberState,
   type SyncRequest,
@@ -167,10 +170,41 @@
     },
   });
 
+  /** What the process costs, for the operators and for docs/CAPACITY.md. */
+  function takeGauges(): void {
+    const tcp = context.traffic.read();
+    const { user, system } = process.cpuUsage();
+    telemetry.gauge('tcp_received_bytes', tcp.receivedBytes);
+    telemetry.gauge('tcp_sent_bytes', tcp.sentBytes);
+    telemetry.gauge('datagrams_received_bytes', datagrams.counts.receivedBytes);
+    telemetry.gauge('datagrams_sent_bytes', datagrams.counts.sentBytes);
+    telemetry.gauge('processor_ms', (user + system) / US_PER_MS);
+    telemetry.gauge('resident_bytes', process.memoryUsage.rss());
+    telemetry.gauge('configuration_version', configuration.state.inForce?.version ?? 0);
+    telemetry.gauge('members_present', membership.present().length);
+  }
+
   return {
-    children: [datagrams.child, membership.child, configuration.child, holder.child, poison.child],
+    children: [
+      datagrams.child,
+      membership.child,
+      configuration.child,
+      holder.child,
+      poison.child,
+      createPeriodic('process-gauges', () => GAUGES_MS, takeGauges),
+    ],
     handlers: {
       ...holder.handlers,
+      [RpcMethod.TimelineRead]: (params): ProcessTimeline => ({
+        memberId: context.memberId,
+        kind: hooks.kind,
+        failureDomain: settings.failureDomain,
+        ...context.timeline.read(params as TimelineQuery),
+      }),
+      [RpcMethod.MetricsRead]: async (): Promise<ProcessMetrics> => ({
+        memberId: context.memberId,
+        prometheusText: await telemetry.metricsText(),
+      }),
       [RpcMethod.SuspicionRead]: poison.answerRead,
       [RpcMethod.ClaimTake]: (params) => takeClaim(params as ClaimRequest),
       [RpcMethod.MemberSync]: (params) => orThrow(membership.answerSync(params as SyncRequest)),
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -11,6 +11,7 @@
 } from '@cassiamast/coordination';
 import {
   type EngineClient,
+  type EngineLoad,
   createEngineClient,
   createPlainServiceClient,
 } from '@cassiamast/platform';
@@ -101,7 +102,10 @@
     engine: () => engine,
     accepting: () => !host.state.draining,
     wantedModels: () => findService(configuration, beside)?.models ?? [],
-    onEpoch: (epoch) => engineBackend?.noteEpoch(epoch),
+    onRead: (load, epoch) => {
+      engineBackend?.noteEpoch(epoch);
+      noteInherited(load);
+    },
     sendDatagram: member.datagrams.send,
   });
 
@@ -135,6 +139,8 @@
   function makeBackend(found: Beside): Backend {
     const address = `http://${formatAddress(found.spec.backend)}`;
     if (found.kind === TargetKind.PlainService) {
+      const inherited = { count: 0, mayBeLone: false };
+      host.handle({ kind: HostEventKind.EngineInherited, inherited });
       return createPlainBackend(createPlainServiceClient({ address }), host.handle);
     }
     engine = createEngineClient({ address });
@@ -142,6 +148,18 @@
     return engineBackend;
   }
 
+  /**
+   * Streams that a former sidecar left in the engine. A lone run has nothing beside it, so a single
+   * stream may be one; our own streams are not counted.
+   */
+  function noteInherited(load: EngineLoad): void {
+    if (host.state.inherited?.count === 0) return;
+    const all = load.runningRequests + load.waitingRequests;
+    const count = Math.max(0, all - host.startedCount());
+    const inherited = { count, mayBeLone: count === 1 };
+    host.handle({ kind: HostEventKind.EngineInherited, inherited });
+  }
+
   /** No new work while the process stops or the operators have withdrawn the target. */
   function applyDrain(): void {
     const isOut = beside === null || beside.spec.withdrawn;
@@ -171,6 +189,7 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
+        clock: context.timeline.clock,
         handlers: {
           ...member.handlers,
           ...host.handlers,
--- a/packages/fuzz/src/worlds/authority/world.ts
+++ b/packages/fuzz/src/worlds/authority/world.ts
@@ -43,6 +43,8 @@
     create: (setup) => createSimulation(setup, hashing),
     check,
     settle,
+    // The trace of commands says all there is: no separate story is kept in this world.
+    storyOf: () => [],
     stepsOf: (simulation) => simulation.scheduler.steps,
   };
 }
