Guard claims against replies that come while a request waits

Change: a step is decided anew when an attempt has come to light; a claim replaces only an attempt that is known never to run.

--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -87,6 +87,7 @@
 /** Waits before the next attempt is prepared. */
 export function backOff(turn: Turn, afterMs: number): void {
   turn.drive.phase = DrivePhase.BackingOff;
+  turn.drive.round = null;
   setTimer(turn, DriveTimer.BackOff, afterMs);
 }
 
@@ -96,6 +97,8 @@
  */
 export function prepare(turn: Turn): void {
   const { drive, context } = turn;
+  const current = currentAttempt(drive.known);
+  if (current !== null && !drive.over.has(current.id)) return decide(turn);
   const suspicion = context.suspicion();
   if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
   if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
@@ -167,7 +170,8 @@
   }
   drive.phase = DrivePhase.Claiming;
   const { askId, attempt } = drive;
-  const replacesId = currentAttempt(drive.known)?.id ?? null;
+  const current = currentAttempt(drive.known);
+  const replacesId = current !== null && drive.neverRan.has(current.id) ? current.id : null;
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
