--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -207,6 +207,7 @@
   }
   drive.round = null;
   const { attempt, known } = drive;
+  drive.textAttemptId = attempt.id;
   openConnection(turn);
   turn.out.push({
     kind: DriveEffectKind.Dispatch,
@@ -224,7 +225,10 @@
   });
 }
 
-/** Joins an attempt that runs; another text than the present one is read from its beginning. */
+/**
+ * Joins an attempt that runs. Unless the present text is known to be the beginning of the attempt's,
+ * it is read from its first token and compared: reading on from the middle would splice two texts.
+ */
 export function attachTo(turn: Turn, attempt: Attempt): void {
   const { drive } = turn;
   if (drive.attempt?.id !== attempt.id) {
@@ -234,7 +238,7 @@
       target: attempt.target,
     });
   }
-  const fromIndex = drive.attempt?.id === attempt.id ? drive.tokens.length : 0;
+  const fromIndex = drive.textAttemptId === attempt.id ? drive.tokens.length : 0;
   drive.attempt = attempt;
   openConnection(turn);
   const { connectionId, known } = drive;
@@ -317,7 +321,7 @@
   const agreed = context.options.mayTellAnswer(agreeing, context.holders());
   const committed = repliesWith(
     turn,
-    (held) => held.attemptId === answer.attemptId && held.committed,
+    (held) => held.attemptId === answer.attemptId && held.committedForMs !== null,
   );
   if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
     deliverAnswer(turn, answer);
@@ -330,7 +334,7 @@
     drive.pendingRetryAfterMs = context.options.retryAfterMs;
     return tellRefusal(turn, RunState.Ran);
   }
-  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committed: true } };
+  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committedForMs: 0 } };
   beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
 }
 
--- a/packages/coordination/src/core/records/drive-streams.ts
+++ b/packages/coordination/src/core/records/drive-streams.ts
@@ -52,13 +52,22 @@
 
 function onTokens(turn: Turn, index: number, tokens: readonly string[]): void {
   const { drive } = turn;
-  if (index > drive.tokens.length) reattachSoon(turn);
-  else if (!takeTokens(turn, index, tokens)) tellDiverged(turn);
+  if (index > drive.tokens.length) {
+    reattachSoon(turn);
+    return;
+  }
+  if (!takeTokens(turn, index, tokens)) {
+    tellDiverged(turn);
+    return;
+  }
+  const isCompared = index + tokens.length === drive.tokens.length;
+  if (isCompared && drive.attempt !== null) drive.textAttemptId = drive.attempt.id;
 }
 
 function onEnd(turn: Turn, end: StreamEnd): void {
   const { drive } = turn;
-  if (end.tokenCount > drive.tokens.length) {
+  const isCompared = drive.tokens.length === 0 || drive.textAttemptId === drive.attempt?.id;
+  if (end.tokenCount > drive.tokens.length || (!isCompared && end.tokenCount > 0)) {
     reattachSoon(turn);
     return;
   }
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -183,6 +183,8 @@
   /** Attempt that is prepared, dispatched or attached to. */
   attempt: Attempt | null;
   place: Place | null;
+  /** Attempt of whose text `tokens` is known to be the beginning; null for none yet. */
+  textAttemptId: string | null;
   /** Incarnation of the sidecar that a lone run was granted for. */
   loneIncarnation: string;
   /** Attempts that are over or out of reach. */
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -64,6 +64,7 @@
     roundsAsked: 0,
     attempt: null,
     place: null,
+    textAttemptId: null,
     loneIncarnation: '',
     over: new Set(),
     neverRan: new Set(),
--- a/packages/coordination/src/core/records/holder.ts
+++ b/packages/coordination/src/core/records/holder.ts
@@ -39,6 +39,8 @@
 /** A record with this member's own times for it. */
 export interface HeldRecord {
   record: RequestRecord;
+  /** When `record` was stored; its answer's age is counted from then. */
+  storedAtMs: number;
   deadlineAtMs: number;
   expiresAtMs: number;
   sizeBytes: number;
@@ -130,7 +132,14 @@
 
 /** The record as it is sent at `nowMs`: with the time that is left by this member's clock. */
 export function recordAt(held: HeldRecord, nowMs: number): RequestRecord {
-  return { ...held.record, remainingMs: Math.max(0, held.deadlineAtMs - nowMs) };
+  const answer = agedAnswer(held, nowMs);
+  return { ...held.record, answer, remainingMs: Math.max(0, held.deadlineAtMs - nowMs) };
+}
+
+function agedAnswer(held: HeldRecord, nowMs: number): Answer | null {
+  const { answer } = held.record;
+  if (answer?.committedForMs == null) return answer;
+  return { ...answer, committedForMs: answer.committedForMs + nowMs - held.storedAtMs };
 }
 
 /** Drops what has expired, a bounded number of records at a time. */
@@ -174,7 +183,7 @@
 ): UntimedReply {
   const held = state.records.get(call.record.keyText);
   if (held !== undefined && held.record.bodyHash !== call.record.bodyHash) return conflict();
-  const base = held === undefined ? call.record : joinRecords(held.record, call.record);
+  const base = held === undefined ? call.record : joinRecords(recordAt(held, nowMs), call.record);
   if (currentAttempt(base)?.id === call.attempt.id) return keep(state, base, options, nowMs);
   if (isFinal(base) || !options.acceptsNote(base, call.attempt, call.previousId)) {
     return held === undefined ? absent() : standing(held, nowMs);
@@ -192,7 +201,7 @@
   const { answer, failure } = call;
   const held = state.records.get(call.record.keyText);
   if (held !== undefined && held.record.bodyHash !== call.record.bodyHash) return conflict();
-  const base = held === undefined ? call.record : joinRecords(held.record, call.record);
+  const base = held === undefined ? call.record : joinRecords(recordAt(held, nowMs), call.record);
   if (isFinal(base)) {
     const isSame =
       answer === null ? base.answer === null : base.answer?.attemptId === answer.attemptId;
@@ -210,7 +219,7 @@
   nowMs: number,
 ): UntimedReply {
   const held = state.records.get(record.keyText);
-  const joined = held === undefined ? record : joinRecords(held.record, record);
+  const joined = held === undefined ? record : joinRecords(recordAt(held, nowMs), record);
   return keep(state, joined, options, nowMs);
 }
 
@@ -264,7 +273,13 @@
       ? before.expiresAtMs
       : nowMs + options.answerRetentionMs
     : deadlineAtMs + options.unfinishedRetentionMs;
-  const held: HeldRecord = { record, deadlineAtMs, expiresAtMs, sizeBytes: sizeOf(record) };
+  const held: HeldRecord = {
+    record,
+    storedAtMs: nowMs,
+    deadlineAtMs,
+    expiresAtMs,
+    sizeBytes: sizeOf(record),
+  };
   state.totalBytes += held.sizeBytes - (before?.sizeBytes ?? 0);
   state.records.set(record.keyText, held);
   return held;
--- a/packages/coordination/src/core/records/host-commit.ts
+++ b/packages/coordination/src/core/records/host-commit.ts
@@ -21,7 +21,7 @@
     attemptNumber: hosted.attempt.number,
     tokens: hosted.tokens.slice(),
     ending,
-    committed: false,
+    committedForMs: null,
   };
   const { record } = hosted;
   hosted.holderCall = { kind: HolderCallKind.Finish, record, answer, failure: null };
@@ -98,7 +98,7 @@
   const record: RequestRecord = {
     ...hosted.record,
     phase: RecordPhase.Answered,
-    answer: { ...answer, committed: true },
+    answer: { ...answer, committedForMs: 0 },
   };
   hosted.holderReplies.clear();
   hosted.holderCall = { kind: HolderCallKind.Restore, record };
--- a/packages/coordination/src/core/records/record.ts
+++ b/packages/coordination/src/core/records/record.ts
@@ -50,8 +50,12 @@
   readonly attemptNumber: number;
   readonly tokens: readonly string[];
   readonly ending: AnswerEnding;
-  /** Every holder of the time had it: only then may it have been told to anybody. */
-  readonly committed: boolean;
+  /**
+   * Time since every holder of the time had it, or null before: only then may it have been told to
+   * anybody. An age and no clock reading, so that no two clocks are compared; a message that was
+   * long under way looks younger than it is.
+   */
+  readonly committedForMs: number | null;
 }
 
 /** Everything that is known of a request. */
@@ -132,11 +136,21 @@
   return left.id > right.id ? -1 : 1;
 }
 
-/** Of two answers the committed one stays; else the later attempt's. */
+/** Commits closer to each other than this are told apart by their attempts. */
+const SAME_TIME_MS = 50;
+
+/**
+ * Of two answers the committed one stays, of two committed ones the older: a run that was forgotten
+ * with its holders may bring its answer late, when another one has been told. Else the later
+ * attempt's.
+ */
 function standingAnswer(left: Answer | null, right: Answer | null): Answer | null {
   if (left === null || right === null) return left ?? right;
-  if (left.attemptId === right.attemptId) return left.committed ? left : right;
-  if (left.committed !== right.committed) return left.committed ? left : right;
+  const leftAgeMs = left.committedForMs ?? -Infinity;
+  const rightAgeMs = right.committedForMs ?? -Infinity;
+  if (left.attemptId === right.attemptId) return leftAgeMs >= rightAgeMs ? left : right;
+  const isSameTime = leftAgeMs === rightAgeMs || Math.abs(leftAgeMs - rightAgeMs) < SAME_TIME_MS;
+  if (!isSameTime) return leftAgeMs > rightAgeMs ? left : right;
   if (left.attemptNumber !== right.attemptNumber) {
     return left.attemptNumber > right.attemptNumber ? left : right;
   }
