--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -87,6 +87,7 @@
 /** Waits before the next attempt is prepared. */
 export function backOff(turn: Turn, afterMs: number): void {
   turn.drive.phase = DrivePhase.BackingOff;
+  turn.drive.round = null;
   setTimer(turn, DriveTimer.BackOff, afterMs);
 }
 
@@ -96,6 +97,8 @@
  */
 export function prepare(turn: Turn): void {
   const { drive, context } = turn;
+  const current = currentAttempt(drive.known);
+  if (current !== null && !drive.over.has(current.id)) return decide(turn);
   const suspicion = context.suspicion();
   if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
   if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
@@ -167,7 +170,8 @@
   }
   drive.phase = DrivePhase.Claiming;
   const { askId, attempt } = drive;
-  const replacesId = currentAttempt(drive.known)?.id ?? null;
+  const current = currentAttempt(drive.known);
+  const replacesId = current !== null && drive.neverRan.has(current.id) ? current.id : null;
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
@@ -203,6 +207,7 @@
   }
   drive.round = null;
   const { attempt, known } = drive;
+  drive.textAttemptId = attempt.id;
   openConnection(turn);
   turn.out.push({
     kind: DriveEffectKind.Dispatch,
@@ -220,7 +225,10 @@
   });
 }
 
-/** Joins an attempt that runs; another text than the present one is read from its beginning. */
+/**
+ * Joins an attempt that runs. Unless the present text is known to be the beginning of the attempt's,
+ * it is read from its first token and compared: reading on from the middle would splice two texts.
+ */
 export function attachTo(turn: Turn, attempt: Attempt): void {
   const { drive } = turn;
   if (drive.attempt?.id !== attempt.id) {
@@ -230,7 +238,7 @@
       target: attempt.target,
     });
   }
-  const fromIndex = drive.attempt?.id === attempt.id ? drive.tokens.length : 0;
+  const fromIndex = drive.textAttemptId === attempt.id ? drive.tokens.length : 0;
   drive.attempt = attempt;
   openConnection(turn);
   const { connectionId, known } = drive;
@@ -313,7 +321,7 @@
   const agreed = context.options.mayTellAnswer(agreeing, context.holders());
   const committed = repliesWith(
     turn,
-    (held) => held.attemptId === answer.attemptId && held.committed,
+    (held) => held.attemptId === answer.attemptId && held.committedForMs !== null,
   );
   if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
     deliverAnswer(turn, answer);
@@ -326,7 +334,7 @@
     drive.pendingRetryAfterMs = context.options.retryAfterMs;
     return tellRefusal(turn, RunState.Ran);
   }
-  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committed: true } };
+  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committedForMs: 0 } };
   beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
 }
 
