Let sidecars refuse from their exact queue and answers carry load

Cause: entries decided from reports 0.3 to 0.8 s old at the same moment, and prompts were late after dispatch. Change: a sidecar refuses what its own queue would make late (truly not run); the entry queues it again. Load comes with first tokens as well.

--- a/benchmark/src/fake-engine/fake-engine.ts
+++ b/benchmark/src/fake-engine/fake-engine.ts
@@ -331,3 +331,30 @@
     stepMs: engine.lastStepMs,
   };
 }
+
+/** Time until the prompts that wait now are read, as the sidecar works it out. */
+export function queueAheadMs(engine: FakeEngine): number {
+  let unread = 0;
+  for (const job of engine.waiting) unread += job.unreadTokens;
+  const stepMs = engine.stepping ? engine.lastStepMs / 2 : 0;
+  return unread * tokenMs(engine) + stepMs;
+}
+
+/** Time to read a prompt here when nothing waits. */
+export function readTimeMs(engine: FakeEngine, job: ReadableJob): number {
+  const held = cachedBlocks(engine.cache, job.trace.blocks) * engine.cache.blockTokens;
+  return Math.max(1, job.contextTokens - held) * tokenMs(engine);
+}
+
+/** The part of a request that its reading time depends on. */
+export interface ReadableJob {
+  readonly contextTokens: number;
+  readonly trace: { readonly blocks: readonly string[] };
+}
+
+function tokenMs(engine: FakeEngine): number {
+  const { chunkTokens, prefillMsPerToken } = figures(engine);
+  const { size } = engine.running;
+  const stepMs = decodeStepMs(engine.profile, engine.role, size, engine.contextTokens);
+  return prefillMsPerToken + stepMs / chunkTokens;
+}
--- a/benchmark/src/policy/generate.ts
+++ b/benchmark/src/policy/generate.ts
@@ -81,7 +81,10 @@
 export function generateRequests(source: RequestSource, random: Random): readonly TraceRequest[] {
   const requests: TraceRequest[] = [];
   const pickWorkspace = zipf(source.workspaces, source.skew, random);
-  const prefixes = new Map<number, readonly string[]>();
+  const prefixes = {
+    known: new Map<number, readonly string[]>(),
+    pick: zipf(source.sharing.prefixes, 1, random),
+  };
   let atMs = 0;
   for (;;) {
     const mix = source.mixAt(atMs);
@@ -97,7 +100,7 @@
   mix: Mix,
   atMs: number,
   workspace: number,
-  prefixes: Map<number, readonly string[]>,
+  prefixes: PrefixPool,
   random: Random,
 ): TraceRequest {
   const { prefixTokens } = source.sharing;
@@ -107,7 +110,7 @@
     MIN_PROMPT_TOKENS,
     MAX_PROMPT_TOKENS - prefixTokens,
   );
-  const blocks = prefixOf(source, workspace, prefixes, random);
+  const blocks = prefixOf(source, workspace, prefixes);
   return {
     atMs,
     workspace: `workspace-${String(workspace)}`,
@@ -120,21 +123,21 @@
   };
 }
 
-function prefixOf(
-  source: RequestSource,
-  workspace: number,
-  known: Map<number, readonly string[]>,
-  random: Random,
-): readonly string[] {
+/** Prefixes made so far, and the draw of one of many: some documents are read far more often. */
+interface PrefixPool {
+  readonly known: Map<number, readonly string[]>;
+  readonly pick: () => number;
+}
+
+function prefixOf(source: RequestSource, workspace: number, pool: PrefixPool): readonly string[] {
   const { prefixes, prefixTokens } = source.sharing;
   if (prefixes === 0) return [];
-  const number =
-    prefixes <= source.workspaces ? workspace % prefixes : Math.floor(random() * prefixes);
-  let blocks = known.get(number);
+  const number = prefixes <= source.workspaces ? workspace % prefixes : pool.pick();
+  let blocks = pool.known.get(number);
   if (blocks === undefined) {
     const count = Math.round(prefixTokens / BLOCK_TOKENS);
     blocks = Array.from({ length: count }, (_, at) => `prefix-${String(number)}-${String(at)}`);
-    known.set(number, blocks);
+    pool.known.set(number, blocks);
   }
   return blocks;
 }
--- a/benchmark/src/policy/statistics.ts
+++ b/benchmark/src/policy/statistics.ts
@@ -39,6 +39,8 @@
   lateFirstToken: number;
   slowAnswers: number;
   restarts: number;
+  /** Refusals by sidecars, not run, that were tried again. */
+  bounced: number;
 }
 
 /** Makes empty counters for a run of that length. */
@@ -60,6 +62,7 @@
     lateFirstToken: 0,
     slowAnswers: 0,
     restarts: 0,
+    bounced: 0,
   };
 }
 
--- a/benchmark/src/policy/trace.ts
+++ b/benchmark/src/policy/trace.ts
@@ -46,6 +46,8 @@
   readonly outages: readonly Outage[];
   readonly reportIntervalMs: number;
   readonly reportLagMs: number;
+  /** Age of the load that comes with an answer. */
+  readonly answerLoadLagMs: number;
   /** True shifts of the mix that last. */
   readonly shifts: number;
   /** The workspace that takes far more than its share, or null. */
--- a/packages/coordination/src/core/admission/admission.ts
+++ b/packages/coordination/src/core/admission/admission.ts
@@ -122,6 +122,27 @@
   return null;
 }
 
+/** Takes back a request that was sent and refused, truly not run, with its time left. */
+export function takeBack<T>(
+  admission: Admission<T>,
+  request: AdmissionRequest<T>,
+  nowMs: number,
+): Failure<string, RefusalData> | null {
+  const refused = enqueue(admission.queue, {
+    workspace: request.workspace,
+    weight: request.weight,
+    costTokens: request.costTokens,
+    expiresAtMs: nowMs + request.patienceMs,
+    item: request.item,
+  });
+  if (refused === null) return null;
+  return QUEUE_FULL.of({
+    service: admission.options.service,
+    workspace: request.workspace,
+    retryAfterMs: Math.ceil(Math.max(MIN_RETRY_AFTER_MS, backlogMs(admission))),
+  });
+}
+
 function backlogMs<T>(admission: Admission<T>): number {
   if (admission.drainTokensPerMs <= 0) return 0;
   return admission.queue.queuedTokens / admission.drainTokensPerMs;
--- a/packages/coordination/src/core/admission/start-rule.ts
+++ b/packages/coordination/src/core/admission/start-rule.ts
@@ -30,3 +30,18 @@
   if (waitedMs + plan.predictedFirstTokenMs > allowedMs) return false;
   return plan.predictedStepMs <= rule.interTokenGoalMs * rule.stepSlack;
 }
+
+/** Load of a target's own queue as its sidecar knows it: exact, without a report's lag. */
+export interface LocalQueue {
+  /** Time until the prompts ahead are read, in milliseconds. */
+  readonly aheadMs: number;
+}
+
+/**
+ * Whether a sidecar takes a request, given how long it may still take to its first token. Entries
+ * decide from old reports and at the same moment; without this check at the one place that knows,
+ * two of them fill a queue that was free for one. The refusal is a true "not run".
+ */
+export function sidecarTakes(queue: LocalQueue, readMs: number, budgetMs: number): boolean {
+  return queue.aheadMs + readMs <= Math.max(budgetMs, readMs * LONG_PROMPT_SLACK);
+}
