Count steps as they are and starts of all entries at the writers

Cause: writers were filled past the goal, by chunks of lent prompts that predictions left out and by entries that each counted only their own starts. Readers took 4096 tokens a step, so short prompts waited for long ones. Change: the excess of reported over predicted steps is learnt per target; own starts and ends count for all entries; readers read 2048 tokens a step; lent work is priced without its waits.

--- a/benchmark/src/fake-engine/fake-engine.ts
+++ b/benchmark/src/fake-engine/fake-engine.ts
@@ -60,6 +60,7 @@
   steps: number;
   slowSteps: number;
   stepping: boolean;
+  stepEndsMs: number;
   lastStepMs: number;
   roleChanges: number;
   onIdle: (() => void) | null;
@@ -91,6 +92,7 @@
     steps: 0,
     slowSteps: 0,
     stepping: false,
+    stepEndsMs: 0,
     lastStepMs: 0,
     roleChanges: 0,
     onIdle: null,
@@ -144,7 +146,8 @@
     engine.slowness *
     noise(engine.random);
   const { epoch } = engine;
-  schedule(engine.clock, engine.clock.nowMs + stepMs, () => {
+  engine.stepEndsMs = engine.clock.nowMs + stepMs;
+  schedule(engine.clock, engine.stepEndsMs, () => {
     if (engine.epoch === epoch) endStep(engine, stepMs, chunk.read);
   });
 }
@@ -336,8 +339,8 @@
 export function queueAheadMs(engine: FakeEngine): number {
   let unread = 0;
   for (const job of engine.waiting) unread += job.unreadTokens;
-  const stepMs = engine.stepping ? engine.lastStepMs / 2 : 0;
-  return unread * tokenMs(engine) + stepMs;
+  const restMs = engine.stepping ? engine.stepEndsMs - engine.clock.nowMs : 0;
+  return unread * tokenMs(engine) + restMs;
 }
 
 /** Time to read a prompt here when nothing waits. */
--- a/packages/coordination/src/core/routing/engine-profile.ts
+++ b/packages/coordination/src/core/routing/engine-profile.ts
@@ -43,7 +43,7 @@
     [EngineRole.Prefill]: {
       stepBaseMs: 4,
       prefillMsPerToken: 0.025,
-      chunkTokens: 4096,
+      chunkTokens: 2048,
       maxBatch: 0,
       kvCapacityTokens: 600_000,
     },
--- a/packages/coordination/src/core/routing/route.ts
+++ b/packages/coordination/src/core/routing/route.ts
@@ -170,7 +170,8 @@
   const prefillTokens = tokensToRead(router, view, request);
   const readMs = prefillTokens * prefillMsPerToken(profile, view.role, load.stepMs);
   const firstTokenMs = load.queueMs + readMs + load.stepMs + 2 * view.latencyMs;
-  const costMs = firstTokenMs + readMs * WORK_PRICE + missCost(firstTokenMs, firstTokenGoalMs);
+  const workMs = prefillTokens * profile.roles[view.role].prefillMsPerToken;
+  const costMs = firstTokenMs + workMs * WORK_PRICE + missCost(firstTokenMs, firstTokenGoalMs);
   return { view, costMs, firstTokenMs, readMs, prefillTokens };
 }
 
@@ -182,12 +183,14 @@
   outputTokens: number,
 ): WriterCost {
   const { profile, interTokenGoalMs } = router.options;
-  const stepMs = decodeStepMs(
-    profile,
-    view.role,
-    load.runningRequests + 1,
-    load.contextTokens + request.promptTokens + outputTokens / 2,
-  );
+  const stepMs =
+    load.excessMs +
+    decodeStepMs(
+      profile,
+      view.role,
+      load.runningRequests + 1,
+      load.contextTokens + request.promptTokens + outputTokens / 2,
+    );
   const slowMs = Math.max(0, stepMs - interTokenGoalMs * GOAL_MARGIN);
   const growthTokens = (load.runningRequests * router.lengths.service.tokens) / 2;
   const kvTokens = load.kvUsedTokens + growthTokens + request.promptTokens + outputTokens;
--- a/packages/coordination/src/core/routing/router.ts
+++ b/packages/coordination/src/core/routing/router.ts
@@ -116,6 +116,7 @@
     accepting: target.accepting,
     latencyMs: router.options.latencyMs(target.failureDomain),
     report: null,
+    excessMs: 0,
     own: [],
     ownEnds: [],
     cacheGeneration: 0,
@@ -150,7 +151,7 @@
   const epoch = view.report?.epoch;
   const role = view.role;
   const accepting = view.accepting;
-  if (!noteReport(view, report)) return;
+  if (!noteReport(view, report, router.options.profile)) return;
   view.accepting = report.accepting;
   if (epoch !== undefined && epoch !== report.epoch) voidKnowledge(view);
   if (role !== view.role || accepting !== view.accepting) sortByPhase(router);
--- a/packages/coordination/src/core/routing/target-view.ts
+++ b/packages/coordination/src/core/routing/target-view.ts
@@ -33,6 +33,8 @@
   /** Extra one-way latency to this target's failure domain, in milliseconds. */
   latencyMs: number;
   report: LoadReport | null;
+  /** Moving mean of what steps take beyond the profile: chunks of prompts, or a slow engine. */
+  excessMs: number;
   own: OwnDispatch[];
   /** Own ends since the latest report. */
   ownEnds: { readonly atMs: number; readonly contextTokens: number }[];
@@ -54,12 +56,17 @@
   readonly contextTokens: number;
   /** Length of a step without prompt tokens, in milliseconds. */
   readonly stepMs: number;
+  /** What steps take beyond that, of late. */
+  readonly excessMs: number;
   readonly kvUsedTokens: number;
   readonly kvCapacityTokens: number;
 }
 
+/** Weight of the newest report in the excess; one step may or may not carry a chunk. */
+const EXCESS_WEIGHT = 0.2;
+
 /** Takes a report in, unless a newer one of the same epoch is known. */
-export function noteReport(view: TargetView, report: LoadReport): boolean {
+export function noteReport(view: TargetView, report: LoadReport, profile: EngineProfile): boolean {
   const known = view.report;
   // A report that was delayed past a newer one would roll the belief back and draw a herd; one
   // from before a restart would bring the dead epoch back.
@@ -67,11 +74,27 @@
   if (known !== null && known.epoch !== report.epoch && report.atMs < known.atMs) return false;
   view.report = report;
   view.role = report.role;
+  noteExcess(view, report, profile);
   view.own = view.own.filter((dispatch) => dispatch.atMs > report.atMs);
   view.ownEnds = view.ownEnds.filter((end) => end.atMs > report.atMs);
   return true;
 }
 
+function noteExcess(view: TargetView, report: LoadReport, profile: EngineProfile): void {
+  if (profile.roles[report.role].maxBatch === 0 || report.runningRequests === 0) {
+    view.excessMs = 0;
+    return;
+  }
+  const plainMs = decodeStepMs(
+    profile,
+    report.role,
+    report.runningRequests,
+    report.runningContextTokens,
+  );
+  const excessMs = Math.max(0, report.stepMs - plainMs);
+  view.excessMs += (excessMs - view.excessMs) * EXCESS_WEIGHT;
+}
+
 /** Remembers an own dispatch until a report shows it. */
 export function noteOwnDispatch(view: TargetView, dispatch: OwnDispatch): void {
   if (view.own.length >= MAX_OWN_DISPATCHES) view.own.shift();
@@ -103,27 +126,30 @@
   peerFactor: number,
 ): LoadEstimate {
   const report = view.report;
-  let sequences = report?.runningRequests ?? 0;
-  let contextTokens = report?.runningContextTokens ?? 0;
+  let moreSequences = 0;
+  let moreTokens = 0;
   for (const end of view.ownEnds) {
-    sequences -= 1;
-    contextTokens -= end.contextTokens;
+    moreSequences -= 1;
+    moreTokens -= end.contextTokens;
   }
-  const writes = profile.roles[view.role].maxBatch > 0;
-  if (writes) {
+  if (profile.roles[view.role].maxBatch > 0) {
     for (const dispatch of view.own) {
-      sequences += 1;
-      contextTokens += dispatch.contextTokens;
+      moreSequences += 1;
+      moreTokens += dispatch.contextTokens;
     }
   }
-  sequences = Math.max(0, sequences);
-  contextTokens = Math.max(0, contextTokens);
+  // The other entries see the same reports and do about the same.
+  const reported = report?.runningRequests ?? 0;
+  const sequences = Math.max(0, reported + moreSequences * peerFactor);
+  const reportedTokens = report?.runningContextTokens ?? 0;
+  const contextTokens = Math.max(0, reportedTokens + moreTokens * peerFactor);
   const stepMs = decodeStepMs(profile, view.role, sequences, contextTokens);
   return {
     queueMs: queueAheadMs(view, profile, nowMs, stepMs, peerFactor),
     runningRequests: sequences,
     contextTokens,
     stepMs,
+    excessMs: view.excessMs,
     kvUsedTokens: contextTokens,
     kvCapacityTokens: report?.kvCapacityTokens ?? profile.roles[view.role].kvCapacityTokens,
   };
