--- a/packages/coordination/src/core/roles/planner.ts
+++ b/packages/coordination/src/core/roles/planner.ts
@@ -82,6 +82,9 @@
 /** The planner's state. */
 export interface RolePlanner {
   readonly options: PlannerOptions;
+  /** Demand of the last seconds, as reported. */
+  recent: DemandSample[];
+  /** Means over some seconds each, the newest last. */
   samples: DemandSample[];
   /** Last sequence per entry, to tell a frozen report from a new one. */
   readonly sequences: Map<string, number>;
@@ -91,12 +94,15 @@
 
 /** Makes a planner without history. */
 export function createRolePlanner(options: PlannerOptions): RolePlanner {
-  return { options, samples: [], sequences: new Map(), lastReason: '' };
+  return { options, recent: [], samples: [], sequences: new Map(), lastReason: '' };
 }
 
 /** Samples kept: at one a second some ten half-lives. */
 const MAX_SAMPLES = 120;
 
+/** Reports that one sample is the mean of: the forecast is fitted to means over some seconds. */
+const SMOOTHED_REPORTS = 4;
+
 /** Least part of the entries and of the targets whose reports must be fresh. */
 const MIN_TRUSTED_SHARE = 0.7;
 
@@ -119,7 +125,9 @@
   if (news.length === 0) return null;
   planner.sequences.clear();
   for (const report of view.demand) planner.sequences.set(report.entry, report.sequence);
-  planner.samples.push(addUp(fresh, view.entriesAlive, nowMs));
+  planner.recent.push(addUp(fresh, view.entriesAlive, nowMs));
+  if (planner.recent.length > SMOOTHED_REPORTS) planner.recent.shift();
+  planner.samples.push(meanOf(planner.recent, () => 1, nowMs));
   if (planner.samples.length > MAX_SAMPLES) planner.samples.shift();
   return null;
 }
@@ -228,10 +236,18 @@
 }
 
 function meanDemand(planner: RolePlanner, nowMs: number): DemandSample {
+  return meanOf(planner.samples, (sample) => weightOf(planner, sample, nowMs), nowMs);
+}
+
+function meanOf(
+  samples: readonly DemandSample[],
+  weightOfSample: (sample: DemandSample) => number,
+  nowMs: number,
+): DemandSample {
   const mean = { requestsPerS: 0, prefillEngines: 0, decodeEngines: 0 };
   let weights = 0;
-  for (const sample of planner.samples) {
-    const weight = weightOf(planner, sample, nowMs);
+  for (const sample of samples) {
+    const weight = weightOfSample(sample);
     mean.requestsPerS += sample.requestsPerS * weight;
     mean.prefillEngines += sample.prefillEngines * weight;
     mean.decodeEngines += sample.decodeEngines * weight;
