--- /dev/null
+++ b/packages/cli/src/core/process/exit-code.ts
@@ -0,0 +1,55 @@
+/**
+ * How a command ends, for scripts. The operators' page `docs/operators/command-line.md` lists the
+ * same numbers.
+ */
+import { editConflict, editNotSent, editUnknown, type Failure } from '@cassiamast/coordination';
+import {
+  BASE_VERSION_MISSING,
+  FILE_UNREADABLE,
+  NO_CONNECTION,
+  NO_SUCH_VERSION,
+  PARTIAL_ANSWER,
+  SERVICE_FAILED,
+  TEXT_FAULTY,
+  UNKNOWN_MEMBER_ANSWER,
+  NOT_IN_FORCE,
+} from './failures.js';
+
+/** Exit codes of every command. */
+export enum ExitCode {
+  Done = 0,
+  /** An error of the command line itself. */
+  Failed = 1,
+  /** Wrong arguments, a missing file or missing connection settings. */
+  BadUsage = 2,
+  /** The text has faults; nothing was changed. */
+  TextFaulty = 3,
+  /** Another edit came first; nothing was changed. */
+  Conflict = 4,
+  /** Whether the edit was accepted could not be told; run the same command again. */
+  Unknown = 5,
+  /** The key-value service or the entry did not answer; nothing was changed. */
+  Unreachable = 6,
+  /** The answer lacks processes that could not be reached, or are not there yet. */
+  Partial = 7,
+}
+
+const CODES: ReadonlyMap<string, ExitCode> = new Map([
+  [TEXT_FAULTY.name, ExitCode.TextFaulty],
+  [editConflict.name, ExitCode.Conflict],
+  [editUnknown.name, ExitCode.Unknown],
+  [editNotSent.name, ExitCode.Unreachable],
+  [SERVICE_FAILED.name, ExitCode.Unreachable],
+  [UNKNOWN_MEMBER_ANSWER.name, ExitCode.Unreachable],
+  [PARTIAL_ANSWER.name, ExitCode.Partial],
+  [NOT_IN_FORCE.name, ExitCode.Partial],
+  [NO_CONNECTION.name, ExitCode.BadUsage],
+  [FILE_UNREADABLE.name, ExitCode.BadUsage],
+  [BASE_VERSION_MISSING.name, ExitCode.BadUsage],
+  [NO_SUCH_VERSION.name, ExitCode.BadUsage],
+]);
+
+/** The exit code that a failure leads to. */
+export function exitCodeOf(failure: Failure): ExitCode {
+  return CODES.get(failure.name) ?? ExitCode.Failed;
+}
