Document the library's public face, checked against its exports

Cause: others embed the library; a page kept by hand falls behind. The retry allowance in dependencies stood twice: retries/ has the same bucket and is in use, so mine is gone and its two tests now test that one, as strictly. Conclusion: run node scripts/api-page.mjs after a change of the exports.

--- a/packages/coordination/src/core/dependencies/budget.ts
+++ b/packages/coordination/src/core/dependencies/budget.ts
@@ -2,7 +2,8 @@
  * Deadlines and retries that flow down the dependencies. An inner call gets what is left of its
  * outer call's deadline less a reserve, and draws its retries from the outer call's allowance; so a
  * failure deep down is not multiplied by every level above it, and no target works on an answer that
- * nobody will wait for. Budgets hold durations, not instants, as the clocks of two VMs differ.
+ * nobody will wait for. How many retries a whole process may make is the bucket of `retries/`.
+ * Budgets hold durations, not instants, as the clocks of two VMs differ.
  */
 import type { ServiceSpec } from '../model/configuration.js';
 
@@ -62,36 +63,3 @@
   if (budget.retriesLeft < 1) return null;
   return { ...budget, retriesLeft: budget.retriesLeft - 1 };
 }
-
-/**
- * A service's allowance of second tries at one process: every first try earns a share of one, so
- * that retries stay a fixed ratio of the load even when everything fails at once.
- */
-export interface RetryAllowance {
-  /** Second tries earned and not used. */
-  balance: number;
-}
-
-/** Second tries that may be saved up; bounds the burst after a quiet time. */
-export const MAX_SAVED_RETRIES = 10;
-
-/** An allowance with its full burst. */
-export function createRetryAllowance(): RetryAllowance {
-  return { balance: MAX_SAVED_RETRIES };
-}
-
-/** Counts a first try, which earns `retryBudgetRatio` of a second one. */
-export function earnRetry(
-  allowance: RetryAllowance,
-  service: Pick<ServiceSpec, 'retryBudgetRatio'>,
-): void {
-  const earned = allowance.balance + service.retryBudgetRatio;
-  allowance.balance = Math.min(MAX_SAVED_RETRIES, earned);
-}
-
-/** Uses one second try; false when the allowance is spent, and the failure must be passed up. */
-export function spendRetry(allowance: RetryAllowance): boolean {
-  if (allowance.balance < 1) return false;
-  allowance.balance -= 1;
-  return true;
-}
--- /dev/null
+++ b/packages/coordination/test/api-page.test.ts
@@ -0,0 +1,47 @@
+/** The library's page names every export, with the first sentence of its doc comment. */
+import assert from 'node:assert/strict';
+import { readFileSync } from 'node:fs';
+import { describe, it } from 'node:test';
+
+interface ListedExport {
+  readonly name: string;
+  readonly kind: string;
+  readonly sentence: string;
+}
+interface ApiPageScript {
+  readonly readExports: () => readonly ListedExport[];
+}
+
+const SCRIPT = new URL('../../../../scripts/api-page.mjs', import.meta.url);
+const PAGE = new URL('../../../../docs/API.md', import.meta.url);
+const REMEDY = 'run: node scripts/api-page.mjs';
+
+describe('the page of the library', async () => {
+  const { readExports } = (await import(SCRIPT.href)) as ApiPageScript;
+  const exports = readExports();
+  const lines = readFileSync(PAGE, 'utf8').split('\n');
+
+  it('finds the exports of the library itself', async () => {
+    const library: object = await import('../src/index.js');
+    const names = new Set(exports.map(({ name }) => name));
+    for (const name of Object.keys(library)) assert.ok(names.has(name), name);
+    assert.ok(exports.some(({ kind }) => kind === 'interface'));
+  });
+
+  it('names every export once, as its doc comment says', () => {
+    for (const { name, kind, sentence } of exports) {
+      const own = lines.filter((line) => line.startsWith(`- \`${name}\` (`));
+      assert.deepEqual(own, [`- \`${name}\` (${kind}): ${sentence}`], REMEDY);
+    }
+  });
+
+  it('names nothing that is no longer exported', () => {
+    const listed = lines.filter((line) => /^- `\w+` \(/.test(line));
+    assert.equal(listed.length, exports.length, REMEDY);
+  });
+
+  it('has a doc comment for every export', () => {
+    const bare = exports.filter(({ sentence }) => sentence === '').map(({ name }) => name);
+    assert.deepEqual(bare, []);
+  });
+});
--- a/packages/coordination/test/core/dependencies/budget.test.ts
+++ b/packages/coordination/test/core/dependencies/budget.test.ts
@@ -3,16 +3,12 @@
 import { describe, it } from 'node:test';
 import {
   acceptBudget,
-  createRetryAllowance,
-  earnRetry,
   MAX_RETRIES_PER_REQUEST,
-  MAX_SAVED_RETRIES,
   passOnBudget,
-  spendRetry,
   takeRetry,
 } from '../../../src/core/dependencies/budget.js';
 
-const SERVICE = { deadlineMs: 10_000, retryBudgetRatio: 0.1 };
+const SERVICE = { deadlineMs: 10_000 };
 
 describe('call budgets', () => {
   describe('when a call is accepted', () => {
@@ -58,27 +54,5 @@
       const second = takeRetry(first);
       assert.equal(second && takeRetry(second), null);
     });
-
-    /*
-     * Story: a switch fails and every call of a service fails. Callers see errors at once, yet the
-     * targets that still answer must not get twice the load. The allowance runs dry after its
-     * burst and then grants one retry per ten first tries.
-     */
-    it('stay a ratio of first tries when everything fails', () => {
-      const allowance = createRetryAllowance();
-      let retries = 0;
-      for (let call = 0; call < 1_000; call += 1) {
-        earnRetry(allowance, SERVICE);
-        if (spendRetry(allowance)) retries += 1;
-      }
-      assert.ok(retries <= MAX_SAVED_RETRIES + 100, `${String(retries)} retries`);
-      assert.ok(retries >= 100);
-    });
-
-    it('are saved up to a bound only', () => {
-      const allowance = createRetryAllowance();
-      for (let call = 0; call < 1_000; call += 1) earnRetry(allowance, SERVICE);
-      assert.equal(allowance.balance, MAX_SAVED_RETRIES);
-    });
   });
 });
--- /dev/null
+++ b/packages/coordination/test/core/retries/retry-budget.test.ts
@@ -0,0 +1,35 @@
+/** The bucket that keeps retries a ratio of first tries. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  createRetryBudget,
+  DEFAULT_RETRY_OPTIONS,
+  depositFirstTry,
+  withdrawRetry,
+} from '../../../src/core/retries/retries.js';
+
+const OPTIONS = { ...DEFAULT_RETRY_OPTIONS, ratio: 0.1, burst: 10 };
+
+describe('the retry budget of a service', () => {
+  /*
+   * Story: a switch fails and every call of a service fails. Callers see errors at once, yet the
+   * targets that still answer must not get twice the load. The bucket runs dry after its burst and
+   * then grants one retry per ten first tries.
+   */
+  it('stays a ratio of first tries when everything fails', () => {
+    const budget = createRetryBudget(OPTIONS);
+    let retries = 0;
+    for (let call = 0; call < 1_000; call += 1) {
+      depositFirstTry(budget, OPTIONS);
+      if (withdrawRetry(budget)) retries += 1;
+    }
+    assert.ok(retries <= OPTIONS.burst + 100, `${String(retries)} retries`);
+    assert.ok(retries >= 100);
+  });
+
+  it('saves up no more than its burst', () => {
+    const budget = createRetryBudget(OPTIONS);
+    for (let call = 0; call < 1_000; call += 1) depositFirstTry(budget, OPTIONS);
+    assert.equal(budget.tokens, OPTIONS.burst);
+  });
+});
