--- a/packages/config-text/src/core/compile/limits.ts
+++ b/packages/config-text/src/core/compile/limits.ts
@@ -7,8 +7,12 @@
 /** Bytes of the text as UTF-8; refused before it is parsed. */
 export const MAX_TEXT_BYTES = 1_000_000;
 
-/** Bytes of the document as stored: the text, what it compiles to and {@link ENVELOPE_BYTES}. */
-export const MAX_DOCUMENT_BYTES = 1_000_000;
+/**
+ * Bytes of the document as stored: the text, what it compiles to and {@link ENVELOPE_BYTES}. One
+ * transaction writes it twice, as the current version and into the history, and the key-value
+ * service takes requests of at most 1.5 MB.
+ */
+export const MAX_DOCUMENT_BYTES = 700_000;
 
 /** Room in the document for version, edit id, time and author. */
 export const ENVELOPE_BYTES = 2_000;
