Ask the members that held a key before young ones came; hand over what cannot be committed

Cause: both holders replaced within the repair time hid a surviving record; a one-way cut to one holder kept a caller waiting for the end of a whole text; a stale holder's uncommitted answer cut the reader of a later attempt. Change: a new request also asks the holders as if young members were not there; readers are handed an uncommitted answer after a wait, and their entry commits it; uncommitted answers give way.

--- a/packages/coordination/src/core/placement/placement.ts
+++ b/packages/coordination/src/core/placement/placement.ts
@@ -53,6 +53,16 @@
   return [first, second].flatMap((index) => memberIdAt(placement, index));
 }
 
+/** The holders of a key as if some members were not there. */
+export function holdersWithout(
+  placement: Placement,
+  key: string,
+  without: ReadonlySet<string>,
+): readonly string[] {
+  const members = placement.members.filter((member) => !without.has(member.id));
+  return holdersOf(createPlacement(members, placement.hash32), key);
+}
+
 /** The member that batches the claims of a key's shard; any member may stand in for a dead one. */
 export function claimAggregatorOf(
   placement: Placement,
--- a/packages/coordination/src/core/poison/suspicions.ts
+++ b/packages/coordination/src/core/poison/suspicions.ts
@@ -4,7 +4,7 @@
  * key-value service. Both may miss, repeat or come late; crashes are therefore kept by attempt.
  */
 import { Suspicion } from '../records/drive-types.js';
-import { CONVICTING_CRASHES } from './ledger.js';
+import type { IsConvicted } from './ledger.js';
 
 /** What is known of one content. */
 interface KnownContent {
@@ -91,10 +91,15 @@
  * it would show as one more target lost after each restart. The guard holds because an entry
  * dispatches nothing before it has read the ledger.
  */
-export function suspicionOf(table: SuspicionTable, bodyHash: string): Suspicion {
+export function suspicionOf(
+  table: SuspicionTable,
+  bodyHash: string,
+  isConvicted: IsConvicted,
+): Suspicion {
   if (!table.isRead) return Suspicion.Unread;
   const known = table.byHash.get(bodyHash);
   if (known === undefined) return Suspicion.None;
-  const isConvicted = known.crashedAttemptIds.size >= CONVICTING_CRASHES;
-  return isConvicted ? Suspicion.Convicted : Suspicion.Suspect;
+  const crashedAttemptIds = [...known.crashedAttemptIds];
+  const convicted = isConvicted({ crashedAttemptIds, lostAttemptIds: [] });
+  return convicted ? Suspicion.Convicted : Suspicion.Suspect;
 }
--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -3,6 +3,7 @@
  * (place, session, claim, note), dispatching it, attaching to one that runs, and its end.
  */
 import { EventKind } from '../events/event.js';
+import { CONVICTING_CRASHES } from '../poison/ledger.js';
 import { RunState } from '../model/outcome.js';
 import { backOffMs } from '../retries/retries.js';
 import { closeStream, deliverAnswer, forgetUntold } from './drive-delivery.js';
@@ -33,7 +34,7 @@
 /**
  * Guards a call that may not be repeated. Failure: its target dies and the entry tries another; it
  * shows as a receipt issued twice. The guard holds because an attempt that may have run is never
- * followed by another one.
+ * followed by another one, and its claim is not replaced.
  */
 export function mayRunAgain(repeatable: boolean, mayHaveRun: boolean): boolean {
   return repeatable || !mayHaveRun;
@@ -61,8 +62,10 @@
   if (!context.options.mayRunAgain(repeatable, mayHaveRun)) {
     return refuse(turn, OUTCOME_UNKNOWN.of({ service }), context.options.retryAfterMs);
   }
-  const crashes = drive.known.crashedAttemptIds.length;
-  if (crashes >= context.options.convictingCrashes) return convict(turn, crashes);
+  const { crashedAttemptIds } = drive.known;
+  if (context.options.isConvicted({ crashedAttemptIds, lostAttemptIds: [] })) {
+    return convict(turn, crashedAttemptIds.length);
+  }
   if (remainingMs(turn) === 0) {
     return refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
   }
@@ -101,7 +104,7 @@
   if (current !== null && !drive.over.has(current.id)) return decide(turn);
   const suspicion = context.suspicion();
   if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
-  if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
+  if (suspicion === Suspicion.Convicted) return convict(turn, CONVICTING_CRASHES);
   drive.round = null;
   drive.askId = nextId(drive);
   if (needsLoneRun(turn)) {
@@ -156,12 +159,12 @@
 
 /** The session is there: claims the call where it may not be repeated, else notes the attempt. */
 export function takeSession(turn: Turn, sessionId: string, sequence: number): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
   if (drive.attempt === null) return;
   drive.attempt = { ...drive.attempt, sessionId, sequence };
   if (drive.attempt.alone && !isGivenBy(drive.loneIncarnation, sessionId)) {
     settleLoneRun(turn, drive.attempt, LoneRunEnd.Aborted);
-    backOff(turn, turn.context.options.reattachAfterMs);
+    backOff(turn, context.options.reattachAfterMs);
     return;
   }
   if (drive.request.repeatable) {
@@ -171,7 +174,9 @@
   drive.phase = DrivePhase.Claiming;
   const { askId, attempt } = drive;
   const current = currentAttempt(drive.known);
-  const replacesId = current !== null && drive.neverRan.has(current.id) ? current.id : null;
+  const mayReplace =
+    current !== null && context.options.mayRunAgain(false, !drive.neverRan.has(current.id));
+  const replacesId = mayReplace ? current.id : null;
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
@@ -203,7 +208,7 @@
   if (drive.attempt === null) return;
   if (context.suspicion() === Suspicion.Convicted) {
     abandonPrepared(turn);
-    return convict(turn, context.options.convictingCrashes);
+    return convict(turn, CONVICTING_CRASHES);
   }
   drive.round = null;
   const { attempt, known } = drive;
--- a/packages/coordination/src/core/records/drive-rounds.ts
+++ b/packages/coordination/src/core/records/drive-rounds.ts
@@ -7,13 +7,13 @@
 import { DriveTimer } from './drive-types.js';
 import { nextId, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
-import { HolderReplyKind } from './messages.js';
+import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderCall, HolderReply } from './messages.js';
 import { joinRecords } from './record.js';
 
 /** Asks all present holders. */
 export function beginRound(turn: Turn, call: HolderCall): void {
-  turn.drive.round = { id: nextId(turn.drive), call, replies: new Map() };
+  turn.drive.round = { id: nextId(turn.drive), call, replies: new Map(), young: new Set() };
   turn.drive.roundsAsked = 0;
   askMissing(turn);
 }
@@ -23,18 +23,43 @@
   const { round } = turn.drive;
   if (round === null) return;
   turn.drive.roundsAsked += 1;
-  for (const to of turn.context.holders()) {
+  for (const to of roundTargets(turn)) {
     if (round.replies.has(to)) continue;
     turn.out.push({ kind: DriveEffectKind.CallHolder, to, roundId: round.id, call: round.call });
   }
   setTimer(turn, DriveTimer.Holders, turn.context.options.holderTimeoutMs);
 }
 
+/** Young holders in whose place others are asked too; more are a fleet that has just started. */
+const MAX_YOUNG = 4;
+
+/**
+ * Members that a round asks: the present holders and, for a new request, those that held the key
+ * before members came that have not been up for long. Failure: both holders are replaced, and a
+ * resend finds them empty while a third member still has the record; it shows as a second run and
+ * another text. The guard holds because whoever held the record without the new members is asked.
+ */
+export function roundTargets(turn: Turn): readonly string[] {
+  const { round } = turn.drive;
+  const holders = turn.context.holders();
+  if (round === null || round.young.size === 0) return holders;
+  return [...new Set([...holders, ...turn.context.holders(round.young)])];
+}
+
+function noteYoung(turn: Turn, from: string, reply: HolderReply): void {
+  const { round } = turn.drive;
+  if (round?.call.kind !== HolderCallKind.Create || round.young.size >= MAX_YOUNG) return;
+  if (reply.upForMs >= turn.context.options.settleMs || round.young.has(from)) return;
+  round.young.add(from);
+  askMissing(turn);
+}
+
 /** Takes one reply; returns whether it belongs to the present round. */
 export function takeReply(turn: Turn, roundId: number, from: string, reply: HolderReply): boolean {
   const { drive } = turn;
   if (drive.round?.id !== roundId) return false;
   drive.round.replies.set(from, reply);
+  noteYoung(turn, from, reply);
   const isSameBody = reply.record?.bodyHash === drive.request.bodyHash;
   if (reply.record !== null && isSameBody) drive.known = joinRecords(drive.known, reply.record);
   return true;
@@ -43,7 +68,7 @@
 /** Whether every present holder has answered, in whatever way. */
 export function roundIsComplete(turn: Turn): boolean {
   const { round } = turn.drive;
-  const holders = turn.context.holders();
+  const holders = roundTargets(turn);
   return round !== null && holders.length > 0 && holders.every((id) => round.replies.has(id));
 }
 
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -5,6 +5,7 @@
  */
 import type { Failure } from '../failures/failure.js';
 import type { Hash32 } from '../hashing/hashing.js';
+import type { IsConvicted } from '../poison/ledger.js';
 import type { Random } from '../random/random.js';
 import type { RetryBudget, RetryOptions, WithdrawRetry } from '../retries/retries.js';
 import type { HolderCall, HolderReply } from './messages.js';
@@ -107,6 +108,8 @@
   readonly call: HolderCall;
   /** Latest reply of each member that answered. */
   readonly replies: Map<string, HolderReply>;
+  /** Members that answered and have not been up for long. */
+  readonly young: Set<string>;
 }
 
 /** Decides from the replies of a round whether every holder has done what was asked. */
@@ -138,17 +141,18 @@
   readonly cancelTimeoutMs: number;
   /** What a caller is told to wait where nothing better is known. */
   readonly retryAfterMs: number;
+  /** Time within which a new member has been handed the records of its keys. */
+  readonly settleMs: number;
   /** How long an earlier submission can matter: a holder that is younger proves nothing. */
   readonly absenceHorizonMs: number;
-  /** Crashes in total that convict a content. */
-  readonly convictingCrashes: number;
-  readonly accepts: AllHoldersDone;
-  readonly mayDispatch: AllHoldersDone;
+  /** Guards acceptance and dispatch. */
+  readonly mayProceed: AllHoldersDone;
   readonly mayTellAnswer: AllHoldersDone;
   readonly fitsAnswer: FitsAnswer;
   readonly matchesResume: MatchesResume;
   readonly mayRunAgain: MayRunAgain;
   readonly withdrawRetry: WithdrawRetry;
+  readonly isConvicted: IsConvicted;
 }
 
 /** What varies from call to call. */
@@ -160,8 +164,8 @@
   readonly entryId: string;
   readonly options: DriveOptions;
   readonly budget: RetryBudget;
-  /** Present holders of this machine's key. */
-  readonly holders: () => readonly string[];
+  /** Present holders of this machine's key, as if the members in `without` were not there. */
+  readonly holders: (without?: ReadonlySet<string>) => readonly string[];
   /** Whether membership holds a member alive or suspect, and not dead. */
   readonly isLive: (memberId: string) => boolean;
   readonly suspicion: () => Suspicion;
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -25,7 +25,14 @@
   tellFinalFailure,
   tellRefusal,
 } from './drive-refusals.js';
-import { askMissing, beginRound, roundIsComplete, someReply, takeReply } from './drive-rounds.js';
+import {
+  askMissing,
+  beginRound,
+  roundIsComplete,
+  roundTargets,
+  someReply,
+  takeReply,
+} from './drive-rounds.js';
 import { lossOfTarget, onCancelOutcome, onStreamEvent } from './drive-streams.js';
 import { onTimer } from './drive-timers.js';
 import { emit, setTimer } from './drive-support.js';
@@ -219,7 +226,7 @@
       onCreateProgress(turn);
       return;
     case DrivePhase.Noting:
-      if (options.mayDispatch(drive.round.replies, context.holders())) dispatch(turn);
+      if (options.mayProceed(drive.round.replies, context.holders())) dispatch(turn);
       else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
@@ -261,7 +268,7 @@
     refuse(turn, RECORDS_FULL.of({ service }), context.options.retryAfterMs);
     return;
   }
-  if (!context.options.accepts(replies, context.holders())) return;
+  if (!context.options.mayProceed(replies, roundTargets(turn))) return;
   emit(turn, EventKind.RequestAccepted, 'every holder has the record');
   decide(turn);
 }
--- a/packages/coordination/src/core/records/holder.ts
+++ b/packages/coordination/src/core/records/holder.ts
@@ -202,7 +202,7 @@
   const held = state.records.get(call.record.keyText);
   if (held !== undefined && held.record.bodyHash !== call.record.bodyHash) return conflict();
   const base = held === undefined ? call.record : joinRecords(recordAt(held, nowMs), call.record);
-  if (isFinal(base)) {
+  if (isFinal(base) && !givesWay(base, answer)) {
     const isSame =
       answer === null ? base.answer === null : base.answer?.attemptId === answer.attemptId;
     return isSame ? keep(state, base, options, nowMs) : standingOf(base);
@@ -212,6 +212,19 @@
   return keep(state, { ...base, answer, failure, phase }, options, nowMs);
 }
 
+/**
+ * An answer that is not committed gives way to a later attempt's. Failure: a holder that was away
+ * misses the note of the second attempt and takes the first one's answer; it shows as a caller that
+ * reads the second attempt and is cut at its end. Safe, since the holders that took that note refuse
+ * the first answer, which can therefore never be committed.
+ */
+function givesWay(record: RequestRecord, answer: Answer | null): boolean {
+  const standingAnswer = record.answer;
+  if (answer === null || standingAnswer === null) return false;
+  if (standingAnswer.committedForMs !== null) return false;
+  return answer.attemptNumber > standingAnswer.attemptNumber;
+}
+
 function restore(
   state: HolderState,
   record: RequestRecord,
--- a/packages/coordination/src/core/records/host-commit.ts
+++ b/packages/coordination/src/core/records/host-commit.ts
@@ -9,13 +9,14 @@
 import { feedAll } from './host-streams.js';
 import type { HostTurn } from './host-streams.js';
 import { HolderCallKind, HolderReplyKind, StreamFailureReason } from './messages.js';
-import type { HolderReply } from './messages.js';
+import type { HolderCall, HolderReply, StreamFailure } from './messages.js';
 import type { Answer, AnswerEnding, RequestRecord } from './record.js';
 
 /** The answer is whole: starts to bring it to the holders. */
 export function commitAnswer(turn: HostTurn, hosted: HostedAttempt, ending: AnswerEnding): void {
   hosted.ending = ending;
   hosted.phase = HostedPhase.Committing;
+  hosted.patienceUntilMs = turn.context.nowMs + turn.context.options.commitPatienceMs;
   const answer: Answer = {
     attemptId: hosted.attempt.id,
     attemptNumber: hosted.attempt.number,
@@ -106,6 +107,33 @@
   checkCommitted(turn, hosted);
 }
 
+/**
+ * Hands readers the answer when the holders could not be brought to have it for long. Failure: the
+ * link from here to one holder is cut one way, while membership reaches it through others; it shows
+ * as a caller that waits for the end of a whole text. The entry, whose links are others, commits.
+ */
+export function handOver(turn: HostTurn, hosted: HostedAttempt): void {
+  const { holderCall } = hosted;
+  if (hosted.phase !== HostedPhase.Committing || holderCall === null) return;
+  hosted.patienceUntilMs = turn.context.nowMs + turn.context.options.commitPatienceMs;
+  const record = recordOfCall(holderCall);
+  for (const attachId of hosted.attachments.keys()) {
+    const failure: StreamFailure = {
+      reason: StreamFailureReason.Superseded,
+      mayHaveRun: true,
+      record,
+      retryAfterMs: 0,
+    };
+    turn.out.push({ kind: HostEffectKind.FailStream, attachId, failure });
+  }
+  hosted.attachments.clear();
+}
+
+function recordOfCall(call: HolderCall): RequestRecord | null {
+  if (call.kind !== HolderCallKind.Finish) return 'record' in call ? call.record : null;
+  return { ...call.record, answer: call.answer, phase: RecordPhase.Answered };
+}
+
 /** Another attempt, or another request with this key, stands at a holder. */
 function supersede(turn: HostTurn, hosted: HostedAttempt, reply: HolderReply): void {
   hosted.holderCall = null;
--- a/packages/coordination/src/core/records/host-dispatch.ts
+++ b/packages/coordination/src/core/records/host-dispatch.ts
@@ -96,6 +96,7 @@
     holderCall: null,
     holderReplies: new Map(),
     holdersAskedAtMs: context.nowMs,
+    patienceUntilMs: Infinity,
     deadlineAtMs: context.nowMs + message.remainingMs,
     expiresAtMs: Infinity,
     sizeBytes: ATTEMPT_BASE_BYTES + sizeOfTokens(message.continueFrom),
--- a/packages/coordination/src/core/records/host-types.ts
+++ b/packages/coordination/src/core/records/host-types.ts
@@ -49,6 +49,8 @@
   holderCall: HolderCall | null;
   readonly holderReplies: Map<string, HolderReply>;
   holdersAskedAtMs: number;
+  /** Time until which readers wait for the holders, from the end on. */
+  patienceUntilMs: number;
   readonly deadlineAtMs: number;
   expiresAtMs: number;
   sizeBytes: number;
@@ -245,6 +247,8 @@
   /** Time for which an ended attempt is kept for readers. */
   readonly retentionMs: number;
   readonly holderRetryMs: number;
+  /** Time after which readers are handed an answer that could not be committed from here. */
+  readonly commitPatienceMs: number;
   readonly busyRetryAfterMs: number;
   readonly judgeSequence: JudgeSequence;
   readonly mayTellEnd: MayTellEnd;
--- a/packages/coordination/src/core/records/host.ts
+++ b/packages/coordination/src/core/records/host.ts
@@ -3,7 +3,7 @@
  * that was taken back or refused never runs, however late a copy of its dispatch comes. Answers are
  * kept whole while they are made and go on without any entry; the end goes to the holders first.
  */
-import { askHolders, checkCommitted, onHolderReply } from './host-commit.js';
+import { askHolders, checkCommitted, handOver, onHolderReply } from './host-commit.js';
 import {
   neverRun,
   onAttach,
@@ -130,6 +130,7 @@
     if (isExpiredWaiter) neverRun(turn, hosted, StreamFailureReason.Expired);
     const askAgainAtMs = hosted.holdersAskedAtMs + context.options.holderRetryMs;
     if (hosted.holderCall !== null && askAgainAtMs <= context.nowMs) askHolders(turn, hosted);
+    if (hosted.patienceUntilMs <= context.nowMs) handOver(turn, hosted);
     if (hosted.expiresAtMs <= context.nowMs) removeHosted(state, hosted);
   }
   startWhenAlone(turn);
--- a/packages/coordination/src/core/records/options.ts
+++ b/packages/coordination/src/core/records/options.ts
@@ -5,7 +5,7 @@
 import type { ClaimClientOptions } from '../claims/client.js';
 import type { PoisonOptions } from '../poison/client-types.js';
 import { mayBegin } from '../poison/client.js';
-import { CONVICTING_CRASHES, isConvicted } from '../poison/ledger.js';
+import { isConvicted } from '../poison/ledger.js';
 import { DEFAULT_RETRY_OPTIONS, withdrawRetry } from '../retries/retries.js';
 import { mayRunAgain } from './drive-attempts.js';
 import { fitsAnswer, matchesResume } from './drive-delivery.js';
@@ -27,15 +27,15 @@
   reattachTries: 10,
   cancelTimeoutMs: 1000,
   retryAfterMs: 1000,
+  settleMs: 15_000,
   absenceHorizonMs: 600_000,
-  convictingCrashes: CONVICTING_CRASHES,
-  accepts: allHoldersDone,
-  mayDispatch: allHoldersDone,
+  mayProceed: allHoldersDone,
   mayTellAnswer: allHoldersDone,
   fitsAnswer,
   matchesResume,
   mayRunAgain,
   withdrawRetry,
+  isConvicted,
 };
 
 /** 24 MB leave a member within its 32 MB for control; a fifth is kept for ends. */
@@ -65,6 +65,7 @@
   loneRunGraceMs: 3000,
   retentionMs: 60_000,
   holderRetryMs: 500,
+  commitPatienceMs: 10_000,
   busyRetryAfterMs: 250,
   judgeSequence,
   mayTellEnd: allHoldersDone,
--- a/packages/fuzz/src/kit/network.ts
+++ b/packages/fuzz/src/kit/network.ts
@@ -23,6 +23,8 @@
   readonly counts: FaultCounts;
   /** Directed links that are cut, as `from>to`. */
   readonly cutLinks: Set<string>;
+  /** Last time at which a message was lost, repeated or late. */
+  troubledAtMs: number;
 }
 
 /** Ordinary one-way time between two processes. */
@@ -36,7 +38,7 @@
 /** A network without faults. */
 export function createNetwork(scheduler: Scheduler, random: Random, counts: FaultCounts): Network {
   const faults = { lossRatio: 0, repeatRatio: 0, lateRatio: 0 };
-  return { scheduler, random, faults, counts, cutLinks: new Set() };
+  return { scheduler, random, faults, counts, cutLinks: new Set(), troubledAtMs: -Infinity };
 }
 
 /** The name of a directed link. */
@@ -56,12 +58,12 @@
     return;
   }
   if (!linkIsUp(network, from, to) || happens(network, network.faults.lossRatio)) {
-    countFault(network.counts, 'message-lost');
+    noteTrouble(network, 'message-lost');
     return;
   }
   schedule(network.scheduler, delayOf(network), deliver);
   if (!happens(network, network.faults.repeatRatio)) return;
-  countFault(network.counts, 'message-repeated');
+  noteTrouble(network, 'message-repeated');
   schedule(network.scheduler, delayOf(network), deliver);
 }
 
@@ -69,10 +71,15 @@
   if (!happens(network, network.faults.lateRatio)) {
     return LATENCY_MS + Math.floor(network.random() * JITTER_MS);
   }
-  countFault(network.counts, 'message-late');
+  noteTrouble(network, 'message-late');
   return LATE_MS + Math.floor(network.random() * LATE_SPREAD_MS);
 }
 
 function happens(network: Network, ratio: number): boolean {
   return ratio > 0 && network.random() < ratio;
 }
+
+function noteTrouble(network: Network, kind: string): void {
+  network.troubledAtMs = network.scheduler.nowMs;
+  countFault(network.counts, kind);
+}
--- a/packages/fuzz/src/worlds/requests/entry.ts
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -16,6 +16,7 @@
   handleDriveEvent,
   handleHolderCall,
   holdersOf,
+  holdersWithout,
   noteCrashes,
   openSession,
   rememberSession,
@@ -79,9 +80,13 @@
     entryId: node.id,
     options: simulation.options.drive,
     budget: memory.budget,
-    holders: () => holdersOf(memory.placement, keyText),
+    holders: (without) =>
+      without === undefined
+        ? holdersOf(memory.placement, keyText)
+        : holdersWithout(memory.placement, keyText, without),
     isLive: (memberId) => isLiveTo(node, memberId),
-    suspicion: () => suspicionOf(memory.suspicions, bodyHash),
+    suspicion: () =>
+      suspicionOf(memory.suspicions, bodyHash, simulation.options.poison.isConvicted),
     provesAbsence: (absentAt) =>
       simulation.options.provesAbsence({
         keyText,
--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -22,6 +22,7 @@
 export function kill(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status === ProcessStatus.Dead) return;
   countFault(simulation.network.counts, node.isEntry ? 'entry-killed' : 'sidecar-killed');
+  simulation.oracle.lastKillAtMs = simulation.scheduler.nowMs;
   tell(simulation, `${node.id} is killed`);
   killProcess(node.slot);
   breakAllOf(simulation, node.id);
--- a/packages/fuzz/src/worlds/requests/mutants.ts
+++ b/packages/fuzz/src/worlds/requests/mutants.ts
@@ -15,13 +15,9 @@
 
 /** The mutants by name; docs/design/fuzzing.md says what each stands for. */
 export const REQUEST_MUTANTS: Readonly<Record<string, Mutate>> = {
-  'dispatch-after-one-note': (options) => ({
+  'proceed-after-one-holder': (options) => ({
     ...options,
-    drive: { ...options.drive, mayDispatch: oneHolderDone },
-  }),
-  'accept-after-one-holder': (options) => ({
-    ...options,
-    drive: { ...options.drive, accepts: oneHolderDone },
+    drive: { ...options.drive, mayProceed: oneHolderDone },
   }),
   'tell-end-before-holders': (options) => ({
     ...options,
@@ -70,7 +66,7 @@
   }),
   'never-convict': (options) => ({
     ...options,
-    drive: { ...options.drive, convictingCrashes: Infinity },
+    drive: { ...options.drive, isConvicted: () => false },
     poison: { ...options.poison, isConvicted: () => false },
   }),
   'retry-without-budget': (options) => ({
--- a/packages/fuzz/src/worlds/requests/oracle.ts
+++ b/packages/fuzz/src/worlds/requests/oracle.ts
@@ -75,6 +75,8 @@
   readonly connections: CallerConnection[];
   readonly crashesByContent: Map<string, ContentCrashes>;
   readonly triesByEntry: Map<string, EntryTries>;
+  /** Last time at which a process died. */
+  lastKillAtMs: number;
   /** Last time at which some living process was out of others' reach. */
   lastHiddenAtMs: number;
   /** What happened, one line each; the oldest lines of a long run are dropped. */
@@ -95,6 +97,7 @@
     connections: [],
     crashesByContent: new Map(),
     triesByEntry: new Map(),
+    lastKillAtMs: -Infinity,
     lastHiddenAtMs: -Infinity,
     story: [],
   };
@@ -200,6 +203,8 @@
   const isMixed = beside.length > 0 && (attempt.alone || beside.some((other) => other.alone));
   holds(!isMixed, 'suspects-run-alone', () => `${attempt.id} on ${target} with others`);
   noteLoneRun(simulation, attempt, target);
+  checkRecordedBeforeRun(simulation, attempt, keyText);
+  checkNoDoubleWork(simulation, attempt, keyText, bodyHash);
   oracle.runs.set(attempt.id, {
     attempt,
     keyText,
@@ -227,6 +232,52 @@
   );
 }
 
+/** Whether nothing has troubled the fleet for a while, so that the strictest checks apply. */
+function isCalm(simulation: Simulation): boolean {
+  const { oracle, network, scheduler } = simulation;
+  noteHidden(simulation);
+  const calmSinceMs = Math.max(oracle.lastHiddenAtMs, oracle.lastKillAtMs, network.troubledAtMs);
+  return scheduler.nowMs - calmSinceMs >= JOINED_AFTER_MS;
+}
+
+/** Two copies, or one where a single process is left. */
+function copiesWanted(simulation: Simulation): number {
+  return Math.min(2, simulation.nodes.filter(isRunning).length);
+}
+
+function checkRecordedBeforeRun(simulation: Simulation, attempt: Attempt, keyText: string): void {
+  if (!isCalm(simulation)) return;
+  const copies = simulation.nodes.filter((node) => keepsRecord(node, keyText, attempt.id, null));
+  holds(
+    copies.length >= copiesWanted(simulation),
+    'recorded-before-it-runs',
+    () => `${attempt.id} runs with ${String(copies.length)} records`,
+  );
+}
+
+function checkNoDoubleWork(
+  simulation: Simulation,
+  attempt: Attempt,
+  keyText: string,
+  bodyHash: string,
+): void {
+  const { oracle, scheduler, network } = simulation;
+  const troubledAtMs = Math.max(oracle.lastHiddenAtMs, network.troubledAtMs);
+  const history = historyOf(oracle, keyText, bodyHash);
+  noteHidden(simulation);
+  if (scheduler.nowMs - troubledAtMs < JOINED_AFTER_MS || history.recordLost) return;
+  const others = simulation.nodes.filter((node) => runsOther(node, attempt, keyText));
+  holds(others.length === 0, 'no-double-work', () => `${attempt.id} runs beside another attempt`);
+}
+
+function runsOther(node: SimulatedNode, attempt: Attempt, keyText: string): boolean {
+  const streams = [...(node.engine?.streams.values() ?? [])];
+  return streams.some((stream) => {
+    const isOther = stream.keyText === keyText && stream.attempt.id !== attempt.id;
+    return isOther && !stream.ended && stream.startedAtMs > node.lastTroubledAtMs;
+  });
+}
+
 /** An engine made a token. */
 export function onEngineTokens(simulation: Simulation, attemptId: string, token: string): void {
   simulation.oracle.runs.get(attemptId)?.text.push(token);
@@ -253,6 +304,7 @@
     const copies = copiesRunning(simulation, bodyHash);
     const known = simulation.oracle.crashesByContent.get(bodyHash);
     const notes = known ?? { count: 0, allowed: CONVICTING_CRASHES - 1 + copies, lastAtMs: 0 };
+    if (notes.count === 0) notes.allowed = CONVICTING_CRASHES - 1 + copies;
     notes.count += 1;
     notes.lastAtMs = simulation.scheduler.nowMs;
     simulation.oracle.crashesByContent.set(bodyHash, notes);
@@ -302,6 +354,7 @@
   holds(!connection.isTold, 'answered-once', () => `two ends of ${connection.keyText}`);
   connection.isTold = true;
   connection.wasAnswered = true;
+  checkTwoHaveAnswer(simulation, connection, text);
   const isOwn = [...oracle.runs.values()].some((run) => isWholeAnswer(run, connection, text));
   holds(isOwn, 'whole-answer-to-its-own-request', () => `${connection.keyText} was sent ${text}`);
   const history = historyOf(oracle, connection.keyText, connection.bodyHash);
@@ -317,6 +370,20 @@
   if (isSettled) history.recordLost = false;
 }
 
+function checkTwoHaveAnswer(
+  simulation: Simulation,
+  connection: CallerConnection,
+  text: string,
+): void {
+  if (!isCalm(simulation)) return;
+  const copies = simulation.nodes.filter((node) => keepsRecord(node, connection.keyText, '', text));
+  holds(
+    copies.length >= copiesWanted(simulation),
+    'recorded-before-it-is-told',
+    () => `${connection.keyText} is told with ${String(copies.length)} records`,
+  );
+}
+
 /** Each side of a parted fleet may run a request; copies are joined some time after it is healed. */
 function mayDiffer(simulation: Simulation, history: KeyHistory): boolean {
   const isFresh = simulation.scheduler.nowMs - history.lastPartedAtMs < JOINED_AFTER_MS;
@@ -339,8 +406,9 @@
   tell(simulation, `caller ${String(id)} of ${keyText} is refused, ${runState}: ${reason}`);
   holds(!connection.isTold, 'answered-once', () => `two ends of ${connection.keyText}`);
   connection.isTold = true;
-  if (runState !== RunState.NotRun) return;
   const history = historyOf(simulation.oracle, connection.keyText, connection.bodyHash);
+  checkLaterAttemptStands(simulation, connection, history, reason);
+  if (runState !== RunState.NotRun) return;
   const sinceMs = simulation.scheduler.nowMs - simulation.options.absenceHorizonMs;
   holds(
     history.lastStartedAtMs < sinceMs,
@@ -350,6 +418,25 @@
   for (const attemptId of history.sentOut) history.barred.add(attemptId);
 }
 
+/** Who reads the latest attempt is not cut by an earlier one that comes to its end late. */
+function checkLaterAttemptStands(
+  simulation: Simulation,
+  connection: CallerConnection,
+  history: KeyHistory,
+  reason: string,
+): void {
+  notePartitions(simulation);
+  if (!reason.includes('differs from what was sent')) return;
+  if (history.recordLost || history.lastPartedAtMs > -Infinity) return;
+  const latest = history.startedAttempts.at(-1) ?? '';
+  const last = connection.reading.tokens.at(-1) ?? '';
+  holds(
+    !last.startsWith(`${latest}:`),
+    'later-attempt-stands',
+    () => `caller ${String(connection.id)} read ${latest}`,
+  );
+}
+
 /**
  * Notes which requests have lost their record: no copy that names their last run is left, or some
  * entry cannot reach any. Only then may a rerun, or a run that was forgotten, bring another text.
