--- a/examples/src/demo/model-caller.ts
+++ b/examples/src/demo/model-caller.ts
@@ -180,7 +180,11 @@
   const runs = await context.oracle.promptRuns(plan.prompt.text);
   if (runs === 0) return;
   context.tally.falseNotRun += 1;
-  remark(context.tally, `request ${String(plan.id)} (${plan.manner}): ${type} says not-run, ran`);
+  remark(
+    context.tally,
+    `request ${String(plan.id)} (${plan.manner}): ${type} says not-run, ran`,
+    plan.idempotencyKey,
+  );
 }
 
 /** Counts the outcome of all readings of one request. */
@@ -193,7 +197,7 @@
     if (refused) tally.refusedNotRun += 1;
     else tally.lost += 1;
     const endings = readings.map((one) => `${one.ending} after ${one.lastFailure || 'nothing'}`);
-    remark(tally, `${place}: ${endings.join(', ')}`);
+    remark(tally, `${place}: ${endings.join(', ')}`, plan.idempotencyKey);
     if (answered.length === 0) return;
   } else tally.answered += 1;
   const verdicts = answered.map((reading) =>
@@ -204,7 +208,7 @@
   else if (verdicts.includes(AnswerVerdict.Cut)) tally.lost += 1;
   else if (new Set(answered.map((reading) => reading.text)).size > 1) tally.doubled += 1;
   else return;
-  remark(tally, `${place}: ${verdicts.join(', ')}`);
+  remark(tally, `${place}: ${verdicts.join(', ')}`, plan.idempotencyKey);
 }
 
 /** Latency of the first reading; broken connections count with the time they took. */
--- a/examples/src/demo/plain-caller.ts
+++ b/examples/src/demo/plain-caller.ts
@@ -56,7 +56,11 @@
   const runs = await context.oracle.callRuns();
   if (!runs.has(plan.idempotencyKey)) return;
   context.tally.falseNotRun += 1;
-  remark(context.tally, `call ${String(plan.id)} ${plan.call.path}: ${type} says not-run, ran`);
+  remark(
+    context.tally,
+    `call ${String(plan.id)} ${plan.call.path}: ${type} says not-run, ran`,
+    plan.idempotencyKey,
+  );
 }
 
 function judge(
@@ -74,14 +78,18 @@
       return;
     }
     tally.crossed += 1;
-    remark(tally, `${place}: answer to another call`);
+    remark(tally, `${place}: answer to another call`, plan.idempotencyKey);
     return;
   }
   const runState = last?.problem?.runState;
   if (runState === 'not-run') tally.refusedNotRun += 1;
   else if (runState === 'unknown' && !plan.call.repeatable) tally.unknown += 1;
   else tally.lost += 1;
-  remark(tally, `${place}: ${last?.problem?.type ?? 'no answer'} ${runState ?? ''}`);
+  remark(
+    tally,
+    `${place}: ${last?.problem?.type ?? 'no answer'} ${runState ?? ''}`,
+    plan.idempotencyKey,
+  );
 }
 
 /** The stand-in answers with what it was sent. */
@@ -100,6 +108,10 @@
     const count = runs.get(plan.idempotencyKey) ?? 0;
     if (plan.call.repeatable || count <= 1) continue;
     context.tally.doubled += 1;
-    remark(context.tally, `call ${String(plan.id)} ${plan.call.path}: ran ${String(count)} times`);
+    remark(
+      context.tally,
+      `call ${String(plan.id)} ${plan.call.path}: ran ${String(count)} times`,
+      plan.idempotencyKey,
+    );
   }
 }
--- a/examples/src/demo/processes.ts
+++ b/examples/src/demo/processes.ts
@@ -17,7 +17,7 @@
 const STOP_GRACE_MS = 5_000;
 
 /** The secret that the demo's members share; it guards nothing beyond this machine. */
-const DEMO_SECRET = 'only-for-the-demo-on-loopback';
+export const DEMO_SECRET = 'only-for-the-demo-on-loopback';
 
 /** The processes of one run. */
 export interface Processes {
--- a/examples/src/demo/report.ts
+++ b/examples/src/demo/report.ts
@@ -13,6 +13,8 @@
   readonly result: DemoResult;
   readonly tally: Tally;
   readonly events: readonly string[];
+  /** Events of each remarked request, by its idempotency key. */
+  readonly requestEvents: ReadonlyMap<string, readonly string[]>;
 }
 
 const SHARES = [0.5, 0.9, 0.95, 0.99] as const;
@@ -24,7 +26,8 @@
 }
 
 /** The page as HTML, self-contained. */
-export function reportPage({ options, result, tally, events }: ReportInput): string {
+export function reportPage(input: ReportInput): string {
+  const { options, result, tally, events, requestEvents } = input;
   const title = `cassiamast demo, ${options.deployment}`;
   const verdict = promisesKept(result) ? 'Every promise was kept.' : 'A promise was broken.';
   const run =
@@ -49,6 +52,9 @@
     list(events, 'Nothing was brought about.'),
     '<h2>Remarks</h2>',
     list(tally.remarks, 'None.'),
+    ...[...requestEvents].map(
+      ([key, lines]) => `<h3>${escape(key)}</h3><pre>${escape(lines.join('\n'))}</pre>`,
+    ),
     '</body></html>',
   ].join('\n');
 }
--- a/examples/src/demo/tally.ts
+++ b/examples/src/demo/tally.ts
@@ -45,6 +45,8 @@
   readonly gapsMs: number[];
   /** What went wrong, in words, for the report; bounded. */
   readonly remarks: string[];
+  /** Idempotency keys of the requests that the remarks are about. */
+  readonly remarkedKeys: Set<string>;
 }
 
 const MAX_REMARKS = 200;
@@ -67,12 +69,15 @@
     ttftMs: [],
     gapsMs: [],
     remarks: [],
+    remarkedKeys: new Set(),
   };
 }
 
 /** Notes what a person should look at. */
-export function remark(tally: Tally, text: string): void {
-  if (tally.remarks.length < MAX_REMARKS) tally.remarks.push(text);
+export function remark(tally: Tally, text: string, idempotencyKey?: string): void {
+  if (tally.remarks.length >= MAX_REMARKS) return;
+  tally.remarks.push(text);
+  if (idempotencyKey !== undefined) tally.remarkedKeys.add(idempotencyKey);
 }
 
 /** The value that a share of the values does not exceed; 0 without values. */
--- a/examples/test/demo/tally.test.ts
+++ b/examples/test/demo/tally.test.ts
@@ -44,7 +44,10 @@
     assert.ok(options !== null);
     const tally = createTally();
     remark(tally, '<script>');
-    const page = reportPage({ options, result: resultOf(tally, 1, 0), tally, events: [] });
+    const result = resultOf(tally, 1, 0);
+    const requestEvents = new Map([['key', ['<b>event']]]);
+    const page = reportPage({ options, result, tally, events: [], requestEvents });
+    assert.match(page, /&lt;b&gt;event/);
     assert.match(page, /&lt;script&gt;/);
     assert.doesNotMatch(page, /<script>/);
   });
