Hold a resume until the engine is known; say unknown where an entry has not looked

The time line showed streams taken up at a restarted sidecar before it had its configuration, so that the resume went nowhere until the deadline; and an entry that was starting called a resent request not run. Ruled out: membership (the death was seen), the engine (it still had the streams). Change: resumes wait for the engine; refusals before an entry looked at a keyed request say unknown. Conclusion: a refusal at the door must not guess.

--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -20,7 +20,7 @@
 import { parseModelRequest } from './model-request.js';
 import { parsePlainCall, type PlainCall, PLAIN_PATH_PREFIX } from './plain-call.js';
 import { sendProblem } from './problem.js';
-import { refuseNotRun } from './refusals.js';
+import { refuseNotRun, refuseUnseen } from './refusals.js';
 import { listModels } from './service-directory.js';
 
 /** A phone on a poor network still sends a large prompt within this. */
@@ -124,7 +124,8 @@
     configuration === null ? 'it has no configuration yet' : options.notServingReason();
   if (configuration === null || reason !== null) {
     const failure = ENTRY_NOT_SERVING.of({ reason: reason ?? '' });
-    sendProblem(response, refuseNotRun(failure, 503, OTHER_ENTRY_RETRY_MS));
+    const isKeyed = request.headers['idempotency-key'] !== undefined;
+    sendProblem(response, refuseUnseen(failure, 503, OTHER_ENTRY_RETRY_MS, isKeyed));
     return null;
   }
   const workspace = options.authenticate()(request.headers.authorization);
--- a/packages/daemon/src/entry/model-request.ts
+++ b/packages/daemon/src/entry/model-request.ts
@@ -7,7 +7,7 @@
 import { NOT_SERVED, REQUEST_MALFORMED, type Refusal } from './failures.js';
 import { readIdempotencyKey, readLastEventId, readPriority, readTimeoutMs } from './headers.js';
 import { type AskedCompletion, parseAsked } from './openai-request.js';
-import { refuseNotRun } from './refusals.js';
+import { refuseNotRun, refuseUnseen } from './refusals.js';
 import { findModel, type ModelChoice } from './service-directory.js';
 
 const CONTENT_HASH_CHARACTERS = 32;
@@ -32,7 +32,10 @@
   if (asked.isErr()) return err(malformed(asked.error));
   const choice = findModel(input.configuration, asked.value.model);
   if (choice === null) {
-    return err(refuseNotRun(NOT_SERVED.of({ what: `model ${asked.value.model}` }), 404));
+    const failure = NOT_SERVED.of({ what: `model ${asked.value.model}` });
+    // A service that was removed meanwhile may have run an earlier sending of this key.
+    const isKeyed = input.headers['idempotency-key'] !== undefined;
+    return err(refuseUnseen(failure, 404, null, isKeyed));
   }
   return buildRequest(input, asked.value, choice);
 }
--- a/packages/daemon/src/entry/plain-call.ts
+++ b/packages/daemon/src/entry/plain-call.ts
@@ -5,7 +5,7 @@
 import { err, ok, type Result } from 'neverthrow';
 import { NOT_SERVED, REQUEST_MALFORMED, type Refusal } from './failures.js';
 import { readIdempotencyKey, readTimeoutMs } from './headers.js';
-import { refuseNotRun } from './refusals.js';
+import { refuseNotRun, refuseUnseen } from './refusals.js';
 import { findPlainService, isRepeatable } from './service-directory.js';
 
 /** Paths of plain services begin with this, then the service's name. */
@@ -65,7 +65,12 @@
   const name = slash < 0 ? rest : rest.slice(0, slash);
   const path = slash < 0 ? '/' : rest.slice(slash);
   const service = findPlainService(input.configuration, name);
-  if (service === null) return err(refuseNotRun(NOT_SERVED.of({ what: `service ${name}` }), 404));
+  if (service === null) {
+    const failure = NOT_SERVED.of({ what: `service ${name}` });
+    // A service that was removed meanwhile may have run an earlier sending of this key.
+    const isKeyed = input.headers['idempotency-key'] !== undefined;
+    return err(refuseUnseen(failure, 404, null, isKeyed));
+  }
   const callerKey = readIdempotencyKey(input.headers);
   if (callerKey === undefined) {
     const faults = ['Idempotency-Key: not a valid key'];
--- a/packages/daemon/src/entry/refusals.ts
+++ b/packages/daemon/src/entry/refusals.ts
@@ -57,3 +57,17 @@
 ): Refusal {
   return { failure, status, runState: RunState.NotRun, retryAfterMs };
 }
+
+/**
+ * A refusal before this entry looked at the request. A request that brings its own key may be the
+ * resend of one that another entry ran, so "not run" would be a guess; without a key it is new.
+ */
+export function refuseUnseen(
+  failure: Failure,
+  status: number,
+  retryAfterMs: number | null,
+  keyFromCaller: boolean,
+): Refusal {
+  const runState = keyFromCaller ? RunState.Unknown : RunState.NotRun;
+  return { failure, status, runState, retryAfterMs };
+}
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -18,7 +18,7 @@
 import { ENTRY_BUSY } from './failures.js';
 import type { PlainCall } from './plain-call.js';
 import { sendProblem } from './problem.js';
-import { refuseNotRun } from './refusals.js';
+import { refuseUnseen } from './refusals.js';
 import { type RequestRun, type RunOptions, createRequestRun } from './request-run.js';
 import type { RunServices } from './run-services.js';
 
@@ -56,10 +56,14 @@
   const runs = new Map<string, RequestRun>();
   let lastRun = 0;
 
-  function begin(response: ServerResponse, make: (run: () => RequestRun | null) => NewRun): void {
+  function begin(
+    response: ServerResponse,
+    keyFromCaller: boolean,
+    make: (run: () => RequestRun | null) => NewRun,
+  ): void {
     if (runs.size >= MAX_RUNS) {
       const failure = ENTRY_BUSY.of({ limit: MAX_RUNS });
-      sendProblem(response, refuseNotRun(failure, 503, BUSY_RETRY_AFTER_MS));
+      sendProblem(response, refuseUnseen(failure, 503, BUSY_RETRY_AFTER_MS, keyFromCaller));
       return;
     }
     lastRun += 1;
@@ -84,13 +88,13 @@
 
   return {
     model: (request, response) => {
-      begin(response, (run) => {
+      begin(response, request.keyFromCaller, (run) => {
         const answer = modelAnswer(options, request, response, () => run()?.drained());
         return toModelRun(request, answer, serviceGoals(request.service));
       });
     },
     plain: (call, response) => {
-      begin(response, () => toPlainRun(call, response));
+      begin(response, call.keyFromCaller, () => toPlainRun(call, response));
     },
     loneRunReplied: (reply) => {
       runs.get(reply.id.slice(0, reply.id.lastIndexOf('|')))?.loneRunReplied(reply);
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -212,7 +212,8 @@
     ask: (id, work) => {
       handle({ kind: PoisonEventKind.Asked, id, work });
     },
-    suspicionOf: (bodyHash) => suspicionOf(suspicions, bodyHash),
+    suspicionOf: (bodyHash) =>
+      suspicionOf(suspicions, bodyHash, DEFAULT_POISON_OPTIONS.isConvicted),
     noteCrash: (bodyHash, attemptId) => {
       take(bodyHash, [attemptId]);
     },
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -82,6 +82,8 @@
   const { telemetry } = options;
   const state = createHost(options.selfId, options.target, randomUUID());
   const connections = new Map<string, Connection>();
+  /** No more than the machine holds attempts. */
+  const pendingResumes: { readonly attemptId: string; readonly fromIndex: number }[] = [];
 
   const context = (): HostContext => ({
     nowMs: options.nowMs(),
@@ -105,7 +107,8 @@
         return;
       case HostEffectKind.ResumeEngine:
         telemetry.count('attempts_resumed_total');
-        options.backend()?.resume(effect.attemptId, effect.fromIndex);
+        pendingResumes.push({ attemptId: effect.attemptId, fromIndex: effect.fromIndex });
+        resumePending();
         return;
       case HostEffectKind.CancelEngine:
         options.backend()?.cancel(effect.attemptId);
@@ -138,6 +141,18 @@
     }
   }
 
+  /**
+   * Guards a stream that an entry wants taken up before this process has its configuration, and so
+   * its engine: it would hang until the caller's deadline. It waits here until there is an engine.
+   */
+  function resumePending(): void {
+    const backend = options.backend();
+    if (backend === null) return;
+    for (const { attemptId, fromIndex } of pendingResumes.splice(0)) {
+      backend.resume(attemptId, fromIndex);
+    }
+  }
+
   async function callHolder(
     effect: Extract<HostEffect, { kind: HostEffectKind.CallHolder }>,
   ): Promise<void> {
@@ -219,6 +234,7 @@
       'attempts',
       () => TICK_MS,
       () => {
+        resumePending();
         handle({ kind: HostEventKind.Tick });
         telemetry.gauge('attempts_held', state.attempts.size);
         telemetry.gauge('attempts_held_bytes', state.totalBytes);
