--- a/examples/src/demo/model-caller.ts
+++ b/examples/src/demo/model-caller.ts
@@ -3,37 +3,16 @@
  * through other entries, until it has the whole answer or a refusal that says that it never ran.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import { AnswerVerdict, checkAnswer } from '@cassiamast/stand-ins';
 import type { CallerContext } from './context.js';
 import { entryFor, retryWaitMs } from './context.js';
 import type { Attempt, CallerRequest } from './exchange.js';
 import { AttemptEnd, exchangeStream, exchangeWhole } from './exchange.js';
+import type { Reading } from './judgement.js';
+import { Ending, judge, measure } from './judgement.js';
 import { Manner } from './workload.js';
 import type { PlannedPrompt } from './workload.js';
-import { quantile, remark } from './tally.js';
+import { remark } from './tally.js';
 
-/** What a caller ended with. */
-enum Ending {
-  Answered = 'answered',
-  RefusedNotRun = 'refused-not-run',
-  GaveUp = 'gave-up',
-}
-
-/** One reading of an answer, over as many attempts as it took. */
-interface Reading {
-  text: string;
-  lastEventId: string;
-  ending: Ending;
-  accepted: boolean;
-  firstTextAtMs: number | null;
-  lastTextAtMs: number;
-  readonly gapsMs: number[];
-  attempts: number;
-  /** The last refusal or break, in words. */
-  lastFailure: string;
-}
-
-const GOOD_SHARE = 0.95;
 /** The refusal of a rerun that made another text: the caller starts over. */
 const ANSWER_CHANGED = 'answer-changed';
 const COMPLETIONS_PATH = '/v1/completions';
@@ -186,49 +165,3 @@
     plan.idempotencyKey,
   );
 }
-
-/** Counts the outcome of all readings of one request. */
-function judge(context: CallerContext, plan: PlannedPrompt, readings: readonly Reading[]): void {
-  const { tally } = context;
-  const place = `request ${String(plan.id)} (${plan.manner}, ${plan.prompt.kind})`;
-  const answered = readings.filter((reading) => reading.ending === Ending.Answered);
-  if (answered.length < readings.length) {
-    const refused = readings.every((reading) => reading.ending === Ending.RefusedNotRun);
-    if (refused) tally.refusedNotRun += 1;
-    else tally.lost += 1;
-    const endings = readings.map((one) => `${one.ending} after ${one.lastFailure || 'nothing'}`);
-    remark(tally, `${place}: ${endings.join(', ')}`, plan.idempotencyKey);
-    if (answered.length === 0) return;
-  } else tally.answered += 1;
-  const verdicts = answered.map((reading) =>
-    checkAnswer(plan.prompt.text, plan.prompt.maxTokens, reading.text),
-  );
-  if (verdicts.includes(AnswerVerdict.Wrong)) tally.crossed += 1;
-  else if (verdicts.includes(AnswerVerdict.TooLong)) tally.doubled += 1;
-  else if (verdicts.includes(AnswerVerdict.Cut)) tally.lost += 1;
-  else if (new Set(answered.map((reading) => reading.text)).size > 1) tally.doubled += 1;
-  else return;
-  remark(tally, `${place}: ${verdicts.join(', ')}`, plan.idempotencyKey);
-}
-
-/** Latency of the first reading; broken connections count with the time they took. */
-function measure(
-  context: CallerContext,
-  plan: PlannedPrompt,
-  reading: Reading | undefined,
-  startMs: number,
-): void {
-  const { tally, modelGoals } = context;
-  if (reading?.ending !== Ending.Answered) return;
-  const wholeMs = context.nowMs() - startMs;
-  if (reading.firstTextAtMs === null) {
-    const allowedMs = modelGoals.firstTokenMs + modelGoals.interTokenMs * plan.prompt.maxTokens;
-    if (wholeMs <= allowedMs) tally.good += 1;
-    return;
-  }
-  const ttftMs = reading.firstTextAtMs - startMs;
-  tally.ttftMs.push(ttftMs);
-  for (const gapMs of reading.gapsMs) tally.gapsMs.push(gapMs);
-  const smooth = quantile(reading.gapsMs, GOOD_SHARE) <= modelGoals.interTokenMs;
-  if (ttftMs <= modelGoals.firstTokenMs && smooth) tally.good += 1;
-}
--- /dev/null
+++ b/packages/stand-ins/src/core/engine/stream-routes.ts
@@ -0,0 +1,116 @@
+/**
+ * The engine's answers: asked for, taken up again, listed and cancelled.
+ */
+import type { ServerResponse } from 'node:http';
+import type { Route } from '../http/http-server.js';
+import { sendJson } from '../http/http-server.js';
+import { enqueue, removeWork } from './batch.js';
+import type { EngineContext } from './engine.js';
+import { sendError, Status } from './errors.js';
+import { isAway } from './orders.js';
+import { tokenize } from './prompt.js';
+import { readEngineRequest } from './requests.js';
+import { attachReader, hasEnded, openStream } from './streams.js';
+
+const OVERLOAD_RETRY_MS = 500;
+
+/** `POST /v1/completions`. */
+export function completions(context: EngineContext): Route {
+  return ({ body, response }) => {
+    const { options, counts } = context;
+    const life = context.life();
+    const newStreamId = (): string => `${life.epoch}-${String(counts.requests)}`;
+    const request = readEngineRequest(body, newStreamId);
+    if (request === null) {
+      sendError(response, Status.Invalid, {
+        code: 'invalid_request',
+        message: 'no prompt or model',
+      });
+      return;
+    }
+    if (isAway(life.ordered)) {
+      const message = 'changing role';
+      const retry_after_ms = options.roleChangeMs;
+      sendError(response, Status.Unavailable, { code: 'not_serving', message, retry_after_ms });
+      return;
+    }
+    const held = life.ordered.models.find((model) => model.name === request.model);
+    if (held === undefined || !holdsAdapter(held.adapters, request.adapter)) {
+      sendError(response, Status.NotFound, { code: 'model_unknown', message: request.model });
+      return;
+    }
+    if (life.streams.has(request.streamId)) {
+      const message = request.streamId;
+      sendError(response, Status.Conflict, { code: 'stream_exists', message });
+      return;
+    }
+    if (life.batch.waiting.length >= options.maxWaiting) {
+      const message = 'too many requests waiting';
+      const retry_after_ms = OVERLOAD_RETRY_MS;
+      sendError(response, Status.TooMany, { code: 'overloaded', message, retry_after_ms });
+      return;
+    }
+    const prompt = tokenize(request.prompt, request.model, request.adapter);
+    if (prompt.tokens + request.maxTokens > options.kvCapacityTokens) {
+      const message = 'prompt and answer are larger than the cache memory';
+      sendError(response, Status.Invalid, { code: 'invalid_request', message });
+      return;
+    }
+    counts.requests += 1;
+    const imported = request.kvHandle === null ? undefined : life.kvHandles.get(request.kvHandle);
+    const importedTokens = isSamePrompt(imported?.blocks, prompt.blocks) ? prompt.tokens : 0;
+    enqueue(life.batch, request, prompt, importedTokens, options.answerVariant);
+    const first = request.continueFrom.length;
+    const stream = openStream(life.streams, request.streamId, request.model, first);
+    attachReader(stream, response, first);
+    context.wake();
+  };
+}
+
+function holdsAdapter(adapters: readonly string[], adapter: string | null): boolean {
+  return adapter === null || adapters.includes(adapter);
+}
+
+function isSamePrompt(imported: readonly string[] | undefined, own: readonly string[]): boolean {
+  if (imported === undefined) return false;
+  return imported.length === own.length && imported.at(-1) === own.at(-1);
+}
+
+/** `GET /v1/streams/:id`. */
+export function resume(context: EngineContext, streamId: string): Route {
+  return ({ url, response }) => {
+    const stream = context.life().streams.get(streamId);
+    if (stream === undefined) sendStreamUnknown(response, streamId);
+    else attachReader(stream, response, Number(url.searchParams.get('from') ?? 0));
+  };
+}
+
+/** `GET /v1/streams`. */
+export function listStreams(context: EngineContext): Route {
+  return ({ response }) => {
+    const streams = [...context.life().streams.values()];
+    const running = streams.filter((stream) => !hasEnded(stream)).map((stream) => stream.id);
+    sendJson(response, Status.Ok, { running });
+  };
+}
+
+/** `DELETE /v1/streams/:id`. */
+export function cancel(context: EngineContext, streamId: string): Route {
+  return ({ response }) => {
+    const life = context.life();
+    const stream = life.streams.get(streamId);
+    if (stream === undefined) {
+      sendStreamUnknown(response, streamId);
+      return;
+    }
+    removeWork(life.batch, streamId);
+    life.streams.delete(streamId);
+    for (const reader of stream.readers) reader.response.destroy();
+    sendJson(response, Status.Ok, { cancelled: true });
+  };
+}
+
+function sendStreamUnknown(response: ServerResponse, streamId: string): void {
+  const message = 'no such stream';
+  sendError(response, Status.NotFound, { code: 'stream_unknown', message, stream_id: streamId });
+}
