Gate on memory, count what caches save, warm the planner up

Cause: writers short of memory kept answers waiting; a cold start looked like a shift; the lost cache of a reader was a constant; the bound's prices were coarse and slow. Fleets of 8 start with 3 readers now.

--- a/benchmark/src/policy/bound-prices.ts
+++ b/benchmark/src/policy/bound-prices.ts
@@ -10,6 +10,9 @@
 
 /** One slot as the search sees it. */
 export interface SlotBound {
+  readonly ordersPossible: boolean;
+  /** Requests that arrive. */
+  readonly offered: number;
   /** Engine time in the slot, less what is away by faults. */
   readonly engineMs: number;
   /** Time of one reader that can serve the slot's arrivals: the slot and the goal after it. */
@@ -21,13 +24,13 @@
   readonly servedAtMost: (readMs: number, writeMs: number) => number;
 }
 
-/** Prices of writer time, over one request per mean work: finely about 1, coarsely beyond. */
-const WRITE_PRICES = [
-  0, 0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1, 1.15, 1.3, 1.5, 1.8, 2.2, 3, 5,
+/** Price of a request of mean cost: finely about 1, where the bound is tight, coarsely beyond. */
+const MEAN_PRICES = [
+  0, 0.2, 0.4, 0.55, 0.65, 0.72, 0.78, 0.84, 0.9, 0.95, 1, 1.05, 1.1, 1.2, 1.35, 1.6, 2, 2.8, 4,
 ];
 
-/** Prices of reader time, over that of writer time. */
-const READ_RATIOS = [0, 0.25, 0.5, 0.75, 1, 1.25, 1.5, 1.8, 2.5, 4, 8];
+/** Prices of reader time, over that of writer time; beyond the lent price lending is cheaper. */
+const READ_RATIOS = [0, 0.3, 0.6, 0.9, 1.1, 1.35, 1.6, 1.85, 2.05, 2.2, 2.3, 2.5, 3.5, 6];
 
 /** Makes the slots of a trace. */
 export function slotBounds(
@@ -44,6 +47,10 @@
     writeMs: work.writeMs,
   }));
   return bySlot.map((slot, index) => ({
+    ordersPossible: !trace.outages.some(
+      (outage) => outage.fromMs <= index * slotMs && outage.toMs >= (index + 1) * slotMs,
+    ),
+    offered: slot.length,
     engineMs: engineTime(trace, index * slotMs, (index + 1) * slotMs),
     readSpanMs: slotMs + FIRST_TOKEN_GOAL_MS,
     offeredWriteMs: slot.reduce((sum, work) => sum + work.writeMs, 0),
@@ -85,11 +92,11 @@
 }
 
 function pricedBound(slot: readonly RequestWork[]): SlotBound['servedAtMost'] {
-  const meanMs = slot.reduce((sum, work) => sum + work.writeMs, 0) / Math.max(1, slot.length);
   const sums: PricedSum[] = [];
-  for (const price of WRITE_PRICES) {
-    const write = price / Math.max(1, meanMs);
-    for (const ratio of READ_RATIOS) {
+  for (const ratio of READ_RATIOS) {
+    const meanMs = meanCost(slot, ratio);
+    for (const price of MEAN_PRICES) {
+      const write = price / meanMs;
       const read = write * ratio;
       sums.push({ read, write, profit: profitOf(slot, read, write) });
     }
@@ -105,6 +112,12 @@
   };
 }
 
+function meanCost(slot: readonly RequestWork[], ratio: number): number {
+  let sum = 0;
+  for (const work of slot) sum += work.writeMs + Math.min(ratio * work.readMs, work.lentMs);
+  return Math.max(1, sum / Math.max(1, slot.length));
+}
+
 /** Prices that count reader time alone bind where nothing can be lent. */
 function readOnlySums(slot: readonly RequestWork[]): readonly PricedSum[] {
   const meanMs = slot.reduce((sum, work) => sum + work.readMs, 0) / Math.max(1, slot.length);
--- a/benchmark/src/policy/bound-work.ts
+++ b/benchmark/src/policy/bound-work.ts
@@ -32,10 +32,7 @@
   const seen = new Set<string>();
   const { roles, perSequenceMs, perContextTokenMs } = DEFAULT_ENGINE_PROFILE;
   const writer = roles[EngineRole.Decode];
-  const lentPerToken = Math.min(
-    writer.prefillMsPerToken,
-    roles[EngineRole.Mixed].prefillMsPerToken,
-  );
+  const lentPerToken = Math.min(...[EngineRole.Decode, EngineRole.Mixed].map(leastLentMs));
   const efficiency = 1 - writer.stepBaseMs / LONGEST_GOOD_STEP_MS;
   return trace.requests.map((request) => {
     const news = request.blocks.filter((block) => !seen.has(block));
@@ -57,6 +54,16 @@
   });
 }
 
+/**
+ * Least writer time of a lent prompt token. A good step is base + writing + chunk, at most the goal;
+ * with writing counted at 1 / efficiency, what is left for the chunk is at least chunk / efficiency.
+ * In a slow step, where writing counts once, base is more than the difference as well.
+ */
+function leastLentMs(role: EngineRole): number {
+  const figures = DEFAULT_ENGINE_PROFILE.roles[role];
+  return figures.prefillMsPerToken / (1 - figures.stepBaseMs / LONGEST_GOOD_STEP_MS);
+}
+
 /** Whether a prompt can be read on a writer within the goal, in chunks beside its fixed time. */
 function canBeLent(tokens: number): boolean {
   const fits = [EngineRole.Decode, EngineRole.Mixed].map((role) => {
--- a/benchmark/src/policy/bound.ts
+++ b/benchmark/src/policy/bound.ts
@@ -102,8 +102,10 @@
   const best = new Float64Array(before.length).fill(Number.NEGATIVE_INFINITY);
   const from = new Int32Array(before.length).fill(-1);
   for (let point = 0; point < grid.length; point += 1) {
-    const last = Math.min(grid.length - 1, point + MAX_STEPS);
-    for (let next = Math.max(0, point - MAX_STEPS); next <= last; next += 1) {
+    // During an outage of the key-value service nobody can order a change.
+    const steps = slot.ordersPossible ? MAX_STEPS : 0;
+    const last = Math.min(grid.length - 1, point + steps);
+    for (let next = Math.max(0, point - steps); next <= last; next += 1) {
       const gains = gainsByBacklog(search, slot, point, next);
       if (gains !== null) extend(search, before, { best, from }, point, next, gains, slot);
     }
@@ -165,13 +167,17 @@
   const changes =
     point === next ? 0 : Math.abs((search.grid[next] ?? 0) - (search.grid[point] ?? 0));
   for (let rise = least; rise <= most; rise += 1) {
-    let served = 0;
-    for (const capacity of capacities) {
+    let served = values[rise - least - 1] ?? 0;
+    // More capacity never serves less, so that nothing is left to gain once all are served.
+    for (const capacity of served >= slot.offered ? [] : capacities) {
       // One step more than the rise: both backlogs are rounded to steps.
       const writeMs = capacity.writeMs + (rise + 1) * backlogStepMs;
       served = Math.max(served, slot.servedAtMost(capacity.readMs, writeMs));
     }
-    values[rise - least] = served - changes * TIE_BREAK_REQUESTS;
+    values[rise - least] = served;
+  }
+  for (let at = 0; at < values.length; at += 1) {
+    values[at] = (values[at] ?? 0) - changes * TIE_BREAK_REQUESTS;
   }
   return { values, least };
 }
--- a/benchmark/src/policy/policies.ts
+++ b/benchmark/src/policy/policies.ts
@@ -86,6 +86,7 @@
     predictedFirstTokenMs: 0,
     predictedReadMs: 0,
     predictedStepMs: 0,
+    memoryShort: false,
     prefillTokens: request.promptTokens,
     expectedOutputTokens: 0,
   };
--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -5,7 +5,6 @@
 import {
   expectedOutputTokens,
   excludedNone,
-  knownBlocks,
   mayStart,
   noteArrival,
   noteDispatch,
@@ -33,7 +32,6 @@
 import { schedule } from '../fake-engine/virtual-clock.js';
 import { HOP_MS } from './fleet.js';
 import type { Fleet } from './fleet.js';
-import { BLOCK_TOKENS } from './generate.js';
 import { liveRequest } from './live-request.js';
 import type { LiveRequest } from './live-request.js';
 import type { Entry } from './policy.js';
@@ -88,11 +86,10 @@
 
 function meterArrival(fleet: Fleet, entry: Entry, request: LiveRequest): void {
   const { trace } = request;
-  const known = knownBlocks(entry.router.prefixes, trace.blocks) * BLOCK_TOKENS;
   const before = { prefillMs: entry.meter.prefillMs, decodeMs: entry.meter.decodeMs };
   noteArrival(entry.meter, {
     promptTokens: trace.promptTokens,
-    prefillTokens: trace.promptTokens - known,
+    prefillTokens: trace.promptTokens * entry.router.unreadShare,
     expectedOutputTokens: expectedLength(entry, request),
   });
   const point = fleet.statistics.timeline[Math.floor(trace.atMs / POINT_MS)];
--- a/benchmark/src/policy/traces.ts
+++ b/benchmark/src/policy/traces.ts
@@ -49,7 +49,7 @@
     service: plan.service ?? 'inspect-llm',
     engines,
     entries,
-    initialReaders: plan.initialReaders ?? Math.round(engines * USUAL_SHARE),
+    initialReaders: plan.initialReaders ?? Math.ceil(engines * USUAL_SHARE),
     durationMs,
     requests,
     faults: plan.faults ?? [],
--- a/packages/coordination/src/core/admission/start-rule.ts
+++ b/packages/coordination/src/core/admission/start-rule.ts
@@ -28,6 +28,7 @@
     plan.predictedReadMs * LONG_PROMPT_SLACK,
   );
   if (waitedMs + plan.predictedFirstTokenMs > allowedMs) return false;
+  if (plan.memoryShort) return false;
   return plan.predictedStepMs <= rule.interTokenGoalMs * rule.stepSlack;
 }
 
--- a/packages/coordination/src/core/roles/change-cost.ts
+++ b/packages/coordination/src/core/roles/change-cost.ts
@@ -13,8 +13,8 @@
 /** How long a reader takes to finish what it reads. */
 const READER_DRAIN_MS = 500;
 
-/** Part of the demand that one engine's lost cache adds while it refills, in engine seconds. */
-const LOST_CACHE_ENGINE_S = 2;
+/** How long a lost prefix cache is felt: popular prefixes are back after a few seconds. */
+const CACHE_REFILL_S = 5;
 
 /** Requests lost to a change from one split to another, under that demand. */
 export function changeCostRequests(
@@ -38,6 +38,8 @@
   // A draining engine still finishes what it has: it is away half of the drain.
   const awayS = (profile.roleChangeMs + drainMs / 2) / 1000;
   const total = from.readers + from.writers;
-  const cacheS = (LOST_CACHE_ENGINE_S * engines) / total;
+  const holders = Math.max(1, moreReaders > 0 ? from.writers : from.readers);
+  const lostEngines = moreReaders > 0 ? 0 : (demand.savedEngines * engines) / holders;
+  const cacheS = (lostEngines * CACHE_REFILL_S) / total;
   return (lostShare * awayS + cacheS) * demand.requestsPerS;
 }
--- a/packages/coordination/src/core/roles/demand.ts
+++ b/packages/coordination/src/core/roles/demand.ts
@@ -15,6 +15,8 @@
   readonly spanMs: number;
   readonly requests: number;
   readonly prefillMs: number;
+  /** What the prefix caches saved of it. */
+  readonly savedMs: number;
   readonly decodeMs: number;
 }
 
@@ -27,6 +29,7 @@
   sinceMs: number;
   requests: number;
   prefillMs: number;
+  savedMs: number;
   decodeMs: number;
 }
 
@@ -45,6 +48,7 @@
     sinceMs: nowMs,
     requests: 0,
     prefillMs: 0,
+    savedMs: 0,
     decodeMs: 0,
   };
 }
@@ -79,8 +83,9 @@
   },
 ): void {
   meter.requests += 1;
-  meter.prefillMs +=
-    arrival.prefillTokens * meter.profile.roles[EngineRole.Prefill].prefillMsPerToken;
+  const perTokenMs = meter.profile.roles[EngineRole.Prefill].prefillMsPerToken;
+  meter.prefillMs += arrival.prefillTokens * perTokenMs;
+  meter.savedMs += (arrival.promptTokens - arrival.prefillTokens) * perTokenMs;
   meter.decodeMs += decodeWorkMs(
     meter.profile,
     meter.interTokenGoalMs,
@@ -99,11 +104,13 @@
     spanMs: nowMs - meter.sinceMs,
     requests: meter.requests,
     prefillMs: meter.prefillMs,
+    savedMs: meter.savedMs,
     decodeMs: meter.decodeMs,
   };
   meter.sinceMs = nowMs;
   meter.requests = 0;
   meter.prefillMs = 0;
+  meter.savedMs = 0;
   meter.decodeMs = 0;
   return report;
 }
@@ -113,5 +120,7 @@
   readonly atMs: number;
   readonly requestsPerS: number;
   readonly prefillEngines: number;
+  /** Readers that the prefix caches save. */
+  readonly savedEngines: number;
   readonly decodeEngines: number;
 }
--- a/packages/coordination/src/core/roles/planner.ts
+++ b/packages/coordination/src/core/roles/planner.ts
@@ -40,7 +40,7 @@
 export const DEFAULT_PLANNER_OPTIONS = {
   horizonMs: 60_000,
   halfLifeMs: 12_000,
-  margin: 1.5,
+  margin: 2,
   minGainShare: 0.01,
   maxReportAgeMs: 10_000,
   maxChangingShare: 0.13,
@@ -107,7 +107,7 @@
 const MIN_TRUSTED_SHARE = 0.7;
 
 /** Samples before the first decision. */
-const MIN_SAMPLES = 5;
+const MIN_SAMPLES = 15;
 
 /** Weighs the roles. Call it about once a second. */
 export function planRoles(planner: RolePlanner, view: PlannerView, nowMs: number): RolePlan {
@@ -137,11 +137,12 @@
   entriesAlive: number,
   nowMs: number,
 ): DemandSample {
-  const sum = { requestsPerS: 0, prefillEngines: 0, decodeEngines: 0 };
+  const sum = { requestsPerS: 0, prefillEngines: 0, savedEngines: 0, decodeEngines: 0 };
   for (const report of reports) {
     if (report.spanMs <= 0) continue;
     sum.requestsPerS += (report.requests * 1000) / report.spanMs;
     sum.prefillEngines += report.prefillMs / report.spanMs;
+    sum.savedEngines += report.savedMs / report.spanMs;
     sum.decodeEngines += report.decodeMs / report.spanMs;
   }
   // The balancer spreads callers evenly, so that a missing entry saw what the others did.
@@ -150,6 +151,7 @@
     atMs: nowMs,
     requestsPerS: sum.requestsPerS * missing,
     prefillEngines: sum.prefillEngines * missing,
+    savedEngines: sum.savedEngines * missing,
     decodeEngines: sum.decodeEngines * missing,
   };
 }
@@ -244,12 +246,13 @@
   weightOfSample: (sample: DemandSample) => number,
   nowMs: number,
 ): DemandSample {
-  const mean = { requestsPerS: 0, prefillEngines: 0, decodeEngines: 0 };
+  const mean = { requestsPerS: 0, prefillEngines: 0, savedEngines: 0, decodeEngines: 0 };
   let weights = 0;
   for (const sample of samples) {
     const weight = weightOfSample(sample);
     mean.requestsPerS += sample.requestsPerS * weight;
     mean.prefillEngines += sample.prefillEngines * weight;
+    mean.savedEngines += sample.savedEngines * weight;
     mean.decodeEngines += sample.decodeEngines * weight;
     weights += weight;
   }
@@ -257,6 +260,7 @@
     atMs: nowMs,
     requestsPerS: mean.requestsPerS / weights,
     prefillEngines: mean.prefillEngines / weights,
+    savedEngines: mean.savedEngines / weights,
     decodeEngines: mean.decodeEngines / weights,
   };
 }
--- a/packages/coordination/src/core/routing/prefix-index.ts
+++ b/packages/coordination/src/core/routing/prefix-index.ts
@@ -123,9 +123,3 @@
   }
   return [];
 }
-
-/** Number of leading blocks that some target is known to hold. */
-export function knownBlocks(index: PrefixIndex, blocks: readonly string[]): number {
-  const at = blocks.findIndex((block) => (index.blocks.peek(block)?.length ?? 0) === 0);
-  return at < 0 ? blocks.length : at;
-}
--- a/packages/coordination/src/core/routing/route.ts
+++ b/packages/coordination/src/core/routing/route.ts
@@ -47,6 +47,8 @@
   /** Time that the reader works on the prompt, without the wait. */
   readonly predictedReadMs: number;
   readonly predictedStepMs: number;
+  /** The writer's memory will probably not hold the answer. */
+  readonly memoryShort: boolean;
   /** Prompt tokens that the reader has to compute. */
   readonly prefillTokens: number;
   readonly expectedOutputTokens: number;
@@ -86,6 +88,7 @@
 
 interface WriterCost {
   readonly view: TargetView;
+  readonly memoryShort: boolean;
   readonly load: LoadEstimate;
   readonly costMs: number;
   readonly stepMs: number;
@@ -138,6 +141,7 @@
     predictedFirstTokenMs: reader.firstTokenMs,
     predictedReadMs: reader.readMs,
     predictedStepMs: writer.stepMs,
+    memoryShort: writer.memoryShort,
     prefillTokens: reader.prefillTokens,
     expectedOutputTokens: outputTokens,
   };
@@ -196,9 +200,9 @@
   const kvTokens = load.kvUsedTokens + growthTokens + request.promptTokens + outputTokens;
   const short = kvTokens > load.kvCapacityTokens * KV_PLANNED_SHARE;
   const full = load.runningRequests >= profile.roles[view.role].maxBatch;
-  const costMs =
-    stepMs * STEP_PRICE + slowMs * SLOW_STEP_PRICE + (short || full ? KV_SHORT_COST : 0);
-  return { view, load, costMs, stepMs };
+  const memoryShort = short || full;
+  const costMs = stepMs * STEP_PRICE + slowMs * SLOW_STEP_PRICE + (memoryShort ? KV_SHORT_COST : 0);
+  return { view, load, memoryShort, costMs, stepMs };
 }
 
 function cheapestWhole(
@@ -226,6 +230,9 @@
   return steps * slowMs * SLOW_STEP_PRICE;
 }
 
+/** Weight of the newest dispatch in the share that had to be read: some hundred requests. */
+const UNREAD_WEIGHT = 0.01;
+
 /** Takes in that a request was sent as planned, before reports can show it. */
 export function noteDispatch(
   router: Router,
@@ -233,6 +240,10 @@
   request: RouteRequest,
   nowMs: number,
 ): void {
+  const unread = plan.prefillTokens / request.promptTokens;
+  router.dispatches += 1;
+  const weight = Math.max(UNREAD_WEIGHT, 1 / router.dispatches);
+  router.unreadShare += (unread - router.unreadShare) * weight;
   const reader = router.views.get(plan.reader);
   const writer = router.views.get(plan.writer);
   const contextTokens = request.promptTokens + plan.expectedOutputTokens / 2;
--- a/packages/coordination/src/core/routing/router.ts
+++ b/packages/coordination/src/core/routing/router.ts
@@ -65,6 +65,9 @@
   readonly prefixes: PrefixIndex;
   readonly lengths: OutputLengths;
   nextIndex: number;
+  /** Moving mean of the part of prompt tokens that had to be read; the rest was cached. */
+  unreadShare: number;
+  dispatches: number;
 }
 
 /** Makes a router that knows no targets yet. */
@@ -81,6 +84,8 @@
     prefixes: createPrefixIndex(options.maxPrefixBlocks),
     lengths: createOutputLengths(),
     nextIndex: 0,
+    unreadShare: 1,
+    dispatches: 0,
   };
 }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -14,7 +14,6 @@
 export * from './core/routing/engine-profile.js';
 export * from './core/routing/load-report.js';
 export { expectedOutputTokens } from './core/routing/output-length.js';
-export { knownBlocks } from './core/routing/prefix-index.js';
 export * from './core/routing/route.js';
 export * from './core/routing/router.js';
 export * from './core/admission/admission.js';
