Move running answers off a writer that changes its role

Cause: a writer drained for 45 s and more before it could read, the longest part of a change. Change: its answers move with their KV cache, one after the other; writers bend more sharply in the forecast.

--- a/benchmark/src/fake-engine/fake-engine.ts
+++ b/benchmark/src/fake-engine/fake-engine.ts
@@ -28,6 +28,8 @@
   readonly onRead: (job: FakeJob) => void;
   /** The answer is whole; `slowGaps` of its gaps here were beyond the goal. */
   readonly onDone: (job: FakeJob, slowGaps: number) => void;
+  /** The engine drains and the answer left with its KV cache. */
+  readonly onMoved: (job: FakeJob, slowGaps: number) => void;
   /** The engine crashed or ran out of memory; the job has to start again elsewhere. */
   readonly onLost: (job: FakeJob, slowGaps: number) => void;
 }
@@ -285,6 +287,22 @@
   startStep(engine);
 }
 
+/**
+ * Hands the newest answer of a draining engine out with its KV cache. Gives false when there is
+ * none left to move.
+ */
+export function moveOne(engine: FakeEngine, mayMove: (job: FakeJob) => boolean): boolean {
+  if (!engine.alive) return false;
+  for (const job of engine.running) {
+    if (!mayMove(job)) continue;
+    const slowGaps = slowGapsOf(engine, job);
+    settle(engine, job);
+    job.onMoved(job, slowGaps);
+    return true;
+  }
+  return false;
+}
+
 /** Crashes the engine; all its jobs are lost. It comes back by {@link restart}. */
 export function crash(engine: FakeEngine): void {
   engine.alive = false;
--- a/benchmark/src/policy/policies.ts
+++ b/benchmark/src/policy/policies.ts
@@ -50,6 +50,7 @@
   patienceMs: PATIENCE_MS,
   routerOptions: {},
   makePlanner: ourPlanner,
+  movesAnswers: true,
   initialReaders: null,
 };
 
--- a/benchmark/src/policy/policy.ts
+++ b/benchmark/src/policy/policy.ts
@@ -41,6 +41,8 @@
   readonly routerOptions: Partial<RouterOptions>;
   /** Makes the planner of a run; null leaves the roles alone. */
   readonly makePlanner: ((service: string) => PlanRoles) | null;
+  /** Whether a writer that changes its role hands its running answers over. */
+  readonly movesAnswers: boolean;
   /** Readers at the start; null takes those of the trace. */
   readonly initialReaders: number | null;
 }
--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -9,6 +9,7 @@
   noteArrival,
   noteDispatch,
   noteEnd,
+  noteMove,
   noteLoad,
   offer,
   pump,
@@ -228,6 +229,13 @@
       request.slowGaps += slowGaps;
       end(fleet, entry, request, target, job);
     },
+    onMoved: (job, slowGaps) => {
+      request.slowGaps += slowGaps;
+      request.contextTokens = job.contextTokens;
+      request.leftTokens = job.leftTokens;
+      noteEnd(entry.router, endOf(request, target, false), fleet.clock.nowMs);
+      moveOn(fleet, entry, request);
+    },
     onLost: (job, slowGaps) => {
       request.slowGaps += slowGaps;
       request.contextTokens = job.contextTokens;
@@ -277,6 +285,19 @@
   return fleet.byName.get(decision.writer) ?? refused;
 }
 
+/** A draining writer's answer goes on elsewhere, from its KV cache. */
+function moveOn(fleet: Fleet, entry: Entry, request: LiveRequest): void {
+  const asked = routeRequest(request);
+  const decision = fleet.policy.chooseRoute(entry, asked, fleet.clock.nowMs);
+  if (decision.kind === RouteKind.None) {
+    lose(fleet, entry, request, '');
+    return;
+  }
+  const { writer } = decision;
+  noteMove(entry.router, writer, asked, decision.expectedOutputTokens, fleet.clock.nowMs);
+  handOver(fleet, entry, request, writer);
+}
+
 function lose(fleet: Fleet, entry: Entry, request: LiveRequest, target: string): void {
   fleet.statistics.restarts += 1;
   request.slowGaps += 1;
--- a/benchmark/src/policy/run.ts
+++ b/benchmark/src/policy/run.ts
@@ -1,8 +1,8 @@
 /** Plays one policy on one service's trace and gives its figures. */
-import { EngineRole } from '@cassiamast/coordination';
+import { EngineRole, transferMs } from '@cassiamast/coordination';
 import type { Hash32, PlannerTarget, PlannerView } from '@cassiamast/coordination';
-import { changeRole, crash, isAccepting, restart } from '../fake-engine/fake-engine.js';
-import type { FakeEngine } from '../fake-engine/fake-engine.js';
+import { changeRole, crash, isAccepting, moveOne, restart } from '../fake-engine/fake-engine.js';
+import type { FakeEngine, FakeJob } from '../fake-engine/fake-engine.js';
 import { runUntil, schedule } from '../fake-engine/virtual-clock.js';
 import { announceEngine, announceTargets, createFleet, startReports } from './fleet.js';
 import type { Fleet } from './fleet.js';
@@ -120,6 +120,29 @@
     announceEngine(fleet, engine, () => undefined);
   });
   announceEngine(fleet, engine, () => undefined);
+  if (fleet.policy.movesAnswers && role === EngineRole.Prefill) moveAnswers(fleet, engine);
+}
+
+/** Hands the running answers out one after the other, so that the link is never shared. */
+function moveAnswers(fleet: Fleet, engine: FakeEngine): void {
+  const move = (): void => {
+    if (engine.changingTo === null) return;
+    if (!moveOne(engine, isWorthMoving)) return;
+    const meanTokens = engine.contextTokens / Math.max(1, engine.running.size);
+    schedule(fleet.clock, fleet.clock.nowMs + transferMs(engine.profile, meanTokens), move);
+  };
+  // Entries hear of the drain first, or they would send new work here while it empties.
+  schedule(fleet.clock, fleet.clock.nowMs + DRAIN_NEWS_MS, move);
+}
+
+/** Time in which entries hear that a target drains. */
+const DRAIN_NEWS_MS = 500;
+
+/** An answer that ends within this many tokens ends here sooner than the drain is over. */
+const WORTH_MOVING_TOKENS = 30;
+
+function isWorthMoving(job: FakeJob): boolean {
+  return job.leftTokens > WORTH_MOVING_TOKENS;
 }
 
 function plannerView(fleet: Fleet): PlannerView {
--- a/packages/coordination/src/core/roles/capacity.ts
+++ b/packages/coordination/src/core/roles/capacity.ts
@@ -27,7 +27,7 @@
 const READER_SHARPNESS = 8;
 
 /** How sharply writers bend: steps only become longer until they are at the goal. */
-const WRITER_SHARPNESS = 16;
+const WRITER_SHARPNESS = 32;
 
 /** Price of a use without slack: breaks ties towards the split that is ready for more. */
 const SLACK_PRICE = 0.004;
--- a/packages/coordination/src/core/routing/route.ts
+++ b/packages/coordination/src/core/routing/route.ts
@@ -262,5 +262,19 @@
   }
 }
 
+/** Takes in that a running answer moves to another writer with its KV cache. */
+export function noteMove(
+  router: Router,
+  writer: string,
+  request: RouteRequest,
+  expectedOutputTokens: number,
+  nowMs: number,
+): void {
+  const view = router.views.get(writer);
+  if (view === undefined) return;
+  const contextTokens = request.promptTokens + expectedOutputTokens / 2;
+  noteOwnDispatch(view, { atMs: nowMs, prefillTokens: 0, contextTokens });
+}
+
 /** Nothing excluded. */
 export const excludedNone: ReadonlySet<string> = new Set();
