--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -5,11 +5,11 @@
 import {
   expectedOutputTokens,
   excludedNone,
-  knownBlocks,
   mayStart,
   noteArrival,
   noteDispatch,
   noteEnd,
+  noteMove,
   noteLoad,
   offer,
   pump,
@@ -33,7 +33,6 @@
 import { schedule } from '../fake-engine/virtual-clock.js';
 import { HOP_MS } from './fleet.js';
 import type { Fleet } from './fleet.js';
-import { BLOCK_TOKENS } from './generate.js';
 import { liveRequest } from './live-request.js';
 import type { LiveRequest } from './live-request.js';
 import type { Entry } from './policy.js';
@@ -88,11 +87,10 @@
 
 function meterArrival(fleet: Fleet, entry: Entry, request: LiveRequest): void {
   const { trace } = request;
-  const known = knownBlocks(entry.router.prefixes, trace.blocks) * BLOCK_TOKENS;
   const before = { prefillMs: entry.meter.prefillMs, decodeMs: entry.meter.decodeMs };
   noteArrival(entry.meter, {
     promptTokens: trace.promptTokens,
-    prefillTokens: trace.promptTokens - known,
+    prefillTokens: trace.promptTokens * entry.router.unreadShare,
     expectedOutputTokens: expectedLength(entry, request),
   });
   const point = fleet.statistics.timeline[Math.floor(trace.atMs / POINT_MS)];
@@ -231,6 +229,13 @@
       request.slowGaps += slowGaps;
       end(fleet, entry, request, target, job);
     },
+    onMoved: (job, slowGaps) => {
+      request.slowGaps += slowGaps;
+      request.contextTokens = job.contextTokens;
+      request.leftTokens = job.leftTokens;
+      noteEnd(entry.router, endOf(request, target, false), fleet.clock.nowMs);
+      moveOn(fleet, entry, request);
+    },
     onLost: (job, slowGaps) => {
       request.slowGaps += slowGaps;
       request.contextTokens = job.contextTokens;
@@ -280,6 +285,19 @@
   return fleet.byName.get(decision.writer) ?? refused;
 }
 
+/** A draining writer's answer goes on elsewhere, from its KV cache. */
+function moveOn(fleet: Fleet, entry: Entry, request: LiveRequest): void {
+  const asked = routeRequest(request);
+  const decision = fleet.policy.chooseRoute(entry, asked, fleet.clock.nowMs);
+  if (decision.kind === RouteKind.None) {
+    lose(fleet, entry, request, '');
+    return;
+  }
+  const { writer } = decision;
+  noteMove(entry.router, writer, asked, decision.expectedOutputTokens, fleet.clock.nowMs);
+  handOver(fleet, entry, request, writer);
+}
+
 function lose(fleet: Fleet, entry: Entry, request: LiveRequest, target: string): void {
   fleet.statistics.restarts += 1;
   request.slowGaps += 1;
