--- a/packages/promises/test/steps/filings.ts
+++ b/packages/promises/test/steps/filings.ts
@@ -28,6 +28,13 @@
   },
 );
 
+When(
+  'a developer sends a filing without a key through entry {int}',
+  async function (this: Scenario, entry: number) {
+    this.receipts.push(await sendFiling(fleet().url(entry), this.filing, false));
+  },
+);
+
 When(
   'the developer sends the filing again through entry {int}',
   async function (this: Scenario, entry: number) {
