--- a/packages/coordination/src/core/membership/probing.ts
+++ b/packages/coordination/src/core/membership/probing.ts
@@ -9,20 +9,30 @@
 import { MembershipEffectKind } from './effects.js';
 import type { MemberNews } from './messages.js';
 import { MembershipMethod } from './messages.js';
-import { takeNews } from './news-queue.js';
+import { newsCount, takeNews } from './news-queue.js';
 import type { MembershipState, PendingProbe } from './state.js';
 import { Spread, applyNews, findMember, pickPeer, replaceMember } from './view.js';
 
-/** Most that a member's own bad health stretches its timeouts. */
-const MAX_HEALTH_PENALTY = 8;
+/** A member's own bad health stretches its timeouts and its probes at most this many times more. */
+const MAX_HEALTH_PENALTY = 2;
+
+/** Weight of the latest probe in the share that was answered: six failures in a row make it half. */
+const ANSWERED_WEIGHT = 1 / 8;
 
 /** Relayed probes at a time; more are refused by silence, and the requester asks others as well. */
 const MAX_RELAYED_PROBES = 64;
 
-/** How often each piece of news is sent by each member at the present size. */
+/** With more pieces than this waiting, each is sent less often so that all get their first turn. */
+const LONG_QUEUE = 64;
+
+/**
+ * How often each piece of news is sent by each member at the present size; a third of that while a
+ * failure domain's worth of news waits, as what is missed then is repaired by comparing views.
+ */
 export function sendLimit(state: MembershipState): number {
   const members = state.records.size + 1;
-  return state.options.retransmitFactor * Math.ceil(Math.log(members + 1));
+  const limit = state.options.retransmitFactor * Math.ceil(Math.log(members + 1));
+  return newsCount(state.news) > LONG_QUEUE ? Math.ceil(limit / 3) : limit;
 }
 
 /** The news for one message. What is believed of the receiver goes first, so that it can contradict. */
@@ -92,12 +102,25 @@
     startedAtMs: context.nowMs,
     indirectAtMs: context.nowMs + state.options.probeTimeoutMs * stretch,
     endsAtMs: context.nowMs + state.options.probeIntervalMs * stretch,
-    helpersAsked: 0,
     nacks: 0,
   };
   return [ping(state, target, state.sequence, context)];
 }
 
+function noteOutcome(state: MembershipState, answered: number): void {
+  state.answeredRatio += (answered - state.answeredRatio) * ANSWERED_WEIGHT;
+}
+
+/**
+ * Share of this member's recent probes that were answered. Probes go to all members in turn, so it
+ * estimates within half a minute what share of the fleet can be reached, at any size. The beliefs
+ * cannot: a member that is cut off, alone or with few others, would need as many probes as there are
+ * members to doubt half of them.
+ */
+export function answeredRatio(state: MembershipState): number {
+  return state.answeredRatio;
+}
+
 function askHelpers(
   state: MembershipState,
   probe: PendingProbe,
@@ -109,7 +132,6 @@
     const to = pickPeer(state, [probe.target, ...asked], context);
     if (to !== null) asked.push(to);
   }
-  probe.helpersAsked = asked.length;
   const { sequence, target } = probe;
   const message = { method: MembershipMethod.Probe, sequence, target } as const;
   return asked.map((to) => ({ kind: MembershipEffectKind.SendDatagram, to, message }));
@@ -128,10 +150,10 @@
   context: MembershipContext,
 ): MembershipEffect[] {
   state.healthPenalty = Math.min(MAX_HEALTH_PENALTY, state.healthPenalty + 1);
+  noteOutcome(state, 0);
   const record = state.records.get(probe.target);
   if (record === undefined) return [];
-  const heardSomebody = state.lastHeardMs > probe.startedAtMs;
-  const connected = probe.helpersAsked > 0 ? probe.nacks > 0 : heardSomebody;
+  const connected = probe.nacks > 0;
   const { id, incarnation } = record.member;
   if (!connected && state.options.guards.silenceIsOwnFault) {
     return suspectInSilence(state, id, context);
@@ -193,6 +215,7 @@
 ): MembershipEffect[] {
   state.probe = null;
   state.healthPenalty = Math.max(0, state.healthPenalty - 1);
+  noteOutcome(state, 1);
   return endSilence(state, context);
 }
 
--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -3,6 +3,7 @@
  * (place, session, claim, note), dispatching it, attaching to one that runs, and its end.
  */
 import { EventKind } from '../events/event.js';
+import { CONVICTING_CRASHES } from '../poison/ledger.js';
 import { RunState } from '../model/outcome.js';
 import { backOffMs } from '../retries/retries.js';
 import { closeStream, deliverAnswer, forgetUntold } from './drive-delivery.js';
@@ -33,7 +34,7 @@
 /**
  * Guards a call that may not be repeated. Failure: its target dies and the entry tries another; it
  * shows as a receipt issued twice. The guard holds because an attempt that may have run is never
- * followed by another one.
+ * followed by another one, and its claim is not replaced.
  */
 export function mayRunAgain(repeatable: boolean, mayHaveRun: boolean): boolean {
   return repeatable || !mayHaveRun;
@@ -61,8 +62,10 @@
   if (!context.options.mayRunAgain(repeatable, mayHaveRun)) {
     return refuse(turn, OUTCOME_UNKNOWN.of({ service }), context.options.retryAfterMs);
   }
-  const crashes = drive.known.crashedAttemptIds.length;
-  if (crashes >= context.options.convictingCrashes) return convict(turn, crashes);
+  const { crashedAttemptIds } = drive.known;
+  if (context.options.isConvicted({ crashedAttemptIds, lostAttemptIds: [] })) {
+    return convict(turn, crashedAttemptIds.length);
+  }
   if (remainingMs(turn) === 0) {
     return refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
   }
@@ -87,6 +90,7 @@
 /** Waits before the next attempt is prepared. */
 export function backOff(turn: Turn, afterMs: number): void {
   turn.drive.phase = DrivePhase.BackingOff;
+  turn.drive.round = null;
   setTimer(turn, DriveTimer.BackOff, afterMs);
 }
 
@@ -96,9 +100,11 @@
  */
 export function prepare(turn: Turn): void {
   const { drive, context } = turn;
+  const current = currentAttempt(drive.known);
+  if (current !== null && !drive.over.has(current.id)) return decide(turn);
   const suspicion = context.suspicion();
   if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
-  if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
+  if (suspicion === Suspicion.Convicted) return convict(turn, CONVICTING_CRASHES);
   drive.round = null;
   drive.askId = nextId(drive);
   if (needsLoneRun(turn)) {
@@ -153,12 +159,12 @@
 
 /** The session is there: claims the call where it may not be repeated, else notes the attempt. */
 export function takeSession(turn: Turn, sessionId: string, sequence: number): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
   if (drive.attempt === null) return;
   drive.attempt = { ...drive.attempt, sessionId, sequence };
   if (drive.attempt.alone && !isGivenBy(drive.loneIncarnation, sessionId)) {
     settleLoneRun(turn, drive.attempt, LoneRunEnd.Aborted);
-    backOff(turn, turn.context.options.reattachAfterMs);
+    backOff(turn, context.options.reattachAfterMs);
     return;
   }
   if (drive.request.repeatable) {
@@ -167,7 +173,10 @@
   }
   drive.phase = DrivePhase.Claiming;
   const { askId, attempt } = drive;
-  const replacesId = currentAttempt(drive.known)?.id ?? null;
+  const current = currentAttempt(drive.known);
+  const mayReplace =
+    current !== null && context.options.mayRunAgain(false, !drive.neverRan.has(current.id));
+  const replacesId = mayReplace ? current.id : null;
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
@@ -199,10 +208,11 @@
   if (drive.attempt === null) return;
   if (context.suspicion() === Suspicion.Convicted) {
     abandonPrepared(turn);
-    return convict(turn, context.options.convictingCrashes);
+    return convict(turn, CONVICTING_CRASHES);
   }
   drive.round = null;
   const { attempt, known } = drive;
+  drive.textAttemptId = attempt.id;
   openConnection(turn);
   turn.out.push({
     kind: DriveEffectKind.Dispatch,
@@ -220,7 +230,10 @@
   });
 }
 
-/** Joins an attempt that runs; another text than the present one is read from its beginning. */
+/**
+ * Joins an attempt that runs. Unless the present text is known to be the beginning of the attempt's,
+ * it is read from its first token and compared: reading on from the middle would splice two texts.
+ */
 export function attachTo(turn: Turn, attempt: Attempt): void {
   const { drive } = turn;
   if (drive.attempt?.id !== attempt.id) {
@@ -230,7 +243,7 @@
       target: attempt.target,
     });
   }
-  const fromIndex = drive.attempt?.id === attempt.id ? drive.tokens.length : 0;
+  const fromIndex = drive.textAttemptId === attempt.id ? drive.tokens.length : 0;
   drive.attempt = attempt;
   openConnection(turn);
   const { connectionId, known } = drive;
@@ -313,7 +326,7 @@
   const agreed = context.options.mayTellAnswer(agreeing, context.holders());
   const committed = repliesWith(
     turn,
-    (held) => held.attemptId === answer.attemptId && held.committed,
+    (held) => held.attemptId === answer.attemptId && held.committedForMs !== null,
   );
   if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
     deliverAnswer(turn, answer);
@@ -326,7 +339,7 @@
     drive.pendingRetryAfterMs = context.options.retryAfterMs;
     return tellRefusal(turn, RunState.Ran);
   }
-  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committed: true } };
+  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committedForMs: 0 } };
   beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
 }
 
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -16,6 +16,7 @@
   type TimelineQuery,
   type MemberKind,
   MemberState,
+  answeredRatio,
   type SyncRequest,
   type UnstampedEvent,
   randomBelow,
@@ -162,6 +163,7 @@
       placement.watcherOf(CONFIGURATION_WATCH, settings.failureDomain) === context.memberId,
     pickPeer: () => pickPeer(membership, random),
     sees: (memberId) => isReachable(membership.find(memberId)),
+    answeredRatio: () => answeredRatio(membership.state),
     onInForce: (inForce) => {
       answerRetentionMs = inForce.compiled.limits.answerRetentionMs;
       inForceSinceWallMs = clocks.wallMs();
