--- a/benchmark/src/control/command.ts
+++ b/benchmark/src/control/command.ts
@@ -1,7 +1,8 @@
-/** `npm run bench -- control --pure`: prints a table for people and one JSON line for programs. */
+/** `npm run bench -- control [--pure]`: real processes, or the pure parts in one process; prints a table for people and one JSON line for programs. */
 import { parseArgs } from 'node:util';
 import { createHashing } from '@cassiamast/coordination';
 import type { PureResult } from './pure.js';
+import { runReal } from './real/command.js';
 import { measurePure } from './pure.js';
 
 /** Small, in between, and the whole target: 410 entries and 730 sidecars. */
@@ -55,12 +56,11 @@
       sizes: { type: 'string', default: DEFAULT_SIZES },
       loss: { type: 'string', default: DEFAULT_LOSS_RATIO },
       seed: { type: 'string', default: '1' },
+      'quiet-s': { type: 'string', default: '20' },
+      'base-port': { type: 'string', default: '33000' },
     },
   });
-  if (!values.pure) {
-    process.stderr.write('Only --pure is measured by this command so far.\n');
-    return 2;
-  }
+  if (!values.pure) return runReal(Number(values['quiet-s']), Number(values['base-port']));
   const hashing = await createHashing();
   const sizes = values.sizes.split(',').map(Number);
   const results = sizes.map((size) =>
--- a/benchmark/src/main.ts
+++ b/benchmark/src/main.ts
@@ -18,7 +18,7 @@
   path     what the way through entry and sidecar costs, against calling the engine directly
            [--seconds N] [--base-port N] [--profile]
   control  what membership and configuration cost per member, by size of the fleet
-           --pure [--sizes 14,140,1140] [--loss RATIO] [--seed N]
+           [--pure] [--quiet-s N] [--base-port N] [--sizes 14,140,1140] [--loss RATIO] [--seed N]
   check    the exact figures of the virtual clock against benchmark/bounds.yaml
 `;
 
--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -32,7 +32,6 @@
   excludedTargets,
   expectedOutputTokens,
   type Hash32,
-  knownBlocks,
   mayStart,
   noteAnswer,
   noteArrival,
@@ -182,11 +181,9 @@
       question.workspace,
       question.maxOutputTokens,
     );
-    const knownTokens =
-      knownBlocks(router.prefixes, request.prefixBlocks) * router.options.blockTokens;
     noteArrival(meter, {
       promptTokens: request.promptTokens,
-      prefillTokens: Math.max(0, request.promptTokens - knownTokens),
+      prefillTokens: request.promptTokens * router.unreadShare,
       expectedOutputTokens: outputTokens,
     });
     if (router.live.length === 0) {
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,9 @@
 /**
- * Starting a daemon within another program, as tests and features do. In production `main.ts` is the
- * program.
+ * What other programs of this repository use of the daemon: starting one within a program, as tests
+ * and features do, and calling a member. In production `main.ts` is the program.
  */
+export { type CallOptions, type RpcClient, createRpcClient } from './node/rpc-client.js';
+export { type MemberProof, createMemberProof } from './node/secret.js';
+export { RpcMethod } from './protocol/methods.js';
 export type { EntrySettings, LoadedSettings, SidecarSettings } from './settings/settings.js';
-export { startProcess, type RunningProcess } from './wiring/start-process.js';
+export { type RunningProcess, startProcess } from './wiring/start-process.js';
--- a/packages/daemon/src/node/holder-driver.ts
+++ b/packages/daemon/src/node/holder-driver.ts
@@ -75,8 +75,16 @@
     const { keyText } = call.record;
     const reply = await callHolder(to, call);
     reply.map((value) => {
-      const news = { from: to, keyText, reply: value };
-      onRepairReply(repair, state, options.selfId, options.holdersOf, news);
+      onRepairReply(repair, state, options.selfId, options.holdersOf, {
+        from: to,
+        keyText,
+        reply: value,
+        options: DEFAULT_REPAIR_OPTIONS,
+        nowMs: options.nowMs(),
+        restore: (record) => {
+          answer({ kind: HolderCallKind.Restore, record });
+        },
+      });
     });
   }
 
@@ -110,7 +118,7 @@
       [HolderCallKind.Read]: handler,
     },
     placementChanged: () => {
-      scheduleRepair(repair, state);
+      scheduleRepair(repair, state, options.nowMs());
     },
     child: createPeriodic('records', () => TICK_MS, tick),
   };
--- a/packages/daemon/src/node/placement-driver.ts
+++ b/packages/daemon/src/node/placement-driver.ts
@@ -10,6 +10,7 @@
   claimAggregatorOf,
   createPlacement,
   holdersOf,
+  holdersWithout,
   watcherOf,
 } from '@cassiamast/coordination';
 
@@ -18,7 +19,8 @@
 
 /** Choices among the present members. */
 export interface PlacementDriver {
-  readonly holdersOf: (keyText: string) => readonly string[];
+  /** As if the members in `without` were not there, where that is given. */
+  readonly holdersOf: (keyText: string, without?: ReadonlySet<string>) => readonly string[];
   readonly aggregatorOf: (keyText: string) => string | null;
   readonly watcherOf: (kind: string, failureDomain: string) => string | null;
   /** To be called when a member came, went or changed. */
@@ -38,7 +40,10 @@
   }
 
   return {
-    holdersOf: (keyText) => holdersOf(current(), keyText),
+    holdersOf: (keyText, without) =>
+      without === undefined
+        ? holdersOf(current(), keyText)
+        : holdersWithout(current(), keyText, without),
     aggregatorOf: (keyText) => claimAggregatorOf(current(), keyText, CLAIM_SHARDS),
     watcherOf: (kind, failureDomain) => watcherOf(current(), kind, failureDomain),
     membersChanged: () => {
--- a/packages/daemon/src/planning/planning.ts
+++ b/packages/daemon/src/planning/planning.ts
@@ -183,7 +183,7 @@
 }
 
 function encodeDemand(service: string, report: DemandReport): readonly unknown[] {
-  const { entry, sequence, spanMs, requests, prefillMs, decodeMs } = report;
+  const { entry, sequence, spanMs, requests, prefillMs, savedMs, decodeMs } = report;
   return [
     service,
     entry,
@@ -191,6 +191,7 @@
     Math.round(spanMs),
     requests,
     Math.round(prefillMs),
+    Math.round(savedMs),
     Math.round(decodeMs),
   ];
 }
@@ -203,7 +204,9 @@
   const [service, entry, ...figures] = params as unknown[];
   if (typeof service !== 'string' || typeof entry !== 'string') return null;
   if (!figures.every((figure): figure is number => typeof figure === 'number')) return null;
-  const [sequence = 0, spanMs = 0, requests = 0, prefillMs = 0, decodeMs = 0] = figures;
-  const report = { entry, atMs: nowMs, sequence, spanMs, requests, prefillMs, decodeMs };
+  const [sequence = 0, spanMs = 0, requests = 0, prefillMs = 0, savedMs = 0] = figures;
+  const decodeMs = figures[5] ?? 0;
+  const work = { prefillMs, savedMs, decodeMs };
+  const report = { entry, atMs: nowMs, sequence, spanMs, requests, ...work };
   return { service, report };
 }
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -171,7 +171,7 @@
       entryId: context.memberId,
       options: { ...DEFAULT_DRIVE_OPTIONS, retry: options },
       budget,
-      holders: () => member.placement.holdersOf(request.keyText),
+      holders: (without) => member.placement.holdersOf(request.keyText, without),
       isLive: member.isLive,
       suspicion: () => member.poison.suspicionOf(request.bodyHash),
       provesAbsence: (absentAt) => keyIsFresh || contacts.provesAbsence(request.keyText, absentAt),
