--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -275,7 +275,8 @@
 
 function onConvicted(turn: Turn): void {
   const { drive } = turn;
-  const { answer, failure } = drive.known;
+  const { answer } = drive.known;
+  const failure = drive.known.failure ?? drive.pendingFailure;
   if (answer !== null) reconcile(turn, answer);
   else if (failure !== null) tellFinalFailure(turn, failure);
 }
