--- a/packages/fuzz/src/worlds/requests/oracle.ts
+++ b/packages/fuzz/src/worlds/requests/oracle.ts
@@ -422,7 +422,7 @@
   for (const attemptId of history.sentOut) history.barred.add(attemptId);
 }
 
-/** Who reads the latest attempt is not cut by an earlier one that comes to its end late. */
+/** Who reads the latest attempt, which came to its end, is not cut by an earlier one's late end. */
 function checkLaterAttemptStands(
   simulation: Simulation,
   connection: CallerConnection,
@@ -434,6 +434,7 @@
   if (history.recordLost || history.lastPartedAtMs > -Infinity) return;
   if (simulation.scheduler.nowMs - simulation.oracle.lastPartedAtMs < JOINED_AFTER_MS) return;
   const latest = history.startedAttempts.at(-1) ?? '';
+  if (simulation.oracle.runs.get(latest)?.isWhole !== true) return;
   const last = connection.reading.tokens.at(-1) ?? '';
   holds(
     !last.startsWith(`${latest}:`),
