--- a/packages/coordination/src/core/placement/placement.ts
+++ b/packages/coordination/src/core/placement/placement.ts
@@ -44,11 +44,29 @@
  * the second best of it; with one member that one alone; with none an empty list.
  */
 export function holdersOf(placement: Placement, key: string): readonly string[] {
+  const { memberHashes, domainNumbers } = placement;
   const keyHash = placement.hash32(key);
-  const first = bestMember(placement, keyHash, () => true);
+  let first = -1;
+  let firstScore = -1;
+  let second = -1;
+  let secondScore = -1;
+  for (let index = 0; index < memberHashes.length; index += 1) {
+    const score = mix((memberHashes[index] ?? 0) ^ keyHash);
+    if (score <= secondScore) continue;
+    const isElsewhere = domainNumbers[index] !== domainNumbers[first];
+    if (score > firstScore) {
+      if (first !== -1 && isElsewhere) {
+        second = first;
+        secondScore = firstScore;
+      }
+      first = index;
+      firstScore = score;
+    } else if (isElsewhere) {
+      second = index;
+      secondScore = score;
+    }
+  }
   if (first === -1) return [];
-  const domain = placement.domainNumbers[first];
-  let second = bestMember(placement, keyHash, (index) => placement.domainNumbers[index] !== domain);
   if (second === -1) second = bestMember(placement, keyHash, (index) => index !== first);
   return [first, second].flatMap((index) => memberIdAt(placement, index));
 }
--- a/packages/fuzz/src/kit/command-line.ts
+++ b/packages/fuzz/src/kit/command-line.ts
@@ -12,6 +12,7 @@
   readonly commands: number;
   readonly mutant: string | null;
   readonly replay: ReplayPoint | null;
+  readonly shrinks: boolean;
   readonly listMutants: boolean;
 }
 
@@ -33,6 +34,7 @@
       commands: { type: 'string', default: DEFAULT_COMMANDS },
       mutant: { type: 'string' },
       replay: { type: 'string' },
+      'no-shrink': { type: 'boolean', default: false },
       'list-mutants': { type: 'boolean', default: false },
     },
   });
@@ -43,6 +45,7 @@
     commands: Number(values.commands),
     mutant: values.mutant ?? null,
     replay: values.replay === undefined ? null : parseReplay(values.replay),
+    shrinks: !values['no-shrink'],
     listMutants: values['list-mutants'],
   };
 }
--- a/packages/fuzz/src/kit/runner.ts
+++ b/packages/fuzz/src/kit/runner.ts
@@ -15,6 +15,8 @@
   readonly mutant: string | null;
   /** Where a found violation lies, to run just that one again. */
   readonly replay: ReplayPoint | null;
+  /** Whether a violation is shrunk; off where only its presence counts. */
+  readonly shrinks: boolean;
 }
 
 /** fast-check's coordinates of one run. */
@@ -79,6 +81,7 @@
   const details = fc.check(property, {
     seed: options.seed,
     numRuns: options.runs,
+    endOnFailure: !options.shrinks,
     ...(options.replay === null ? {} : { path: options.replay.path }),
   });
   const violation = details.failed ? describeViolation(world.name, details) : null;
