--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -16,7 +16,7 @@
   tellFinalFailure,
   tellRefusal,
 } from './drive-refusals.js';
-import { beginRound } from './drive-rounds.js';
+import { beginRound, roundTargets } from './drive-rounds.js';
 import { emit, nextId, remainingMs, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEffectKind } from './drive-messages.js';
@@ -44,17 +44,31 @@
 export function decide(turn: Turn): void {
   const { drive, context } = turn;
   const { answer, failure } = drive.known;
-  if (answer !== null) return reconcile(turn, answer);
-  if (failure !== null) return tellFinalFailure(turn, failure);
   const current = currentAttempt(drive.known);
+  if (answer !== null && answerStands(turn, answer)) return reconcile(turn, answer);
+  if (failure !== null) return tellFinalFailure(turn, failure);
   if (current !== null && !drive.over.has(current.id)) {
     if (context.isLive(current.sidecar)) return attachTo(turn, current);
     drive.over.add(current.id);
     drive.lossCount += 1;
   }
+  if (answer !== null) return reconcile(turn, answer);
   runAgain(turn);
 }
 
+/**
+ * Guards the reader of a later attempt. Failure: an earlier attempt's answer, not committed, is
+ * found at one holder and carried to the others while the later attempt runs; it shows as a caller
+ * that is cut at the end of a whole text. The guard holds because such an answer is left alone as
+ * long as the later attempt may come to its end.
+ */
+function answerStands(turn: Turn, answer: Answer): boolean {
+  const { drive } = turn;
+  const current = currentAttempt(drive.known);
+  if (answer.committedForMs !== null || current === null) return true;
+  return current.number <= answer.attemptNumber || drive.over.has(current.id);
+}
+
 function runAgain(turn: Turn): void {
   const { drive, context } = turn;
   const { service, repeatable } = drive.request;
@@ -273,12 +287,18 @@
   decide(turn);
 }
 
-/** A note was not taken by all holders since another attempt stands there. */
+/**
+ * A note was not taken by all holders since another attempt stands there. Of two attempts that each
+ * have some holder the smaller id wins; replies of members that are holders no more do not count,
+ * or an attempt would win over one that all holders have.
+ */
 export function resolveNote(turn: Turn): void {
   const { drive } = turn;
   const { attempt, round } = drive;
   if (attempt === null || round === null) return;
-  const replies = [...round.replies.values()];
+  const targets = roundTargets(turn);
+  const asked = [...round.replies].filter(([member]) => targets.includes(member));
+  const replies = asked.map(([, reply]) => reply);
   const rivals = replies.flatMap((reply) => standingRival(reply, attempt));
   const isNotedSomewhere = replies.some((reply) => reply.kind === HolderReplyKind.Done);
   const winsTie =
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -231,7 +231,7 @@
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
     case DrivePhase.Reconciling:
-      if (drive.known.answer !== null && roundIsComplete(turn)) reconcile(turn, drive.known.answer);
+      if (roundIsComplete(turn)) decide(turn);
       return;
     case DrivePhase.Convicting:
       if (roundIsComplete(turn)) onConvicted(turn);
--- a/packages/coordination/test/core/records/drive.test.ts
+++ b/packages/coordination/test/core/records/drive.test.ts
@@ -319,6 +319,17 @@
     });
   });
 
+  // Story: a target wakes from a pause and brings its answer to one holder, while the next attempt
+  // is read by a caller. Another caller of the key finds that answer, carries it to all holders, and
+  // the first caller is cut at the end. Cause: an answer that was not committed was taken for final.
+  it('leaves an uncommitted answer alone while a later attempt runs', () => {
+    const first = makeAttempt('other/1');
+    const attempts = [first, makeAttempt('other/2', { number: 2 })];
+    const record = makeRecord({ attempts, answer: makeAnswer(first) });
+    const script = new Script().arrive().replies(record, HolderReplyKind.Standing);
+    assert.equal(script.effect(DriveEffectKind.Attach)?.attempt.id, 'other/2');
+  });
+
   // Story: one key is used for two bodies after both holders lost it. Each holder keeps another
   // body, and both callers waited for ever. Cause: holders that never agreed were asked again.
   it('gives up when the holders cannot agree on an answer', () => {
