--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -226,12 +226,12 @@
       onCreateProgress(turn);
       return;
     case DrivePhase.Noting:
-      if (options.mayProceed(drive.round.replies, context.holders())) dispatch(turn);
+      if (options.mayProceed(drive.round.replies, roundTargets(turn))) dispatch(turn);
       else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
     case DrivePhase.Reconciling:
-      if (drive.known.answer !== null && roundIsComplete(turn)) reconcile(turn, drive.known.answer);
+      if (roundIsComplete(turn)) decide(turn);
       return;
     case DrivePhase.Convicting:
       if (roundIsComplete(turn)) onConvicted(turn);
@@ -275,7 +275,8 @@
 
 function onConvicted(turn: Turn): void {
   const { drive } = turn;
-  const { answer, failure } = drive.known;
+  const { answer } = drive.known;
+  const failure = drive.known.failure ?? drive.pendingFailure;
   if (answer !== null) reconcile(turn, answer);
   else if (failure !== null) tellFinalFailure(turn, failure);
 }
