--- a/benchmark/src/policy/compare.ts
+++ b/benchmark/src/policy/compare.ts
@@ -5,10 +5,28 @@
 import type { Policy } from './policy.js';
 import { runService } from './run.js';
 import type { RunResult } from './run.js';
+import type { TimelinePoint } from './statistics.js';
 import type { ServiceTrace, Trace } from './trace.js';
 
-/** Figures of one policy on one trace; the order is that of the table. */
-export type ComparisonRow = Readonly<Record<string, string | number>>;
+/** Figures of one policy on one trace; services are added up, or the worst is taken. */
+export interface PolicyFigures {
+  readonly policy: string;
+  readonly goodputPerS: number;
+  readonly roleChanges: number;
+  readonly ttftP95Ms: number;
+  readonly interTokenP95Ms: number;
+  readonly shedNotRun: number;
+  readonly worstWorkspaceWaitRatio: number;
+  /** Time line of each service, for plots. */
+  readonly timelines: readonly (readonly TimelinePoint[])[];
+}
+
+/** Figures beside those of the bound. */
+export interface ComparisonRow extends PolicyFigures {
+  readonly boundPerS: number;
+  readonly ratio: number;
+  readonly boundRoleChanges: number;
+}
 
 /** What a comparison is run with. */
 export interface CompareOptions {
@@ -25,7 +43,7 @@
   const bounds = trace.services.map(boundOf);
   const boundPerS = bounds.reduce((sum, bound) => sum + bound.goodputPerS, 0);
   const boundRoleChanges = bounds.reduce((sum, bound) => sum + bound.roleChanges, 0);
-  const rows: ComparisonRow[] = [];
+  const rows: PolicyFigures[] = [];
   for (const policy of POLICIES) {
     if (!wanted(policy.name)) continue;
     const results = trace.services.map((service) => runService(service, policy, hash32, seed));
@@ -33,13 +51,20 @@
   }
   if (wanted('best-fixed')) {
     const best = trace.services.map((service) => bestFixed(service, hash32, seed));
-    rows.push({ ...rowOf('best-fixed', best), split: best.map((b) => b.policy).join() });
+    rows.push(rowOf('best-fixed', best));
   }
   return rows.map((row) => ({
-    ...row,
+    policy: row.policy,
+    goodputPerS: row.goodputPerS,
     boundPerS,
-    ratio: Number(row['goodputPerS']) / boundPerS,
+    ratio: row.goodputPerS / boundPerS,
+    roleChanges: row.roleChanges,
     boundRoleChanges,
+    ttftP95Ms: row.ttftP95Ms,
+    interTokenP95Ms: row.interTokenP95Ms,
+    shedNotRun: row.shedNotRun,
+    worstWorkspaceWaitRatio: row.worstWorkspaceWaitRatio,
+    timelines: row.timelines,
   }));
 }
 
@@ -58,7 +83,8 @@
   return best ?? runService(service, fixedSplit(0), hash32, seed);
 }
 
-function rowOf(policy: string, results: readonly RunResult[]): ComparisonRow {
+/** Adds the services' figures up. */
+export function rowOf(policy: string, results: readonly RunResult[]): PolicyFigures {
   const sum = (of: (result: RunResult) => number): number =>
     results.reduce((total, result) => total + of(result), 0);
   const worst = (of: (result: RunResult) => number): number => Math.max(...results.map(of));
@@ -70,8 +96,6 @@
     interTokenP95Ms: worst((result) => result.interTokenP95Ms),
     shedNotRun: sum((result) => result.shedNotRun),
     worstWorkspaceWaitRatio: worst((result) => result.worstWorkspaceWaitRatio),
-    late: sum((result) => result.statistics.lateFirstToken),
-    slow: sum((result) => result.statistics.slowAnswers),
-    restarts: sum((result) => result.statistics.restarts),
+    timelines: results.map((result) => result.statistics.timeline),
   };
 }
--- a/benchmark/src/policy/policies.ts
+++ b/benchmark/src/policy/policies.ts
@@ -11,6 +11,7 @@
   RouteKind,
 } from '@cassiamast/coordination';
 import type {
+  PlannerOptions,
   PlannerView,
   RouteDecision,
   RouteRequest,
@@ -32,14 +33,17 @@
 const ourRoute: ChooseRoute = (entry, request, nowMs) =>
   route(entry.router, request, nowMs, entry.random);
 
-function ourPlanner(service: string): PlanRoles {
-  const planner = createRolePlanner({
-    ...DEFAULT_PLANNER_OPTIONS,
-    service,
-    profile: DEFAULT_ENGINE_PROFILE,
-    floorTargets: 1,
-  });
-  return (view, nowMs) => planRoles(planner, view, nowMs).orders;
+function plannerWith(options: Partial<PlannerOptions>): (service: string) => PlanRoles {
+  return (service) => {
+    const planner = createRolePlanner({
+      ...DEFAULT_PLANNER_OPTIONS,
+      ...options,
+      service,
+      profile: DEFAULT_ENGINE_PROFILE,
+      floorTargets: 1,
+    });
+    return (view, nowMs) => planRoles(planner, view, nowMs).orders;
+  };
 }
 
 /** Ours, as the daemon runs it. */
@@ -49,11 +53,29 @@
   startRule: START_RULE,
   patienceMs: PATIENCE_MS,
   routerOptions: {},
-  makePlanner: ourPlanner,
+  makePlanner: plannerWith({}),
   movesAnswers: true,
   initialReaders: null,
 };
 
+/** Our first version: counts only its own dispatches, changes eagerly, drains by waiting. */
+const OURS_V1: Policy = {
+  ...OURS,
+  name: 'ours-v1',
+  startRule: { ...START_RULE, stepSlack: 1 },
+  routerOptions: { peerFactor: 1 },
+  makePlanner: plannerWith({ minGainShare: 0.01, margin: 1.5, maxChangingShare: 0.13 }),
+  movesAnswers: false,
+};
+
+/** Our second version: eager changes, and writers drain by finishing what they write. */
+const OURS_V2: Policy = {
+  ...OURS,
+  name: 'ours-v2',
+  makePlanner: plannerWith({ minGainShare: 0.01, maxChangingShare: 0.13 }),
+  movesAnswers: false,
+};
+
 /** Our routing with roles that never change: one of the fixed splits to search over. */
 export function fixedSplit(readers: number): Policy {
   return { ...OURS, name: `fixed-${String(readers)}`, makePlanner: null, initialReaders: readers };
@@ -164,5 +186,7 @@
   plainPolicy('round-robin', plainRoute(pickInTurn)),
   plainPolicy('least-load', plainRoute(pickLeastLoad)),
   { ...OURS, name: 'greedy', makePlanner: () => greedyPlanner() },
+  OURS_V1,
+  OURS_V2,
   OURS,
 ];
--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -82,7 +82,8 @@
 }
 
 function expectedLength(entry: Entry, request: LiveRequest): number {
-  return expectedOutputTokens(entry.router.lengths, request.trace.workspace, MAX_OUTPUT_TOKENS);
+  const { workspace, promptTokens } = request.trace;
+  return expectedOutputTokens(entry.router.lengths, workspace, promptTokens, MAX_OUTPUT_TOKENS);
 }
 
 function meterArrival(fleet: Fleet, entry: Entry, request: LiveRequest): void {
--- a/packages/coordination/src/core/roles/planner.ts
+++ b/packages/coordination/src/core/roles/planner.ts
@@ -41,9 +41,9 @@
   horizonMs: 60_000,
   halfLifeMs: 12_000,
   margin: 2,
-  minGainShare: 0.01,
+  minGainShare: 0.03,
   maxReportAgeMs: 10_000,
-  maxChangingShare: 0.13,
+  maxChangingShare: 0.26,
 } as const;
 
 /** A target as the planner sees it. */
--- a/packages/coordination/src/core/routing/route.ts
+++ b/packages/coordination/src/core/routing/route.ts
@@ -105,6 +105,7 @@
   const outputTokens = expectedOutputTokens(
     router.lengths,
     request.workspace,
+    request.promptTokens,
     request.maxOutputTokens,
   );
   const loadOf = (view: TargetView): LoadEstimate =>
@@ -196,7 +197,7 @@
       load.contextTokens + request.promptTokens + outputTokens / 2,
     );
   const slowMs = Math.max(0, stepMs - interTokenGoalMs * GOAL_MARGIN);
-  const growthTokens = (load.runningRequests * router.lengths.service.tokens) / 2;
+  const growthTokens = (load.runningRequests * router.lengths.service.value) / 2;
   const kvTokens = load.kvUsedTokens + growthTokens + request.promptTokens + outputTokens;
   const short = kvTokens > load.kvCapacityTokens * KV_PLANNED_SHARE;
   const full = load.runningRequests >= profile.roles[view.role].maxBatch;
--- a/packages/coordination/src/core/routing/router.ts
+++ b/packages/coordination/src/core/routing/router.ts
@@ -189,7 +189,9 @@
 
 /** Takes the end of an own answer in. */
 export function noteEnd(router: Router, end: AnswerEnd, nowMs: number): void {
-  if (end.whole) noteOutputLength(router.lengths, end.workspace, end.outputTokens);
+  if (end.whole) {
+    noteOutputLength(router.lengths, end.workspace, end.promptTokens, end.outputTokens);
+  }
   const view = router.views.get(end.target);
   if (view !== undefined) noteOwnEnd(view, nowMs, end.promptTokens + end.outputTokens);
 }
