--- a/packages/coordination/src/core/outliers/outliers.ts
+++ b/packages/coordination/src/core/outliers/outliers.ts
@@ -107,6 +107,8 @@
     health.samples >= outliers.options.minSamples &&
     health.slowness > middleSlowness(outliers) * outliers.options.slowRatio;
   if (isSlow) return eject(outliers, target, health, nowMs, 'answers are slow');
+  // Answers to requests from before the ejection still come; they prove nothing of the time after.
+  if (health.ejectedUntilMs > nowMs) return [];
   return passProbation(outliers, target, health);
 }
 
