Do not take a home without reports for an idle one

Cause: at ten times the fleet, homes of prefixes lie outside most entries' subsets; without reports they looked idle to all, and the writers among them were filled far beyond the goal. Change: an entry wants reports of targets it used in the last ten seconds; an unheard one gets 1 in 20 requests.

--- a/benchmark/src/policy/fleet.ts
+++ b/benchmark/src/policy/fleet.ts
@@ -12,6 +12,7 @@
   noteTargets,
   seededRandom,
   takeDemandReport,
+  wantsReports,
 } from '@cassiamast/coordination';
 import { CacheChange } from '@cassiamast/coordination';
 import type {
@@ -201,7 +202,7 @@
   schedule(fleet.clock, fleet.clock.nowMs + fleet.trace.reportLagMs, () => {
     fleet.plannerReports.set(engine.name, report);
     for (const entry of fleet.entries) {
-      if (!isKnownTo(entry, engine.name)) continue;
+      if (!wantsReports(entry.router, engine.name, fleet.clock.nowMs)) continue;
       noteLoad(entry.router, report);
       if (!lost) for (const item of news) noteCacheEvent(entry.router, engine.name, item);
       onNews(entry);
@@ -209,11 +210,6 @@
   });
 }
 
-/** An entry hears of its subset only; of the homes outside it the answers tell. */
-function isKnownTo(entry: Entry, target: string): boolean {
-  return entry.router.subset.some((view) => view.name === target);
-}
-
 function takeCacheNews(fleet: Fleet, engine: FakeEngine, index: number): readonly CacheNews[] {
   const news: CacheNews[] = [];
   const epoch = String(engine.epoch);
--- a/packages/coordination/src/core/routing/candidates.ts
+++ b/packages/coordination/src/core/routing/candidates.ts
@@ -5,7 +5,7 @@
 import { randomBelow } from '../random/random.js';
 import type { Random } from '../random/random.js';
 import { likelyHolders } from './prefix-index.js';
-import { homesOf } from './router.js';
+import { homesOf, wantsReports } from './router.js';
 import type { Router } from './router.js';
 import type { TargetView } from './target-view.js';
 
@@ -20,12 +20,13 @@
   router: Router,
   prefixBlocks: readonly string[],
   excluded: ReadonlySet<string>,
+  nowMs: number,
   random: Random,
 ): Candidates {
   const readers = sample(router.readers, router.options.choices, random);
   const writers = sample(router.writers, router.options.choices, random);
   for (const view of affine(router, prefixBlocks)) {
-    if (!view.accepting) continue;
+    if (!view.accepting || !isLoadKnown(router, view, nowMs, random)) continue;
     const list = router.options.profile.roles[view.role].maxBatch > 0 ? writers : readers;
     if (!list.includes(view)) list.push(view);
   }
@@ -36,6 +37,17 @@
   };
 }
 
+/** Part of the requests that may go to a target whose load is unknown, to learn it. */
+const EXPLORED_SHARE = 0.05;
+
+/** Whether the load of a target is known, or this request may find it out. */
+function isLoadKnown(router: Router, view: TargetView, nowMs: number, random: Random): boolean {
+  // A home outside the subset of all entries has no reports and looks idle to each of them: all
+  // would send to it at once. The first answer brings its load, and reports follow while it is used.
+  if (view.report !== null && wantsReports(router, view.name, nowMs)) return true;
+  return random() < EXPLORED_SHARE;
+}
+
 function affine(router: Router, prefixBlocks: readonly string[]): readonly TargetView[] {
   const first = prefixBlocks[0];
   if (first === undefined) return [];
--- a/packages/coordination/src/core/routing/route.ts
+++ b/packages/coordination/src/core/routing/route.ts
@@ -101,7 +101,7 @@
   nowMs: number,
   random: Random,
 ): RouteDecision {
-  const candidates = pickCandidates(router, request.prefixBlocks, request.excluded, random);
+  const candidates = pickCandidates(router, request.prefixBlocks, request.excluded, nowMs, random);
   const outputTokens = expectedOutputTokens(
     router.lengths,
     request.workspace,
--- a/packages/coordination/src/core/routing/router.ts
+++ b/packages/coordination/src/core/routing/router.ts
@@ -60,6 +60,7 @@
   writers: readonly TargetView[];
   live: readonly TargetView[];
   subset: readonly TargetView[];
+  subsetNames: ReadonlySet<string>;
   /** Homes of prefixes, by slot, worked out at first use; emptied when targets change. */
   readonly homes: Map<number, readonly TargetView[]>;
   readonly prefixes: PrefixIndex;
@@ -80,6 +81,7 @@
     writers: [],
     live: [],
     subset: [],
+    subsetNames: new Set(),
     homes: new Map(),
     prefixes: createPrefixIndex(options.maxPrefixBlocks),
     lengths: createOutputLengths(),
@@ -107,6 +109,7 @@
     router.options.subsetTargets,
     router.options.hash32,
   );
+  router.subsetNames = new Set(router.subset.map((view) => view.name));
   router.homes.clear();
   sortByPhase(router);
 }
@@ -123,6 +126,7 @@
     report: null,
     excessMs: 0,
     own: [],
+    usedAtMs: Number.NEGATIVE_INFINITY,
     ownEnds: [],
     cacheGeneration: 0,
     doubtfulBefore: 0,
@@ -149,6 +153,16 @@
   router.writers = accepting.filter((view) => profile.roles[view.role].maxBatch > 0);
 }
 
+/** Time for which an entry hears reports of a target outside its subset that it used. */
+const HEARD_AFTER_USE_MS = 10_000;
+
+/** Whether the entry wants load reports of a target: in its subset, or used lately. */
+export function wantsReports(router: Router, target: string, nowMs: number): boolean {
+  if (router.subsetNames.has(target)) return true;
+  const view = router.views.get(target);
+  return view !== undefined && nowMs - view.usedAtMs <= HEARD_AFTER_USE_MS;
+}
+
 /** Takes a load report in. Reports of unknown targets are dropped. */
 export function noteLoad(router: Router, report: LoadReport): void {
   const view = router.views.get(report.target);
--- a/packages/coordination/src/core/routing/target-view.ts
+++ b/packages/coordination/src/core/routing/target-view.ts
@@ -36,6 +36,8 @@
   /** Moving mean of what steps take beyond the profile: chunks of prompts, or a slow engine. */
   excessMs: number;
   own: OwnDispatch[];
+  /** Time of the latest own dispatch. */
+  usedAtMs: number;
   /** Own ends since the latest report. */
   ownEnds: { readonly atMs: number; readonly contextTokens: number }[];
   /** Grows with each thing learnt of the cache; see the prefix index. */
@@ -97,6 +99,7 @@
 
 /** Remembers an own dispatch until a report shows it. */
 export function noteOwnDispatch(view: TargetView, dispatch: OwnDispatch): void {
+  view.usedAtMs = dispatch.atMs;
   if (view.own.length >= MAX_OWN_DISPATCHES) view.own.shift();
   view.own.push(dispatch);
 }
