Let short requests pass a long one that fits nowhere, and keep places

Cause: a long prompt at the head of the queue held back short ones until they were refused; a request that a sidecar refused went to the end. Change: the first four in order are tried; a refused one goes back to its place.

--- a/benchmark/src/policy/live-request.ts
+++ b/benchmark/src/policy/live-request.ts
@@ -1,4 +1,5 @@
 /** A request in a run, from its arrival to its end. */
+import type { Waiting } from '@cassiamast/coordination';
 import type { TraceRequest } from './trace.js';
 
 /** What the run knows of one request. */
@@ -12,6 +13,8 @@
   leftTokens: number;
   /** When the answer last stood still, for the gap over a transfer or a restart; NaN if it runs. */
   stalledSinceMs: number;
+  /** Its place in the queue of its entry, to go back to after a refusal. */
+  place: Waiting<LiveRequest> | null;
   readonly excluded: Set<string>;
   ended: boolean;
 }
@@ -25,6 +28,7 @@
     contextTokens: trace.promptTokens,
     leftTokens: trace.outputTokens,
     stalledSinceMs: Number.NaN,
+    place: null,
     excluded: new Set(),
     ended: false,
   };
--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -105,9 +105,10 @@
 /** Sends waiting requests of an entry on, and looks again soon where some still wait. */
 export function pumpEntry(fleet: Fleet, entry: Entry): void {
   if (entry.admission.queue.heap.length === 0) return;
-  const expired = pump(entry.admission, fleet.clock.nowMs, (request) =>
-    send(fleet, entry, request, false) ? PumpResult.Sent : PumpResult.Wait,
-  );
+  const expired = pump(entry.admission, fleet.clock.nowMs, (request, waiting) => {
+    request.place = waiting;
+    return send(fleet, entry, request, false) ? PumpResult.Sent : PumpResult.Wait;
+  });
   for (const { item } of expired) countRefusal(fleet.statistics, item);
   if (entry.admission.queue.heap.length === 0 || entry.pumpScheduled) return;
   entry.pumpScheduled = true;
@@ -157,14 +158,13 @@
 function refuse(fleet: Fleet, entry: Entry, request: LiveRequest, engine: FakeEngine): void {
   schedule(fleet.clock, fleet.clock.nowMs + HOP_MS, () => {
     noteLoad(entry.router, readLoad(engine));
-    const again = fleet.policy.startRule !== null && Number.isNaN(request.firstTokenMs);
-    if (!again) {
+    const { place } = request;
+    if (place === null || !Number.isNaN(request.firstTokenMs)) {
       request.excluded.add(engine.name);
       send(fleet, entry, request, true);
       return;
     }
-    const asked = admissionRequest(fleet, entry, request);
-    if (takeBack(entry.admission, asked, fleet.clock.nowMs) === null) pumpEntry(fleet, entry);
+    if (takeBack(entry.admission, place) === null) pumpEntry(fleet, entry);
     else countRefusal(fleet.statistics, request);
   });
 }
--- a/packages/coordination/src/core/admission/admission.ts
+++ b/packages/coordination/src/core/admission/admission.ts
@@ -15,10 +15,10 @@
 import {
   createFairQueue,
   enqueue,
-  peekNext,
+  putBack,
   QueueRefusal,
   removeWhere,
-  takeNext,
+  takeFirstSent,
 } from './fair-queue.js';
 import type { FairQueue, Waiting } from './fair-queue.js';
 import { createWorkspaceLimits, takeTokens } from './limits.js';
@@ -122,23 +122,15 @@
   return null;
 }
 
-/** Takes back a request that was sent and refused, truly not run, with its time left. */
+/** Takes back a request that was sent and refused, truly not run, at the place it had. */
 export function takeBack<T>(
   admission: Admission<T>,
-  request: AdmissionRequest<T>,
-  nowMs: number,
+  waiting: Waiting<T>,
 ): Failure<string, RefusalData> | null {
-  const refused = enqueue(admission.queue, {
-    workspace: request.workspace,
-    weight: request.weight,
-    costTokens: request.costTokens,
-    expiresAtMs: nowMs + request.patienceMs,
-    item: request.item,
-  });
-  if (refused === null) return null;
+  if (putBack(admission.queue, waiting)) return null;
   return QUEUE_FULL.of({
     service: admission.options.service,
-    workspace: request.workspace,
+    workspace: waiting.workspace,
     retryAfterMs: Math.ceil(Math.max(MIN_RETRY_AFTER_MS, backlogMs(admission))),
   });
 }
@@ -178,8 +170,14 @@
 const RATE_WEIGHT = 0.1;
 
 /**
- * Sends waiting requests on in fair order until `trySend` says to wait, then refuses those that
- * have become useless. Call it at arrivals, at reports and every few milliseconds while any wait.
+ * Requests tried in order before waiting: a long prompt at the head, which no target can begin in
+ * time now, must not keep back short ones that a target could begin. They pass it, it stays first.
+ */
+const LOOK_AHEAD = 4;
+
+/**
+ * Sends waiting requests on in fair order until `trySend` takes none of the first few, then refuses
+ * those that have become useless. Call it at arrivals, at reports and every few milliseconds while any wait.
  */
 export function pump<T>(
   admission: Admission<T>,
@@ -188,11 +186,15 @@
 ): readonly Expired<T>[] {
   const waitedBefore = admission.queue.heap.length > 0;
   let sentTokens = 0;
-  for (let next = peekNext(admission.queue); next !== undefined; next = peekNext(admission.queue)) {
-    if (next.expiresAtMs > nowMs && trySend(next.item, next) === PumpResult.Wait) break;
-    if (next.expiresAtMs <= nowMs) break;
-    sentTokens += next.costTokens;
-    takeNext(admission.queue);
+  for (;;) {
+    const sent = takeFirstSent(
+      admission.queue,
+      LOOK_AHEAD,
+      (waiting) =>
+        waiting.expiresAtMs > nowMs && trySend(waiting.item, waiting) === PumpResult.Sent,
+    );
+    if (sent === undefined) break;
+    sentTokens += sent.costTokens;
   }
   noteRate(admission, nowMs, sentTokens, waitedBefore);
   if (admission.queue.heap.length === 0) return [];
--- a/packages/coordination/src/core/admission/fair-queue.ts
+++ b/packages/coordination/src/core/admission/fair-queue.ts
@@ -90,6 +90,18 @@
   return flow;
 }
 
+/** Puts a request back that was taken, at the place it had. False where the queue is full. */
+export function putBack<T>(queue: FairQueue<T>, waiting: Waiting<T>): boolean {
+  if (queue.heap.length >= queue.maxWaiting) return false;
+  const flow = flowOf(queue, waiting.workspace);
+  flow.waiting += 1;
+  flow.queuedTokens += waiting.costTokens;
+  flow.finishTag = Math.max(flow.finishTag, waiting.startTag);
+  queue.queuedTokens += waiting.costTokens;
+  heapPush(queue.heap, waiting);
+  return true;
+}
+
 /** The request that goes next, left in the queue. */
 export function peekNext<T>(queue: FairQueue<T>): Waiting<T> | undefined {
   return queue.heap[0];
@@ -99,11 +111,37 @@
 export function takeNext<T>(queue: FairQueue<T>): Waiting<T> | undefined {
   const head = heapPop(queue.heap);
   if (head === undefined) return undefined;
-  queue.virtualTime = Math.max(queue.virtualTime, head.startTag);
-  noteGone(queue, head);
+  noteTaken(queue, head);
   return head;
 }
 
+/**
+ * Takes the first request that `trySend` sends, out of the first `depth` in order; the others stay
+ * at their places. Undefined when it sends none.
+ */
+export function takeFirstSent<T>(
+  queue: FairQueue<T>,
+  depth: number,
+  trySend: (waiting: Waiting<T>) => boolean,
+): Waiting<T> | undefined {
+  const passed: Waiting<T>[] = [];
+  let sent: Waiting<T> | undefined;
+  while (sent === undefined && passed.length < depth) {
+    const next = heapPop(queue.heap);
+    if (next === undefined) break;
+    if (trySend(next)) sent = next;
+    else passed.push(next);
+  }
+  for (const waiting of passed) heapPush(queue.heap, waiting);
+  if (sent !== undefined) noteTaken(queue, sent);
+  return sent;
+}
+
+function noteTaken<T>(queue: FairQueue<T>, waiting: Waiting<T>): void {
+  queue.virtualTime = Math.max(queue.virtualTime, waiting.startTag);
+  noteGone(queue, waiting);
+}
+
 /** Takes all out that expired or whose caller left. Costs O(waiting) where any is gone. */
 export function removeWhere<T>(
   queue: FairQueue<T>,
--- a/packages/coordination/test/core/admission/admission.test.ts
+++ b/packages/coordination/test/core/admission/admission.test.ts
@@ -15,7 +15,7 @@
   WORKSPACE_LIMIT,
   QUEUE_FULL,
 } from '../../../src/index.js';
-import type { Admission, AdmissionRequest, RoutePlan } from '../../../src/index.js';
+import type { Admission, AdmissionRequest, RoutePlan, Waiting } from '../../../src/index.js';
 
 function admissionOf(maxWaiting = 100): Admission<string> {
   return createAdmission({ service: 's', maxWaiting, maxWaitingPerWorkspace: 50 });
@@ -81,6 +81,24 @@
     });
   });
 
+  describe('a long prompt at the head', () => {
+    // Users of short questions see refusals while engines have room: the prompt at the head fits
+    // nowhere now, and all behind it wait until they are useless.
+    it('lets short ones pass and stays first itself', () => {
+      const admission = admissionOf();
+      for (const item of ['long', 'short']) offer(admission, ask(item, { workspace: item }), 0);
+      const sent: string[] = [];
+      const trySend = (item: string): PumpResult => {
+        if (item === 'long') return PumpResult.Wait;
+        sent.push(item);
+        return PumpResult.Sent;
+      };
+      pump(admission, 1, trySend);
+      assert.deepEqual(sent, ['short']);
+      assert.equal(admission.queue.heap[0]?.item, 'long');
+    });
+  });
+
   describe('refusals', () => {
     it('name a full queue, a limit and a shed service', () => {
       const admission = admissionOf(1);
@@ -101,8 +119,13 @@
       const admission = admissionOf();
       const asked = ask('a', { maxTokensPerS: 500 });
       assert.equal(offer(admission, asked, 0), null);
-      pump(admission, 0, () => PumpResult.Sent);
-      assert.equal(takeBack(admission, asked, 5), null);
+      let place: Waiting<string> | undefined;
+      pump(admission, 0, (_, waiting) => {
+        place = waiting;
+        return PumpResult.Sent;
+      });
+      assert.ok(place);
+      assert.equal(takeBack(admission, place), null);
       assert.equal(admission.queue.heap.length, 1);
     });
   });
