Keep room for those within their share

Cause: with a hog among 960 workspaces the others waited for an answer to end before they could start: idle capacity was given away, but not taken back at once. Change: requests well beyond a workspace's share start only at nine tenths of the goals.

--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -5,6 +5,7 @@
 import {
   expectedOutputTokens,
   excludedNone,
+  isBorrowing,
   mayStart,
   noteArrival,
   noteDispatch,
@@ -139,7 +140,8 @@
   }
   const rule = fleet.policy.startRule;
   const waitedMs = nowMs - request.trace.atMs;
-  if (!force && rule !== null && !mayStart(rule, decision, waitedMs)) return false;
+  if (!force && rule !== null && !mayStart(rule, decision, waitedMs, borrows(entry, request)))
+    return false;
   noteDispatch(entry.router, decision, asked, nowMs);
   schedule(fleet.clock, nowMs + HOP_MS, () => {
     read(fleet, entry, request, decision);
@@ -147,6 +149,10 @@
   return true;
 }
 
+function borrows(entry: Entry, request: LiveRequest): boolean {
+  return request.place !== null && isBorrowing(entry.admission.queue, request.place);
+}
+
 function retryLater(fleet: Fleet, entry: Entry, request: LiveRequest): void {
   request.excluded.clear();
   schedule(fleet.clock, fleet.clock.nowMs + CRASH_NOTICE_MS, () => {
--- a/packages/coordination/src/core/admission/fair-queue.ts
+++ b/packages/coordination/src/core/admission/fair-queue.ts
@@ -90,6 +90,14 @@
   return flow;
 }
 
+/** Requests of its own size that a workspace may have queued before it counts as borrowing. */
+const IN_SHARE_REQUESTS = 2;
+
+/** Whether a waiting request is well beyond its workspace's share: a chance pair is not. */
+export function isBorrowing<T>(queue: FairQueue<T>, waiting: Waiting<T>): boolean {
+  return waiting.startTag > queue.virtualTime + waiting.costTokens * IN_SHARE_REQUESTS;
+}
+
 /** Puts a request back that was taken, at the place it had. False where the queue is full. */
 export function putBack<T>(queue: FairQueue<T>, waiting: Waiting<T>): boolean {
   if (queue.heap.length >= queue.maxWaiting) return false;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -18,6 +18,7 @@
 export * from './core/routing/router.js';
 export * from './core/admission/admission.js';
 export * from './core/admission/failures.js';
+export { isBorrowing } from './core/admission/fair-queue.js';
 export type { Waiting } from './core/admission/fair-queue.js';
 export * from './core/admission/limits.js';
 export * from './core/admission/shedding.js';
--- a/packages/coordination/test/core/admission/admission.test.ts
+++ b/packages/coordination/test/core/admission/admission.test.ts
@@ -50,6 +50,7 @@
   interTokenGoalMs: 80,
   firstTokenSlack: 1,
   stepSlack: 0.95,
+  borrowedPart: 0.9,
 };
 
 describe('admission', () => {
@@ -132,15 +133,21 @@
 
   describe('the start rule', () => {
     it('waits when the first token would be late, the batch slow or the memory short', () => {
-      assert.equal(mayStart(RULE, PLAN, 0), true);
-      assert.equal(mayStart(RULE, PLAN, 300), false);
-      assert.equal(mayStart(RULE, { ...PLAN, predictedStepMs: 79 }, 0), false);
-      assert.equal(mayStart(RULE, { ...PLAN, memoryShort: true }, 0), false);
+      assert.equal(mayStart(RULE, PLAN, 0, false), true);
+      assert.equal(mayStart(RULE, PLAN, 300, false), false);
+      assert.equal(mayStart(RULE, { ...PLAN, predictedStepMs: 79 }, 0, false), false);
+      assert.equal(mayStart(RULE, { ...PLAN, memoryShort: true }, 0, false), false);
+    });
+
+    it('keeps room free from a workspace beyond its share', () => {
+      const nearGoal = { ...PLAN, predictedStepMs: 72 };
+      assert.equal(mayStart(RULE, nearGoal, 0, false), true);
+      assert.equal(mayStart(RULE, nearGoal, 0, true), false);
     });
 
     it('lets a prompt start that is longer than the goal by itself', () => {
       const long = { ...PLAN, predictedReadMs: 500, predictedFirstTokenMs: 540 };
-      assert.equal(mayStart(RULE, long, 0), true);
+      assert.equal(mayStart(RULE, long, 0, false), true);
     });
 
     it('makes a sidecar refuse what its own queue would make late', () => {
