--- a/benchmark/src/policy/request-flow.ts
+++ b/benchmark/src/policy/request-flow.ts
@@ -5,6 +5,7 @@
 import {
   expectedOutputTokens,
   excludedNone,
+  isBorrowing,
   mayStart,
   noteArrival,
   noteDispatch,
@@ -82,7 +83,8 @@
 }
 
 function expectedLength(entry: Entry, request: LiveRequest): number {
-  return expectedOutputTokens(entry.router.lengths, request.trace.workspace, MAX_OUTPUT_TOKENS);
+  const { workspace, promptTokens } = request.trace;
+  return expectedOutputTokens(entry.router.lengths, workspace, promptTokens, MAX_OUTPUT_TOKENS);
 }
 
 function meterArrival(fleet: Fleet, entry: Entry, request: LiveRequest): void {
@@ -104,9 +106,10 @@
 /** Sends waiting requests of an entry on, and looks again soon where some still wait. */
 export function pumpEntry(fleet: Fleet, entry: Entry): void {
   if (entry.admission.queue.heap.length === 0) return;
-  const expired = pump(entry.admission, fleet.clock.nowMs, (request) =>
-    send(fleet, entry, request, false) ? PumpResult.Sent : PumpResult.Wait,
-  );
+  const expired = pump(entry.admission, fleet.clock.nowMs, (request, waiting) => {
+    request.place = waiting;
+    return send(fleet, entry, request, false) ? PumpResult.Sent : PumpResult.Wait;
+  });
   for (const { item } of expired) countRefusal(fleet.statistics, item);
   if (entry.admission.queue.heap.length === 0 || entry.pumpScheduled) return;
   entry.pumpScheduled = true;
@@ -137,7 +140,8 @@
   }
   const rule = fleet.policy.startRule;
   const waitedMs = nowMs - request.trace.atMs;
-  if (!force && rule !== null && !mayStart(rule, decision, waitedMs)) return false;
+  if (!force && rule !== null && !mayStart(rule, decision, waitedMs, borrows(entry, request)))
+    return false;
   noteDispatch(entry.router, decision, asked, nowMs);
   schedule(fleet.clock, nowMs + HOP_MS, () => {
     read(fleet, entry, request, decision);
@@ -145,6 +149,10 @@
   return true;
 }
 
+function borrows(entry: Entry, request: LiveRequest): boolean {
+  return request.place !== null && isBorrowing(entry.admission.queue, request.place);
+}
+
 function retryLater(fleet: Fleet, entry: Entry, request: LiveRequest): void {
   request.excluded.clear();
   schedule(fleet.clock, fleet.clock.nowMs + CRASH_NOTICE_MS, () => {
@@ -156,14 +164,13 @@
 function refuse(fleet: Fleet, entry: Entry, request: LiveRequest, engine: FakeEngine): void {
   schedule(fleet.clock, fleet.clock.nowMs + HOP_MS, () => {
     noteLoad(entry.router, readLoad(engine));
-    const again = fleet.policy.startRule !== null && Number.isNaN(request.firstTokenMs);
-    if (!again) {
+    const { place } = request;
+    if (place === null || !Number.isNaN(request.firstTokenMs)) {
       request.excluded.add(engine.name);
       send(fleet, entry, request, true);
       return;
     }
-    const asked = admissionRequest(fleet, entry, request);
-    if (takeBack(entry.admission, asked, fleet.clock.nowMs) === null) pumpEntry(fleet, entry);
+    if (takeBack(entry.admission, place) === null) pumpEntry(fleet, entry);
     else countRefusal(fleet.statistics, request);
   });
 }
