--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -201,6 +201,7 @@
         memberId: context.memberId,
         kind: hooks.kind,
         failureDomain: settings.failureDomain,
+        target: hooks.target,
         ...context.timeline.read(params as TimelineQuery),
       }),
       [RpcMethod.MetricsRead]: async (): Promise<ProcessMetrics> => ({
--- /dev/null
+++ b/packages/promises/test/steps/time-line.ts
@@ -0,0 +1,64 @@
+/** Steps of those who ask what happened. */
+import assert from 'node:assert/strict';
+import { type DataTable, Then } from '@cucumber/cucumber';
+import type { TimelineEvent, UnreachableProcess } from '@cassiamast/coordination';
+import { waitFor } from '../fixtures/wait-for.js';
+import { ownAsk } from './answers.js';
+import { fleet, type Scenario } from './world.js';
+
+async function timeline(...filters: string[]): Promise<{
+  readonly events: readonly TimelineEvent[];
+  readonly unreachable: readonly UnreachableProcess[];
+}> {
+  const { json } = await fleet().command('timeline', ...filters);
+  return {
+    events: (json.events ?? []) as TimelineEvent[],
+    unreachable: (json.unreachable ?? []) as UnreachableProcess[],
+  };
+}
+
+/** Whether the kinds come in this order, with others between them. */
+function tellsInOrder(events: readonly TimelineEvent[], kinds: readonly string[]): boolean {
+  let next = 0;
+  for (const { kind } of events) if (kind === kinds[next]) next += 1;
+  return next === kinds.length;
+}
+
+Then(
+  'the time line of the request tells, in this order',
+  async function (this: Scenario, table: DataTable) {
+    const kinds = table.raw().map(([kind = '']) => kind);
+    const { key } = ownAsk(this);
+    await waitFor(async () => tellsInOrder((await timeline('--request', key)).events, kinds));
+  },
+);
+
+Then('the time line of the target tells {string}', async function (this: Scenario, kind: string) {
+  const target = `inspect-${String(this.engine + 1)}`;
+  await waitFor(async () => (await timeline('--target', target, '--kind', kind)).events.length > 0);
+});
+
+Then(
+  'the time line shows the new version in force at every process',
+  async function (this: Scenario) {
+    const version = this.versionBefore + 1;
+    const { events } = await timeline('--kind', 'configuration-in-force');
+    const processes = events
+      .filter(({ figures }) => figures?.version === version)
+      .map((event) => event.process);
+    assert.equal(new Set(processes).size, fleet().entries.length + fleet().sidecars.length);
+  },
+);
+
+Then(
+  'the time line says that it could not reach entry {int}',
+  async function (this: Scenario, entry: number) {
+    const control = fleet().entries[entry - 1]?.settings.control;
+    const id = `${control?.host ?? ''}:${String(control?.port ?? 0)}`;
+    const { unreachable } = await timeline();
+    assert.ok(
+      unreachable.some(({ memberId }) => memberId === id),
+      JSON.stringify(unreachable),
+    );
+  },
+);
