Ask the next entry when the first is down

Cause: with the demo's faults on, status failed since the one entry it named was the one taken down: just when an operator asks. Change: several entries in flag, environment and file, asked in turn; a test with the story. Conclusion: the command line depends on no single process.

--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -97,11 +97,11 @@
     version: number,
     waitS: number,
   ): Promise<number> {
-    const { ask, entry } = await this.openFleet(flags);
+    const { ask, entries } = await this.openFleet(flags);
     const processes = must(
       await waitForSpread({
         ask,
-        entry,
+        entries,
         version,
         timeoutMs: waitS * MS_PER_S,
         nowMs: () => performance.now(),
--- a/packages/cli/src/commands/status.ts
+++ b/packages/cli/src/commands/status.ts
@@ -13,12 +13,12 @@
 
   async run(): Promise<object> {
     const { flags } = await this.parse(Status);
-    const { ask, entry } = await this.openFleet(flags);
+    const { ask, entries } = await this.openFleet(flags);
     const onProgress = this.progress('Asking the processes');
     const { answers, members, unreachable } = must(
       await gather<ProcessStatus>(
         ask,
-        entry,
+        entries,
         ReadMethod.Status,
         { withMembers: false },
         onProgress,
--- a/packages/cli/src/commands/timeline.ts
+++ b/packages/cli/src/commands/timeline.ts
@@ -43,7 +43,7 @@
 
   async run(): Promise<object> {
     const { flags } = await this.parse(Timeline);
-    const { ask, entry } = await this.openFleet(flags);
+    const { ask, entries } = await this.openFleet(flags);
     const query: TimelineQuery = {
       request: flags.request,
       workspace: flags.workspace,
@@ -54,7 +54,7 @@
     };
     const onProgress = this.progress('Asking the processes');
     const { answers, unreachable } = must(
-      await gather<ProcessTimeline>(ask, entry, ReadMethod.Timeline, query, onProgress),
+      await gather<ProcessTimeline>(ask, entries, ReadMethod.Timeline, query, onProgress),
     );
     const timeline = mergeTimelines(answers, unreachable);
     const written = TIMELINE_WRITERS[flags.format](timeline);
--- a/packages/cli/src/commands/watch.ts
+++ b/packages/cli/src/commands/watch.ts
@@ -24,11 +24,11 @@
 
   async run(): Promise<void> {
     const { flags } = await this.parse(Watch);
-    const { ask, entry } = await this.openFleet(flags);
+    const { ask, entries } = await this.openFleet(flags);
     must(
       await watchFleet({
         ask,
-        entry,
+        entries,
         intervalMs: flags['interval-s'] * MS_PER_S,
         count: flags.count ?? Number.POSITIVE_INFINITY,
         nowMs: () => performance.now(),
--- a/packages/cli/src/core/connection/connection.ts
+++ b/packages/cli/src/core/connection/connection.ts
@@ -13,7 +13,7 @@
 export interface ConnectionFlags {
   readonly connection?: string | undefined;
   readonly keyValue?: readonly string[] | undefined;
-  readonly entry?: string | undefined;
+  readonly entry?: readonly string[] | undefined;
   readonly secretFile?: string | undefined;
 }
 
@@ -23,7 +23,8 @@
 /** Everything known about the connection; empty where nothing was said. */
 export interface Connection {
   readonly keyValueEndpoints: readonly string[];
-  readonly entry: string;
+  /** Entries to ask for the members; the next one where one does not answer. */
+  readonly entries: readonly string[];
   readonly secret: string;
 }
 
@@ -40,11 +41,11 @@
 
 interface FileSettings {
   readonly keyValue: readonly string[];
-  readonly entry: string;
+  readonly entry: readonly string[];
   readonly secretFile: string;
 }
 
-const NO_FILE_SETTINGS: FileSettings = { keyValue: [], entry: '', secretFile: '' };
+const NO_FILE_SETTINGS: FileSettings = { keyValue: [], entry: [], secretFile: '' };
 
 /** Puts the connection together. Errors: `file-unreadable`, `no-connection`. */
 export async function resolveConnection(
@@ -58,7 +59,7 @@
   const secret = await readSecret(flags, environment, file.value);
   return secret.map((text) => ({
     keyValueEndpoints: flags.keyValue ?? fromEnvironment ?? file.value.keyValue,
-    entry: flags.entry ?? environment[ConnectionVariable.Entry] ?? file.value.entry,
+    entries: flags.entry ?? environment[ConnectionVariable.Entry]?.split(',') ?? file.value.entry,
     secret: text,
   }));
 }
@@ -93,9 +94,11 @@
   const fields = document as Readonly<Record<string, unknown>>;
   const keyValue = typeof fields.keyValue === 'string' ? [fields.keyValue] : fields.keyValue;
   if (keyValue !== undefined && !isTextList(keyValue)) return faulty('keyValue must be URLs');
+  const entry = typeof fields.entry === 'string' ? [fields.entry] : fields.entry;
+  if (entry !== undefined && !isTextList(entry)) return faulty('entry must be addresses');
   return ok({
     keyValue: keyValue ?? [],
-    entry: typeof fields.entry === 'string' ? fields.entry : '',
+    entry: entry ?? [],
     secretFile: typeof fields.secretFile === 'string' ? fields.secretFile : '',
   });
 }
@@ -129,12 +132,16 @@
   return err(NO_CONNECTION.of({ fault: `"${wrong}" is not a URL such as http://10.0.0.5:2379.` }));
 }
 
-/** The entry's address, or what is missing. */
-export function requireEntry(connection: Connection): Result<string, Failure> {
-  if (/^\S+:\d{1,5}$/.test(connection.entry)) return ok(connection.entry);
-  const fault =
-    connection.entry === ''
-      ? `No entry is named: --entry or ${ConnectionVariable.Entry}.`
-      : `"${connection.entry}" is not an address such as 10.1.0.1:7000.`;
-  return err(NO_CONNECTION.of({ fault }));
+/** The entries' addresses, or what is missing. */
+export function requireEntries(
+  connection: Connection,
+): Result<readonly [string, ...string[]], Failure> {
+  const [first, ...others] = connection.entries;
+  if (first === undefined) {
+    const fault = `No entry is named: --entry or ${ConnectionVariable.Entry}.`;
+    return err(NO_CONNECTION.of({ fault }));
+  }
+  const wrong = connection.entries.find((entry) => !/^\S+:\d{1,5}$/.test(entry));
+  if (wrong === undefined) return ok([first, ...others]);
+  return err(NO_CONNECTION.of({ fault: `"${wrong}" is not an address such as 10.1.0.1:7000.` }));
 }
--- a/packages/cli/src/core/fleet/gather.ts
+++ b/packages/cli/src/core/fleet/gather.ts
@@ -1,5 +1,5 @@
 /**
- * Asks every member: the list comes from one entry, the questions go out a bounded number at a time,
+ * Asks every member: the list comes from the first entry that answers, the questions go out a bounded number at a time,
  * and whoever could not be reached is named.
  */
 import {
@@ -22,15 +22,23 @@
   readonly members: readonly MemberStatus[];
 }
 
+/** Control addresses of entries; at least one. */
+export type Entries = readonly [string, ...string[]];
+
 /** Told after each answer. */
 export type OnProgress = (done: number, total: number) => void;
 
-/** The members that an entry knows, itself included. */
+/**
+ * The members that the first entry to answer knows, itself included. An operator often asks just
+ * when an entry is down, so the next one is asked then.
+ */
 export async function readMembers(
   ask: AskMember,
-  entry: string,
+  entries: Entries,
 ): Promise<Result<readonly MemberStatus[], Failure>> {
+  const [entry, next, ...others] = entries;
   const status = await ask<ProcessStatus>(entry, ReadMethod.Status, { withMembers: true });
+  if (status.isErr() && next !== undefined) return readMembers(ask, [next, ...others]);
   return status.map((own) => withItself(own));
 }
 
@@ -41,15 +49,15 @@
   return [...members, { id, kind, failureDomain, target, state: MemberState.Alive }];
 }
 
-/** Asks all members that an entry knows. Errors only when the entry itself does not answer. */
+/** Asks all members that an entry knows. Errors only when none of the entries answers. */
 export async function gather<Answer>(
   ask: AskMember,
-  entry: string,
+  entries: Entries,
   method: ReadMethod,
   params: object,
   onProgress: OnProgress,
 ): Promise<Result<Gathered<Answer>, Failure>> {
-  const list = await readMembers(ask, entry);
+  const list = await readMembers(ask, entries);
   if (list.isErr()) return list.map(() => ({ answers: [], unreachable: [], members: [] }));
   const members = list.value;
   const answers: Answer[] = [];
--- a/packages/cli/src/core/fleet/spread.ts
+++ b/packages/cli/src/core/fleet/spread.ts
@@ -4,7 +4,7 @@
 import type { Failure, ProcessStatus } from '@cassiamast/coordination';
 import { err, ok, type Result } from 'neverthrow';
 import { NOT_IN_FORCE } from '../process/failures.js';
-import { gather, type OnProgress } from './gather.js';
+import { gather, type Entries, type OnProgress } from './gather.js';
 import { ReadMethod, type AskMember } from './member-client.js';
 
 /** Between two rounds of questions. */
@@ -13,7 +13,7 @@
 /** What waiting needs. */
 export interface SpreadOptions {
   readonly ask: AskMember;
-  readonly entry: string;
+  readonly entries: Entries;
   readonly version: number;
   readonly timeoutMs: number;
   readonly nowMs: () => number;
@@ -37,17 +37,17 @@
 
 async function askRound({
   ask,
-  entry,
+  entries,
   version,
 }: SpreadOptions): Promise<{ readonly behind: readonly string[]; readonly total: number }> {
   const gathered = await gather<ProcessStatus>(
     ask,
-    entry,
+    entries,
     ReadMethod.Status,
     { withMembers: false },
     () => undefined,
   );
-  if (gathered.isErr()) return { behind: [entry], total: 1 };
+  if (gathered.isErr()) return { behind: entries, total: entries.length };
   const { answers, unreachable } = gathered.value;
   const older = answers.filter((status) => status.configurationVersion < version);
   const silent = unreachable.filter(({ reason }) => !reason.includes('dead'));
--- a/packages/cli/src/core/fleet/watching.ts
+++ b/packages/cli/src/core/fleet/watching.ts
@@ -4,7 +4,7 @@
 import type { Failure, ProcessStatus } from '@cassiamast/coordination';
 import { ok, type Result } from 'neverthrow';
 import { fleetView, ratesBetween, type FleetView, type ServiceRates } from './fleet-view.js';
-import { gather } from './gather.js';
+import { gather, type Entries } from './gather.js';
 import { ReadMethod, type AskMember } from './member-client.js';
 
 /** One refresh of the view. */
@@ -18,7 +18,7 @@
 /** What watching needs. */
 export interface WatchOptions {
   readonly ask: AskMember;
-  readonly entry: string;
+  readonly entries: Entries;
   readonly intervalMs: number;
   /** Refreshes to make; infinite where the operator named no number. */
   readonly count: number;
@@ -51,12 +51,12 @@
 }
 
 async function takeRound(
-  { ask, entry, nowMs, wallMs }: WatchOptions,
+  { ask, entries, nowMs, wallMs }: WatchOptions,
   previous?: Round,
 ): Promise<Result<Round, Failure>> {
   const gathered = await gather<ProcessStatus>(
     ask,
-    entry,
+    entries,
     ReadMethod.Status,
     { withMembers: false },
     () => undefined,
--- a/packages/cli/src/core/process/command.ts
+++ b/packages/cli/src/core/process/command.ts
@@ -8,12 +8,13 @@
 import { createKeyValueClient, type KeyValueClient } from '@cassiamast/platform';
 import type { Result } from 'neverthrow';
 import {
-  requireEntry,
+  requireEntries,
   requireKeyValue,
   resolveConnection,
   type Connection,
   type ConnectionFlags,
 } from '../connection/connection.js';
+import type { Entries } from '../fleet/gather.js';
 import { createMemberClient, type AskMember } from '../fleet/member-client.js';
 import { failureLines } from '../output/faults.js';
 import { exitCodeOf, ExitCode } from './exit-code.js';
@@ -30,7 +31,10 @@
 /** Flags of commands that ask the processes. */
 export const ENTRY_FLAGS = {
   connection: connectionFlag,
-  entry: Flags.string({ description: 'control address HOST:PORT of any entry' }),
+  entry: Flags.string({
+    description: 'control address HOST:PORT of an entry; name several in case one is down',
+    multiple: true,
+  }),
   'secret-file': Flags.string({ description: 'file with the members’ secret' }),
 };
 
@@ -38,7 +42,7 @@
 export interface ParsedConnectionFlags {
   readonly connection?: string | undefined;
   readonly 'key-value'?: readonly string[] | undefined;
-  readonly entry?: string | undefined;
+  readonly entry?: readonly string[] | undefined;
   readonly 'secret-file'?: string | undefined;
 }
 
@@ -62,15 +66,15 @@
     return client;
   }
 
-  /** Opens the way to the processes; the entry is where the list of members comes from. */
+  /** Opens the way to the processes; the first entry that answers gives the members. */
   protected async openFleet(
     flags: ParsedConnectionFlags,
-  ): Promise<{ readonly ask: AskMember; readonly entry: string }> {
+  ): Promise<{ readonly ask: AskMember; readonly entries: Entries }> {
     const connection = await this.#connection(flags);
-    const entry = must(requireEntry(connection));
+    const entries = must(requireEntries(connection));
     const { ask, close } = createMemberClient(connection.secret);
     this.#closers.push(close);
-    return { ask, entry };
+    return { ask, entries };
   }
 
   /** Reads a text file, or ends the command. */
--- a/packages/cli/test/commands/fleet.test.ts
+++ b/packages/cli/test/commands/fleet.test.ts
@@ -75,6 +75,17 @@
       assert.match(JSON.stringify(run.json.unreachable), /hold it dead/);
     });
 
+    /*
+     * Story: the entry that the operator's settings name is down, which is why the operator asks.
+     */
+    it('asks the next entry when the first is down', async () => {
+      await second.stop();
+      const entries = ['--entry', second.id, '--entry', first.id];
+      const run = await runCommand('status', ['--json', ...entries, '--secret-file', secretFile]);
+      assert.equal(run.code, ExitCode.Partial);
+      assert.equal(run.json.processes, 1);
+    });
+
     it('explains a wrong secret', async () => {
       writeFileSync(join(folder, 'wrong'), 'not-the-secret');
       const run = await runCommand('status', [
--- a/packages/cli/test/core/fleet/fleet-view.test.ts
+++ b/packages/cli/test/core/fleet/fleet-view.test.ts
@@ -78,7 +78,7 @@
           const failure = UNKNOWN_MEMBER_ANSWER.of({ member: A, cause: 'refused' });
           return Promise.resolve(round === 1 ? err(failure) : ok(processStatus(A) as Answer));
         },
-        entry: A,
+        entries: [A],
         intervalMs: 1_000,
         count: 3,
         nowMs: () => clockMs,
--- a/packages/cli/test/core/fleet/gather.test.ts
+++ b/packages/cli/test/core/fleet/gather.test.ts
@@ -31,7 +31,7 @@
       return ok(processStatus(member) as Answer);
     };
     const progress: number[] = [];
-    const result = await gather(ask, ENTRY, ReadMethod.Status, {}, (done) => progress.push(done));
+    const result = await gather(ask, [ENTRY], ReadMethod.Status, {}, (done) => progress.push(done));
     assert.equal(result._unsafeUnwrap().answers.length, IDS.length);
     assert.deepEqual([...asked].sort(), [...IDS].sort());
     assert.ok(mostOpen <= MAX_PARALLEL && mostOpen > 1);
@@ -48,7 +48,7 @@
       let clockMs = 0;
       const result = await waitForSpread({
         ask: askAt(() => versionAt(clockMs)),
-        entry: ENTRY,
+        entries: [ENTRY],
         version: 2,
         timeoutMs: 9_000,
         nowMs: () => clockMs,
