Let answers carry loads, pace reports at both ends, load metrics libraries when used

Cause: measured on real processes an entry received 7.4 to 10.2 KB of control a second, most of it load reports four times a second, and a sidecar's figure held the talk with its own engine; both kinds held some 50 MB over a bare Node process. Change: reports are paced by the number of targets an entry follows and of entries a sidecar serves; streams bring the load as of their opening; the engine beside is left out of the meter; prom-client is loaded at the first scrape, hdr-histogram-js in entries only.

--- a/benchmark/src/control/command.ts
+++ b/benchmark/src/control/command.ts
@@ -57,7 +57,7 @@
       loss: { type: 'string', default: DEFAULT_LOSS_RATIO },
       seed: { type: 'string', default: '1' },
       'quiet-s': { type: 'string', default: '20' },
-      'base-port': { type: 'string', default: '33000' },
+      'base-port': { type: 'string', default: '11000' },
     },
   });
   if (!values.pure) return runReal(Number(values['quiet-s']), Number(values['base-port']));
--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -11,6 +11,7 @@
   DEFAULT_START_SLACK,
   type DemandMeter,
   type EngineProfile,
+  type FairWaiting,
   type LoadReport,
   type Outliers,
   type Place,
@@ -32,6 +33,7 @@
   excludedTargets,
   expectedOutputTokens,
   type Hash32,
+  isBorrowing,
   mayStart,
   noteAnswer,
   noteArrival,
@@ -149,7 +151,7 @@
     return null;
   }
 
-  function trySend(waiting: Waiting): PumpResult {
+  function trySend(waiting: Waiting, place: FairWaiting<Waiting>): PumpResult {
     const { question, request } = waiting;
     if (!question.isWanted()) return PumpResult.Sent;
     const plan = decide(request, question.avoidTargets);
@@ -158,11 +160,12 @@
     // A request that missed its goal while it waited is still wanted: it goes as soon as it would
     // if it came now, and does not hold up the ones behind it.
     const countedMs = waitedMs > rule.firstTokenGoalMs ? 0 : waitedMs;
-    if (!mayStart(rule, plan, countedMs)) return PumpResult.Wait;
-    const place = placeOf(plan.writer);
-    if (place === null) return PumpResult.Wait;
+    const borrows = isBorrowing(admission.queue, place);
+    if (!mayStart(rule, plan, countedMs, borrows)) return PumpResult.Wait;
+    const writer = placeOf(plan.writer);
+    if (writer === null) return PumpResult.Wait;
     noteDispatch(router, plan, request, options.nowMs());
-    const grant: Grant = { place, reader: readerOf(plan) };
+    const grant: Grant = { place: writer, reader: readerOf(plan) };
     question.onGrant(grant);
     return PumpResult.Sent;
   }
@@ -179,6 +182,7 @@
     const outputTokens = expectedOutputTokens(
       router.lengths,
       question.workspace,
+      request.promptTokens,
       question.maxOutputTokens,
     );
     noteArrival(meter, {
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -295,6 +295,7 @@
     return {
       onNotification: (method, params) => {
         if (method === (RpcMethod.StreamOpened as string)) {
+          services.noteLoad(params);
           handle({ kind: DriveEventKind.StreamOpened, connectionId });
           return;
         }
--- a/packages/daemon/src/entry/run-services.ts
+++ b/packages/daemon/src/entry/run-services.ts
@@ -20,6 +20,8 @@
   readonly callHolder: CallHolder;
   readonly policyOf: (service: string) => ServicePolicy;
   /** `keyIsFresh`: made by this entry for this request, so that no earlier submission exists. */
+  /** Takes in a load that came with a stream; anything malformed is passed over. */
+  readonly noteLoad: (params: unknown) => void;
   readonly driveContext: (request: DriveRequest, keyIsFresh: boolean) => DriveContext;
   readonly noteAnswered: (
     request: DriveRequest,
--- /dev/null
+++ b/packages/daemon/src/node/metrics-text.ts
@@ -0,0 +1,40 @@
+/** Writes counters, gauges and histograms in the Prometheus text exposition format. */
+import type { Histogram } from 'hdr-histogram-js';
+import { Counter, Gauge, Registry } from 'prom-client';
+
+const PREFIX = 'cassiamast_';
+const QUANTILES = [0.5, 0.95, 0.99] as const;
+const PERCENT = 100;
+
+/** Built at each scrape, so that recording costs nothing but the map and the histogram. */
+export function writeMetrics(
+  counters: ReadonlyMap<string, number>,
+  gauges: ReadonlyMap<string, number>,
+  histograms: ReadonlyMap<string, Histogram>,
+): Promise<string> {
+  const registry = new Registry();
+  const registers = [registry];
+  for (const [name, value] of counters) {
+    new Counter({ name: PREFIX + name, help: helpOf(name), registers }).inc(value);
+  }
+  for (const [name, value] of gauges) {
+    new Gauge({ name: PREFIX + name, help: helpOf(name), registers }).set(value);
+  }
+  for (const [name, histogram] of histograms) writeQuantiles(name, histogram, registers);
+  return registry.metrics();
+}
+
+function writeQuantiles(name: string, histogram: Histogram, registers: Registry[]): void {
+  const labelNames = ['quantile'];
+  const quantiles = new Gauge({ name: PREFIX + name, help: helpOf(name), labelNames, registers });
+  for (const quantile of QUANTILES) {
+    const value = histogram.getValueAtPercentile(quantile * PERCENT);
+    quantiles.set({ quantile: String(quantile) }, value);
+  }
+  const count = new Counter({ name: `${PREFIX}${name}_count`, help: helpOf(name), registers });
+  count.inc(histogram.totalCount);
+}
+
+function helpOf(name: string): string {
+  return name.replaceAll('_', ' ');
+}
--- a/packages/daemon/src/node/telemetry.ts
+++ b/packages/daemon/src/node/telemetry.ts
@@ -3,13 +3,9 @@
  * Counters come first; a log line is written only for events that change the process's state.
  */
 import type { UnstampedEvent } from '@cassiamast/coordination';
-import { type Histogram, build } from 'hdr-histogram-js';
-import { Counter, Gauge, Registry } from 'prom-client';
+import type { Histogram } from 'hdr-histogram-js';
 
-const PREFIX = 'cassiamast_';
 const HIGHEST_TRACKABLE_MS = 3_600_000;
-const SIGNIFICANT_DIGITS = 2;
-const QUANTILES = [0.5, 0.95, 0.99] as const;
 const PERCENT = 100;
 
 /** Observes one process. */
@@ -29,8 +25,17 @@
   readonly metricsText: () => Promise<string>;
 }
 
-/** Makes the telemetry of a process; `onEvent` puts events on the time line. */
-export function createTelemetry(onEvent: (event: UnstampedEvent) => void): Telemetry {
+/** Makes an empty histogram that takes values up to a bound. */
+export type NewHistogram = (highestMs: number) => Histogram;
+
+/**
+ * Makes the telemetry of a process; `onEvent` puts events on the time line. Histograms are made only
+ * where durations are recorded: a sidecar records none, and their library costs it megabytes.
+ */
+export function createTelemetry(
+  onEvent: (event: UnstampedEvent) => void,
+  newHistogram: NewHistogram | null,
+): Telemetry {
   const counters = new Map<string, number>();
   const gauges = new Map<string, number>();
   const histograms = new Map<string, Histogram>();
@@ -47,7 +52,8 @@
       gauges.set(name, value);
     },
     record: (name, valueMs) => {
-      const histogram = histograms.get(name) ?? newHistogram();
+      if (newHistogram === null) return;
+      const histogram = histograms.get(name) ?? newHistogram(HIGHEST_TRACKABLE_MS);
       histograms.set(name, histogram);
       histogram.recordValue(Math.min(HIGHEST_TRACKABLE_MS, Math.max(0, Math.round(valueMs))));
     },
@@ -55,50 +61,10 @@
     gauges: () => Object.fromEntries(gauges),
     quantileMs: (name, quantile) =>
       histograms.get(name)?.getValueAtPercentile(quantile * PERCENT) ?? 0,
-    metricsText: () => writeMetrics(counters, gauges, histograms),
+    metricsText: async () => {
+      // Loaded at the first scrape: a process that nobody scrapes does not carry the library.
+      const { writeMetrics } = await import('./metrics-text.js');
+      return writeMetrics(counters, gauges, histograms);
+    },
   };
 }
-
-function newHistogram(): Histogram {
-  return build({
-    highestTrackableValue: HIGHEST_TRACKABLE_MS,
-    numberOfSignificantValueDigits: SIGNIFICANT_DIGITS,
-  });
-}
-
-/** Built at each scrape, so that recording costs nothing but the map and the histogram. */
-function writeMetrics(
-  counters: ReadonlyMap<string, number>,
-  gauges: ReadonlyMap<string, number>,
-  histograms: ReadonlyMap<string, Histogram>,
-): Promise<string> {
-  const registry = new Registry();
-  const registers = [registry];
-  for (const [name, value] of counters) {
-    new Counter({ name: PREFIX + name, help: helpOf(name), registers }).inc(value);
-  }
-  for (const [name, value] of gauges) {
-    new Gauge({ name: PREFIX + name, help: helpOf(name), registers }).set(value);
-  }
-  for (const [name, histogram] of histograms) writeQuantiles(name, histogram, registers);
-  return registry.metrics();
-}
-
-function writeQuantiles(name: string, histogram: Histogram, registers: Registry[]): void {
-  const quantiles = new Gauge({
-    name: PREFIX + name,
-    help: helpOf(name),
-    labelNames: ['quantile'],
-    registers,
-  });
-  for (const quantile of QUANTILES) {
-    const value = histogram.getValueAtPercentile(quantile * PERCENT);
-    quantiles.set({ quantile: String(quantile) }, value);
-  }
-  const count = new Counter({ name: `${PREFIX}${name}_count`, help: helpOf(name), registers });
-  count.inc(histogram.totalCount);
-}
-
-function helpOf(name: string): string {
-  return name.replaceAll('_', ' ');
-}
--- a/packages/daemon/src/node/traffic-meter.ts
+++ b/packages/daemon/src/node/traffic-meter.ts
@@ -19,20 +19,30 @@
 /** Meters the sockets of this process. */
 export interface TrafficMeter {
   readonly read: () => TrafficCounts;
+  /** Leaves out the sockets to a port, such as that of the engine on the same VM. */
+  readonly leaveOut: (remotePort: number) => void;
   readonly stop: () => void;
 }
 
 /** Starts metering; sockets that exist already are not seen, so it comes first in a process. */
 export function startTrafficMeter(): TrafficMeter {
   const open = new Set<Socket>();
+  const leftOutPorts = new Set<number>();
   let receivedBytes = 0;
   let sentBytes = 0;
 
   function take(message: unknown): void {
     const { socket } = message as { readonly socket: Socket };
     open.add(socket);
+    // The port is known once the socket is connected, and no more after it has closed.
+    let isLeftOut = false;
+    socket.once('connect', () => {
+      isLeftOut = leftOutPorts.has(socket.remotePort ?? 0);
+      if (isLeftOut) open.delete(socket);
+    });
     socket.once('close', () => {
       open.delete(socket);
+      if (isLeftOut) return;
       receivedBytes += socket.bytesRead;
       sentBytes += socket.bytesWritten;
     });
@@ -50,6 +60,9 @@
       }
       return { receivedBytes: withHeaders(receivedNow), sentBytes: withHeaders(sentNow) };
     },
+    leaveOut: (remotePort) => {
+      leftOutPorts.add(remotePort);
+    },
     stop: () => {
       diagnosticsChannel.unsubscribe('net.client.socket', take);
       diagnosticsChannel.unsubscribe('net.server.socket', take);
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -56,6 +56,8 @@
   readonly callHolder: CallHolder;
   /** The backend of the target, or null while there is none. */
   readonly backend: () => Backend | null;
+  /** The target's load as of now, sent along where a stream opens; empty before one was read. */
+  readonly loadNow: () => readonly unknown[];
   readonly reportCrash: (service: string, suspects: readonly CrashSuspect[]) => void;
 }
 
@@ -114,7 +116,7 @@
         options.backend()?.cancel(effect.attemptId);
         return;
       case HostEffectKind.OpenStream:
-        notify(effect.attachId, RpcMethod.StreamOpened, []);
+        notify(effect.attachId, RpcMethod.StreamOpened, options.loadNow());
         return;
       case HostEffectKind.SendTokens:
         telemetry.count('tokens_sent_total', effect.tokens.length);
--- a/packages/daemon/src/sidecar/load-reporter.ts
+++ b/packages/daemon/src/sidecar/load-reporter.ts
@@ -1,7 +1,7 @@
 /**
  * Reads the engine's load and passes it on to the entries that subscribed. The interval stretches
- * with their number, so that a sidecar's reports stay under their part of the control budget
- * however many entries want them.
+ * with the number of entries, and as each entry asks, so that reports stay within their part of the
+ * control budget at both ends. Where answers flow, they carry fresher loads at no cost.
  */
 import { EngineRole, type ModelSpec } from '@cassiamast/coordination';
 import type { EngineClient, EngineLoad, EngineState } from '@cassiamast/platform';
@@ -10,12 +10,12 @@
 import { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
 
-/** Shortest interval: below it a report tells hardly more than the one before. */
-const MIN_INTERVAL_MS = 250;
+/** How often the engine beside is read; it is on the same VM, so that this costs no network. */
+const READ_MS = 250;
 /** A sealed report with its headers, about. */
 const REPORT_BYTES = 180;
-/** Two of the 4 KB a second that control may cost a member. */
-const BUDGET_BYTES_PER_S = 2_000;
+/** One of the 4 KB a second that control may cost a member. */
+const BUDGET_BYTES_PER_S = 1_000;
 /** An entry subscribes anew every 5 s; three lost datagrams do not end it. */
 const SUBSCRIPTION_MS = 20_000;
 /** More entries than the target size has. */
@@ -38,28 +38,22 @@
 /** Reports load. */
 export interface LoadReporter {
   readonly child: Child;
-  readonly subscribe: (entry: string) => void;
-  /** The latest load, or null before one was read. */
-  readonly latest: () => EngineLoad | null;
-  readonly role: () => EngineRole | null;
-  readonly reportAgeMs: () => number | null;
+  readonly subscribe: (entry: string, intervalMs: number) => void;
+  /** The latest load as it is sent; empty before one was read. */
+  readonly encoded: () => readonly unknown[];
 }
 
 /** Makes the reporter. */
 export function createLoadReporter(options: LoadReporterOptions): LoadReporter {
-  const subscribers = new Map<string, number>();
+  const subscribers = new Map<string, Subscriber>();
   let load: EngineLoad | null = null;
   let role: EngineRole | null = null;
   let missing: MissingLoad | null = null;
   let readAtMs = 0;
 
-  function intervalMs(): number {
-    const bytes = subscribers.size * REPORT_BYTES;
-    return Math.max(MIN_INTERVAL_MS, (bytes / BUDGET_BYTES_PER_S) * MS_PER_S);
-  }
-
-  function dropLapsed(nowMs: number): void {
-    for (const [entry, untilMs] of subscribers) if (untilMs < nowMs) subscribers.delete(entry);
+  /** The least interval at which all subscribers together stay within the budget. */
+  function budgetIntervalMs(): number {
+    return ((subscribers.size * REPORT_BYTES) / BUDGET_BYTES_PER_S) * MS_PER_S;
   }
 
   async function read(): Promise<void> {
@@ -75,10 +69,10 @@
     options.onRead(load, state.value.epoch);
   }
 
-  function send(): void {
-    if (load === null) return;
+  function encoded(): readonly unknown[] {
+    if (load === null) return [];
     const { sequence, epoch, ...figures } = load;
-    const report = encodeLoad({
+    return encodeLoad({
       target: options.target,
       ageMs: options.nowMs() - readAtMs,
       sequence,
@@ -88,27 +82,48 @@
       missing,
       ...figures,
     });
-    for (const entry of subscribers.keys()) {
+  }
+
+  function send(): void {
+    const nowMs = options.nowMs();
+    const report = encoded();
+    if (report.length === 0) return;
+    for (const [entry, subscriber] of subscribers) {
+      if (subscriber.untilMs < nowMs) subscribers.delete(entry);
+      const intervalMs = Math.max(subscriber.intervalMs, budgetIntervalMs());
+      if (nowMs - subscriber.sentAtMs < intervalMs) continue;
+      subscriber.sentAtMs = nowMs;
       options.sendDatagram(entry, RpcMethod.LoadReport, report);
     }
   }
 
   return {
-    latest: () => load,
-    role: () => role,
-    reportAgeMs: () => (load === null ? null : options.nowMs() - readAtMs),
-    subscribe: (entry) => {
-      if (subscribers.size >= MAX_SUBSCRIBERS && !subscribers.has(entry)) return;
-      subscribers.set(entry, options.nowMs() + SUBSCRIPTION_MS);
+    encoded,
+    subscribe: (entry, intervalMs) => {
+      const known = subscribers.get(entry);
+      if (subscribers.size >= MAX_SUBSCRIBERS && known === undefined) return;
+      const untilMs = options.nowMs() + SUBSCRIPTION_MS;
+      const sentAtMs = known?.sentAtMs ?? Number.NEGATIVE_INFINITY;
+      subscribers.set(entry, { untilMs, intervalMs, sentAtMs });
     },
-    child: createPeriodic('load-reports', intervalMs, async () => {
-      dropLapsed(options.nowMs());
-      await read();
-      send();
-    }),
+    child: createPeriodic(
+      'load-reports',
+      () => READ_MS,
+      async () => {
+        await read();
+        send();
+      },
+    ),
   };
 }
 
+interface Subscriber {
+  readonly untilMs: number;
+  /** What the entry can take, by the number of targets that it follows. */
+  readonly intervalMs: number;
+  sentAtMs: number;
+}
+
 /** The first model or adapter, at the wanted version, that the engine lacks. */
 function findMissing(state: EngineState, wanted: readonly ModelSpec[]): MissingLoad | null {
   for (const { name, version, adapters } of wanted) {
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -11,7 +11,7 @@
 import { createLog } from '../node/logging.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
-import { createTelemetry } from '../node/telemetry.js';
+import { type NewHistogram, createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
 import { startTrafficMeter } from '../node/traffic-meter.js';
 import type { LoadedSettings, Settings } from '../settings/settings.js';
@@ -22,6 +22,7 @@
 
 const MAX_SEED = 0x7fff_ffff;
 const DRAIN_POLL_MS = 50;
+const SIGNIFICANT_DIGITS = 2;
 
 /** A process that runs. */
 export interface RunningProcess {
@@ -47,9 +48,7 @@
     proof,
     rpc: createRpcClient(proof, timeline.clock),
     keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
-    telemetry: createTelemetry((event) => {
-      timeline.put(event);
-    }),
+    telemetry: createTelemetry(timeline.put, await histogramsFor(settings.kind)),
     timeline,
     traffic,
     seeds: settings.peers,
@@ -79,6 +78,14 @@
   };
 }
 
+/** Durations are recorded by entries only; see {@link createTelemetry}. */
+async function histogramsFor(kind: MemberKind): Promise<NewHistogram | null> {
+  if (kind === MemberKind.Sidecar) return null;
+  const { build } = await import('hdr-histogram-js');
+  return (highestTrackableValue) =>
+    build({ highestTrackableValue, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS });
+}
+
 /** A wired process of either kind, as its shutdown sees it. */
 interface Wired {
   readonly children: readonly Child[];
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -9,6 +9,7 @@
   type RetryBudget,
   type RetryOptions,
   type StatusQuery,
+  type TargetSpec,
   createRetryBudget,
 } from '@cassiamast/coordination';
 import { createVmListClient, createWeightStoreClient } from '@cassiamast/platform';
@@ -37,7 +38,13 @@
 import type { ProcessContext } from './process.js';
 import { wireMember } from './wire-member.js';
 
-const SUBSCRIBE_MS = 3_000;
+const SUBSCRIBE_MS = 5_000;
+/** A sealed report with its headers, about. */
+const LOAD_REPORT_BYTES = 180;
+/** Of the 4 KB a second that control may cost an entry; membership and the rest need under 2. */
+const LOAD_BYTES_PER_S = 1_500;
+const MIN_REPORT_INTERVAL_MS = 500;
+const MS_PER_S = 1_000;
 const PUMP_MS = 10;
 /** A fleet that has lost half of its targets must still be served once an entry restarts. */
 const JOIN_GRACE_MS = 10_000;
@@ -135,6 +142,7 @@
     poison: member.poison,
     callHolder: member.holder.callHolder,
     policyOf: policies.of,
+    noteLoad: takeLoad,
     driveContext,
     noteAnswered: figures.answered,
     noteRefused: figures.refused,
@@ -211,14 +219,26 @@
     planning.noteLoad(load);
   }
 
-  function subscribe(): void {
+  /** Targets whose reports this entry wants: its subsets, and all of the services that it plans. */
+  function followedTargets(): readonly TargetSpec[] {
     const planned = new Set(planning.plannedServices());
-    for (const [name, policy] of policies.models()) {
+    return [...policies.models()].flatMap(([name, policy]) => {
       const wanted = new Set(policy.subset());
-      for (const target of directory.service(name)?.targets ?? []) {
-        if (!wanted.has(target.name) && !planned.has(name)) continue;
-        member.datagrams.send(formatAddress(target.sidecar), RpcMethod.LoadSubscribe, []);
-      }
+      const targets = directory.service(name)?.targets ?? [];
+      return targets.filter((target) => planned.has(name) || wanted.has(target.name));
+    });
+  }
+
+  function subscribe(): void {
+    const followed = followedTargets();
+    const reportsBytes = followed.length * LOAD_REPORT_BYTES;
+    const intervalMs = Math.max(
+      MIN_REPORT_INTERVAL_MS,
+      Math.round((reportsBytes / LOAD_BYTES_PER_S) * MS_PER_S),
+    );
+    for (const target of followed) {
+      const sidecar = formatAddress(target.sidecar);
+      member.datagrams.send(sidecar, RpcMethod.LoadSubscribe, [intervalMs]);
     }
   }
 
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -75,8 +75,10 @@
       const kind = isSuspect ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
       host.handle({ kind, bodyHash });
     },
-    onDatagram: (from, method) => {
-      if (method === (RpcMethod.LoadSubscribe as string)) reporter.subscribe(from);
+    onDatagram: (from, method, params) => {
+      if (method !== (RpcMethod.LoadSubscribe as string)) return;
+      const intervalMs: unknown = Array.isArray(params) ? params[0] : 0;
+      reporter.subscribe(from, typeof intervalMs === 'number' ? intervalMs : 0);
     },
   });
 
@@ -88,6 +90,7 @@
     holdersOf: member.placement.holdersOf,
     callHolder: member.holder.callHolder,
     backend: () => backend,
+    loadNow: () => reporter.encoded(),
     reportCrash: (service, suspects) => {
       for (const { attemptId, bodyHash } of suspects) {
         const kind = PoisonWorkKind.ReportCrash;
@@ -137,6 +140,8 @@
   }
 
   function makeBackend(found: Beside): Backend {
+    // The engine is on the same VM: what is said to it is no control traffic on the network.
+    context.traffic.leaveOut(found.spec.backend.port);
     const address = `http://${formatAddress(found.spec.backend)}`;
     if (found.kind === TargetKind.PlainService) {
       const inherited = { count: 0, mayBeLone: false };
