Read the ledger just before a lone run starts; let only present holders decide a tie

Change: a sidecar starts a lone run only while the key-value service names it; a tie needs a note at a present holder; a lost target settles its lone run as lost.

--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -16,7 +16,7 @@
   tellFinalFailure,
   tellRefusal,
 } from './drive-refusals.js';
-import { beginRound, roundTargets } from './drive-rounds.js';
+import { beginRound } from './drive-rounds.js';
 import { emit, nextId, remainingMs, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEffectKind } from './drive-messages.js';
@@ -274,7 +274,11 @@
 }
 
 /** An attempt is over without an answer: goes on with the next, or gives up. */
-export function attemptOver(turn: Turn, mayHaveRun: boolean): void {
+export function attemptOver(
+  turn: Turn,
+  mayHaveRun: boolean,
+  loneRunEnd: LoneRunEnd = LoneRunEnd.Aborted,
+): void {
   const { drive } = turn;
   const { attempt } = drive;
   if (attempt === null) return;
@@ -283,24 +287,25 @@
   drive.avoidTargets = [...new Set([...drive.avoidTargets, attempt.target])];
   if (!mayHaveRun) drive.neverRan.add(attempt.id);
   const crashed = drive.known.crashedAttemptIds.includes(attempt.id);
-  settleLoneRun(turn, attempt, crashed ? LoneRunEnd.Crashed : LoneRunEnd.Aborted);
+  settleLoneRun(turn, attempt, crashed ? LoneRunEnd.Crashed : loneRunEnd);
   decide(turn);
 }
 
 /**
  * A note was not taken by all holders since another attempt stands there. Of two attempts that each
- * have some holder the smaller id wins; replies of members that are holders no more do not count,
- * or an attempt would win over one that all holders have.
+ * have some holder the smaller id wins; only a present holder counts, and no member that is asked
+ * beside the holders, or an attempt would win over one that all holders have and that may run.
  */
 export function resolveNote(turn: Turn): void {
   const { drive } = turn;
   const { attempt, round } = drive;
   if (attempt === null || round === null) return;
-  const targets = roundTargets(turn);
-  const asked = [...round.replies].filter(([member]) => targets.includes(member));
-  const replies = asked.map(([, reply]) => reply);
-  const rivals = replies.flatMap((reply) => standingRival(reply, attempt));
-  const isNotedSomewhere = replies.some((reply) => reply.kind === HolderReplyKind.Done);
+  const holders = turn.context.holders();
+  const replies = [...round.replies].map(([member, reply]) => ({ member, reply }));
+  const rivals = replies.flatMap(({ reply }) => standingRival(reply, attempt));
+  const isNotedSomewhere = replies.some(
+    ({ member, reply }) => holders.includes(member) && reply.kind === HolderReplyKind.Done,
+  );
   const winsTie =
     isNotedSomewhere &&
     rivals.every((rival) => rival.number === attempt.number && attempt.id < rival.id);
--- a/packages/coordination/src/core/records/drive-streams.ts
+++ b/packages/coordination/src/core/records/drive-streams.ts
@@ -134,7 +134,7 @@
 /** The sidecar of the attempt is dead, as far as membership can tell. */
 export function lossOfTarget(turn: Turn): void {
   turn.drive.lossCount += 1;
-  attemptOver(turn, true);
+  attemptOver(turn, true, LoneRunEnd.Lost);
 }
 
 /** Time to attach again. */
--- a/packages/coordination/src/core/records/host-dispatch.ts
+++ b/packages/coordination/src/core/records/host-dispatch.ts
@@ -89,6 +89,8 @@
     record: message.record,
     payload: message.payload,
     phase: HostedPhase.Waiting,
+    loneRunStands: false,
+    loneRunAskedAtMs: -Infinity,
     tokens: [...message.continueFrom],
     ending: null,
     failure: null,
@@ -106,6 +108,33 @@
   return hosted;
 }
 
+/**
+ * Asks whether the lone run still stands. Failure: its dispatch waited in a paused sidecar while the
+ * service's place was given to others and the content was convicted; it shows as a target that is
+ * lost to a convicted content. The guard holds because the ledger is read just before the start.
+ */
+function checkLoneRun(turn: HostTurn, hosted: HostedAttempt): void {
+  const { nowMs, options } = turn.context;
+  if (nowMs - hosted.loneRunAskedAtMs < options.holderRetryMs) return;
+  hosted.loneRunAskedAtMs = nowMs;
+  const attemptId = hosted.attempt.id;
+  const { service } = hosted.record;
+  turn.out.push({ kind: HostEffectKind.CheckLoneRun, attemptId, service });
+}
+
+/** The ledger was read for a lone run that waits. */
+export function onLoneRunChecked(turn: HostTurn, attemptId: string, stands: boolean): void {
+  const hosted = turn.state.attempts.get(attemptId);
+  if (hosted?.phase !== HostedPhase.Waiting) return;
+  if (!stands) {
+    neverRun(turn, hosted, StreamFailureReason.Cancelled);
+    return;
+  }
+  hosted.loneRunStands = true;
+  startWhenAlone(turn);
+  hosted.loneRunStands = false;
+}
+
 /**
  * Starts what waits: a lone run once nothing else runs, others at once. Streams that a former
  * incarnation left in the engine count as well: they would crash with a suspect unseen.
@@ -118,6 +147,10 @@
     const started = others.filter((other) => other.phase !== HostedPhase.Waiting);
     if (!context.options.leavesAlone(started, hosted.attempt.alone)) continue;
     if (hosted.attempt.alone && state.inherited?.count !== 0) continue;
+    if (hosted.attempt.alone && !hosted.loneRunStands) {
+      checkLoneRun(turn, hosted);
+      continue;
+    }
     hosted.phase = HostedPhase.Running;
     turn.out.push({
       kind: HostEffectKind.StartEngine,
--- a/packages/coordination/src/core/records/host-types.ts
+++ b/packages/coordination/src/core/records/host-types.ts
@@ -40,6 +40,9 @@
   record: RequestRecord;
   readonly payload: unknown;
   phase: HostedPhase;
+  /** Whether the ledger still names it as the lone run; asked just before it starts. */
+  loneRunStands: boolean;
+  loneRunAskedAtMs: number;
   /** The whole answer so far, with what earlier attempts had made. */
   readonly tokens: string[];
   ending: AnswerEnding | null;
@@ -106,6 +109,7 @@
   EngineInherited = 'engine-inherited',
   HolderReplied = 'holder-replied',
   MembersChanged = 'members-changed',
+  LoneRunChecked = 'lone-run-checked',
   ContentSuspected = 'content-suspected',
   ContentCleared = 'content-cleared',
   DrainChanged = 'drain-changed',
@@ -157,6 +161,12 @@
       readonly reply: HolderReply;
     }
   | { readonly kind: HostEventKind.MembersChanged }
+  | {
+      readonly kind: HostEventKind.LoneRunChecked;
+      readonly attemptId: string;
+      /** Whether the service's lone run in the key-value service is this attempt. */
+      readonly stands: boolean;
+    }
   | {
       readonly kind: HostEventKind.ContentSuspected | HostEventKind.ContentCleared;
       readonly bodyHash: string;
@@ -175,6 +185,8 @@
   FailStream = 'fail-stream',
   CallHolder = 'call-holder',
   ReportCrash = 'report-crash',
+  /** Read the service's lone run; comes back as `LoneRunChecked`, or not at all in an outage. */
+  CheckLoneRun = 'check-lone-run',
   Emit = 'emit',
 }
 
@@ -199,6 +211,11 @@
       readonly fromIndex: number;
     }
   | { readonly kind: HostEffectKind.CancelEngine; readonly attemptId: string }
+  | {
+      readonly kind: HostEffectKind.CheckLoneRun;
+      readonly attemptId: string;
+      readonly service: string;
+    }
   | { readonly kind: HostEffectKind.OpenStream; readonly attachId: string }
   | {
       readonly kind: HostEffectKind.SendTokens;
--- a/packages/coordination/src/core/records/host.ts
+++ b/packages/coordination/src/core/records/host.ts
@@ -8,6 +8,7 @@
   neverRun,
   onAttach,
   onDispatch,
+  onLoneRunChecked,
   removeHosted,
   runningAttempts,
   startWhenAlone,
@@ -96,6 +97,9 @@
         checkCommitted(turn, hosted);
       }
       return;
+    case HostEventKind.LoneRunChecked:
+      onLoneRunChecked(turn, event.attemptId, event.stands);
+      return;
     case HostEventKind.ContentSuspected:
       onSuspicion(turn, event.bodyHash);
       return;
--- a/packages/coordination/test/core/records/host.test.ts
+++ b/packages/coordination/test/core/records/host.test.ts
@@ -236,6 +236,19 @@
 
   describe('lone runs', () => {
     const lone = makeAttempt('lone', { alone: true, sequence: 2 });
+    const check = (host: Bench, stands: boolean): readonly HostEffect[] =>
+      host.feed({ kind: HostEventKind.LoneRunChecked, attemptId: 'lone', stands });
+
+    // Story: a lone run's dispatch waits in a paused sidecar; its place goes to another, which
+    // crashes, and the content is convicted. The sidecar wakes and loses a third target. Cause: the
+    // dispatch was still good by itself.
+    it('start only while the ledger names them', () => {
+      const host = bench();
+      const effects = host.feed(dispatchOf(lone));
+      assert.ok(effects.some((effect) => effect.kind === HostEffectKind.CheckLoneRun));
+      assert.equal(failureOf(check(host, false)), StreamFailureReason.Cancelled);
+      assert.equal(starts(check(host, true)), 0);
+    });
 
     it('wait until nothing else runs, and keep others out meanwhile', () => {
       const host = bench();
@@ -244,7 +257,8 @@
       const other = dispatchOf(makeAttempt('a3', { sequence: 3 }));
       assert.equal(failureOf(host.feed(other)), StreamFailureReason.Busy);
       const failed = { kind: HostEventKind.EngineStreamFailed, attemptId: 'a1' } as const;
-      assert.equal(starts(host.feed({ ...failed, mayHaveRun: true })), 1);
+      host.feed({ ...failed, mayHaveRun: true });
+      assert.equal(starts(check(host, true)), 1);
     });
 
     // Story: a sidecar restarts while its engine works on; a suspect is sent to it and crashes the
@@ -258,7 +272,9 @@
         });
       inherit(1);
       assert.equal(starts(host.feed(dispatchOf(lone))), 0);
-      assert.equal(starts(inherit(0)), 1);
+      assert.equal(starts(check(host, true)), 0);
+      inherit(0);
+      assert.equal(starts(check(host, true)), 1);
     });
 
     // Story: two suspects want the lone run of their service; each, asked after before it arrives,
@@ -278,6 +294,7 @@
       const host = bench();
       const message = { attemptId: 'lone', sidecarIncarnation: 's1' };
       host.feed(dispatchOf(lone));
+      check(host, true);
       assert.equal(probeLoneRun(host.state, message, host.context()), LoneProbe.Running);
       host.feed({ kind: HostEventKind.EngineCrashed });
       assert.equal(probeLoneRun(host.state, message, host.context()), LoneProbe.Crashed);
--- a/packages/fuzz/src/worlds/requests/sidecar.ts
+++ b/packages/fuzz/src/worlds/requests/sidecar.ts
@@ -7,6 +7,8 @@
   handleHolderCall,
   handleHostEvent,
   holdersOf,
+  loneRunKeyOf,
+  parseLoneRun,
   runningAttempts,
 } from '@cassiamast/coordination';
 import type { HostContext, HostEffect, HostEvent } from '@cassiamast/coordination';
@@ -16,6 +18,8 @@
 import { onStreamMessage } from './entry.js';
 import type { StreamMessage } from './entry.js';
 import { reportCrash } from './services.js';
+import { callKeyValue, readKey } from './key-value.js';
+import { SERVICE } from './simulation.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
 import { call, send } from './transport.js';
 
@@ -63,6 +67,9 @@
     case HostEffectKind.ResumeEngine:
       resumeStream(simulation, engine, effect.attemptId, effect.fromIndex);
       return;
+    case HostEffectKind.CheckLoneRun:
+      checkLoneRun(simulation, node, effect.attemptId);
+      return;
     case HostEffectKind.CancelEngine:
       cancelStream(engine, effect.attemptId);
       return;
@@ -84,6 +91,19 @@
   }
 }
 
+function checkLoneRun(simulation: Simulation, node: SimulatedNode, attemptId: string): void {
+  callKeyValue(
+    simulation,
+    node,
+    (keyValue) => parseLoneRun(readKey(keyValue, loneRunKeyOf(SERVICE))),
+    (loneRun) => {
+      const stands = loneRun?.attemptId === attemptId;
+      feedHost(simulation, node, { kind: HostEventKind.LoneRunChecked, attemptId, stands });
+    },
+    () => undefined,
+  );
+}
+
 function sendStream(simulation: Simulation, node: SimulatedNode, message: StreamMessage): void {
   const { attachId } = message;
   const { streamSequences } = node.memory;
