--- a/benchmark/src/policy/policies.ts
+++ b/benchmark/src/policy/policies.ts
@@ -50,6 +50,7 @@
   patienceMs: PATIENCE_MS,
   routerOptions: {},
   makePlanner: ourPlanner,
+  movesAnswers: true,
   initialReaders: null,
 };
 
@@ -86,6 +87,7 @@
     predictedFirstTokenMs: 0,
     predictedReadMs: 0,
     predictedStepMs: 0,
+    memoryShort: false,
     prefillTokens: request.promptTokens,
     expectedOutputTokens: 0,
   };
--- a/packages/coordination/src/core/records/options.ts
+++ b/packages/coordination/src/core/records/options.ts
@@ -5,7 +5,7 @@
 import type { ClaimClientOptions } from '../claims/client.js';
 import type { PoisonOptions } from '../poison/client-types.js';
 import { mayBegin } from '../poison/client.js';
-import { CONVICTING_CRASHES, isConvicted } from '../poison/ledger.js';
+import { isConvicted } from '../poison/ledger.js';
 import { DEFAULT_RETRY_OPTIONS, withdrawRetry } from '../retries/retries.js';
 import { mayRunAgain } from './drive-attempts.js';
 import { fitsAnswer, matchesResume } from './drive-delivery.js';
@@ -27,15 +27,15 @@
   reattachTries: 10,
   cancelTimeoutMs: 1000,
   retryAfterMs: 1000,
+  settleMs: 15_000,
   absenceHorizonMs: 600_000,
-  convictingCrashes: CONVICTING_CRASHES,
-  accepts: allHoldersDone,
-  mayDispatch: allHoldersDone,
+  mayProceed: allHoldersDone,
   mayTellAnswer: allHoldersDone,
   fitsAnswer,
   matchesResume,
   mayRunAgain,
   withdrawRetry,
+  isConvicted,
 };
 
 /** 24 MB leave a member within its 32 MB for control; a fifth is kept for ends. */
@@ -52,7 +52,11 @@
 };
 
 /** 200 records a tick: at ten ticks a second a member's records are restored within seconds. */
-export const DEFAULT_REPAIR_OPTIONS: RepairOptions = { repairsPerTick: 200, resendAfterMs: 1000 };
+export const DEFAULT_REPAIR_OPTIONS: RepairOptions = {
+  repairsPerTick: 200,
+  resendAfterMs: 1000,
+  handoverGraceMs: 30_000,
+};
 
 /** One session an entry; the window is far beyond the dispatches that can overtake each other. */
 export const DEFAULT_HOST_OPTIONS: HostOptions = {
@@ -65,6 +69,7 @@
   loneRunGraceMs: 3000,
   retentionMs: 60_000,
   holderRetryMs: 500,
+  commitPatienceMs: 10_000,
   busyRetryAfterMs: 250,
   judgeSequence,
   mayTellEnd: allHoldersDone,
