--- a/packages/coordination/src/core/authority/gate-state.ts
+++ b/packages/coordination/src/core/authority/gate-state.ts
@@ -48,6 +48,8 @@
    */
   readonly quietAfterStartMs: number;
   readonly readBackIntervalMs: number;
+  /** An engine that has not answered after this is asked for its state. */
+  readonly engineAnswerMs: number;
   readonly guards: GateGuards;
 }
 
@@ -67,6 +69,7 @@
   checkToActMs: 1_000,
   quietAfterStartMs: 5_000,
   readBackIntervalMs: 500,
+  engineAnswerMs: 10_000,
   guards: GATE_GUARDS,
 };
 
--- a/packages/coordination/src/core/authority/order-gate.ts
+++ b/packages/coordination/src/core/authority/order-gate.ts
@@ -40,7 +40,23 @@
 
 /** Does whatever is due; call it several times a second. */
 export function tickGate(state: GateState, context: GateContext): GateEffect[] {
-  return [...learn(state, context), ...readBack(state, context)];
+  return [...learn(state, context), ...endWaiting(state, context), ...readBack(state, context)];
+}
+
+/**
+ * Ends waits whose answer never came. Failure guarded against: an order that waits for ever keeps
+ * the engine from every later one. Before the sending nothing happened; after it the engine is read.
+ */
+function endWaiting(state: GateState, context: GateContext): GateEffect[] {
+  const { running, options } = state;
+  if (running === null) return [];
+  if (running.phase === GatePhase.Verifying) {
+    if (context.nowMs < running.expiresAtMs + options.checkToActMs) return [];
+    return refuse(state, running, authorityUnverifiable.of({ orderId: running.order.orderId }));
+  }
+  const waitedMs = context.nowMs - running.sentAtMs;
+  if (running.phase !== GatePhase.Sent || waitedMs < options.engineAnswerMs) return [];
+  return engineAnswerLost(state, running.order.orderId, context);
 }
 
 /**
--- a/packages/coordination/src/core/membership/membership.ts
+++ b/packages/coordination/src/core/membership/membership.ts
@@ -40,8 +40,10 @@
   for (const id of state.suspects) {
     const record = state.records.get(id);
     if (record === undefined) continue;
-    record.suspectDeadlineMs += latenessMs;
-    record.lastCallAtMs += latenessMs;
+    // What it has to say may wait behind this wake-up: time for a last call is left in any case.
+    const extendedMs = record.suspectDeadlineMs + latenessMs;
+    record.suspectDeadlineMs = Math.max(extendedMs, nowMs + LAST_CALL_MS);
+    record.lastCallAtMs = nowMs;
   }
   state.wakeAtMs = nowMs;
 }
--- a/packages/coordination/test/core/authority/order-gate.test.ts
+++ b/packages/coordination/test/core/authority/order-gate.test.ts
@@ -168,6 +168,18 @@
       assert.equal(readOrder(gate, 'o2').status, OrderStatus.Verifying);
     });
 
+    it('does not wait for ever for the lease or for the engine', () => {
+      const unread = ready();
+      submit(unread, 'o1', READY_MS);
+      const overMs = READY_MS + GATE_OPTIONS.ticketValidMs + GATE_OPTIONS.checkToActMs;
+      assert.deepEqual(tickGate(unread, at(overMs - 1)), []);
+      assert.equal(refusal(tickGate(unread, at(overMs))), 'authority-unverifiable');
+      const unanswered = ready();
+      sent(unanswered, 'o1');
+      const lateMs = READY_MS + 5 + GATE_OPTIONS.engineAnswerMs;
+      assert.deepEqual(kinds(tickGate(unanswered, at(lateMs))), [GateEffectKind.ReadEngine]);
+    });
+
     it('waits for the end of the one before', () => {
       const gate = ready();
       sent(gate, 'o1');
