Tell outages of the key-value service and the stopping of a process

Cause: four kinds of events were never emitted; a fault that nobody writes down can't be explained. Change: an outage begins after three failed calls in a row and ends at the first success, as a pure part; the daemon watches its calls on their way; stopping is an event.

--- a/packages/cli/src/core/fleet/watching.ts
+++ b/packages/cli/src/core/fleet/watching.ts
@@ -11,7 +11,7 @@
 export interface Refresh {
   readonly atWallMs: number;
   readonly view: FleetView;
-  /** Since the refresh before; all 0 in the first. */
+  /** Since the refresh before; none in the first. */
   readonly rates: readonly ServiceRates[];
 }
 
@@ -65,7 +65,8 @@
     const view = fleetView(answers, members, unreachable);
     const takenAtMs = nowMs();
     const elapsedMs = previous === undefined ? 0 : takenAtMs - previous.takenAtMs;
-    const rates = ratesBetween(previous?.refresh.view ?? view, view, elapsedMs);
+    const rates =
+      previous === undefined ? [] : ratesBetween(previous.refresh.view, view, elapsedMs);
     return { refresh: { atWallMs: wallMs(), view, rates }, takenAtMs };
   });
 }
--- /dev/null
+++ b/packages/coordination/test/core/events/outage.test.ts
@@ -0,0 +1,35 @@
+/** When an outage begins and ends. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  createOutageWatch,
+  noteFailure,
+  noteSuccess,
+  OUTAGE_FAILURES,
+  OutageChange,
+} from '../../../src/core/events/outage.js';
+
+describe('an outage', () => {
+  it('begins once, after several failures in a row', () => {
+    const watch = createOutageWatch();
+    const changes = Array.from({ length: 5 }, (_, index) => noteFailure(watch, index * 1_000));
+    assert.deepEqual(changes.indexOf(OutageChange.Began), OUTAGE_FAILURES - 1);
+    assert.equal(changes.filter((change) => change !== OutageChange.None).length, 1);
+    assert.equal(watch.outSinceMs, (OUTAGE_FAILURES - 1) * 1_000);
+  });
+
+  it('ends at the first success', () => {
+    const watch = createOutageWatch();
+    for (let call = 0; call < OUTAGE_FAILURES; call += 1) noteFailure(watch, call);
+    assert.equal(noteSuccess(watch), OutageChange.Ended);
+    assert.equal(noteSuccess(watch), OutageChange.None);
+  });
+
+  it('is not made of single lost answers', () => {
+    const watch = createOutageWatch();
+    for (let call = 0; call < 100; call += 1) {
+      assert.equal(noteFailure(watch, call), OutageChange.None);
+      assert.equal(noteSuccess(watch), OutageChange.None);
+    }
+  });
+});
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -4,10 +4,17 @@
  */
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type Failure, MemberKind, createHashing, seededRandom } from '@cassiamast/coordination';
+import {
+  EventKind,
+  type Failure,
+  MemberKind,
+  createHashing,
+  seededRandom,
+} from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { tellOutages } from '../node/key-value-outages.js';
 import { createLog } from '../node/logging.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
@@ -38,6 +45,10 @@
   const memberId = formatAddress(settings.control);
   const proof = createMemberProof(secret);
   const timeline = createTimeline(memberId, settings.timelineEvents, SYSTEM_CLOCKS.wallMs);
+  const telemetry = createTelemetry((event) => {
+    timeline.put(event);
+  });
+  const client = createKeyValueClient({ endpoints: settings.keyValue.endpoints });
   const context: ProcessContext = {
     memberId,
     clocks: SYSTEM_CLOCKS,
@@ -46,10 +57,8 @@
     log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
     proof,
     rpc: createRpcClient(proof, timeline.clock),
-    keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
-    telemetry: createTelemetry((event) => {
-      timeline.put(event);
-    }),
+    keyValue: tellOutages(client, telemetry.emit, SYSTEM_CLOCKS.monotonicMs),
+    telemetry,
     timeline,
     traffic,
     seeds: settings.peers,
@@ -70,6 +79,7 @@
   return {
     stop: async () => {
       context.log.info(`${settings.kind} stops`);
+      telemetry.emit({ kind: EventKind.ProcessStopping, reason: 'it was told to stop' });
       await drain(wired, context.clocks.monotonicMs);
       await root.stop();
       await context.rpc.close();
--- a/packages/promises/features/time-line.feature
+++ b/packages/promises/features/time-line.feature
@@ -18,3 +18,9 @@
   Scenario: A process can not be asked
     When entry 3 is shut down
     Then the time line says that it could not reach entry 3
+
+  Scenario: The key-value service is away for a while
+    Given the key-value service is away
+    Then the time line tells "key-value-outage"
+    When the key-value service is back
+    Then the time line tells "key-value-back"
--- a/packages/promises/test/steps/time-line.ts
+++ b/packages/promises/test/steps/time-line.ts
@@ -1,6 +1,6 @@
 /** Steps of those who ask what happened. */
 import assert from 'node:assert/strict';
-import { type DataTable, Then } from '@cucumber/cucumber';
+import { type DataTable, Then, When } from '@cucumber/cucumber';
 import type { TimelineEvent, UnreachableProcess } from '@cassiamast/coordination';
 import { waitFor } from '../fixtures/wait-for.js';
 import { ownAsk } from './answers.js';
@@ -38,6 +38,14 @@
   await waitFor(async () => (await timeline('--target', target, '--kind', kind)).events.length > 0);
 });
 
+When('the key-value service is back', function () {
+  fleet().keyValue.setFaults({ down: false });
+});
+
+Then('the time line tells {string}', async function (kind: string) {
+  await waitFor(async () => (await timeline('--kind', kind)).events.length > 0);
+});
+
 Then(
   'the time line shows the new version in force at every process',
   async function (this: Scenario) {
