Fit a daemon into its memory, and ask the ledger before a lone run starts

Cause: a sidecar at rest held 88.8 MB, 48 MB over a bare Node process (limit: 32); the fuzzer found a lone run that started from a paused sidecar after its content was convicted.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -16,6 +16,7 @@
 export * from './core/events/filter.js';
 export * from './core/events/hybrid-clock.js';
 export { timelinePage } from './core/events/page/page.js';
+export * from './core/events/outage.js';
 export * from './core/events/ring.js';
 export * from './core/events/timeline.js';
 export * from './core/events/write-text.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -3,6 +3,7 @@
  * `cassiamastd --settings FILE`: runs one process, an entry or a sidecar, until it is told to stop.
  * SIGTERM and SIGINT shut it down gracefully: no new work, running answers end, then it exits.
  */
+import './memory-flags.js';
 import { parseArgs } from 'node:util';
 import { type Failure, FailureError } from '@cassiamast/coordination';
 import { consola } from 'consola';
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -89,6 +89,7 @@
     telemetry,
     holdersOf: member.placement.holdersOf,
     callHolder: member.holder.callHolder,
+    keyValue: context.keyValue,
     backend: () => backend,
     loadNow: () => reporter.encoded(),
     reportCrash: (service, suspects) => {
--- a/packages/fuzz/test/worlds/changes.test.ts
+++ b/packages/fuzz/test/worlds/changes.test.ts
@@ -6,7 +6,7 @@
 import { CHANGES_MUTANTS, CHANGES_WORLD } from '../../src/worlds/changes/world.js';
 
 function run(mutant: string | null, runs: number): RunReport {
-  const options = { seed: 1, runs, commands: 60, mutant, replay: null };
+  const options = { seed: 1, runs, commands: 60, mutant, replay: null, shrinks: true };
   return runWorld(CHANGES_WORLD, options, new Map());
 }
 
