Ask for contact since the last call before a verdict; tell a mass start in full

Change: an own probe must have been answered since the suspect was last called. News of a mass start is sent in full again; only long queues of doubt are cut.

--- a/packages/coordination/src/core/membership/membership.ts
+++ b/packages/coordination/src/core/membership/membership.ts
@@ -50,8 +50,8 @@
 
 /**
  * Failure guarded against: a process that is cut off, or was paused and got old news, condemns a
- * member that it cannot ask. It shows as no own probe answered since the suspicion began; the time of
- * the suspect then starts again, with its last calls.
+ * member that it cannot ask. It shows as no own probe answered since the last call, when a suspect
+ * that lives would have answered as well; it is then called again.
  */
 function waitsForContact(
   state: MembershipState,
@@ -59,7 +59,8 @@
   context: MembershipContext,
 ): boolean {
   if (!state.options.guards.silenceIsOwnFault) return false;
-  if (state.lastContactMs > record.changedAtMs) return false;
+  const lastCallMs = record.suspectDeadlineMs - LAST_CALL_MS;
+  if (state.lastContactMs > lastCallMs) return false;
   record.lastCallAtMs = context.nowMs;
   record.suspectDeadlineMs = context.nowMs + LAST_CALL_MS;
   return true;
--- a/packages/coordination/src/core/membership/probing.ts
+++ b/packages/coordination/src/core/membership/probing.ts
@@ -27,12 +27,13 @@
 
 /**
  * How often each piece of news is sent by each member at the present size; a third of that while a
- * failure domain's worth of news waits, as what is missed then is repaired by comparing views.
+ * failure domain's worth of doubts waits, as what is missed then is repaired by comparing views.
  */
 export function sendLimit(state: MembershipState): number {
   const members = state.records.size + 1;
   const limit = state.options.retransmitFactor * Math.ceil(Math.log(members + 1));
-  return newsCount(state.news) > LONG_QUEUE ? Math.ceil(limit / 3) : limit;
+  const isLong = state.suspects.size > 0 && newsCount(state.news) > LONG_QUEUE;
+  return isLong ? Math.ceil(limit / 3) : limit;
 }
 
 /** The news for one message. What is believed of the receiver goes first, so that it can contradict. */
--- a/packages/fuzz/src/worlds/authority/key-value.ts
+++ b/packages/fuzz/src/worlds/authority/key-value.ts
@@ -103,7 +103,7 @@
     }
     const createRevision = service.keys.get(key)?.createRevision ?? service.revision;
     service.keys.set(key, { value, createRevision, modRevision: service.revision, leaseId });
-    if (key === LEASE_KEY) noteKeyTaken(simulation, value, createRevision);
+    if (key === LEASE_KEY) noteKeyTaken(simulation, createRevision);
   }
   return service.revision;
 }
--- a/packages/fuzz/src/worlds/authority/oracle.ts
+++ b/packages/fuzz/src/worlds/authority/oracle.ts
@@ -60,7 +60,7 @@
 }
 
 /** The lease key came into being. */
-export function noteKeyTaken(simulation: Simulation, _value: string, fence: number): void {
+export function noteKeyTaken(simulation: Simulation, fence: number): void {
   const fromMs = simulation.scheduler.nowMs;
   simulation.oracle.tenures.push({ fence, fromMs, untilMs: Infinity, wasDropped: false });
 }
@@ -87,10 +87,9 @@
 function untilOf(simulation: Simulation, tenure: Tenure): number {
   const { service, scheduler } = simulation;
   if (tenure.untilMs !== Infinity) return tenure.untilMs;
-  const lapsed = [...service.leases.values()].filter((atMs) => atMs <= scheduler.nowMs);
-  const bound = [...service.keys.values()].find((key) => key.createRevision === tenure.fence);
-  const expiresAtMs = bound?.leaseId ? service.leases.get(bound.leaseId) : undefined;
-  return lapsed.length > 0 && expiresAtMs !== undefined ? expiresAtMs : Infinity;
+  const held = [...service.keys.values()].find((key) => key.createRevision === tenure.fence);
+  const expiresAtMs = service.leases.get(held?.leaseId ?? '') ?? Infinity;
+  return expiresAtMs <= scheduler.nowMs ? expiresAtMs : Infinity;
 }
 
 /** A planner submits an order: it must hold the lease at this moment. */
