--- a/benchmark/src/main.ts
+++ b/benchmark/src/main.ts
@@ -15,6 +15,7 @@
 
   policy   goodput and role changes on seeded traces, on a virtual clock
            --seed N [--trace NAME] [--policy NAME] [--scale K] [--json] [--report FILE] [--cost]
+           --same-mix: the bound may not prefer short requests
   path     what the way through entry and sidecar costs, against calling the engine directly
            [--seconds N] [--base-port N] [--profile]
   control  what membership and configuration cost per member, by size of the fleet
