--- a/packages/coordination/test/api-page.test.ts
+++ b/packages/coordination/test/api-page.test.ts
@@ -1,7 +1,7 @@
 /** The library's page names every export, with the first sentence of its doc comment. */
 import assert from 'node:assert/strict';
-import { readFileSync } from 'node:fs';
-import { describe, it } from 'node:test';
+import { readFileSync, rmSync, writeFileSync } from 'node:fs';
+import { describe, it, mock } from 'node:test';
 
 interface ListedExport {
   readonly name: string;
@@ -40,6 +40,22 @@
     assert.equal(listed.length, exports.length, REMEDY);
   });
 
+  it('shows a program that runs as it stands and prints what the page says', async () => {
+    const program = /```js\n(.*?)```/s.exec(lines.join('\n'))?.[1] ?? '';
+    const file = new URL(`./embedding-${String(process.pid)}.mjs`, import.meta.url);
+    writeFileSync(file, program);
+    const log = mock.method(console, 'log', () => undefined);
+    try {
+      await import(file.href);
+    } finally {
+      log.mock.restore();
+      rmSync(file);
+    }
+    const printed = log.mock.calls.map((call) => call.arguments[0] as unknown);
+    assert.deepEqual(printed, [{ ready: false, cause: 'dependency', service: 'model' }]);
+    assert.match(program, /\/\/ \{ ready: false, cause: 'dependency', service: 'model' \}/);
+  });
+
   it('has a doc comment for every export', () => {
     const bare = exports.filter(({ sentence }) => sentence === '').map(({ name }) => name);
     assert.deepEqual(bare, []);
