--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -4,9 +4,8 @@
  */
 import { EventKind } from '../events/event.js';
 import { CONVICTING_CRASHES } from '../poison/ledger.js';
-import { RunState } from '../model/outcome.js';
 import { backOffMs } from '../retries/retries.js';
-import { closeStream, deliverAnswer, forgetUntold } from './drive-delivery.js';
+import { closeStream, forgetUntold } from './drive-delivery.js';
 import {
   abandonPrepared,
   convict,
@@ -14,19 +13,18 @@
   settleLoneRun,
   someMayHaveRun,
   tellFinalFailure,
-  tellRefusal,
 } from './drive-refusals.js';
-import { beginRound, roundTargets } from './drive-rounds.js';
+import { beginRound } from './drive-rounds.js';
 import { emit, nextId, remainingMs, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEffectKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd, Suspicion } from './drive-types.js';
 import type { Place, RequestDrive } from './drive-types.js';
-import { DEADLINE_PASSED, OUTCOME_UNKNOWN, RECORDS_UNREACHABLE, TRIES_SPENT } from './failures.js';
-import { HolderCallKind, HolderReplyKind } from './messages.js';
-import type { HolderReply } from './messages.js';
+import { DEADLINE_PASSED, OUTCOME_UNKNOWN, TRIES_SPENT } from './failures.js';
+import { HolderCallKind } from './messages.js';
 import { currentAttempt } from './record.js';
-import type { Answer, Attempt } from './record.js';
+import type { Attempt } from './record.js';
+import { answerStands, reconcile } from './drive-agreement.js';
 
 /** Losses of targets without a sign of a crash after which the request runs alone as well. */
 const LOSSES_THAT_SUSPECT = 2;
@@ -56,19 +54,6 @@
   runAgain(turn);
 }
 
-/**
- * Guards the reader of a later attempt. Failure: an earlier attempt's answer, not committed, is
- * found at one holder and carried to the others while the later attempt runs; it shows as a caller
- * that is cut at the end of a whole text. The guard holds because such an answer is left alone as
- * long as the later attempt may come to its end.
- */
-function answerStands(turn: Turn, answer: Answer): boolean {
-  const { drive } = turn;
-  const current = currentAttempt(drive.known);
-  if (answer.committedForMs !== null || current === null) return true;
-  return current.number <= answer.attemptNumber || drive.over.has(current.id);
-}
-
 function runAgain(turn: Turn): void {
   const { drive, context } = turn;
   const { service, repeatable } = drive.request;
@@ -274,7 +259,11 @@
 }
 
 /** An attempt is over without an answer: goes on with the next, or gives up. */
-export function attemptOver(turn: Turn, mayHaveRun: boolean): void {
+export function attemptOver(
+  turn: Turn,
+  mayHaveRun: boolean,
+  loneRunEnd: LoneRunEnd = LoneRunEnd.Aborted,
+): void {
   const { drive } = turn;
   const { attempt } = drive;
   if (attempt === null) return;
@@ -283,96 +272,6 @@
   drive.avoidTargets = [...new Set([...drive.avoidTargets, attempt.target])];
   if (!mayHaveRun) drive.neverRan.add(attempt.id);
   const crashed = drive.known.crashedAttemptIds.includes(attempt.id);
-  settleLoneRun(turn, attempt, crashed ? LoneRunEnd.Crashed : LoneRunEnd.Aborted);
+  settleLoneRun(turn, attempt, crashed ? LoneRunEnd.Crashed : loneRunEnd);
   decide(turn);
 }
-
-/**
- * A note was not taken by all holders since another attempt stands there. Of two attempts that each
- * have some holder the smaller id wins; replies of members that are holders no more do not count,
- * or an attempt would win over one that all holders have.
- */
-export function resolveNote(turn: Turn): void {
-  const { drive } = turn;
-  const { attempt, round } = drive;
-  if (attempt === null || round === null) return;
-  const targets = roundTargets(turn);
-  const asked = [...round.replies].filter(([member]) => targets.includes(member));
-  const replies = asked.map(([, reply]) => reply);
-  const rivals = replies.flatMap((reply) => standingRival(reply, attempt));
-  const isNotedSomewhere = replies.some((reply) => reply.kind === HolderReplyKind.Done);
-  const winsTie =
-    isNotedSomewhere &&
-    rivals.every((rival) => rival.number === attempt.number && attempt.id < rival.id);
-  const rival = rivals[0];
-  if (drive.known.answer === null && winsTie && rival !== undefined) {
-    const { known } = drive;
-    beginRound(turn, {
-      kind: HolderCallKind.Note,
-      record: { ...known, attempts: known.attempts.filter((other) => other.id !== attempt.id) },
-      attempt,
-      previousId: rival.id,
-    });
-    return;
-  }
-  yieldToStanding(turn, attempt);
-}
-
-function standingRival(reply: HolderReply, attempt: Attempt): readonly Attempt[] {
-  if (reply.kind !== HolderReplyKind.Standing || reply.record === null) return [];
-  const current = currentAttempt(reply.record);
-  return current === null || current.id === attempt.id ? [] : [current];
-}
-
-function yieldToStanding(turn: Turn, attempt: Attempt): void {
-  const { drive } = turn;
-  drive.neverRan.add(attempt.id);
-  drive.over.add(attempt.id);
-  settleLoneRun(turn, attempt, LoneRunEnd.Aborted);
-  drive.attempt = null;
-  const attempts = drive.known.attempts.filter((other) => other.id !== attempt.id);
-  drive.known = { ...drive.known, attempts };
-  decide(turn);
-}
-
-/**
- * An answer is known: makes every holder have it, then have it as committed, then tells it. Holders
- * that know another answer bring it in with their replies, and the joined one is tried again.
- */
-export function reconcile(turn: Turn, answer: Answer): void {
-  const { drive, context } = turn;
-  closeStream(turn);
-  const agreeing = repliesWith(turn, (held) => held.attemptId === answer.attemptId);
-  const agreed = context.options.mayTellAnswer(agreeing, context.holders());
-  const committed = repliesWith(
-    turn,
-    (held) => held.attemptId === answer.attemptId && held.committedForMs !== null,
-  );
-  if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
-    deliverAnswer(turn, answer);
-    return;
-  }
-  drive.phase = DrivePhase.Reconciling;
-  drive.reconcileCount += 1;
-  if (drive.reconcileCount > context.options.holderRounds) {
-    drive.pendingFailure = RECORDS_UNREACHABLE.of({ service: drive.request.service });
-    drive.pendingRetryAfterMs = context.options.retryAfterMs;
-    return tellRefusal(turn, RunState.Ran);
-  }
-  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committedForMs: 0 } };
-  beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
-}
-
-function repliesWith(
-  turn: Turn,
-  holdsAnswer: (answer: Answer) => boolean,
-): ReadonlyMap<string, HolderReply> {
-  const found = new Map<string, HolderReply>();
-  for (const [member, reply] of turn.drive.round?.replies ?? []) {
-    const answer = reply.record?.answer ?? null;
-    if (answer !== null && holdsAnswer(answer)) {
-      found.set(member, { ...reply, kind: HolderReplyKind.Done });
-    }
-  }
-  return found;
-}
--- a/packages/daemon/src/entry/openai-request.ts
+++ b/packages/daemon/src/entry/openai-request.ts
@@ -1,6 +1,6 @@
 /** Checks bodies of the OpenAI-compatible completions and chat completions. */
 import { err, ok, type Result } from 'neverthrow';
-import { z } from 'zod';
+import { z } from 'zod/v3';
 import { AnswerFormat } from './caller-request.js';
 
 const DEFAULT_MAX_TOKENS = 256;
@@ -13,23 +13,27 @@
   temperature: z.number().min(0).max(MAX_TEMPERATURE).nullish(),
   seed: z.number().int().nullish(),
   stream: z.boolean().nullish(),
-  stream_options: z.looseObject({ include_usage: z.boolean().optional() }).nullish(),
+  stream_options: z.object({ include_usage: z.boolean().optional() }).passthrough().nullish(),
   n: z.literal(1).nullish(),
   stop: z.union([z.string(), z.array(z.string()).max(MAX_STOP_TEXTS)]).nullish(),
 };
 
-const completionBody = z.looseObject({ ...commonFields, prompt: z.string() });
+const completionBody = z.object({ ...commonFields, prompt: z.string() }).passthrough();
 
-const textPart = z.looseObject({ type: z.literal('text'), text: z.string() });
-const chatMessage = z.looseObject({
-  role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
-  content: z.union([z.string(), z.array(textPart)]),
-});
-const chatBody = z.looseObject({
-  ...commonFields,
-  max_completion_tokens: z.number().int().min(1).nullish(),
-  messages: z.array(chatMessage).min(1),
-});
+const textPart = z.object({ type: z.literal('text'), text: z.string() }).passthrough();
+const chatMessage = z
+  .object({
+    role: z.enum(['system', 'developer', 'user', 'assistant', 'tool']),
+    content: z.union([z.string(), z.array(textPart)]),
+  })
+  .passthrough();
+const chatBody = z
+  .object({
+    ...commonFields,
+    max_completion_tokens: z.number().int().min(1).nullish(),
+    messages: z.array(chatMessage).min(1),
+  })
+  .passthrough();
 
 /** What a body asks for, before headers and configuration are looked at. */
 export interface AskedCompletion {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -8,7 +8,9 @@
 import { MemberKind } from '@cassiamast/coordination';
 import { err, ok, type Result } from 'neverthrow';
 import { parse } from 'yaml';
-import { z } from 'zod';
+// The third version of zod's interface, which the package still brings: a tenth of the memory of the
+// fourth, in a process that has 32 MB to itself.
+import { z } from 'zod/v3';
 import { SETTINGS_INVALID, SETTINGS_UNREADABLE } from './failures.js';
 
 /** Environment variable that carries the members' shared secret when no file is named. */
@@ -17,11 +19,16 @@
 const MAX_PORT = 65_535;
 const MIN_SECRET_CHARACTERS = 16;
 
+/** An object without unknown fields, so that a misspelt one is a fault. */
+function strict<Shape extends z.ZodRawShape>(shape: Shape): z.ZodObject<Shape, 'strict'> {
+  return z.object(shape).strict();
+}
+
 const hostPort = z
   .string()
   .regex(/^[^:\s]+:\d{1,5}$/, 'must be host:port')
   .describe('host:port');
-const listenAddress = z.strictObject({
+const listenAddress = strict({
   host: z.string().min(1),
   port: z.number().int().min(1).max(MAX_PORT),
 });
@@ -35,9 +42,9 @@
   failureDomain: z.string().min(1),
   /** Any few members, to join through. */
   peers: z.array(hostPort).default([]),
-  keyValue: z.strictObject({ endpoints: z.array(z.url()).min(1) }),
-  vmList: z.strictObject({ url: z.url() }).optional(),
-  weightStore: z.strictObject({ url: z.url() }).optional(),
+  keyValue: strict({ endpoints: z.array(z.string().url()).min(1) }),
+  vmList: strict({ url: z.string().url() }).optional(),
+  weightStore: strict({ url: z.string().url() }).optional(),
   /** File with the members' shared secret; else the environment variable CASSIAMAST_SECRET. */
   secretFile: z.string().optional(),
   logLevel: z.enum(['silent', 'error', 'warn', 'info', 'debug']).default('info'),
@@ -45,7 +52,7 @@
   timelineEvents: z.number().int().min(100).max(100_000).default(4_000),
 };
 
-const entrySettings = z.strictObject({
+const entrySettings = strict({
   kind: z.literal(MemberKind.Entry),
   ...commonFields,
   /** Where callers connect. */
@@ -54,7 +61,7 @@
   maxCallerConnections: z.number().int().min(1).default(20_000),
 });
 
-const sidecarSettings = z.strictObject({
+const sidecarSettings = strict({
   kind: z.literal(MemberKind.Sidecar),
   ...commonFields,
   /** Name of the target in the operators' text that this process stands beside. */
