--- /dev/null
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -0,0 +1,112 @@
+/**
+ * Starts a whole process from its settings: makes the surroundings, wires the parts of its kind
+ * and puts them under one root supervisor.
+ */
+import { randomInt } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import { type Failure, MemberKind, createHashing, seededRandom } from '@cassiamast/coordination';
+import { createKeyValueClient } from '@cassiamast/platform';
+import { formatAddress } from '../node/address.js';
+import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { createLog } from '../node/logging.js';
+import { createRpcClient } from '../node/rpc-client.js';
+import { createMemberProof } from '../node/secret.js';
+import { type NewHistogram, createTelemetry } from '../node/telemetry.js';
+import { createTimeline } from '../node/timeline.js';
+import { startTrafficMeter } from '../node/traffic-meter.js';
+import type { LoadedSettings, Settings } from '../settings/settings.js';
+import { type Child, createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
+import type { ProcessContext } from './process.js';
+import { wireEntry } from './wire-entry.js';
+import { wireSidecar } from './wire-sidecar.js';
+
+const MAX_SEED = 0x7fff_ffff;
+const DRAIN_POLL_MS = 50;
+const SIGNIFICANT_DIGITS = 2;
+
+/** A process that runs. */
+export interface RunningProcess {
+  readonly stop: () => Promise<void>;
+}
+
+/** Starts a process; `onFailure` is told when a part keeps failing. */
+export async function startProcess(
+  loaded: LoadedSettings,
+  onFailure: (failure: Failure) => void,
+): Promise<RunningProcess> {
+  const { settings, secret } = loaded;
+  const traffic = startTrafficMeter();
+  const memberId = formatAddress(settings.control);
+  const proof = createMemberProof(secret);
+  const timeline = createTimeline(memberId, settings.timelineEvents, SYSTEM_CLOCKS.wallMs);
+  const context: ProcessContext = {
+    memberId,
+    clocks: SYSTEM_CLOCKS,
+    random: seededRandom(randomInt(MAX_SEED)),
+    hashing: await createHashing(),
+    log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
+    proof,
+    rpc: createRpcClient(proof, timeline.clock),
+    keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
+    telemetry: createTelemetry(timeline.put, await histogramsFor(settings.kind)),
+    timeline,
+    traffic,
+    seeds: settings.peers,
+  };
+  const wired = wire(context, settings);
+  const root = createSupervisor({
+    name: 'root',
+    children: wired.children,
+    limit: DEFAULT_RESTART_LIMIT,
+    log: context.log,
+    nowMs: context.clocks.monotonicMs,
+    sleep: async (delayMs) => {
+      await sleep(delayMs);
+    },
+  });
+  await root.start(onFailure);
+  context.log.info(`${settings.kind} serves`);
+  return {
+    stop: async () => {
+      context.log.info(`${settings.kind} stops`);
+      await drain(wired, context.clocks.monotonicMs);
+      await root.stop();
+      await context.rpc.close();
+      await context.keyValue.close();
+      traffic.stop();
+    },
+  };
+}
+
+/** Durations are recorded by entries only; see {@link createTelemetry}. */
+async function histogramsFor(kind: MemberKind): Promise<NewHistogram | null> {
+  if (kind === MemberKind.Sidecar) return null;
+  const { build } = await import('hdr-histogram-js');
+  return (highestTrackableValue) =>
+    build({ highestTrackableValue, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS });
+}
+
+/** A wired process of either kind, as its shutdown sees it. */
+interface Wired {
+  readonly children: readonly Child[];
+  readonly beginDrain: () => void;
+  /** Answers or attempts that a shutdown must not cut. */
+  readonly running: () => number;
+  readonly drainMs: () => number;
+}
+
+function wire(context: ProcessContext, settings: Settings): Wired {
+  if (settings.kind === MemberKind.Entry) {
+    const entry = wireEntry(context, settings);
+    return { ...entry, running: entry.openAnswers };
+  }
+  const sidecar = wireSidecar(context, settings);
+  return { ...sidecar, running: sidecar.runningAttempts };
+}
+
+/** Graceful shutdown: no new work, then the running work ends, within the operators' bound. */
+async function drain(wired: Wired, nowMs: () => number): Promise<void> {
+  const giveUpAtMs = nowMs() + wired.drainMs();
+  wired.beginDrain();
+  while (wired.running() > 0 && nowMs() < giveUpAtMs) await sleep(DRAIN_POLL_MS);
+}
--- /dev/null
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -0,0 +1,331 @@
+/** Wires an entry: the parts of the supervisor tree and who hears of what. */
+import { randomUUID } from 'node:crypto';
+import {
+  type Configuration,
+  DEFAULT_DRIVE_OPTIONS,
+  type DriveContext,
+  type DriveRequest,
+  MemberKind,
+  type RetryBudget,
+  type RetryOptions,
+  type StatusQuery,
+  type TargetSpec,
+  createRetryBudget,
+} from '@cassiamast/coordination';
+import { createVmListClient, createWeightStoreClient } from '@cassiamast/platform';
+import { type Authenticate, createAuthenticate } from '../entry/authenticate.js';
+import { createCallerServer } from '../entry/caller-server.js';
+import { createClaimDriver } from '../entry/claim-driver.js';
+import { createContacts } from '../entry/contacts.js';
+import { createEntryFigures } from '../entry/entry-figures.js';
+import { readServices } from '../entry/entry-status.js';
+import { createPolicies } from '../entry/policies.js';
+import { createRequests } from '../entry/requests.js';
+import type { RunServices } from '../entry/run-services.js';
+import { createSessionDriver } from '../entry/session-driver.js';
+import { createTargetDirectory } from '../entry/target-directory.js';
+import { formatAddress } from '../node/address.js';
+import { createControlServer } from '../node/control-server.js';
+import { allowNetworks } from '../node/networks.js';
+import { type ProcessStatusOptions, readStatus } from '../node/process-status.js';
+import { createPeriodic } from '../node/timers.js';
+import { type VmListDriver, createVmListDriver } from '../node/vm-list-driver.js';
+import { createPlanning } from '../planning/planning.js';
+import { decodeLoad } from '../protocol/load.js';
+import { RpcMethod } from '../protocol/methods.js';
+import type { EntrySettings } from '../settings/settings.js';
+import type { Child } from '../supervisor/supervisor.js';
+import type { ProcessContext } from './process.js';
+import { wireMember } from './wire-member.js';
+
+const SUBSCRIBE_MS = 5_000;
+/** A sealed report with its headers, about. */
+const LOAD_REPORT_BYTES = 180;
+/** Of the 4 KB a second that control may cost an entry; membership and the rest need under 2. */
+const LOAD_BYTES_PER_S = 1_500;
+const MIN_REPORT_INTERVAL_MS = 500;
+const MS_PER_S = 1_000;
+const PUMP_MS = 10;
+/** A fleet that has lost half of its targets must still be served once an entry restarts. */
+const JOIN_GRACE_MS = 10_000;
+const LEDGER_MS = 60_000;
+/** Until the ledger was read once nothing is dispatched. */
+const LEDGER_RETRY_MS = 300;
+/** An earlier submission matters until its record is dropped; before the first text, this long. */
+const DEFAULT_HORIZON_MS = 1_200_000;
+
+/** An entry with what its shutdown needs. */
+export interface WiredEntry {
+  readonly children: readonly Child[];
+  /** Answers still being told to connected callers. */
+  readonly openAnswers: () => number;
+  /** Stops new work and says so to the members. */
+  readonly beginDrain: () => void;
+  readonly drainMs: () => number;
+}
+
+/** The parts of an entry, in the order of their start. */
+export function wireEntry(context: ProcessContext, settings: EntrySettings): WiredEntry {
+  const { clocks, hashing, random, rpc, telemetry } = context;
+  const nowMs = clocks.monotonicMs;
+  const entryIncarnation = `${context.memberId}/${randomUUID()}`;
+  let configuration: Configuration | null = null;
+  let authenticate: Authenticate = () => null;
+  let isDraining = false;
+  let joined = false;
+  const startedAtMs = nowMs();
+
+  const contacts = createContacts({ nowMs, hash32: hashing.hash32, horizonMs });
+  const figures = createEntryFigures(telemetry);
+
+  const member = wireMember(context, settings, {
+    kind: MemberKind.Entry,
+    target: '',
+    onInForce: ({ compiled }) => {
+      configuration = compiled;
+      authenticate = createAuthenticate(compiled.workspaces);
+      policies.refresh();
+    },
+    onMembers: (changed) => {
+      contacts.changed(changed);
+      policies.refresh();
+      requests.membersChanged();
+    },
+    onLoneRunReply: (reply) => {
+      requests.loneRunReplied(reply);
+    },
+    onSuspicion: () => undefined,
+    onDatagram: (_from, method, params) => {
+      if (method === (RpcMethod.DemandReport as string)) planning.heardDemand(params);
+      else if (method === (RpcMethod.LoadReport as string)) takeLoad(params);
+    },
+  });
+
+  const vmList: VmListDriver | null =
+    settings.vmList === undefined
+      ? null
+      : createVmListDriver(createVmListClient({ address: settings.vmList.url }), nowMs, () => {
+          policies.refresh();
+        });
+
+  const directory = createTargetDirectory({
+    configuration: () => configuration,
+    findMember: member.membership.find,
+    listedLeaving: (memberId) => vmList?.listedLeaving(memberId) ?? null,
+  });
+
+  const policies = createPolicies({
+    entry: context.memberId,
+    failureDomain: settings.failureDomain,
+    nowMs,
+    random,
+    hash32: hashing.hash32,
+    configuration: () => configuration,
+    directory,
+    emit: telemetry.emit,
+  });
+
+  const claims = createClaimDriver({
+    selfId: context.memberId,
+    nowMs,
+    rpc,
+    aggregatorOf: member.placement.aggregatorOf,
+    takeLocally: member.takeClaim,
+  });
+
+  const services: RunServices = {
+    nowMs,
+    rpc,
+    telemetry,
+    sessions: createSessionDriver(rpc, entryIncarnation),
+    claims,
+    poison: member.poison,
+    callHolder: member.holder.callHolder,
+    policyOf: policies.of,
+    noteLoad: takeLoad,
+    driveContext,
+    noteAnswered: figures.answered,
+    noteRefused: figures.refused,
+  };
+
+  const requests = createRequests({
+    entryIncarnation,
+    services,
+    configuration: () => configuration,
+    wallMs: clocks.wallMs,
+  });
+
+  const budgets = new Map<
+    string,
+    { readonly budget: RetryBudget; readonly options: RetryOptions }
+  >();
+
+  function budgetOf(service: string): { budget: RetryBudget; options: RetryOptions } {
+    const known = budgets.get(service);
+    if (known !== undefined) return known;
+    const ratio = directory.service(service)?.retryBudgetRatio ?? DEFAULT_DRIVE_OPTIONS.retry.ratio;
+    const options = { ...DEFAULT_DRIVE_OPTIONS.retry, ratio };
+    const made = { budget: createRetryBudget(options), options };
+    budgets.set(service, made);
+    return made;
+  }
+
+  function driveContext(request: DriveRequest, keyIsFresh: boolean): DriveContext {
+    const { budget, options } = budgetOf(request.service);
+    return {
+      nowMs: nowMs(),
+      random,
+      hash32: hashing.hash32,
+      entryId: context.memberId,
+      options: { ...DEFAULT_DRIVE_OPTIONS, retry: options },
+      budget,
+      holders: (without) => member.placement.holdersOf(request.keyText, without),
+      isLive: member.isLive,
+      suspicion: () => member.poison.suspicionOf(request.bodyHash),
+      provesAbsence: (absentAt) => keyIsFresh || contacts.provesAbsence(request.keyText, absentAt),
+    };
+  }
+
+  function horizonMs(): number {
+    if (configuration === null) return DEFAULT_HORIZON_MS;
+    const deadlinesMs = configuration.services.map((service) => service.deadlineMs);
+    return configuration.limits.answerRetentionMs + Math.max(0, ...deadlinesMs);
+  }
+
+  const planning = createPlanning({
+    selfId: context.memberId,
+    nowMs,
+    random,
+    hash32: hashing.hash32,
+    keyValue: context.keyValue,
+    weightStore:
+      settings.weightStore === undefined
+        ? null
+        : createWeightStoreClient({ address: settings.weightStore.url }),
+    rpc,
+    telemetry,
+    directory,
+    policies,
+    services: () => configuration?.services ?? [],
+    present: member.membership.present,
+    sendDatagram: member.datagrams.send,
+    drainMs: () => configuration?.limits.drainMs ?? 0,
+  });
+
+  function takeLoad(params: unknown): void {
+    const load = decodeLoad(params, nowMs());
+    if (load === null) return;
+    policies.noteLoad(load.report);
+    planning.noteLoad(load);
+  }
+
+  /** Targets whose reports this entry wants: its subsets, and all of the services that it plans. */
+  function followedTargets(): readonly TargetSpec[] {
+    const planned = new Set(planning.plannedServices());
+    return [...policies.models()].flatMap(([name, policy]) => {
+      const wanted = new Set(policy.subset());
+      const targets = directory.service(name)?.targets ?? [];
+      return targets.filter((target) => planned.has(name) || wanted.has(target.name));
+    });
+  }
+
+  function subscribe(): void {
+    const followed = followedTargets();
+    const reportsBytes = followed.length * LOAD_REPORT_BYTES;
+    const intervalMs = Math.max(
+      MIN_REPORT_INTERVAL_MS,
+      Math.round((reportsBytes / LOAD_BYTES_PER_S) * MS_PER_S),
+    );
+    for (const target of followed) {
+      const sidecar = formatAddress(target.sidecar);
+      member.datagrams.send(sidecar, RpcMethod.LoadSubscribe, [intervalMs]);
+    }
+  }
+
+  /** An entry that has not met its targets yet would refuse what another entry can serve. */
+  function hasJoined(): boolean {
+    const targets = (configuration?.services ?? []).flatMap((service) => service.targets);
+    const met = targets.filter(({ sidecar }) => member.isLive(formatAddress(sidecar)));
+    joined ||= met.length * 2 > targets.length || nowMs() - startedAtMs > JOIN_GRACE_MS;
+    return joined;
+  }
+
+  function notServingReason(): string | null {
+    if (isDraining) return 'it is shutting down';
+    const refused = member.configuration.newWorkRefused();
+    return refused === null && !hasJoined() ? 'it has not met its targets yet' : refused;
+  }
+
+  const statusOptions: ProcessStatusOptions = {
+    memberId: context.memberId,
+    kind: MemberKind.Entry,
+    failureDomain: settings.failureDomain,
+    target: '',
+    startedAtWallMs: clocks.wallMs(),
+    membership: member.membership,
+    configuration: member.configuration,
+    configurationSinceWallMs: member.configurationSinceWallMs,
+    telemetry,
+    isStopping: () => isDraining,
+    services: () =>
+      readServices({
+        nowMs,
+        services: () => configuration?.services ?? [],
+        directory,
+        policies,
+        figures,
+        findMember: member.membership.find,
+        selfId: context.memberId,
+        authorityOf: planning.authorityOf,
+        roleChanges: planning.roleChanges,
+      }),
+  };
+
+  const serviceNames = (): readonly string[] =>
+    (configuration?.services ?? []).map((service) => service.name);
+
+  return {
+    children: [
+      createControlServer({
+        address: settings.control,
+        allows: allowNetworks(settings.controlNetworks),
+        proof: context.proof,
+        clock: context.timeline.clock,
+        handlers: {
+          ...member.handlers,
+          [RpcMethod.StatusRead]: (params) => readStatus(statusOptions, params as StatusQuery),
+        },
+        streams: {},
+        metricsText: telemetry.metricsText,
+      }),
+      ...member.children,
+      ...(vmList === null ? [] : [vmList.child]),
+      claims.child,
+      createPeriodic('subscriptions', () => SUBSCRIBE_MS * (0.5 + random() / 2), subscribe),
+      createPeriodic(
+        'poison-ledger-reader',
+        () => (member.poison.isRead() ? LEDGER_MS : LEDGER_RETRY_MS) * (0.5 + random()),
+        () => member.poison.readLedger(serviceNames()),
+      ),
+      ...planning.children,
+      createPeriodic('queue-pump', () => PUMP_MS, policies.pump),
+      createCallerServer({
+        address: settings.callers,
+        maxConnections: settings.maxCallerConnections,
+        configuration: () => configuration,
+        authenticate: () => authenticate,
+        notServingReason,
+        makeKey: randomUUID,
+        onModelRequest: requests.model,
+        onPlainCall: requests.plain,
+      }),
+    ],
+    openAnswers: requests.openCount,
+    beginDrain: () => {
+      isDraining = true;
+      planning.giveUp();
+      member.membership.announceLeaving();
+    },
+    drainMs: () => configuration?.limits.drainMs ?? 0,
+  };
+}
