--- a/benchmark/src/policy/live-request.ts
+++ b/benchmark/src/policy/live-request.ts
@@ -1,5 +1,5 @@
 /** A request in a run, from its arrival to its end. */
-import type { Waiting } from '@cassiamast/coordination';
+import type { FairWaiting } from '@cassiamast/coordination';
 import type { TraceRequest } from './trace.js';
 
 /** What the run knows of one request. */
@@ -14,7 +14,7 @@
   /** When the answer last stood still, for the gap over a transfer or a restart; NaN if it runs. */
   stalledSinceMs: number;
   /** Its place in the queue of its entry, to go back to after a refusal. */
-  place: Waiting<LiveRequest> | null;
+  place: FairWaiting<LiveRequest> | null;
   readonly excluded: Set<string>;
   ended: boolean;
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -48,7 +48,7 @@
 export * from './core/admission/admission.js';
 export * from './core/admission/failures.js';
 export { isBorrowing, type Waiting as FairWaiting } from './core/admission/fair-queue.js';
-export type { Waiting } from './core/admission/fair-queue.js';
+
 export * from './core/admission/limits.js';
 export * from './core/admission/shedding.js';
 export * from './core/admission/start-rule.js';
