--- a/packages/coordination/src/core/membership/membership.ts
+++ b/packages/coordination/src/core/membership/membership.ts
@@ -14,7 +14,9 @@
 import {
   continueProbe,
   endRelayedProbes,
+  inContactSince,
   newsFor,
+  noteContact,
   ping,
   probeAnswered,
   relayProbe,
@@ -50,8 +52,8 @@
 
 /**
  * Failure guarded against: a process that is cut off, or was paused and got old news, condemns a
- * member that it cannot ask. It shows as no own probe answered since the last call, when a suspect
- * that lives would have answered as well; it is then called again.
+ * member that it cannot ask. It shows as a gap in the answers to its own probes since the last call,
+ * which a suspect that lives would have answered as well; it is then called again.
  */
 function waitsForContact(
   state: MembershipState,
@@ -60,7 +62,7 @@
 ): boolean {
   if (!state.options.guards.silenceIsOwnFault) return false;
   const lastCallMs = record.suspectDeadlineMs - LAST_CALL_MS;
-  if (state.lastContactMs > lastCallMs) return false;
+  if (inContactSince(state, lastCallMs, context.nowMs)) return false;
   record.lastCallAtMs = context.nowMs;
   record.suspectDeadlineMs = context.nowMs + LAST_CALL_MS;
   return true;
@@ -291,7 +293,7 @@
     case MembershipMethod.Nack:
       if (state.probe?.sequence !== message.sequence) return [];
       state.probe.nacks += 1;
-      state.lastContactMs = context.nowMs;
+      noteContact(state, context.nowMs);
       return [];
     case MembershipMethod.Gossip:
       return hintsHeard(from, message.hints, null);
--- a/packages/coordination/src/core/membership/probing.ts
+++ b/packages/coordination/src/core/membership/probing.ts
@@ -109,6 +109,20 @@
   return [ping(state, target, state.sequence, context)];
 }
 
+/** A longer gap than a stretched probe leaves is an end of contact. */
+const CONTACT_GAP_MS = 4_000;
+
+/** Notes that an own probe was answered, by its target or by a helper. */
+export function noteContact(state: MembershipState, nowMs: number): void {
+  if (nowMs - state.lastContactMs > CONTACT_GAP_MS) state.contactSinceMs = nowMs;
+  state.lastContactMs = nowMs;
+}
+
+/** Whether this member has been in contact with others all the time since `sinceMs`. */
+export function inContactSince(state: MembershipState, sinceMs: number, nowMs: number): boolean {
+  return state.contactSinceMs <= sinceMs && nowMs - state.lastContactMs <= CONTACT_GAP_MS;
+}
+
 function noteOutcome(state: MembershipState, answered: number): void {
   state.answeredRatio += (answered - state.answeredRatio) * ANSWERED_WEIGHT;
 }
@@ -213,7 +227,7 @@
   context: MembershipContext,
 ): MembershipEffect[] {
   state.probe = null;
-  state.lastContactMs = context.nowMs;
+  noteContact(state, context.nowMs);
   state.healthPenalty = Math.max(0, state.healthPenalty - 1);
   noteOutcome(state, 1);
   return endSilence(state, context);
--- a/packages/coordination/src/core/membership/state.ts
+++ b/packages/coordination/src/core/membership/state.ts
@@ -92,6 +92,8 @@
   wakeAtMs: number;
   /** When an own probe was last answered, by its target or by a helper. */
   lastContactMs: number;
+  /** Since when such answers have come without a long gap. */
+  contactSinceMs: number;
   /** No suspect is asked itself before this; keeps a failure domain's death from costing more. */
   nextLastCallMs: number;
   /** Share of recent probes that were answered, 0 to 1; see `answeredRatio`. */
@@ -228,6 +230,7 @@
     },
     wakeAtMs: nowMs,
     lastContactMs: nowMs,
+    contactSinceMs: nowMs,
     nextLastCallMs: nowMs,
     answeredRatio: 1,
     healthPenalty: 0,
