--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -17,7 +17,6 @@
   HostEffectKind,
   type HostEvent,
   HostEventKind,
-  HostedPhase,
   type HostState,
   type LoneProbe,
   type OpenSessionMessage,
@@ -73,8 +72,6 @@
   readonly streams: Readonly<Record<string, StreamHandler>>;
   readonly handle: (event: HostEvent) => void;
   readonly runningCount: () => number;
-  /** Attempts that the engine works on for this process. */
-  readonly startedCount: () => number;
 }
 
 /** One entry's connection. */
@@ -224,8 +221,6 @@
     state,
     handle,
     runningCount: () => runningAttempts(state).length,
-    startedCount: () =>
-      runningAttempts(state).filter((hosted) => hosted.phase === HostedPhase.Running).length,
     handlers: {
       [RpcMethod.SessionOpen]: (params) =>
         openSession(
--- a/packages/daemon/src/sidecar/load-reporter.ts
+++ b/packages/daemon/src/sidecar/load-reporter.ts
@@ -31,7 +31,7 @@
   /** Models that the operators want the engine to hold. */
   readonly wantedModels: () => readonly ModelSpec[];
   /** Called with each reading. */
-  readonly onRead: (load: EngineLoad, epoch: string) => void;
+  readonly onRead: (epoch: string) => void;
   readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
 }
 
@@ -66,7 +66,7 @@
     role = state.value.role;
     missing = findMissing(state.value, options.wantedModels());
     readAtMs = atMs;
-    options.onRead(load, state.value.epoch);
+    options.onRead(state.value.epoch);
   }
 
   function encoded(): readonly unknown[] {
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -11,7 +11,6 @@
 } from '@cassiamast/coordination';
 import {
   type EngineClient,
-  type EngineLoad,
   createEngineClient,
   createPlainServiceClient,
 } from '@cassiamast/platform';
@@ -106,9 +105,9 @@
     engine: () => engine,
     accepting: () => !host.state.draining,
     wantedModels: () => findService(configuration, beside)?.models ?? [],
-    onRead: (load, epoch) => {
+    onRead: (epoch) => {
       engineBackend?.noteEpoch(epoch);
-      noteInherited(load);
+      void noteInherited();
     },
     sendDatagram: member.datagrams.send,
   });
@@ -155,14 +154,16 @@
   }
 
   /**
-   * Streams that a former sidecar left in the engine. A lone run has nothing beside it, so a single
-   * stream may be one; our own streams are not counted.
+   * Streams that a former sidecar left in the engine, as of now: a load report is old, and a lone
+   * run that waited for its last stream to end would wait for ever. A lone run has nothing beside
+   * it, so a single stream may be one.
    */
-  function noteInherited(load: EngineLoad): void {
+  async function noteInherited(): Promise<void> {
     if (host.state.inherited?.count === 0) return;
-    const all = load.runningRequests + load.waitingRequests;
-    const count = Math.max(0, all - host.startedCount());
-    const inherited = { count, mayBeLone: count === 1 };
+    const running = await engine?.runningStreams();
+    if (running?.isOk() !== true) return;
+    const foreign = running.value.filter((streamId) => !host.state.attempts.has(streamId));
+    const inherited = { count: foreign.length, mayBeLone: foreign.length === 1 };
     host.handle({ kind: HostEventKind.EngineInherited, inherited });
   }
 
