Shut down by the library's drain; keep misplaced records in motion

Cause: a process that stopped refused work that was on its way to it; a sidecar with an old view committed answers at members that would have kept them for themselves (found by the fuzzer). Change: notice, drain and hand-over by the drain machine (setting noticeMs); calls to holders go through handleHolderCallAt; the gate is told when no lease can be read. Conclusion: planned change in the daemon is now the fuzzed machine.

--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -43,6 +43,8 @@
   readonly authenticate: () => Authenticate;
   /** Why no new work is taken, or null while it is. */
   readonly notServingReason: () => string | null;
+  /** Whether the balancer should send callers elsewhere, although what comes is still taken. */
+  readonly isLeaving: () => boolean;
   readonly makeKey: () => string;
   readonly onModelRequest: (request: ModelRequest, response: ServerResponse) => void;
   readonly onPlainCall: (call: PlainCall, response: ServerResponse) => void;
@@ -193,7 +195,8 @@
 }
 
 function answerHealth(options: CallerServerOptions, response: ServerResponse): void {
-  const serving = options.configuration() !== null && options.notServingReason() === null;
+  const takesWork = options.configuration() !== null && options.notServingReason() === null;
+  const serving = takesWork && !options.isLeaving();
   response.writeHead(serving ? 200 : 503, { 'content-type': 'text/plain' });
   response.end(serving ? 'serving\n' : 'not serving\n');
 }
--- a/packages/daemon/src/node/holder-driver.ts
+++ b/packages/daemon/src/node/holder-driver.ts
@@ -13,7 +13,7 @@
   type HolderState,
   createHolder,
   createRepair,
-  handleHolderCall,
+  handleHolderCallAt,
   onRepairReply,
   scheduleRepair,
   sweepHolder,
@@ -62,7 +62,9 @@
   }
 
   function answer(call: HolderCall): HolderReply {
-    return handleHolderCall(state, call, holderOptions(), options.nowMs());
+    const { selfId, holdersOf: holdersOfKey } = options;
+    const place = { holder: state, repair, selfId, holdersOfKey };
+    return handleHolderCallAt(place, call, holderOptions(), options.nowMs());
   }
 
   const callHolder: CallHolder = (to, call) => {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -48,6 +48,8 @@
   /** File with the members' shared secret; else the environment variable CASSIAMAST_SECRET. */
   secretFile: z.string().optional(),
   logLevel: z.enum(['silent', 'error', 'warn', 'info', 'debug']).default('info'),
+  /** How long a process that stops still takes what is on its way to it. */
+  noticeMs: z.number().int().min(0).max(60_000).default(3_000),
   /** How many events the time line keeps. */
   timelineEvents: z.number().int().min(100).max(100_000).default(4_000),
 };
--- a/packages/daemon/src/sidecar/gate-driver.ts
+++ b/packages/daemon/src/sidecar/gate-driver.ts
@@ -105,7 +105,10 @@
 
   async function readLease(readId: number): Promise<void> {
     const service = options.service();
-    if (service === null) return;
+    if (service === null) {
+      perform(gateLeaseReadFailed(state, readId));
+      return;
+    }
     telemetry.count('key_value_reads_total');
     const entry = await keyValue.get(plannerLeaseKey(service));
     perform(
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -5,11 +5,17 @@
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  DRAIN_OPTIONS,
+  type DrainEffect,
+  DrainEffectKind,
   EventKind,
   type Failure,
   MemberKind,
+  createDrain,
   createHashing,
   seededRandom,
+  startDrain,
+  tickDrain,
 } from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
@@ -79,7 +85,7 @@
     stop: async () => {
       context.log.info(`${settings.kind} stops`);
       telemetry.emit({ kind: EventKind.ProcessStopping, reason: 'it was told to stop' });
-      await drain(wired, context.clocks.monotonicMs);
+      await drain(wired, settings.noticeMs, context.clocks.monotonicMs);
       await root.stop();
       await context.rpc.close();
       await context.keyValue.close();
@@ -99,7 +105,9 @@
 /** A wired process of either kind, as its shutdown sees it. */
 interface Wired {
   readonly children: readonly Child[];
-  readonly beginDrain: () => void;
+  /** Tells members and the balancer that no new work is wanted; what comes is still taken. */
+  readonly announceLeaving: () => void;
+  readonly stopAccepting: () => void;
   /** Answers or attempts that a shutdown must not cut. */
   readonly running: () => number;
   readonly drainMs: () => number;
@@ -114,9 +122,26 @@
   return { ...sidecar, running: sidecar.runningAttempts };
 }
 
-/** Graceful shutdown: no new work, then the running work ends, within the operators' bound. */
-async function drain(wired: Wired, nowMs: () => number): Promise<void> {
-  const giveUpAtMs = nowMs() + wired.drainMs();
-  wired.beginDrain();
-  while (wired.running() > 0 && nowMs() < giveUpAtMs) await sleep(DRAIN_POLL_MS);
+/**
+ * Graceful shutdown by the library's drain: work that is on its way is still taken until everybody
+ * has noticed, then the running work ends. What is left at the end goes on elsewhere: a sidecar's
+ * streams in the engine, an entry's answers at their sidecars, for the callers that come back.
+ */
+async function drain(wired: Wired, noticeMs: number, nowMs: () => number): Promise<void> {
+  const state = createDrain({ ...DRAIN_OPTIONS, noticeMs, drainMs: wired.drainMs() });
+  let isOver = false;
+
+  function perform(effects: readonly DrainEffect[]): void {
+    for (const { kind } of effects) {
+      if (kind === DrainEffectKind.AnnounceLeaving) wired.announceLeaving();
+      if (kind === DrainEffectKind.StopAccepting) wired.stopAccepting();
+      if (kind === DrainEffectKind.Drained) isOver = true;
+    }
+  }
+
+  perform(startDrain(state, nowMs()));
+  while (!isOver) {
+    perform(tickDrain(state, wired.running(), nowMs()));
+    if (!isOver) await sleep(DRAIN_POLL_MS);
+  }
 }
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -59,8 +59,8 @@
   readonly children: readonly Child[];
   /** Answers still being told to connected callers. */
   readonly openAnswers: () => number;
-  /** Stops new work and says so to the members. */
-  readonly beginDrain: () => void;
+  readonly announceLeaving: () => void;
+  readonly stopAccepting: () => void;
   readonly drainMs: () => number;
 }
 
@@ -71,7 +71,8 @@
   const entryIncarnation = `${context.memberId}/${randomUUID()}`;
   let configuration: Configuration | null = null;
   let authenticate: Authenticate = () => null;
-  let isDraining = false;
+  let isLeaving = false;
+  let isStopped = false;
   let joined = false;
   const startedAtMs = nowMs();
 
@@ -251,7 +252,7 @@
   }
 
   function notServingReason(): string | null {
-    if (isDraining) return 'it is shutting down';
+    if (isStopped) return 'it is shutting down';
     const refused = member.configuration.newWorkRefused();
     return refused === null && !hasJoined() ? 'it has not met its targets yet' : refused;
   }
@@ -266,7 +267,7 @@
     configuration: member.configuration,
     configurationSinceWallMs: member.configurationSinceWallMs,
     telemetry,
-    isStopping: () => isDraining,
+    isStopping: () => isLeaving,
     services: () =>
       readServices({
         nowMs,
@@ -315,17 +316,21 @@
         configuration: () => configuration,
         authenticate: () => authenticate,
         notServingReason,
+        isLeaving: () => isLeaving,
         makeKey: randomUUID,
         onModelRequest: requests.model,
         onPlainCall: requests.plain,
       }),
     ],
     openAnswers: requests.openCount,
-    beginDrain: () => {
-      isDraining = true;
+    announceLeaving: () => {
+      isLeaving = true;
       planning.giveUp();
       member.membership.announceLeaving();
     },
+    stopAccepting: () => {
+      isStopped = true;
+    },
     drainMs: () => configuration?.limits.drainMs ?? 0,
   };
 }
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -35,7 +35,8 @@
 export interface WiredSidecar {
   readonly children: readonly Child[];
   readonly runningAttempts: () => number;
-  readonly beginDrain: () => void;
+  readonly announceLeaving: () => void;
+  readonly stopAccepting: () => void;
   readonly drainMs: () => number;
 }
 
@@ -55,7 +56,8 @@
   let backend: Backend | null = null;
   let engine: EngineClient | null = null;
   let engineBackend: EngineBackend | null = null;
-  let isDraining = false;
+  let isLeaving = false;
+  let isStopped = false;
   let isGateDraining = false;
 
   const member = wireMember(context, settings, {
@@ -170,7 +172,7 @@
   /** No new work while the process stops or the operators have withdrawn the target. */
   function applyDrain(): void {
     const isOut = beside === null || beside.spec.withdrawn;
-    const draining = isDraining || isGateDraining || isOut;
+    const draining = isStopped || isGateDraining || isOut;
     if (draining === host.state.draining) return;
     host.handle({ kind: HostEventKind.DrainChanged, draining });
   }
@@ -185,7 +187,7 @@
     configuration: member.configuration,
     configurationSinceWallMs: member.configurationSinceWallMs,
     telemetry,
-    isStopping: () => isDraining,
+    isStopping: () => isLeaving,
     // The entries say how the services stand; a sidecar knows but its own target.
     services: () => [],
   };
@@ -213,11 +215,14 @@
       reporter.child,
     ],
     runningAttempts: host.runningCount,
-    beginDrain: () => {
-      isDraining = true;
-      applyDrain();
+    announceLeaving: () => {
+      isLeaving = true;
       member.membership.announceLeaving();
     },
+    stopAccepting: () => {
+      isStopped = true;
+      applyDrain();
+    },
     drainMs: () => configuration?.limits.drainMs ?? 0,
   };
 }
