Let dependencies act: readiness, shedding and deadlines in the daemon

Cause: the decisions on dependencies were built and nothing used them. Change: a service whose dependency has no target is refused at once, not run; an entry under pressure sheds by effective priority; a plain service is handed the deadline less a reserve; failures that nothing makes any more are gone. Conclusion: retry budgets do not flow down to plain services yet.

--- a/packages/coordination/src/core/records/failures.ts
+++ b/packages/coordination/src/core/records/failures.ts
@@ -71,7 +71,7 @@
   title: 'The call cannot be claimed now',
   message: (data: { readonly service: string }) =>
     `Calls to ${data.service} that may not be repeated need the key-value service, which is out.`,
-  hint: 'Come back after the stated time; the call has not run.',
+  hint: 'Come back after the stated time; this sending of it ran nothing.',
 });
 
 /** A rerun made another text than the caller had begun to read. */
--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -80,6 +80,8 @@
   readonly router: Router;
   readonly meter: DemandMeter;
   readonly queuedRequests: () => number;
+  /** While shed, new requests are refused in favour of more important services. */
+  readonly setShed: (shed: boolean) => void;
 }
 
 interface Waiting {
@@ -248,6 +250,9 @@
       );
       pumpNow();
     },
+    setShed: (shed) => {
+      admission.shed = shed;
+    },
     queuedRequests: () => admission.queue.heap.length,
   };
 }
--- a/packages/daemon/src/entry/policies.ts
+++ b/packages/daemon/src/entry/policies.ts
@@ -7,6 +7,10 @@
   type ServiceSpec,
   TargetKind,
   type UnstampedEvent,
+  UnreadyCause,
+  effectivePriorities,
+  readinessOf,
+  servicesToShed,
 } from '@cassiamast/coordination';
 import { type ModelPolicy, createModelPolicy } from './model-policy.js';
 import { createPlainPolicy } from './plain-policy.js';
@@ -39,12 +43,16 @@
   /** To be called when the configuration, a member or the VM list changed. */
   readonly refresh: () => void;
   readonly pump: () => void;
+  /** Sheds the services of lowest priority at this part, 0 to 1, of the entry's deliveries. */
+  readonly shed: (pressure: number) => void;
 }
 
 /** Makes the policies. */
 export function createPolicies(options: PoliciesOptions): Policies {
   const models = new Map<string, ModelPolicy>();
   const plains = new Map<string, ServicePolicy>();
+  /** Services that wait for a dependency, with the policy that says so. */
+  const waiting = new Map<string, ServicePolicy>();
 
   function specs(): readonly ServiceSpec[] {
     return options.configuration()?.services ?? [];
@@ -92,28 +100,52 @@
       models.set(spec.name, policy);
       policy.setTargets(options.directory.infos(spec.name));
     }
+    refreshReadiness();
+  }
+
+  /**
+   * A service whose dependency has no target is refused at once: its requests would use a target
+   * and fail at the dependency.
+   */
+  function refreshReadiness(): void {
+    waiting.clear();
+    const serving = (name: string): number => options.directory.open(name).length;
+    for (const [name, readiness] of readinessOf(specs(), serving)) {
+      if (readiness.ready || readiness.cause === UnreadyCause.NoTarget) continue;
+      waiting.set(name, refusingPolicy(`it depends on ${readiness.service}, which is not ready`));
+    }
   }
 
   return {
-    of: (service) => models.get(service) ?? plains.get(service) ?? REMOVED_SERVICE,
+    of: (service) =>
+      waiting.get(service) ?? models.get(service) ?? plains.get(service) ?? REMOVED_SERVICE,
     models: () => models,
     noteLoad: (report) => {
       for (const policy of models.values()) policy.noteLoad(report);
     },
     refresh,
+    shed: (pressure) => {
+      const shed = servicesToShed(effectivePriorities(specs()), pressure);
+      for (const [name, policy] of models) policy.setShed(shed.has(name));
+    },
     pump: () => {
       for (const policy of models.values()) policy.pump();
     },
   };
 }
 
+/** Refuses every attempt, for a reason that passes. */
+function refusingPolicy(reason: string): ServicePolicy {
+  return {
+    ask: (question: PlaceQuestion) => {
+      question.onRefusal(reason, GONE_RETRY_MS);
+    },
+    pickAlone: () => null,
+    noteEnd: () => undefined,
+    pump: () => undefined,
+    subset: () => [],
+  };
+}
+
 /** A service that an edit removed: running requests end, new attempts are refused. */
-const REMOVED_SERVICE: ServicePolicy = {
-  ask: (question: PlaceQuestion) => {
-    question.onRefusal('the service was removed from the configuration', GONE_RETRY_MS);
-  },
-  pickAlone: () => null,
-  noteEnd: () => undefined,
-  pump: () => undefined,
-  subset: () => [],
-};
+const REMOVED_SERVICE = refusingPolicy('the service was removed from the configuration');
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -22,6 +22,7 @@
   StreamFailureReason,
   createDrive,
   handleDriveEvent,
+  passOnBudget,
 } from '@cassiamast/coordination';
 import type { LoneRunReply } from '../node/poison-driver.js';
 import type { MemberStream, MemberStreamHandlers } from '../node/rpc-client.js';
@@ -29,6 +30,7 @@
 import {
   type Payload,
   PayloadKind,
+  type PlainPayload,
   type StreamOutcome,
   StreamOutcomeKind,
   type StreamTokensParams,
@@ -42,6 +44,7 @@
 import type { Grant } from './service-policy.js';
 
 const CANCEL_TIMEOUT_MS = 1_000;
+const MS_PER_S = 1_000;
 
 /** What one delivery is started with. */
 export interface RunOptions {
@@ -287,10 +290,19 @@
 
   function payloadFor(): Payload {
     const { payload } = options;
-    if (payload.kind === PayloadKind.Plain) return payload;
+    if (payload.kind === PayloadKind.Plain) return withDeadline(payload);
     return { ...payload, reader: grant?.reader ?? null };
   }
 
+  /** A plain service that calls on within its own work must be done before its caller's deadline. */
+  function withDeadline(payload: PlainPayload): PlainPayload {
+    const remainingMs = drive.deadlineAtMs - services.nowMs();
+    const passed = passOnBudget({ remainingMs, retriesLeft: 0 }, 0);
+    if (passed === null) return payload;
+    const waitS = Math.max(1, Math.floor(passed.remainingMs / MS_PER_S));
+    return { ...payload, headers: { ...payload.headers, prefer: `wait=${String(waitS)}` } };
+  }
+
   function streamHandlers(connectionId: number): MemberStreamHandlers {
     return {
       onNotification: (method, params) => {
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -14,7 +14,7 @@
 import type { Child } from '../supervisor/supervisor.js';
 import { METRICS_PATH, RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { formatAddress } from './address.js';
-import { ADDRESS_TAKEN, CONTROL_BUSY, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
+import { ADDRESS_TAKEN, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
 import { readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
 import type { MemberProof } from './secret.js';
@@ -179,8 +179,3 @@
   });
   response.end(text);
 }
-
-/** The answer to a stream that finds all places taken. */
-export function refuseStream(response: ServerResponse, limit: number): void {
-  answerJson(response, 503, CONTROL_BUSY.of({ limit }));
-}
--- a/packages/daemon/src/node/failures.ts
+++ b/packages/daemon/src/node/failures.ts
@@ -39,11 +39,3 @@
   message: () => 'The call carried no valid secret.',
   hint: 'Members share one secret (secretFile); the command line needs it as well.',
 });
-
-/** The process holds as many connections or streams as its limit allows. */
-export const CONTROL_BUSY = defineFailure({
-  name: 'control-busy',
-  title: 'The control port is at its limit',
-  message: (data: { readonly limit: number }) => `All ${String(data.limit)} places are in use.`,
-  hint: 'Transient; members retry elsewhere. If it lasts, look for a member that calls in a loop.',
-});
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -20,7 +20,7 @@
 import { createEntryFigures } from '../entry/entry-figures.js';
 import { readServices } from '../entry/entry-status.js';
 import { createPolicies } from '../entry/policies.js';
-import { createRequests } from '../entry/requests.js';
+import { MAX_RUNS, createRequests } from '../entry/requests.js';
 import type { RunServices } from '../entry/run-services.js';
 import { createSessionDriver } from '../entry/session-driver.js';
 import { createTargetDirectory } from '../entry/target-directory.js';
@@ -46,6 +46,7 @@
 const MIN_REPORT_INTERVAL_MS = 500;
 const MS_PER_S = 1_000;
 const PUMP_MS = 10;
+const SHED_MS = 250;
 /** A fleet that has lost half of its targets must still be served once an entry restarts. */
 const JOIN_GRACE_MS = 10_000;
 const LEDGER_MS = 60_000;
@@ -310,6 +311,13 @@
       ),
       ...planning.children,
       createPeriodic('queue-pump', () => PUMP_MS, policies.pump),
+      createPeriodic(
+        'shedding',
+        () => SHED_MS,
+        () => {
+          policies.shed(requests.count() / MAX_RUNS);
+        },
+      ),
       createCallerServer({
         address: settings.callers,
         maxConnections: settings.maxCallerConnections,
--- /dev/null
+++ b/packages/daemon/test/outcomes/dependencies.test.ts
@@ -0,0 +1,80 @@
+/** What a dependency does: a service is only ready while what it depends on is. */
+import assert from 'node:assert/strict';
+import { after, before, describe, it } from 'node:test';
+import type { Configuration } from '@cassiamast/coordination';
+import { request } from 'undici';
+import { askWhole } from '../fixtures/callers.js';
+import {
+  API_KEY,
+  type Fleet,
+  MODEL_SERVICE,
+  PLAIN_SERVICE,
+  startFleet,
+} from '../fixtures/fleet.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const PROMPT = 'Check feeder 7 against the rules';
+
+function changeServices(
+  configuration: Configuration,
+  change: (service: Configuration['services'][number]) => Configuration['services'][number],
+): Configuration {
+  return { ...configuration, services: configuration.services.map(change) };
+}
+
+describe('a dependency', () => {
+  let fleet: Fleet;
+
+  before(async () => {
+    fleet = await startFleet({
+      entries: 1,
+      engines: 1,
+      plainServices: 1,
+      configure: (configuration) =>
+        changeServices(configuration, (service) =>
+          service.name === MODEL_SERVICE ? { ...service, dependsOn: [PLAIN_SERVICE] } : service,
+        ),
+    });
+  });
+  after(() => fleet.stop());
+
+  async function askOnce(): Promise<number> {
+    const whole = await askWhole({ url: fleet.url(0), prompt: PROMPT, maxTokens: 4 });
+    return whole.status;
+  }
+
+  // The filing desk loses its last target. A draft that the model writes now could not be filed:
+  // it would use an engine and fail afterwards, so it is refused before it runs.
+  it('that has no target makes its dependents refuse, as not run', async () => {
+    assert.equal(await askOnce(), 200);
+    const before = fleet.configuration();
+    const withoutDesk = changeServices(before, (service) => ({
+      ...service,
+      targets: service.targets.map((target) => ({
+        ...target,
+        withdrawn: service.name === PLAIN_SERVICE,
+      })),
+    }));
+    await fleet.apply(withoutDesk);
+    await waitFor(async () => (await askOnce()) === 503);
+    const refused = await askWhole({ url: fleet.url(0), prompt: `${PROMPT}!`, maxTokens: 4 });
+    assert.equal((refused.problem as { readonly runState: string }).runState, 'not-run');
+    assert.equal(fleet.engines[0]?.runsOf(`${PROMPT}!`), 0);
+    await fleet.apply(before);
+    await waitFor(async () => (await askOnce()) === 200);
+  });
+
+  // A plain service that calls on must be done before its own caller gives up.
+  it('is handed a deadline that ends before its caller’s', async () => {
+    const response = await request(`${fleet.url(0)}/services/${PLAIN_SERVICE}/notes`, {
+      method: 'POST',
+      headers: { authorization: `Bearer ${API_KEY}`, prefer: 'wait=20' },
+      body: 'note',
+    });
+    assert.equal(response.statusCode, 200);
+    await response.body.dump();
+    const seen = fleet.plainServices[0]?.lastHeaders() ?? {};
+    const waitS = Number(/^wait=(\d+)$/.exec(String(seen['prefer']))?.[1]);
+    assert.ok(waitS >= 1 && waitS < 20, String(seen['prefer']));
+  });
+});
--- a/packages/stand-ins/src/core/plain-service/plain-service.ts
+++ b/packages/stand-ins/src/core/plain-service/plain-service.ts
@@ -2,7 +2,7 @@
  * A stand-in of a plain service: counts the runs of each request id, so that "ran at most once" can
  * be checked from outside, and can be slow or die before, during or after a run.
  */
-import type { IncomingMessage } from 'node:http';
+import type { IncomingHttpHeaders, IncomingMessage } from 'node:http';
 import type { Exchange, Route } from '../http/http-server.js';
 import { sendJson, startHttpServer } from '../http/http-server.js';
 import type { RunCounts } from '../runs/run-counts.js';
@@ -40,6 +40,8 @@
   readonly setFaults: (change: Partial<PlainServiceFaults>) => void;
   /** Runs begun, by call id or else request id. */
   readonly runs: () => ReadonlyMap<string, number>;
+  /** Headers of the latest call, as they arrived; empty before one came. */
+  readonly lastHeaders: () => IncomingHttpHeaders;
   readonly stop: () => Promise<void>;
 }
 
@@ -57,7 +59,9 @@
   const setFaults = (change: Partial<PlainServiceFaults>): void => {
     Object.assign(faults, change);
   };
+  let lastHeaders: IncomingHttpHeaders = {};
   const run: Route = async (exchange) => {
+    lastHeaders = exchange.request.headers;
     const death = faults.dieNext;
     faults.dieNext = null;
     if (death === DeathPoint.Before) {
@@ -93,6 +97,7 @@
     port: server.port,
     setFaults,
     runs: () => runs,
+    lastHeaders: () => lastHeaders,
     stop: server.stop,
   };
 }
