Give a delivery's stream a module of its own, and notice targets that are slow

Change: run-stream.ts; only failures that the target is to blame for count; the time to the first token goes against what routing predicted.

--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -167,7 +167,8 @@
     const writer = placeOf(plan.writer);
     if (writer === null) return PumpResult.Wait;
     noteDispatch(router, plan, request, options.nowMs());
-    const grant: Grant = { place: writer, reader: readerOf(plan) };
+    const { predictedFirstTokenMs } = plan;
+    const grant: Grant = { place: writer, reader: readerOf(plan), predictedFirstTokenMs };
     question.onGrant(grant);
     return PumpResult.Sent;
   }
--- a/packages/daemon/src/entry/plain-policy.ts
+++ b/packages/daemon/src/entry/plain-policy.ts
@@ -42,7 +42,7 @@
       return;
     }
     inFlight.set(place.target, (inFlight.get(place.target) ?? 0) + 1);
-    question.onGrant({ place, reader: null });
+    question.onGrant({ place, reader: null, predictedFirstTokenMs: null });
   }
 
   return {
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -16,35 +16,24 @@
   type DriveRequest,
   type LoneRunEnd,
   LoneRunOutcome,
-  type Place,
   PoisonWorkKind,
   type RequestDrive,
-  StreamFailureReason,
   createDrive,
   handleDriveEvent,
-  passOnBudget,
 } from '@cassiamast/coordination';
 import type { LoneRunReply } from '../node/poison-driver.js';
-import type { MemberStream, MemberStreamHandlers } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
-import {
-  type Payload,
-  PayloadKind,
-  type PlainPayload,
-  type StreamOutcome,
-  StreamOutcomeKind,
-  type StreamTokensParams,
-} from '../protocol/stream.js';
+import type { Payload } from '../protocol/stream.js';
 import type { CallerAnswer } from './caller-answer.js';
 import { createLatencyWatch } from './latency-watch.js';
 import { estimateTokens } from './prompt-blocks.js';
 import { toRefusal } from './refusals.js';
 import type { RunServices } from './run-services.js';
+import { createRunStream, isTargetsFault } from './run-stream.js';
 import { incarnationOf } from './session-driver.js';
 import type { Grant } from './service-policy.js';
 
 const CANCEL_TIMEOUT_MS = 1_000;
-const MS_PER_S = 1_000;
 
 /** What one delivery is started with. */
 export interface RunOptions {
@@ -78,11 +67,25 @@
   const drive = createDrive(options.id, request, startedAtMs);
   const timers = new Set<NodeJS.Timeout>();
   const watch = createLatencyWatch(startedAtMs);
-  let stream: { readonly connectionId: number; readonly reading: MemberStream } | null = null;
   let grant: Grant | null = null;
-  let callerIsSlow = false;
+  let grantedAtMs = startedAtMs;
+  let firstTokenAtMs: number | null = null;
   let isDone = false;
 
+  const stream = createRunStream({
+    services,
+    request,
+    payload: options.payload,
+    remainingMs: () => drive.deadlineAtMs - services.nowMs(),
+    reader: () => grant?.reader ?? null,
+    onEvent: (event) => {
+      if (event.kind === DriveEventKind.StreamFailed && isTargetsFault(event.failure.reason)) {
+        noteAttemptEnd(false, true);
+      }
+      handle(event);
+    },
+  });
+
   function handle(event: DriveEvent): void {
     if (isDone) return;
     const effects = handleDriveEvent(drive, event, context());
@@ -98,7 +101,7 @@
     if (isDone) return;
     isDone = true;
     for (const timer of timers) clearTimeout(timer);
-    stream?.reading.close();
+    stream.close();
     options.onDone();
   }
 
@@ -130,20 +133,19 @@
         return;
       case DriveEffectKind.Dispatch:
       case DriveEffectKind.Attach:
-        openStream(effect);
+        stream.open(effect);
         return;
       case DriveEffectKind.CloseStream:
-        if (stream?.connectionId !== effect.connectionId) return;
-        stream.reading.close();
-        stream = null;
+        stream.closeIf(effect.connectionId);
         return;
       case DriveEffectKind.CancelAttempt:
         void cancelAttempt(effect.attempt);
         return;
       case DriveEffectKind.TellTokens:
         watch.tokens(services.nowMs(), effect.tokens.length);
+        firstTokenAtMs ??= services.nowMs();
         services.telemetry.count('tokens_relayed_total', effect.tokens.length);
-        if (!answer.tokens(effect.tokens, effect.eventId)) holdBack();
+        if (!answer.tokens(effect.tokens, effect.eventId)) stream.holdBack();
         return;
       case DriveEffectKind.TellAnswer:
         answer.finish(effect.ending, drive.tokens.length, effect.eventId);
@@ -184,6 +186,7 @@
       isWanted: () => !isDone && drive.askId === askId,
       onGrant: (granted) => {
         grant = granted;
+        grantedAtMs = services.nowMs();
         handle({ kind: DriveEventKind.Admitted, askId, place: granted.place });
       },
       onRefusal: (reason, retryAfterMs) => {
@@ -268,67 +271,6 @@
     });
   }
 
-  function openStream(
-    effect: Extract<DriveEffect, { kind: DriveEffectKind.Dispatch | DriveEffectKind.Attach }>,
-  ): void {
-    const { connectionId, attempt, record } = effect;
-    const isDispatch = effect.kind === DriveEffectKind.Dispatch;
-    const method = isDispatch ? RpcMethod.StreamOpen : RpcMethod.StreamAttach;
-    const { continueFrom, remainingMs } = isDispatch ? effect : NO_DISPATCH;
-    const params = isDispatch
-      ? { attempt, record, continueFrom, remainingMs, payload: payloadFor() }
-      : { attempt, record, fromIndex: effect.fromIndex };
-    const reading = services.rpc.stream(
-      attempt.sidecar,
-      method,
-      params,
-      streamHandlers(connectionId),
-    );
-    stream = { connectionId, reading };
-    if (callerIsSlow) reading.pause();
-  }
-
-  function payloadFor(): Payload {
-    const { payload } = options;
-    if (payload.kind === PayloadKind.Plain) return withDeadline(payload);
-    return { ...payload, reader: grant?.reader ?? null };
-  }
-
-  /** A plain service that calls on within its own work must be done before its caller's deadline. */
-  function withDeadline(payload: PlainPayload): PlainPayload {
-    const remainingMs = drive.deadlineAtMs - services.nowMs();
-    const passed = passOnBudget({ remainingMs, retriesLeft: 0 }, 0);
-    if (passed === null) return payload;
-    const waitS = Math.max(1, Math.floor(passed.remainingMs / MS_PER_S));
-    return { ...payload, headers: { ...payload.headers, prefer: `wait=${String(waitS)}` } };
-  }
-
-  function streamHandlers(connectionId: number): MemberStreamHandlers {
-    return {
-      onNotification: (method, params) => {
-        if (method === (RpcMethod.StreamOpened as string)) {
-          services.noteLoad(params);
-          handle({ kind: DriveEventKind.StreamOpened, connectionId });
-          return;
-        }
-        const { index, tokens } = params as StreamTokensParams;
-        handle({ kind: DriveEventKind.StreamTokens, connectionId, index, tokens });
-      },
-      onResult: (result) => {
-        const outcome = result as StreamOutcome;
-        if (outcome.kind === StreamOutcomeKind.Ended) {
-          handle({ kind: DriveEventKind.StreamEnded, connectionId, end: outcome.end });
-          return;
-        }
-        noteAttemptEnd(false, true);
-        handle({ kind: DriveEventKind.StreamFailed, connectionId, failure: outcome.failure });
-      },
-      onFailure: () => {
-        handle({ kind: DriveEventKind.StreamFailed, connectionId, failure: CONNECTION_LOST });
-      },
-    };
-  }
-
   async function cancelAttempt(attempt: Attempt): Promise<void> {
     const answered = await services.rpc.call<CancelOutcome>(
       attempt.sidecar,
@@ -351,14 +293,9 @@
     timers.add(handleOfTimer);
   }
 
-  function holdBack(): void {
-    callerIsSlow = true;
-    stream?.reading.pause();
-  }
-
   function noteAttemptEnd(whole: boolean, failed: boolean): void {
-    const place: Place | null = grant?.place ?? null;
-    if (place === null) return;
+    if (grant === null) return;
+    const { place, predictedFirstTokenMs } = grant;
     grant = null;
     services.policyOf(request.service).noteEnd({
       target: place.target,
@@ -367,8 +304,8 @@
       outputTokens: drive.tokens.length,
       whole,
       failed,
-      firstTokenMs: null,
-      predictedFirstTokenMs: null,
+      firstTokenMs: firstTokenAtMs === null ? null : firstTokenAtMs - grantedAtMs,
+      predictedFirstTokenMs,
     });
   }
 
@@ -391,22 +328,10 @@
         retryAfterMs,
       });
     },
-    drained: () => {
-      callerIsSlow = false;
-      stream?.reading.resume();
-    },
+    drained: stream.readOn,
   };
 }
 
-const NO_DISPATCH = { continueFrom: [], remainingMs: 0 } as const;
-
-const CONNECTION_LOST = {
-  reason: StreamFailureReason.ConnectionLost,
-  mayHaveRun: true,
-  record: null,
-  retryAfterMs: 0,
-} as const;
-
 const CLAIM_OUTCOMES: Readonly<Record<ClaimReplyKind, ClaimOutcome>> = {
   [ClaimReplyKind.Granted]: ClaimOutcome.Granted,
   [ClaimReplyKind.Held]: ClaimOutcome.Held,
--- a/packages/daemon/src/entry/service-policy.ts
+++ b/packages/daemon/src/entry/service-policy.ts
@@ -10,6 +10,8 @@
   readonly place: Place;
   /** The engine that reads the prompt, where another one writes the answer. */
   readonly reader: PrefillPlace | null;
+  /** What slowness is judged against; null where nothing was predicted. */
+  readonly predictedFirstTokenMs: number | null;
 }
 
 /** An attempt that wants a place. */
