--- a/packages/daemon/src/entry/target-directory.ts
+++ b/packages/daemon/src/entry/target-directory.ts
@@ -6,6 +6,7 @@
   type Configuration,
   EngineRole,
   type Member,
+  MemberState,
   type ServiceSpec,
   type TargetInfo,
   type TargetSpec,
@@ -38,26 +39,45 @@
   }
 
   function isOpen(target: TargetSpec): boolean {
-    const memberId = formatAddress(target.sidecar);
-    const signs = combineLeavingSigns({
-      withdrawn: target.withdrawn,
-      sidecar: options.findMember(memberId)?.state ?? null,
-      listedLeaving: options.listedLeaving(memberId),
-    });
-    return signs.length === 0;
+    return hasNoSign(target, stateOf(target));
+  }
+
+  function stateOf(target: TargetSpec): MemberState | null {
+    return options.findMember(formatAddress(target.sidecar))?.state ?? null;
+  }
+
+  function hasNoSign(target: TargetSpec, sidecar: MemberState | null): boolean {
+    const listedLeaving = options.listedLeaving(formatAddress(target.sidecar));
+    const { withdrawn } = target;
+    return combineLeavingSigns({ withdrawn, sidecar, listedLeaving }).length === 0;
+  }
+
+  /**
+   * The targets that take new work. Guards a service whose targets are all suspect, as when this
+   * entry itself stood still for a while: it would refuse everything although nothing is wrong. A
+   * suspect that serves is worth a try where the alternative is to refuse.
+   */
+  function openTargets(name: string): readonly TargetSpec[] {
+    const targets = service(name)?.targets ?? [];
+    const open = targets.filter(isOpen);
+    if (open.length > 0) return open;
+    const suspects = targets.filter((target) => stateOf(target) === MemberState.Suspect);
+    return suspects.filter((target) => hasNoSign(target, MemberState.Alive));
   }
 
   return {
     service,
     isOpen,
-    open: (name) => (service(name)?.targets ?? []).filter(isOpen),
-    infos: (name) =>
-      (service(name)?.targets ?? []).map((target) => ({
+    open: openTargets,
+    infos: (name) => {
+      const open = new Set(openTargets(name).map((target) => target.name));
+      return (service(name)?.targets ?? []).map((target) => ({
         name: target.name,
         failureDomain: target.failureDomain,
         // Taken over from the first report; until then the role that suits any request.
         role: EngineRole.Mixed,
-        accepting: isOpen(target),
-      })),
+        accepting: open.has(target.name),
+      }));
+    },
   };
 }
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -121,7 +121,8 @@
     telemetry,
     engine: () => engine,
     service: () => beside?.service ?? null,
-    runningCount: host.runningCount,
+    // Streams that a former sidecar left in the engine would be cut by an order as well.
+    runningCount: () => host.runningCount() + (host.state.inherited?.count ?? 1),
     onDrain: (draining) => {
       isGateDraining = draining;
       applyDrain();
--- a/packages/daemon/test/outcomes/model-requests.test.ts
+++ b/packages/daemon/test/outcomes/model-requests.test.ts
@@ -30,7 +30,7 @@
       const ask = { url: fleet.url(0), prompt, maxTokens: SHORT, key: 'again-1' };
       const first = await askWhole(ask);
       const second = await askWhole({ ...ask, url: fleet.url(1) });
-      assert.equal(first.status, 200);
+      assert.equal(first.status, 200, JSON.stringify(first.problem));
       assert.equal(checkAnswer(prompt, SHORT, first.text), AnswerVerdict.Whole);
       assert.equal(second.text, first.text);
       assert.equal(totalRuns(prompt), 1);
