Start a process during an outage without waiting for the platform

Cause: periodic parts were waited for at their first turn, so that an entry that started while the key-value service was out took seconds (ledger reads, then peers) before it answered its health check. Change: the first turn is begun and not waited for.

--- a/packages/daemon/src/node/timers.ts
+++ b/packages/daemon/src/node/timers.ts
@@ -20,9 +20,12 @@
 
   return {
     name,
-    start: async () => {
+    // The first turn is not waited for: in an outage of the platform it takes seconds, and the parts
+    // that are started after this one must not wait for it.
+    start: () => {
       stopped = false;
-      await turn();
+      void turn();
+      return Promise.resolve();
     },
     stop: () => {
       stopped = true;
