Count the other entries' dispatches by how many share a target

Cause: the policy's measurements rest on a factor for peers that the daemon left at one. Change: the factor follows the entries alive and the share of a service that each follows.

--- a/packages/daemon/src/entry/model-policy.ts
+++ b/packages/daemon/src/entry/model-policy.ts
@@ -70,6 +70,8 @@
     readonly maxTokensPerS: number | null;
   };
   readonly latencyMs: (failureDomain: string) => number;
+  /** Entries of the deployment, this one among them. */
+  readonly entriesAlive: () => number;
   readonly emit: (event: UnstampedEvent) => void;
 }
 
@@ -102,6 +104,12 @@
     firstTokenGoalMs: goals.firstTokenMs,
     interTokenGoalMs: goals.interTokenMs,
     latencyMs: options.latencyMs,
+    // Entries that share a target do about what this one does since the last report.
+    get peerFactor() {
+      const targets = Math.max(1, options.service().targets.length);
+      const share = Math.min(1, DEFAULT_ROUTER_OPTIONS.subsetTargets / targets);
+      return Math.max(1, options.entriesAlive() * share);
+    },
   });
   const admission: Admission<Waiting> = createAdmission({
     ...DEFAULT_ADMISSION_OPTIONS,
--- a/packages/daemon/src/entry/policies.ts
+++ b/packages/daemon/src/entry/policies.ts
@@ -32,6 +32,7 @@
   readonly hash32: Hash32;
   readonly configuration: () => Configuration | null;
   readonly directory: TargetDirectory;
+  readonly entriesAlive: () => number;
   readonly emit: (event: UnstampedEvent) => void;
 }
 
@@ -75,6 +76,7 @@
       service: () => options.directory.service(spec.name) ?? spec,
       workspace,
       latencyMs: (domain) => (domain === options.failureDomain ? SAME_DOMAIN_MS : OTHER_DOMAIN_MS),
+      entriesAlive: options.entriesAlive,
       emit: options.emit,
     });
   }
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -124,6 +124,8 @@
     hash32: hashing.hash32,
     configuration: () => configuration,
     directory,
+    entriesAlive: () =>
+      member.membership.present().filter((one) => one.kind === MemberKind.Entry).length,
     emit: telemetry.emit,
   });
 
