--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -134,6 +134,8 @@
   readonly cancelTimeoutMs: number;
   /** What a caller is told to wait where nothing better is known. */
   readonly retryAfterMs: number;
+  /** How long an earlier submission can matter: a holder that is younger proves nothing. */
+  readonly absenceHorizonMs: number;
   /** Crashes in total that convict a content. */
   readonly convictingCrashes: number;
   readonly accepts: AllHoldersDone;
@@ -181,7 +183,7 @@
   readonly over: Set<string>;
   /** Of these, the ones that did not and will never run. */
   readonly neverRan: Set<string>;
-  /** Members that said, when first asked, that they know nothing of the key. */
+  /** Members that have been up over the horizon and know of no attempt. */
   readonly absentAt: Set<string>;
   avoidTargets: string[];
   isSuspect: boolean;
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -238,7 +238,9 @@
   for (const [member, reply] of drive.round?.replies ?? []) {
     const isThere = reply.kind === HolderReplyKind.Standing;
     replies.set(member, isThere ? { ...reply, kind: HolderReplyKind.Done } : reply);
-    if ((reply.record?.attempts.length ?? 0) === 0) drive.absentAt.add(member);
+    const isAbsent = (reply.record?.attempts.length ?? 0) === 0;
+    const isOldEnough = reply.upForMs >= context.options.absenceHorizonMs;
+    if (isAbsent && isOldEnough) drive.absentAt.add(member);
   }
   if (someReply(turn, HolderReplyKind.Conflict)) {
     refuse(turn, KEY_CONFLICT.of({ service }), 0);
--- a/packages/coordination/src/core/records/holder.ts
+++ b/packages/coordination/src/core/records/holder.ts
@@ -46,12 +46,16 @@
 
 /** The table. */
 export interface HolderState {
+  readonly startedAtMs: number;
   readonly records: Map<string, HeldRecord>;
   totalBytes: number;
   /** Keys still to be looked at in the present sweep. */
   sweep: string[];
 }
 
+/** A reply before the member's own uptime is added. */
+type UntimedReply = Omit<HolderReply, 'upForMs'>;
+
 /** Estimated bytes of a record beside its tokens: keys, hashes, two attempts. */
 const RECORD_BASE_BYTES = 600;
 const ATTEMPT_BYTES = 300;
@@ -84,9 +88,9 @@
   return current.id === previousId && compareAttempts(current, attempt) < 0;
 };
 
-/** An empty table. */
-export function createHolder(): HolderState {
-  return { records: new Map(), totalBytes: 0, sweep: [] };
+/** The empty table of a member that has just started. */
+export function createHolder(startedAtMs: number): HolderState {
+  return { startedAtMs, records: new Map(), totalBytes: 0, sweep: [] };
 }
 
 /** Answers a call at `nowMs`. */
@@ -96,6 +100,16 @@
   options: HolderOptions,
   nowMs: number,
 ): HolderReply {
+  const reply = answerCall(state, call, options, nowMs);
+  return { ...reply, upForMs: nowMs - state.startedAtMs };
+}
+
+function answerCall(
+  state: HolderState,
+  call: HolderCall,
+  options: HolderOptions,
+  nowMs: number,
+): UntimedReply {
   switch (call.kind) {
     case HolderCallKind.Create:
       return create(state, call.record, options, nowMs);
@@ -141,7 +155,7 @@
   record: RequestRecord,
   options: HolderOptions,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   const held = state.records.get(record.keyText);
   if (held === undefined) {
     const createBytes = options.maxBytes * options.createBytesRatio;
@@ -157,7 +171,7 @@
   call: Extract<HolderCall, { kind: HolderCallKind.Note }>,
   options: HolderOptions,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   const held = state.records.get(call.record.keyText);
   if (held !== undefined && held.record.bodyHash !== call.record.bodyHash) return conflict();
   const base = held === undefined ? call.record : joinRecords(held.record, call.record);
@@ -174,7 +188,7 @@
   call: Extract<HolderCall, { kind: HolderCallKind.Finish }>,
   options: HolderOptions,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   const { answer, failure } = call;
   const held = state.records.get(call.record.keyText);
   if (held !== undefined && held.record.bodyHash !== call.record.bodyHash) return conflict();
@@ -194,7 +208,7 @@
   record: RequestRecord,
   options: HolderOptions,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   const held = state.records.get(record.keyText);
   const joined = held === undefined ? record : joinRecords(held.record, record);
   return keep(state, joined, options, nowMs);
@@ -205,7 +219,7 @@
   keyText: string,
   creationId: string,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   const held = state.records.get(keyText);
   if (held === undefined) return absent();
   const isUntouched = held.record.phase === RecordPhase.Accepted;
@@ -219,7 +233,7 @@
   record: RequestRecord,
   options: HolderOptions,
   nowMs: number,
-): HolderReply {
+): UntimedReply {
   if (!hasRoom(state, record, options.maxRecords, options.maxBytes)) return full(options);
   return done(store(state, record, options, nowMs), nowMs);
 }
@@ -262,26 +276,26 @@
   return bytes + (record.answer?.ending.plain?.bodyBase64.length ?? 0);
 }
 
-function done(held: HeldRecord, nowMs: number): HolderReply {
+function done(held: HeldRecord, nowMs: number): UntimedReply {
   return { kind: HolderReplyKind.Done, record: recordAt(held, nowMs), retryAfterMs: 0 };
 }
 
-function standing(held: HeldRecord, nowMs: number): HolderReply {
+function standing(held: HeldRecord, nowMs: number): UntimedReply {
   return standingOf(recordAt(held, nowMs));
 }
 
-function standingOf(record: RequestRecord): HolderReply {
+function standingOf(record: RequestRecord): UntimedReply {
   return { kind: HolderReplyKind.Standing, record, retryAfterMs: 0 };
 }
 
-function conflict(): HolderReply {
+function conflict(): UntimedReply {
   return { kind: HolderReplyKind.Conflict, record: null, retryAfterMs: 0 };
 }
 
-function absent(): HolderReply {
+function absent(): UntimedReply {
   return { kind: HolderReplyKind.Absent, record: null, retryAfterMs: 0 };
 }
 
-function full(options: HolderOptions): HolderReply {
+function full(options: HolderOptions): UntimedReply {
   return { kind: HolderReplyKind.Full, record: null, retryAfterMs: options.fullRetryAfterMs };
 }
--- a/packages/coordination/src/core/records/messages.ts
+++ b/packages/coordination/src/core/records/messages.ts
@@ -62,6 +62,8 @@
   readonly kind: HolderReplyKind;
   readonly record: RequestRecord | null;
   readonly retryAfterMs: number;
+  /** For how long this holder has kept its memory, by its own clock. */
+  readonly upForMs: number;
 }
 
 /** Hands an attempt to a sidecar; opens its stream from `attempt.startIndex`. */
--- a/packages/coordination/src/core/records/options.ts
+++ b/packages/coordination/src/core/records/options.ts
@@ -27,6 +27,7 @@
   reattachTries: 10,
   cancelTimeoutMs: 1000,
   retryAfterMs: 1000,
+  absenceHorizonMs: 600_000,
   convictingCrashes: CONVICTING_CRASHES,
   accepts: allHoldersDone,
   mayDispatch: allHoldersDone,
--- /dev/null
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -0,0 +1,25 @@
+/**
+ * All worlds. A world is bound to its simulation's type here, so that the command line can run any.
+ */
+import type { FaultCounts } from '../kit/faults.js';
+import { runWorld } from '../kit/runner.js';
+import type { RunOptions, RunReport } from '../kit/runner.js';
+import type { World } from '../kit/world.js';
+import { createRequestsWorld } from './requests/world.js';
+
+/** A world as the command line sees it. */
+export interface RunnableWorld {
+  readonly name: string;
+  readonly mutants: readonly string[];
+  readonly run: (options: RunOptions, counts: FaultCounts) => RunReport;
+}
+
+/** Loads all worlds. */
+export async function loadWorlds(): Promise<readonly RunnableWorld[]> {
+  return [bind(await createRequestsWorld())];
+}
+
+function bind<Simulation extends object>(world: World<Simulation>): RunnableWorld {
+  const { name, mutants } = world;
+  return { name, mutants, run: (options, counts) => runWorld(world, options, counts) };
+}
--- /dev/null
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -0,0 +1,504 @@
+/**
+ * A simulated entry: performs what the request machines ask for, and brings callers' requests in.
+ */
+import {
+  DriveEffectKind,
+  DriveEventKind,
+  DrivePhase,
+  HostEffectKind,
+  HostEventKind,
+  PoisonEventKind,
+  PoisonWorkKind,
+  StreamFailureReason,
+  askClaim,
+  cancelHosted,
+  forgetSession,
+  handleDriveEvent,
+  handleHolderCall,
+  holdersOf,
+  openSession,
+  rememberSession,
+  suspicionOf,
+  takeSequence,
+} from '@cassiamast/coordination';
+import type {
+  DriveContext,
+  DriveEffect,
+  DriveEvent,
+  HostEffect,
+  HostEvent,
+  Place,
+  RequestDrive,
+  StreamFailure,
+} from '@cassiamast/coordination';
+import { countFault } from '../../kit/faults.js';
+import { contactsOf, isLiveTo } from './membership.js';
+import {
+  CALLER_SEPARATOR,
+  onSentOut,
+  onToldAnswer,
+  onToldRefusal,
+  onToldTokens,
+} from './oracle.js';
+import { askIdOf, claimContext, performClaims, performPoison } from './services.js';
+import { feedHost, hostContext, performHost } from './sidecar.js';
+import { SERVICE } from './simulation.js';
+import type { SimulatedNode, Simulation, StreamConnection } from './simulation.js';
+import { call, later, send } from './transport.js';
+
+/** A message of a sidecar's stream. */
+export type StreamMessage = Extract<
+  HostEffect,
+  {
+    kind:
+      | HostEffectKind.OpenStream
+      | HostEffectKind.SendTokens
+      | HostEffectKind.EndStream
+      | HostEffectKind.FailStream;
+  }
+>;
+
+/** Silence after which a stream's connection counts as broken. */
+const IDLE_MS = 10_000;
+const SESSION_TIMEOUT_MS = 1000;
+
+/** What a request machine needs in a process. */
+export function driveContext(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+): DriveContext {
+  const { memory } = node;
+  const { nowMs } = simulation.scheduler;
+  const { keyText, bodyHash } = drive.request;
+  return {
+    nowMs,
+    random: simulation.random,
+    hash32: simulation.hashing.hash32,
+    entryId: node.id,
+    options: simulation.options.drive,
+    budget: memory.budget,
+    holders: () => holdersOf(memory.placement, keyText),
+    isLive: (memberId) => isLiveTo(node, memberId),
+    suspicion: () => suspicionOf(memory.suspicions, bodyHash),
+    provesAbsence: (absentAt) =>
+      simulation.options.provesAbsence({
+        keyText,
+        absentAt,
+        contacts: contactsOf(simulation, node),
+        horizonMs: simulation.options.absenceHorizonMs,
+        nowMs,
+        hash32: simulation.hashing.hash32,
+      }),
+  };
+}
+
+/** Tells a request machine something and performs what it asks for. */
+export function feedDrive(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  event: DriveEvent,
+): void {
+  const effects = handleDriveEvent(drive, event, driveContext(simulation, node, drive));
+  for (const effect of effects) perform(simulation, node, drive, effect);
+  if (drive.phase === DrivePhase.Done) node.memory.drives.delete(drive.id);
+}
+
+function perform(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: DriveEffect,
+): void {
+  switch (effect.kind) {
+    case DriveEffectKind.CallHolder:
+      callHolder(simulation, node, drive, effect);
+      return;
+    case DriveEffectKind.AskAdmission:
+      admit(simulation, node, drive, effect.askId, effect.avoidTargets);
+      return;
+    case DriveEffectKind.AskLoneRun:
+      askLoneRun(simulation, node, drive, effect);
+      return;
+    case DriveEffectKind.SettleLoneRun: {
+      const { attemptId, end } = effect;
+      const { bodyHash } = drive.request;
+      performPoison(simulation, node, {
+        kind: PoisonEventKind.Asked,
+        id: `settle/${attemptId}`,
+        work: { kind: PoisonWorkKind.Settle, service: SERVICE, bodyHash, attemptId, end },
+      });
+      return;
+    }
+    case DriveEffectKind.OpenSession:
+      askSession(simulation, node, drive, effect);
+      return;
+    case DriveEffectKind.ForgetSession:
+      forgetSession(node.memory.sessions, effect.sidecar);
+      return;
+    case DriveEffectKind.TakeClaim: {
+      const { keyText, bodyHash } = drive.request;
+      const { attempt, replacesId, askId } = effect;
+      const request = { keyText, bodyHash, attempt, replacesId };
+      const context = claimContext(simulation, node);
+      const { claimClient } = node.memory;
+      const effects = askClaim(claimClient, askIdOf(drive.id, askId), request, context);
+      performClaims(simulation, node, effects);
+      return;
+    }
+    case DriveEffectKind.Dispatch:
+    case DriveEffectKind.Attach:
+      openStream(simulation, node, drive, effect);
+      return;
+    case DriveEffectKind.CloseStream:
+      closeStream(simulation, node, drive, effect.connectionId);
+      return;
+    case DriveEffectKind.CancelAttempt:
+      cancelAttempt(simulation, node, drive, effect);
+      return;
+    case DriveEffectKind.TellTokens:
+    case DriveEffectKind.TellAnswer:
+    case DriveEffectKind.TellRefusal:
+      tellCaller(simulation, drive, effect);
+      return;
+    case DriveEffectKind.SetTimer: {
+      const { timer, timerId, afterMs } = effect;
+      later(simulation, node, afterMs, () => {
+        feedDrive(simulation, node, drive, { kind: DriveEventKind.TimerFired, timer, timerId });
+      });
+      return;
+    }
+    case DriveEffectKind.Emit:
+  }
+}
+
+function callHolder(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.CallHolder }>,
+): void {
+  const { to, roundId, call: holderCall } = effect;
+  const { options, scheduler } = simulation;
+  call(
+    simulation,
+    node,
+    to,
+    (receiver) =>
+      handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
+    (reply) => {
+      feedDrive(simulation, node, drive, {
+        kind: DriveEventKind.HolderReplied,
+        roundId,
+        from: to,
+        reply,
+      });
+    },
+  );
+}
+
+function admit(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  askId: number,
+  avoidTargets: readonly string[],
+): void {
+  const place = choosePlace(simulation, node, avoidTargets);
+  const isRefused = simulation.random() < simulation.admissionRefusalRatio;
+  if (isRefused) countFault(simulation.network.counts, 'admission-refused');
+  const event: DriveEvent =
+    isRefused || place === null
+      ? {
+          kind: DriveEventKind.AdmissionRefused,
+          askId,
+          reason: 'the queue is full',
+          retryAfterMs: 1000,
+        }
+      : { kind: DriveEventKind.Admitted, askId, place };
+  later(simulation, node, 0, () => {
+    feedDrive(simulation, node, drive, event);
+  });
+}
+
+function choosePlace(
+  simulation: Simulation,
+  node: SimulatedNode,
+  avoidTargets: readonly string[],
+): Place | null {
+  const places = simulation.nodes
+    .filter((other) => !other.isEntry && isLiveTo(node, other.id))
+    .map((other) => ({ sidecar: other.id, target: other.engine?.target ?? '' }));
+  const others = places.filter(({ target }) => !avoidTargets.includes(target));
+  const candidates = others.length > 0 ? others : places;
+  return candidates[Math.floor(simulation.random() * candidates.length)] ?? null;
+}
+
+function askLoneRun(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.AskLoneRun }>,
+): void {
+  const place = choosePlace(simulation, node, []);
+  if (place === null) {
+    admit(simulation, node, drive, effect.askId, []);
+    return;
+  }
+  const incarnation = node.memory.view.get(place.sidecar)?.incarnation ?? 0;
+  performPoison(simulation, node, {
+    kind: PoisonEventKind.Asked,
+    id: askIdOf(drive.id, effect.askId),
+    work: {
+      kind: PoisonWorkKind.AskLoneRun,
+      service: SERVICE,
+      bodyHash: drive.request.bodyHash,
+      attemptId: effect.attemptId,
+      place,
+      sidecarIncarnation: `${place.sidecar}#${String(incarnation)}`,
+    },
+  });
+}
+
+function askSession(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.OpenSession }>,
+): void {
+  const { askId, sidecar, verify } = effect;
+  const { sessions } = node.memory;
+  const give = (): boolean => {
+    const taken = takeSequence(sessions, sidecar);
+    if (taken === null) return false;
+    feedDrive(simulation, node, drive, { kind: DriveEventKind.SessionOpened, askId, ...taken });
+    return true;
+  };
+  if (!verify && give()) return;
+  const entryIncarnation = `${node.id}#${String(node.memory.incarnation)}`;
+  call(
+    simulation,
+    node,
+    sidecar,
+    (receiver) => {
+      const { host } = receiver.memory;
+      if (host === null) return null;
+      return openSession(host.sessions, entryIncarnation, simulation.options.host.sessions);
+    },
+    (sessionId) => {
+      if (sessionId === null) return;
+      rememberSession(sessions, sidecar, sessionId);
+      if (drive.askId === askId) give();
+    },
+  );
+  later(simulation, node, SESSION_TIMEOUT_MS, () => {
+    feedDrive(simulation, node, drive, { kind: DriveEventKind.SessionFailed, askId });
+  });
+}
+
+function openStream(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.Dispatch | DriveEffectKind.Attach }>,
+): void {
+  const { connectionId, attempt } = effect;
+  const { memory } = node;
+  const attachId = attachIdOf(node, drive.id, connectionId);
+  memory.connections.set(attachId, {
+    driveId: drive.id,
+    connectionId,
+    sidecar: attempt.sidecar,
+    expectedSequence: 1,
+    lastHeardMs: simulation.scheduler.nowMs,
+  });
+  const event = hostEventOf(drive, effect, attachId);
+  if (effect.kind === DriveEffectKind.Dispatch) {
+    const connection = simulation.oracle.connections[callerOf(drive)];
+    const { ratio, burst } = simulation.options.drive.retry;
+    if (connection !== undefined)
+      onSentOut(simulation, connection, attempt, { ratio, size: burst });
+  }
+  const to = simulation.byId.get(attempt.sidecar);
+  if (to === undefined) return;
+  send(simulation, node, to, (receiver) => {
+    feedHost(simulation, receiver, event);
+  });
+}
+
+function hostEventOf(
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.Dispatch | DriveEffectKind.Attach }>,
+  attachId: string,
+): HostEvent {
+  const { attempt, record } = effect;
+  if (effect.kind === DriveEffectKind.Attach) {
+    const message = { attempt, record, fromIndex: effect.fromIndex };
+    return { kind: HostEventKind.Attached, attachId, message };
+  }
+  const { continueFrom, remainingMs } = effect;
+  const { payload } = drive.request;
+  const message = { attempt, record, continueFrom, payload, remainingMs };
+  return { kind: HostEventKind.Dispatched, attachId, message };
+}
+
+function attachIdOf(node: SimulatedNode, driveId: string, connectionId: number): string {
+  return `${node.id}#${String(node.memory.incarnation)}/${driveId}/${String(connectionId)}`;
+}
+
+function closeStream(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  connectionId: number,
+): void {
+  const attachId = attachIdOf(node, drive.id, connectionId);
+  const connection = node.memory.connections.get(attachId);
+  if (connection === undefined) return;
+  node.memory.connections.delete(attachId);
+  detach(simulation, node, connection, attachId);
+}
+
+function detach(
+  simulation: Simulation,
+  node: SimulatedNode,
+  connection: StreamConnection,
+  attachId: string,
+): void {
+  const to = simulation.byId.get(connection.sidecar);
+  if (to === undefined) return;
+  send(simulation, node, to, (receiver) => {
+    feedHost(simulation, receiver, { kind: HostEventKind.Detached, attachId });
+  });
+}
+
+/** A message of a stream reaches its entry; a gap in the sequence breaks the connection. */
+export function onStreamMessage(
+  simulation: Simulation,
+  node: SimulatedNode,
+  attachId: string,
+  sequence: number,
+  message: StreamMessage,
+): void {
+  const connection = node.memory.connections.get(attachId);
+  if (connection === undefined || sequence < connection.expectedSequence) return;
+  if (sequence > connection.expectedSequence) {
+    breakConnection(simulation, node, attachId, connection);
+    return;
+  }
+  connection.expectedSequence += 1;
+  connection.lastHeardMs = simulation.scheduler.nowMs;
+  const { connectionId, driveId } = connection;
+  const drive = node.memory.drives.get(driveId);
+  if (drive === undefined) return;
+  const event = driveEventOf(connectionId, message);
+  const isLast =
+    event.kind === DriveEventKind.StreamEnded || event.kind === DriveEventKind.StreamFailed;
+  if (isLast) node.memory.connections.delete(attachId);
+  feedDrive(simulation, node, drive, event);
+}
+
+function driveEventOf(connectionId: number, message: StreamMessage): DriveEvent {
+  switch (message.kind) {
+    case HostEffectKind.OpenStream:
+      return { kind: DriveEventKind.StreamOpened, connectionId };
+    case HostEffectKind.SendTokens: {
+      const { index, tokens } = message;
+      return { kind: DriveEventKind.StreamTokens, connectionId, index, tokens };
+    }
+    case HostEffectKind.EndStream:
+      return { kind: DriveEventKind.StreamEnded, connectionId, end: message.end };
+    case HostEffectKind.FailStream:
+      return { kind: DriveEventKind.StreamFailed, connectionId, failure: message.failure };
+  }
+}
+
+function breakConnection(
+  simulation: Simulation,
+  node: SimulatedNode,
+  attachId: string,
+  connection: StreamConnection,
+): void {
+  node.memory.connections.delete(attachId);
+  detach(simulation, node, connection, attachId);
+  const drive = node.memory.drives.get(connection.driveId);
+  if (drive === undefined) return;
+  const failure: StreamFailure = {
+    reason: StreamFailureReason.ConnectionLost,
+    mayHaveRun: true,
+    record: null,
+    retryAfterMs: 0,
+  };
+  const { connectionId } = connection;
+  feedDrive(simulation, node, drive, { kind: DriveEventKind.StreamFailed, connectionId, failure });
+}
+
+/** Breaks the connections on which nothing came for long, as keep-alive would. */
+export function watchConnections(simulation: Simulation, node: SimulatedNode): void {
+  const idleSinceMs = simulation.scheduler.nowMs - IDLE_MS;
+  for (const [attachId, connection] of [...node.memory.connections]) {
+    if (connection.lastHeardMs <= idleSinceMs) {
+      breakConnection(simulation, node, attachId, connection);
+    }
+  }
+}
+
+function cancelAttempt(
+  simulation: Simulation,
+  node: SimulatedNode,
+  drive: RequestDrive,
+  effect: Extract<DriveEffect, { kind: DriveEffectKind.CancelAttempt }>,
+): void {
+  const { attempt } = effect;
+  call(
+    simulation,
+    node,
+    attempt.sidecar,
+    (receiver) => {
+      const { host } = receiver.memory;
+      if (host === null) return null;
+      const result = cancelHosted(host, { attempt }, hostContext(simulation, receiver));
+      performHost(simulation, receiver, result.effects);
+      return result.outcome;
+    },
+    (outcome) => {
+      if (outcome === null) return;
+      const attemptId = attempt.id;
+      feedDrive(simulation, node, drive, {
+        kind: DriveEventKind.CancelReplied,
+        attemptId,
+        outcome,
+      });
+    },
+  );
+}
+
+/** The number of the caller's connection, which the drive's id ends with. */
+function callerOf(drive: RequestDrive): number {
+  return Number(drive.id.split(CALLER_SEPARATOR)[1]);
+}
+
+function tellCaller(
+  simulation: Simulation,
+  drive: RequestDrive,
+  effect: Extract<
+    DriveEffect,
+    {
+      kind: DriveEffectKind.TellTokens | DriveEffectKind.TellAnswer | DriveEffectKind.TellRefusal;
+    }
+  >,
+): void {
+  const connection = simulation.oracle.connections[callerOf(drive)];
+  if (connection?.isOpen !== true) return;
+  switch (effect.kind) {
+    case DriveEffectKind.TellTokens:
+      onToldTokens(connection, effect.index, effect.tokens, effect.eventId);
+      return;
+    case DriveEffectKind.TellAnswer:
+      onToldAnswer(simulation, connection);
+      return;
+    case DriveEffectKind.TellRefusal:
+      onToldRefusal(simulation, connection, effect.runState);
+  }
+}
--- /dev/null
+++ b/packages/fuzz/src/worlds/requests/oracle.ts
@@ -0,0 +1,326 @@
+/**
+ * The oracle of the requests world. It knows nothing of the decision code: it notes what each caller
+ * was sent and told and what each engine ran, and compares that with the promises.
+ */
+import type { Attempt } from '@cassiamast/coordination';
+import { RunState } from '@cassiamast/coordination';
+import { ProcessStatus } from '../../kit/processes.js';
+import { holds } from '../../kit/violation.js';
+import type { EngineStart } from './engine.js';
+import { isReachable } from './membership.js';
+import type { SimulatedNode, Simulation } from './simulation.js';
+
+/** One text that a caller puts together over its connections. */
+export interface Reading {
+  readonly tokens: string[];
+  lastEventId: string | null;
+}
+
+/** One connection of a caller. */
+export interface CallerConnection {
+  readonly id: number;
+  readonly keyText: string;
+  readonly bodyHash: string;
+  readonly repeatable: boolean;
+  readonly poisonous: boolean;
+  readonly entryId: string;
+  readonly reading: Reading;
+  /** The caller is there and waits. */
+  isOpen: boolean;
+  /** Told a final answer or refusal. */
+  isTold: boolean;
+  wasAnswered: boolean;
+}
+
+interface NotedRun {
+  readonly attempt: Attempt;
+  readonly keyText: string;
+  readonly bodyHash: string;
+  readonly text: string[];
+  isWhole: boolean;
+}
+
+/** What is known of a key with one body. */
+interface KeyHistory {
+  readonly startedAttempts: string[];
+  answer: string | null;
+  /** Attempts that were sent out before "not-run" was told: none may start afterwards. */
+  readonly barred: Set<string>;
+  readonly sentOut: Set<string>;
+  /** Every copy of the record was lost at some time, so that a rerun may differ. */
+  recordLost: boolean;
+  wasAnswered: boolean;
+}
+
+interface EntryTries {
+  first: number;
+  retries: number;
+}
+
+/** The oracle's notes. */
+export interface Oracle {
+  readonly runs: Map<string, NotedRun>;
+  readonly keys: Map<string, KeyHistory>;
+  readonly connections: CallerConnection[];
+  readonly crashesByContent: Map<string, { count: number; allowed: number }>;
+  readonly triesByEntry: Map<string, EntryTries>;
+}
+
+/** Crashes in total after which a content is run no more. */
+const CONVICTING_CRASHES = 2;
+const SEPARATOR = '\u0000';
+/** Between an entry's incarnation and the number of the caller's connection in a drive's id. */
+export const CALLER_SEPARATOR = '~';
+
+/** Nothing noted. */
+export function createOracle(): Oracle {
+  return {
+    runs: new Map(),
+    keys: new Map(),
+    connections: [],
+    crashesByContent: new Map(),
+    triesByEntry: new Map(),
+  };
+}
+
+/** The notes of a key with a body. */
+export function historyOf(oracle: Oracle, keyText: string, bodyHash: string): KeyHistory {
+  const name = `${keyText}${SEPARATOR}${bodyHash}`;
+  let history = oracle.keys.get(name);
+  if (history === undefined) {
+    history = {
+      startedAttempts: [],
+      answer: null,
+      barred: new Set(),
+      sentOut: new Set(),
+      recordLost: false,
+      wasAnswered: false,
+    };
+    oracle.keys.set(name, history);
+  }
+  return history;
+}
+
+/** An entry hands an attempt out. */
+export function onSentOut(
+  simulation: Simulation,
+  connection: CallerConnection,
+  attempt: Attempt,
+  burst: { readonly ratio: number; readonly size: number },
+): void {
+  const { oracle } = simulation;
+  historyOf(oracle, connection.keyText, connection.bodyHash).sentOut.add(attempt.id);
+  if (attempt.number === 1 || attempt.startIndex > 0) return;
+  const tries = triesOf(oracle, attempt.id.split(CALLER_SEPARATOR)[0] ?? '');
+  tries.retries += 1;
+  const allowed = burst.size + tries.first * burst.ratio;
+  holds(
+    tries.retries <= allowed,
+    'retries-stay-in-budget',
+    () => `${String(tries.retries)} retries of ${String(tries.first)} first tries`,
+  );
+}
+
+/** A caller's request reaches an entry. */
+export function onArrival(
+  simulation: Simulation,
+  connection: CallerConnection,
+  entryIncarnation: string,
+): void {
+  simulation.oracle.connections.push(connection);
+  triesOf(simulation.oracle, entryIncarnation).first += 1;
+}
+
+function triesOf(oracle: Oracle, entryId: string): EntryTries {
+  let tries = oracle.triesByEntry.get(entryId);
+  if (tries === undefined) {
+    tries = { first: 0, retries: 0 };
+    oracle.triesByEntry.set(entryId, tries);
+  }
+  return tries;
+}
+
+/** An engine begins to work on an attempt. */
+export function onEngineStarted(
+  simulation: Simulation,
+  start: EngineStart,
+  target: string,
+  beside: readonly Attempt[],
+): void {
+  const { oracle } = simulation;
+  const { attempt, keyText, bodyHash } = start;
+  const history = historyOf(oracle, keyText, bodyHash);
+  holds(
+    !history.barred.has(attempt.id),
+    'not-run-is-true',
+    () => `${attempt.id} starts on ${target} after its caller was told that it has not run`,
+  );
+  history.startedAttempts.push(attempt.id);
+  holds(
+    isRepeatableKey(keyText) || history.startedAttempts.length === 1,
+    'unrepeatable-runs-once',
+    () => `${keyText} runs as ${history.startedAttempts.join(', ')}`,
+  );
+  const isMixed = beside.length > 0 && (attempt.alone || beside.some((other) => other.alone));
+  holds(!isMixed, 'suspects-run-alone', () => `${attempt.id} on ${target} with others`);
+  noteLoneRun(simulation, attempt, target);
+  oracle.runs.set(attempt.id, {
+    attempt,
+    keyText,
+    bodyHash,
+    text: [...start.continueFrom],
+    isWhole: false,
+  });
+}
+
+/** No other lone run may go on, but those whose process was out of contact since they began. */
+function noteLoneRun(simulation: Simulation, attempt: Attempt, target: string): void {
+  if (!attempt.alone) return;
+  const running = simulation.nodes.flatMap((node) => {
+    const streams = [...(node.engine?.streams.values() ?? [])];
+    const lone = streams.filter((stream) => !stream.ended && stream.attempt.alone);
+    return lone.filter((stream) => stream.startedAtMs > node.lastTroubledAtMs);
+  });
+  const others = running.filter((stream) => stream.attempt.id !== attempt.id);
+  holds(
+    others.length === 0,
+    'one-suspect-at-a-time',
+    () => `${attempt.id} on ${target} beside ${others.map((other) => other.attempt.id).join(', ')}`,
+  );
+}
+
+/** An engine made a token. */
+export function onEngineTokens(simulation: Simulation, attemptId: string, token: string): void {
+  simulation.oracle.runs.get(attemptId)?.text.push(token);
+}
+
+/** An engine came to the end of a text. */
+export function onEngineWhole(simulation: Simulation, attemptId: string): void {
+  const run = simulation.oracle.runs.get(attemptId);
+  if (run !== undefined) run.isWhole = true;
+}
+
+/** An engine crashed while its sidecar could see it; contents that are poisonous count, with copies that ran elsewhere then. */
+export function onEngineCrashed(
+  simulation: Simulation,
+  target: string,
+  running: readonly { readonly bodyHash: string }[],
+  isSeen: boolean,
+): void {
+  if (!isSeen) return;
+  const culprits = new Set(running.map((run) => run.bodyHash).filter(isPoisonousBody));
+  for (const bodyHash of culprits) {
+    const copies = copiesRunning(simulation, bodyHash);
+    const known = simulation.oracle.crashesByContent.get(bodyHash);
+    const notes = known ?? { count: 0, allowed: CONVICTING_CRASHES - 1 + copies };
+    notes.count += 1;
+    simulation.oracle.crashesByContent.set(bodyHash, notes);
+    holds(
+      notes.count <= notes.allowed,
+      'culprit-is-convicted',
+      () => `${bodyHash} crashes ${target}: ${String(notes.count)} of ${String(notes.allowed)}`,
+    );
+  }
+}
+
+function copiesRunning(simulation: Simulation, bodyHash: string): number {
+  const engines = simulation.nodes.flatMap((node) => node.engine ?? []);
+  const streams = engines.flatMap((engine) => [...engine.streams.values()]);
+  return streams.filter((stream) => !stream.ended && stream.bodyHash === bodyHash).length;
+}
+
+/** A caller is sent tokens. */
+export function onToldTokens(
+  connection: CallerConnection,
+  index: number,
+  tokens: readonly string[],
+  eventId: string,
+): void {
+  const { reading } = connection;
+  holds(!connection.isTold, 'answered-once', () => `tokens after the end of ${connection.keyText}`);
+  holds(
+    index === reading.tokens.length,
+    'text-grows-at-its-end',
+    () => `token ${String(index)} after ${String(reading.tokens.length)}`,
+  );
+  reading.tokens.push(...tokens);
+  reading.lastEventId = eventId;
+}
+
+/** A caller is told that its answer is whole. */
+export function onToldAnswer(simulation: Simulation, connection: CallerConnection): void {
+  const { oracle } = simulation;
+  const text = connection.reading.tokens.join('');
+  holds(!connection.isTold, 'answered-once', () => `two ends of ${connection.keyText}`);
+  connection.isTold = true;
+  connection.wasAnswered = true;
+  const isOwn = [...oracle.runs.values()].some((run) => isWholeAnswer(run, connection, text));
+  holds(isOwn, 'whole-answer-to-its-own-request', () => `${connection.keyText} was sent ${text}`);
+  const history = historyOf(oracle, connection.keyText, connection.bodyHash);
+  holds(
+    history.answer === null || history.answer === text || history.recordLost,
+    'one-answer-per-request',
+    () => `${connection.keyText}: ${history.answer ?? ''} then ${text}`,
+  );
+  history.answer = text;
+  history.wasAnswered = true;
+  history.recordLost = false;
+}
+
+function isWholeAnswer(run: NotedRun, connection: CallerConnection, text: string): boolean {
+  const isOfRequest = run.keyText === connection.keyText && run.bodyHash === connection.bodyHash;
+  return isOfRequest && run.isWhole && run.text.join('') === text;
+}
+
+/** A caller is refused. */
+export function onToldRefusal(
+  simulation: Simulation,
+  connection: CallerConnection,
+  runState: RunState,
+): void {
+  holds(!connection.isTold, 'answered-once', () => `two ends of ${connection.keyText}`);
+  connection.isTold = true;
+  if (runState !== RunState.NotRun) return;
+  const history = historyOf(simulation.oracle, connection.keyText, connection.bodyHash);
+  holds(
+    history.startedAttempts.length === 0,
+    'not-run-is-true',
+    () => `${connection.keyText} ran as ${history.startedAttempts.join(', ')}`,
+  );
+  for (const attemptId of history.sentOut) history.barred.add(attemptId);
+}
+
+/**
+ * Notes which answered requests have lost their record: no copy is left, or some entry cannot reach
+ * any. Only then may a rerun come to another text.
+ */
+export function checkRecords(simulation: Simulation): void {
+  for (const [name, history] of simulation.oracle.keys) {
+    if (history.answer === null || history.recordLost) continue;
+    const [keyText = ''] = name.split(SEPARATOR);
+    const keepers = simulation.nodes.filter((node) => keepsAnswer(node, keyText));
+    const entries = simulation.nodes.filter((node) => node.isEntry && isRunning(node));
+    history.recordLost = !entries.every((entry) =>
+      keepers.some((keeper) => isReachable(simulation, entry.id, keeper.id)),
+    );
+  }
+}
+
+function keepsAnswer(node: SimulatedNode, keyText: string): boolean {
+  const answer = node.memory.holder.records.get(keyText)?.record.answer;
+  return isRunning(node) && answer !== undefined && answer !== null;
+}
+
+function isRunning(node: SimulatedNode): boolean {
+  return node.slot.status === ProcessStatus.Running;
+}
+
+/** Whether a key's calls may be repeated; part of the key's name in this world. */
+export function isRepeatableKey(keyText: string): boolean {
+  return !keyText.includes('once');
+}
+
+/** Whether a content crashes engines; part of its hash in this world. */
+export function isPoisonousBody(bodyHash: string): boolean {
+  return bodyHash.startsWith('poison');
+}
--- /dev/null
+++ b/packages/fuzz/src/worlds/requests/sidecar.ts
@@ -0,0 +1,165 @@
+/**
+ * A simulated sidecar: performs what the attempt machine asks for, and brings it its engine's signs.
+ */
+import {
+  HostEffectKind,
+  HostEventKind,
+  PoisonEventKind,
+  PoisonWorkKind,
+  handleHolderCall,
+  handleHostEvent,
+  holdersOf,
+} from '@cassiamast/coordination';
+import type { HostContext, HostEffect, HostEvent } from '@cassiamast/coordination';
+import { ProcessStatus, runIn } from '../../kit/processes.js';
+import { cancelStream, resumeStream, startStream } from './engine.js';
+import type { SimulatedPayload } from './engine.js';
+import { onStreamMessage } from './entry.js';
+import type { StreamMessage } from './entry.js';
+import { performPoison } from './services.js';
+import type { SimulatedNode, Simulation } from './simulation.js';
+import { call, send } from './transport.js';
+
+/** What the attempt machine of a process needs. */
+export function hostContext(simulation: Simulation, node: SimulatedNode): HostContext {
+  return {
+    nowMs: simulation.scheduler.nowMs,
+    options: simulation.options.host,
+    holdersOfKey: (keyText) => holdersOf(node.memory.placement, keyText),
+  };
+}
+
+/** Tells a sidecar's attempt machine something; an entry has none. */
+export function feedHost(simulation: Simulation, node: SimulatedNode, event: HostEvent): void {
+  const { host } = node.memory;
+  if (host === null) return;
+  const effects = handleHostEvent(host, event, hostContext(simulation, node));
+  performHost(simulation, node, effects);
+}
+
+/** Performs what the attempt machine asks for. */
+export function performHost(
+  simulation: Simulation,
+  node: SimulatedNode,
+  effects: readonly HostEffect[],
+): void {
+  for (const effect of effects) perform(simulation, node, effect);
+}
+
+function perform(simulation: Simulation, node: SimulatedNode, effect: HostEffect): void {
+  const { engine } = node;
+  if (engine === null) return;
+  switch (effect.kind) {
+    case HostEffectKind.StartEngine: {
+      const record = node.memory.host?.attempts.get(effect.attempt.id)?.record;
+      startStream(simulation, engine, {
+        attempt: effect.attempt,
+        keyText: record?.keyText ?? '',
+        bodyHash: record?.bodyHash ?? '',
+        payload: effect.payload as SimulatedPayload,
+        continueFrom: effect.continueFrom,
+      });
+      return;
+    }
+    case HostEffectKind.ResumeEngine:
+      resumeStream(simulation, engine, effect.attemptId, effect.fromIndex);
+      return;
+    case HostEffectKind.CancelEngine:
+      cancelStream(engine, effect.attemptId);
+      return;
+    case HostEffectKind.OpenStream:
+    case HostEffectKind.SendTokens:
+    case HostEffectKind.EndStream:
+    case HostEffectKind.FailStream:
+      sendStream(simulation, node, effect);
+      return;
+    case HostEffectKind.CallHolder:
+      callHolder(simulation, node, effect);
+      return;
+    case HostEffectKind.ReportCrash:
+      for (const suspect of effect.suspects) {
+        const { attemptId, bodyHash } = suspect;
+        performPoison(simulation, node, {
+          kind: PoisonEventKind.Asked,
+          id: `crash/${attemptId}`,
+          work: { kind: PoisonWorkKind.ReportCrash, service: effect.service, bodyHash, attemptId },
+        });
+      }
+      return;
+    case HostEffectKind.Emit:
+  }
+}
+
+function sendStream(simulation: Simulation, node: SimulatedNode, message: StreamMessage): void {
+  const { attachId } = message;
+  const { streamSequences } = node.memory;
+  const sequence = (streamSequences.get(attachId) ?? 0) + 1;
+  streamSequences.set(attachId, sequence);
+  const [entryId = ''] = attachId.split('#');
+  const to = simulation.byId.get(entryId);
+  if (to === undefined) return;
+  send(simulation, node, to, (receiver) => {
+    onStreamMessage(simulation, receiver, attachId, sequence, message);
+  });
+}
+
+function callHolder(
+  simulation: Simulation,
+  node: SimulatedNode,
+  effect: Extract<HostEffect, { kind: HostEffectKind.CallHolder }>,
+): void {
+  const { to, attemptId, call: holderCall } = effect;
+  const { scheduler, options } = simulation;
+  call(
+    simulation,
+    node,
+    to,
+    (receiver) =>
+      handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
+    (reply) => {
+      feedHost(simulation, node, {
+        kind: HostEventKind.HolderReplied,
+        attemptId,
+        from: to,
+        reply,
+      });
+    },
+  );
+}
+
+/** Connects a sidecar that has just started with its engine. */
+export function listenToEngine(simulation: Simulation, node: SimulatedNode): void {
+  const { engine, slot } = node;
+  if (engine === null) return;
+  const { incarnation } = slot;
+  const tell = (event: HostEvent): void => {
+    runIn(slot, incarnation, () => {
+      feedHost(simulation, node, event);
+    });
+  };
+  engine.isWatched = () => slot.status === ProcessStatus.Running;
+  engine.listener = {
+    onTokens: (attemptId, index, tokens) => {
+      tell({ kind: HostEventKind.EngineTokens, attemptId, index, tokens });
+    },
+    onEnded: (attemptId, outputTokens) => {
+      const ending = {
+        reason: 'stop',
+        promptTokens: 1,
+        cachedTokens: 0,
+        outputTokens,
+        plain: null,
+      };
+      tell({ kind: HostEventKind.EngineEnded, attemptId, ending });
+    },
+    onFailed: (attemptId, mayHaveRun) => {
+      tell({ kind: HostEventKind.EngineStreamFailed, attemptId, mayHaveRun });
+    },
+    onMissing: (attemptId) => {
+      tell({ kind: HostEventKind.EngineStreamMissing, attemptId });
+    },
+    onCrashed: () => {
+      tell({ kind: HostEventKind.EngineCrashed });
+    },
+  };
+}
