--- a/packages/coordination/src/core/poison/client-types.ts
+++ b/packages/coordination/src/core/poison/client-types.ts
@@ -112,7 +112,7 @@
   Transact = 'transact',
   Probe = 'probe',
   LoneRunReplied = 'lone-run-replied',
-  /** Tell every sidecar and entry of the service. */
+  /** Tell every sidecar and entry of the service, at once and without the key-value service. */
   Announce = 'announce',
 }
 
@@ -136,6 +136,8 @@
       readonly id: string;
       readonly outcome: LoneRunOutcome;
       readonly place: Place | null;
+      /** Incarnation of the place's sidecar that the lone run is written for. */
+      readonly sidecarIncarnation: string;
       readonly crashes: number;
       readonly retryAfterMs: number;
     }
@@ -143,7 +145,8 @@
       readonly kind: PoisonEffectKind.Announce;
       readonly service: string;
       readonly bodyHash: string;
-      readonly crashes: number;
+      /** Crashed attempts; none when the content is cleared. */
+      readonly crashedAttemptIds: readonly string[];
     };
 
 /** What varies from call to call. */
--- a/packages/coordination/src/core/poison/client.ts
+++ b/packages/coordination/src/core/poison/client.ts
@@ -18,7 +18,14 @@
   PoisonState,
   PoisonWork,
 } from './client-types.js';
-import { ledgerKeyOf, loneRunKeyOf, parseLedgerEntry, parseLoneRun, withCrash } from './ledger.js';
+import {
+  ledgerKeyOf,
+  loneRunKeyOf,
+  parseLedgerEntry,
+  parseLoneRun,
+  withCrash,
+  withLoss,
+} from './ledger.js';
 import type { LoneRun } from './ledger.js';
 
 /**
@@ -58,6 +65,7 @@
 
 function begin(turn: Turn, id: string, work: PoisonWork): void {
   const { state, context } = turn;
+  if (state.operations.has(id)) return;
   const operation: Operation = {
     id,
     work,
@@ -72,6 +80,7 @@
     return;
   }
   state.operations.set(id, operation);
+  announceCrash(turn, operation);
   read(turn, operation);
 }
 
@@ -159,8 +168,9 @@
 }
 
 /**
- * A lone run whose sidecar is gone may have taken its target with it and nobody was left to report
- * it: it counts as a crash of that content, in the same transaction that makes room.
+ * A lone run that crashed, or whose sidecar is lost, is written into the ledger in the transaction
+ * that gives its place away. Failure: its own report is late, or nobody was left to make it; it
+ * shows as a culprit that runs once more. The guard holds because the next lone run reads both.
  */
 function onProbe(turn: Turn, operation: Operation, probe: LoneProbe): void {
   const standing = parseLoneRun(operation.lone);
@@ -174,16 +184,11 @@
     return;
   }
   const { service } = operation.work;
-  const id = `${operation.id}/gone/${standing.attemptId}`;
   const { bodyHash, attemptId } = standing;
-  begin(turn, id, { kind: PoisonWorkKind.ReportCrash, service, bodyHash, attemptId });
-  begin(turn, `${id}/settle`, {
-    kind: PoisonWorkKind.Settle,
-    service,
-    bodyHash,
-    attemptId,
-    end: LoneRunEnd.Crashed,
-  });
+  const isCrash = probe === LoneProbe.Crashed;
+  const end = isCrash ? LoneRunEnd.Crashed : LoneRunEnd.Lost;
+  const id = `${operation.id}/${end}/${attemptId}`;
+  begin(turn, id, { kind: PoisonWorkKind.Settle, service, bodyHash, attemptId, end });
   replyLater(turn, operation);
 }
 
@@ -200,8 +205,10 @@
   const ledgerKey = ledgerKeyOf(work.service, work.bodyHash);
   const writes: StoredWrite[] = [{ key: loneKey, value: null }];
   const compares = [compareWith(loneKey, operation.lone)];
-  if (work.end === LoneRunEnd.Crashed) {
-    const entry = withCrash(parseLedgerEntry(operation.ledger), work.attemptId);
+  if (work.end === LoneRunEnd.Crashed || work.end === LoneRunEnd.Lost) {
+    const before = parseLedgerEntry(operation.ledger);
+    const add = work.end === LoneRunEnd.Crashed ? withCrash : withLoss;
+    const entry = add(before, work.attemptId);
     writes.push({ key: ledgerKey, value: JSON.stringify(entry) });
     compares.push(compareWith(ledgerKey, operation.ledger));
   }
@@ -221,18 +228,28 @@
       return;
     case PoisonWorkKind.ReportCrash: {
       const entry = withCrash(parseLedgerEntry(operation.ledger), work.attemptId);
-      announce(turn, operation, entry.crashedAttemptIds.length);
+      announce(turn, operation, entry.crashedAttemptIds);
       break;
     }
     case PoisonWorkKind.Settle:
-      if (work.end === LoneRunEnd.Finished) announce(turn, operation, 0);
+      if (work.end === LoneRunEnd.Finished) announce(turn, operation, []);
   }
   turn.state.operations.delete(operation.id);
 }
 
-function announce(turn: Turn, operation: Operation, crashes: number): void {
+/**
+ * Tells of a crash while its report is under way. Failure: the key-value service is out and the
+ * same content comes with another key; it shows as one target lost after another through the
+ * outage. The guard holds because the news need no service, and are repeated with each retry.
+ */
+function announceCrash(turn: Turn, operation: Operation): void {
+  if (operation.work.kind !== PoisonWorkKind.ReportCrash) return;
+  announce(turn, operation, [operation.work.attemptId]);
+}
+
+function announce(turn: Turn, operation: Operation, crashedAttemptIds: readonly string[]): void {
   const { service, bodyHash } = operation.work;
-  turn.out.push({ kind: PoisonEffectKind.Announce, service, bodyHash, crashes });
+  turn.out.push({ kind: PoisonEffectKind.Announce, service, bodyHash, crashedAttemptIds });
 }
 
 function retryOrGiveUp(turn: Turn, operation: Operation): void {
@@ -252,6 +269,7 @@
   for (const operation of turn.state.operations.values()) {
     if (operation.retryAtMs === null || operation.retryAtMs > turn.context.nowMs) continue;
     operation.retryAtMs = null;
+    announceCrash(turn, operation);
     read(turn, operation);
   }
 }
@@ -272,6 +290,8 @@
     id: operation.id,
     outcome,
     place,
+    sidecarIncarnation:
+      operation.work.kind === PoisonWorkKind.AskLoneRun ? operation.work.sidecarIncarnation : '',
     crashes: parseLedgerEntry(operation.ledger).crashedAttemptIds.length,
     retryAfterMs: turn.context.options.laterMs,
   });
--- a/packages/coordination/src/core/poison/suspicions.ts
+++ b/packages/coordination/src/core/poison/suspicions.ts
@@ -1,35 +1,100 @@
 /**
- * What a process knows of suspected contents, fed by the ledger's watch and by announcements; both
- * may miss, repeat or come late, so this decides only what is asked of the ledger first.
+ * What a process knows of suspected contents: from the ledger, which it reads at its start and then
+ * watches, and from announcements of crashes, which come at once and through outages of the
+ * key-value service. Both may miss, repeat or come late; crashes are therefore kept by attempt.
  */
 import { Suspicion } from '../records/drive-types.js';
 import { CONVICTING_CRASHES } from './ledger.js';
 
-/** Crashes by content, oldest news first. */
+/** What is known of one content. */
+interface KnownContent {
+  readonly crashedAttemptIds: Set<string>;
+  /** Whether the ledger had it; what was only announced is not cleared by its absence there. */
+  inLedger: boolean;
+}
+
+/** Contents by hash, oldest news first. */
 export interface SuspicionTable {
-  readonly crashesByHash: Map<string, number>;
+  readonly byHash: Map<string, KnownContent>;
   readonly maxEntries: number;
+  /** Whether the whole ledger was read, from the key-value service or a peer that had read it. */
+  isRead: boolean;
 }
 
+/** Crashed attempts by content, as the ledger or a peer has them. */
+export type LedgerSnapshot = ReadonlyMap<string, readonly string[]>;
+
 /** No suspicions. */
 export function createSuspicionTable(maxEntries: number): SuspicionTable {
-  return { crashesByHash: new Map(), maxEntries };
+  return { byHash: new Map(), maxEntries, isRead: false };
+}
+
+/** Takes news of crashes; the oldest content gives way when the table is full. */
+export function noteCrashes(
+  table: SuspicionTable,
+  bodyHash: string,
+  attemptIds: readonly string[],
+  inLedger: boolean,
+): void {
+  const known = table.byHash.get(bodyHash);
+  const crashedAttemptIds = new Set([...(known?.crashedAttemptIds ?? []), ...attemptIds]);
+  table.byHash.delete(bodyHash);
+  table.byHash.set(bodyHash, {
+    crashedAttemptIds,
+    inLedger: inLedger || (known?.inLedger ?? false),
+  });
+  const oldest = table.byHash.keys().next().value;
+  if (table.byHash.size > table.maxEntries && oldest !== undefined) table.byHash.delete(oldest);
+}
+
+/** A content ran alone to its end: it is a suspect no more. */
+export function clearSuspicion(table: SuspicionTable, bodyHash: string): void {
+  table.byHash.delete(bodyHash);
 }
 
-/** Takes news of a content; 0 crashes clear it. The oldest news gives way when the table is full. */
-export function noteSuspicion(table: SuspicionTable, bodyHash: string, crashes: number): void {
-  table.crashesByHash.delete(bodyHash);
-  if (crashes === 0) return;
-  table.crashesByHash.set(bodyHash, crashes);
-  const oldest = table.crashesByHash.keys().next().value;
-  if (table.crashesByHash.size > table.maxEntries && oldest !== undefined) {
-    table.crashesByHash.delete(oldest);
+/** What a reading of the ledger showed. */
+export interface LedgerReading {
+  /** Contents that were in the ledger and are no more. */
+  readonly cleared: readonly string[];
+  /** Contents whose crashes were announced and are not all in the ledger: to be reported anew. */
+  readonly unwritten: LedgerSnapshot;
+}
+
+/**
+ * Takes the whole ledger. Guards a crash whose reporter died in an outage: it would show as one
+ * target more lost to the same content. The guard holds because whoever heard of it reports it.
+ */
+export function readLedger(table: SuspicionTable, ledger: LedgerSnapshot): LedgerReading {
+  const cleared: string[] = [];
+  const unwritten = new Map<string, readonly string[]>();
+  for (const [bodyHash, known] of table.byHash) {
+    const written = ledger.get(bodyHash);
+    const missing = [...known.crashedAttemptIds].filter((id) => !written?.includes(id));
+    if (written === undefined && known.inLedger) cleared.push(bodyHash);
+    else if (missing.length > 0) unwritten.set(bodyHash, missing);
   }
+  for (const bodyHash of cleared) clearSuspicion(table, bodyHash);
+  for (const [bodyHash, attemptIds] of ledger) noteCrashes(table, bodyHash, attemptIds, true);
+  table.isRead = true;
+  return { cleared, unwritten };
 }
 
-/** What is known of a content. */
+/** What a peer is given that cannot read the ledger itself. */
+export function snapshotOf(table: SuspicionTable): LedgerSnapshot {
+  return new Map(
+    [...table.byHash].map(([bodyHash, known]) => [bodyHash, [...known.crashedAttemptIds]]),
+  );
+}
+
+/**
+ * What is known of a content. Guards against a convicted content at an entry that has just started:
+ * it would show as one more target lost after each restart. The guard holds because an entry
+ * dispatches nothing before it has read the ledger.
+ */
 export function suspicionOf(table: SuspicionTable, bodyHash: string): Suspicion {
-  const crashes = table.crashesByHash.get(bodyHash) ?? 0;
-  if (crashes >= CONVICTING_CRASHES) return Suspicion.Convicted;
-  return crashes > 0 ? Suspicion.Suspect : Suspicion.None;
+  if (!table.isRead) return Suspicion.Unread;
+  const known = table.byHash.get(bodyHash);
+  if (known === undefined) return Suspicion.None;
+  const isConvicted = known.crashedAttemptIds.size >= CONVICTING_CRASHES;
+  return isConvicted ? Suspicion.Convicted : Suspicion.Suspect;
 }
--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -59,10 +59,7 @@
     return refuse(turn, OUTCOME_UNKNOWN.of({ service }), context.options.retryAfterMs);
   }
   const crashes = drive.known.crashedAttemptIds.length;
-  const isConvicted = context.suspicion() === Suspicion.Convicted;
-  if (isConvicted || crashes >= context.options.convictingCrashes) {
-    return convict(turn, Math.max(crashes, context.options.convictingCrashes));
-  }
+  if (crashes >= context.options.convictingCrashes) return convict(turn, crashes);
   if (remainingMs(turn) === 0) {
     return refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
   }
@@ -90,9 +87,16 @@
   setTimer(turn, DriveTimer.BackOff, afterMs);
 }
 
-/** Asks where the next attempt may run. */
+/**
+ * Asks where the next attempt may run. Leaves the last round: a late reply must not bring in
+ * another attempt, over which this one would be noted although that one runs.
+ */
 export function prepare(turn: Turn): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
+  const suspicion = context.suspicion();
+  if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
+  if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
+  drive.round = null;
   drive.askId = nextId(drive);
   if (needsLoneRun(turn)) {
     drive.phase = DrivePhase.AwaitingLoneRun;
@@ -149,6 +153,11 @@
   const { drive } = turn;
   if (drive.attempt === null) return;
   drive.attempt = { ...drive.attempt, sessionId, sequence };
+  if (drive.attempt.alone && !isGivenBy(drive.loneIncarnation, sessionId)) {
+    settleLoneRun(turn, drive.attempt, LoneRunEnd.Aborted);
+    backOff(turn, turn.context.options.reattachAfterMs);
+    return;
+  }
   if (drive.request.repeatable) {
     noteAttempt(turn);
     return;
@@ -159,6 +168,15 @@
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
+/**
+ * Guards the one lone run of a service. Failure: it was written for a sidecar that has restarted
+ * since; others, told that it is gone, begin theirs. The guard holds because it is dispatched only
+ * to the incarnation that it was written for.
+ */
+function isGivenBy(incarnation: string, sessionId: string): boolean {
+  return sessionId.startsWith(`${incarnation}.`);
+}
+
 /** Notes the prepared attempt at all holders. */
 export function noteAttempt(turn: Turn): void {
   const { drive } = turn;
--- a/packages/coordination/src/core/records/drive-messages.ts
+++ b/packages/coordination/src/core/records/drive-messages.ts
@@ -58,6 +58,8 @@
       readonly outcome: LoneRunOutcome;
       /** With a grant: where it may run, with nothing beside it. */
       readonly place: Place | null;
+      /** Incarnation of the place's sidecar that the lone run is written for. */
+      readonly sidecarIncarnation: string;
       readonly crashes: number;
       readonly retryAfterMs: number;
     }
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -86,12 +86,16 @@
 export enum LoneRunEnd {
   Finished = 'finished',
   Crashed = 'crashed',
+  /** Its sidecar was lost, and perhaps its target with it. */
+  Lost = 'lost',
   /** It never ran, or failed without a crash. */
   Aborted = 'aborted',
 }
 
 /** What this process knows of a content through the ledger's watch. */
 export enum Suspicion {
+  /** The ledger has not been read since this process started. */
+  Unread = 'unread',
   None = 'none',
   Suspect = 'suspect',
   Convicted = 'convicted',
@@ -179,6 +183,8 @@
   /** Attempt that is prepared, dispatched or attached to. */
   attempt: Attempt | null;
   place: Place | null;
+  /** Incarnation of the sidecar that a lone run was granted for. */
+  loneIncarnation: string;
   /** Attempts that are over or out of reach. */
   readonly over: Set<string>;
   /** Of these, the ones that did not and will never run. */
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -64,6 +64,7 @@
     roundsAsked: 0,
     attempt: null,
     place: null,
+    loneIncarnation: '',
     over: new Set(),
     neverRan: new Set(),
     absentAt: new Set(),
@@ -172,6 +173,7 @@
 ): void {
   if (event.outcome === LoneRunOutcome.Convicted) convict(turn, event.crashes);
   else if (event.outcome === LoneRunOutcome.Granted && event.place !== null) {
+    turn.drive.loneIncarnation = event.sidecarIncarnation;
     takePlace(turn, event.place, true);
   } else backOff(turn, event.retryAfterMs);
 }
--- a/packages/coordination/src/core/records/host-dispatch.ts
+++ b/packages/coordination/src/core/records/host-dispatch.ts
@@ -59,7 +59,7 @@
       return { reason: StreamFailureReason.TooOld, mayHaveRun: true };
     case SequenceVerdict.Fresh: {
       const isSuspected = !attempt.alone && state.suspectedHashes.has(message.record.bodyHash);
-      if (state.forbidden.has(attempt.id)) {
+      if (state.awaitedLoneRuns.get(attempt.id)?.forbidden === true) {
         return { reason: StreamFailureReason.Cancelled, mayHaveRun: false };
       }
       if (isSuspected) return { reason: StreamFailureReason.Suspected, mayHaveRun: false };
--- a/packages/coordination/src/core/records/host-types.ts
+++ b/packages/coordination/src/core/records/host-types.ts
@@ -54,6 +54,12 @@
   sizeBytes: number;
 }
 
+/** A lone run that has not come. */
+export interface AwaitedLoneRun {
+  readonly askedAtMs: number;
+  forbidden: boolean;
+}
+
 /** All that a sidecar knows of attempts. */
 export interface HostState {
   readonly sidecarId: string;
@@ -64,8 +70,11 @@
   draining: boolean;
   /** Contents that crashed a target, oldest first. */
   readonly suspectedHashes: Set<string>;
-  /** Lone runs that gave way before they came; bounded, oldest first. */
-  readonly forbidden: Set<string>;
+  /**
+   * Lone runs that were asked after before they came, with the time of the first question; those
+   * that did not come within the grace are forbidden. Bounded, oldest first.
+   */
+  readonly awaitedLoneRuns: Map<string, AwaitedLoneRun>;
 }
 
 /** What the machine is told. */
@@ -218,7 +227,9 @@
   readonly maxBytes: number;
   readonly maxAnswerTokens: number;
   readonly maxSuspectedHashes: number;
-  readonly maxForbidden: number;
+  readonly maxAwaitedLoneRuns: number;
+  /** Time that a lone run has to come before it gives way to another. */
+  readonly loneRunGraceMs: number;
   /** Time for which an ended attempt is kept for readers. */
   readonly retentionMs: number;
   readonly holderRetryMs: number;
--- a/packages/coordination/src/core/records/host.ts
+++ b/packages/coordination/src/core/records/host.ts
@@ -32,7 +32,7 @@
     totalBytes: 0,
     draining: false,
     suspectedHashes: new Set(),
-    forbidden: new Set(),
+    awaitedLoneRuns: new Map(),
   };
 }
 
@@ -153,22 +153,35 @@
 }
 
 /**
- * Says what became of a lone run whose place another suspect wants. One that has not come is
- * forbidden: its dispatch may still be under way.
+ * Says what became of a lone run whose place another suspect wants. One that does not come within
+ * the grace is forbidden before its place is given away: its dispatch may still be under way.
  */
 export function probeLoneRun(
   state: HostState,
   message: ProbeMessage,
-  maxForbidden: number,
+  context: HostContext,
 ): LoneProbe {
-  if (message.sidecarIncarnation !== state.sessions.incarnation) return LoneProbe.Gone;
-  const hosted = state.attempts.get(message.attemptId);
-  if (hosted !== undefined) {
-    return runningAttempts(state).includes(hosted) ? LoneProbe.Running : LoneProbe.Over;
+  const { attemptId, sidecarIncarnation } = message;
+  if (sidecarIncarnation !== state.sessions.incarnation) return LoneProbe.Gone;
+  const hosted = state.attempts.get(attemptId);
+  if (hosted === undefined) return awaitLoneRun(state, attemptId, context);
+  if (hosted.failure?.reason === StreamFailureReason.EngineCrashed) return LoneProbe.Crashed;
+  return runningAttempts(state).includes(hosted) ? LoneProbe.Running : LoneProbe.Over;
+}
+
+function awaitLoneRun(state: HostState, attemptId: string, context: HostContext): LoneProbe {
+  const { nowMs, options } = context;
+  const awaited = state.awaitedLoneRuns.get(attemptId);
+  if (awaited === undefined) {
+    if (state.awaitedLoneRuns.size >= options.maxAwaitedLoneRuns) dropOldestAwaited(state);
+    state.awaitedLoneRuns.set(attemptId, { askedAtMs: nowMs, forbidden: false });
+    return LoneProbe.Running;
   }
-  state.forbidden.add(message.attemptId);
-  const oldest = state.forbidden.values().next().value;
-  const isOver = state.forbidden.size > maxForbidden;
-  if (isOver && oldest !== undefined) state.forbidden.delete(oldest);
-  return LoneProbe.Over;
+  if (nowMs - awaited.askedAtMs >= options.loneRunGraceMs) awaited.forbidden = true;
+  return awaited.forbidden ? LoneProbe.Over : LoneProbe.Running;
+}
+
+function dropOldestAwaited(state: HostState): void {
+  const oldest = state.awaitedLoneRuns.keys().next().value;
+  if (oldest !== undefined) state.awaitedLoneRuns.delete(oldest);
 }
--- a/packages/coordination/src/core/records/messages.ts
+++ b/packages/coordination/src/core/records/messages.ts
@@ -150,8 +150,10 @@
 /** What a sidecar says of a lone run when asked; a dead one says `gone`. */
 export enum LoneProbe {
   Running = 'running',
-  /** Over, and what it came to was reported; or it will never begin. */
+  /** Over without a crash; or it will never begin. */
   Over = 'over',
+  /** It crashed its engine; the report may still be under way. */
+  Crashed = 'crashed',
   /** The sidecar is dead or restarted: it may have crashed its target. */
   Gone = 'gone',
 }
--- a/packages/fuzz/src/kit/runner.ts
+++ b/packages/fuzz/src/kit/runner.ts
@@ -29,6 +29,8 @@
   readonly promise: string;
   readonly message: string;
   readonly trace: readonly string[];
+  /** What happened in that run. */
+  readonly story: readonly string[];
   readonly replay: ReplayPoint;
   /** Runs until it was found. */
   readonly runsNeeded: number;
@@ -65,8 +67,13 @@
   const property = fc.property(fc.noShrink(fc.nat()), runs, (seed, commands) => {
     const simulation = world.create({ seed, mutant: options.mutant, counts });
     totals.runs += 1;
-    fc.modelRun(() => ({ model: { name: world.name }, real: simulation }), commands);
-    world.settle(simulation);
+    try {
+      fc.modelRun(() => ({ model: { name: world.name }, real: simulation }), commands);
+      world.settle(simulation);
+    } catch (error) {
+      if (error instanceof ViolationError) error.story = world.storyOf(simulation);
+      throw error;
+    }
     totals.steps += world.stepsOf(simulation);
   });
   const details = fc.check(property, {
@@ -112,6 +119,7 @@
     promise: error instanceof ViolationError ? error.promise : 'no-exception',
     message: error instanceof Error ? error.message : String(error),
     trace: [...commands].map(String),
+    story: error instanceof ViolationError ? error.story : [],
     replay: {
       path: details.counterexamplePath ?? '',
       commandsPath: COMMANDS_PATH.exec(String(commands))?.[1] ?? '',
--- a/packages/fuzz/src/kit/violation.ts
+++ b/packages/fuzz/src/kit/violation.ts
@@ -4,6 +4,9 @@
 
 /** Thrown by an oracle when an invariant does not hold; fast-check then shrinks the run. */
 export class ViolationError extends Error {
+  /** What happened in the run, one line each, filled in by the runner. */
+  story: readonly string[] = [];
+
   constructor(
     /** Names the promise, kebab-case. */
     readonly promise: string,
--- a/packages/fuzz/src/kit/world.ts
+++ b/packages/fuzz/src/kit/world.ts
@@ -33,4 +33,6 @@
   readonly settle: (simulation: Simulation) => void;
   /** Simulated events so far, each followed by the oracle's checks of what it changed. */
   readonly stepsOf: (simulation: Simulation) => number;
+  /** What the oracle saw, one line each, for a person who reads a violation. */
+  readonly storyOf: (simulation: Simulation) => readonly string[];
 }
--- a/packages/fuzz/src/main.ts
+++ b/packages/fuzz/src/main.ts
@@ -17,6 +17,8 @@
 function printViolation(args: FuzzArguments, violation: FoundViolation): void {
   print(`Violation in world ${violation.world}: ${violation.message}`);
   for (const line of violation.trace) print(`  ${line}`);
+  print('What happened:');
+  for (const line of violation.story) print(`  ${line}`);
   print(`Replay: ${replayCommand(violation.world, args, violation.replay)}`);
 }
 
--- a/packages/fuzz/src/worlds/requests/entry.ts
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -499,6 +499,6 @@
       onToldAnswer(simulation, connection);
       return;
     case DriveEffectKind.TellRefusal:
-      onToldRefusal(simulation, connection, effect.runState);
+      onToldRefusal(simulation, connection, effect.runState, effect.failure.message);
   }
 }
--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -13,6 +13,7 @@
 } from '../../kit/processes.js';
 import { breakAllOf } from './callers.js';
 import { crashEngine } from './engine.js';
+import { tell } from './oracle.js';
 import { noteLinksChanged } from './membership.js';
 import { createMemory, startNode } from './nodes.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
@@ -21,6 +22,7 @@
 export function kill(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status === ProcessStatus.Dead) return;
   countFault(simulation.network.counts, node.isEntry ? 'entry-killed' : 'sidecar-killed');
+  tell(simulation, `${node.id} is killed`);
   killProcess(node.slot);
   breakAllOf(simulation, node.id);
   noteLinksChanged(simulation);
@@ -29,6 +31,7 @@
 /** Starts a new process where one is dead. */
 export function replace(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status !== ProcessStatus.Dead) return;
+  tell(simulation, `${node.id} is replaced`);
   replaceProcess(node.slot);
   const { nowMs } = simulation.scheduler;
   node.memory = createMemory(simulation, node.id, node.slot.incarnation, nowMs);
@@ -47,6 +50,7 @@
 export function pause(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status !== ProcessStatus.Running) return;
   countFault(simulation.network.counts, 'process-paused');
+  tell(simulation, `${node.id} is paused`);
   pauseProcess(node.slot);
   noteLinksChanged(simulation);
 }
@@ -54,6 +58,7 @@
 /** Lets a paused process go on. */
 export function goOn(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status !== ProcessStatus.Paused) return;
+  tell(simulation, `${node.id} goes on`);
   noteLinksChanged(simulation);
   resumeProcess(node.slot);
   noteLinksChanged(simulation);
--- a/packages/fuzz/src/worlds/requests/key-value.ts
+++ b/packages/fuzz/src/worlds/requests/key-value.ts
@@ -20,6 +20,8 @@
   isDown: boolean;
   /** Share of calls that take effect and whose answer is lost. */
   lostAnswerRatio: number;
+  /** Last time at which a call failed or was slow. */
+  troubledAtMs: number;
   /** Share of calls that take effect only after the caller has given up. */
   slowRatio: number;
 }
@@ -31,7 +33,14 @@
 
 /** An empty service. */
 export function createKeyValue(): SimulatedKeyValue {
-  return { values: new Map(), revision: 0, isDown: false, lostAnswerRatio: 0, slowRatio: 0 };
+  return {
+    values: new Map(),
+    revision: 0,
+    isDown: false,
+    lostAnswerRatio: 0,
+    slowRatio: 0,
+    troubledAtMs: -1,
+  };
 }
 
 /** Reads a key. */
@@ -70,11 +79,13 @@
 ): void {
   const { keyValue, random, scheduler, network } = simulation;
   if (keyValue.isDown) {
+    keyValue.troubledAtMs = scheduler.nowMs;
     countFault(network.counts, 'key-value-call-failed');
     later(simulation, node, CALL_TIMEOUT_MS, onFailure);
     return;
   }
   if (random() < keyValue.slowRatio) {
+    keyValue.troubledAtMs = scheduler.nowMs;
     countFault(network.counts, 'key-value-slow');
     schedule(scheduler, SLOW_MS, () => {
       operation(keyValue);
--- a/packages/fuzz/src/worlds/requests/world.ts
+++ b/packages/fuzz/src/worlds/requests/world.ts
@@ -49,6 +49,7 @@
     check: checkRecords,
     settle,
     stepsOf: (simulation) => simulation.scheduler.steps,
+    storyOf: (simulation) => simulation.oracle.story,
   };
 }
 
