--- a/packages/coordination/src/core/config/failures.ts
+++ b/packages/coordination/src/core/config/failures.ts
@@ -42,11 +42,11 @@
   hint: 'Nothing to do: the whole document is fetched instead. Report it if it repeats.',
 });
 
-/** The edit was never sent. */
+/** The edit was not sent this time; an earlier command with the same edit id may have sent it. */
 export const editNotSent = defineFailure({
   name: 'edit-not-sent',
   title: 'The key-value service did not answer',
   message: (data: { editId: string }) =>
-    `Edit ${data.editId} was not sent, since the present version could not be read. Nothing changed.`,
+    `This command did not send edit ${data.editId}, since the present version could not be read.`,
   hint: 'Run the same command again when the service is back.',
 });
--- a/packages/coordination/src/core/membership/syncing.ts
+++ b/packages/coordination/src/core/membership/syncing.ts
@@ -28,13 +28,22 @@
 /** A member that knows nobody tries its seeds this often. */
 const JOIN_RETRY_MS = 1_000;
 
+/** Share of comparisons that go to a seed which was never met, while there is one. */
+const STRANGE_SEED_RATIO = 0.5;
+
+/**
+ * The peer to compare views with. Failure guarded against: processes that start together meet in
+ * two groups that never hear of each other. It shows as a seed that was never met, in one group at
+ * least, since the seeds are known to all.
+ */
 function choosePeer(state: MembershipState, context: MembershipContext): string | null {
   const returned = state.returnedPeer;
   state.returnedPeer = null;
   if (returned !== null) return returned;
-  const peer = pickPeer(state, [], context);
-  if (peer !== null || state.seeds.length === 0) return peer;
-  return state.seeds[randomBelow(context.random, state.seeds.length)] ?? null;
+  const strangeSeeds = state.seeds.filter((seed) => !state.records.has(seed));
+  const seed = strangeSeeds[randomBelow(context.random, Math.max(1, strangeSeeds.length))] ?? null;
+  if (seed !== null && context.random() < STRANGE_SEED_RATIO) return seed;
+  return pickPeer(state, [], context) ?? seed ?? state.seeds[0] ?? null;
 }
 
 function scheduleSync(state: MembershipState, context: MembershipContext): void {
@@ -225,6 +234,10 @@
 
 /** The peer did not answer or was busy: another one is tried soon. */
 export function syncFailed(state: MembershipState, context: MembershipContext): void {
+  const failedPeer = state.sync?.peer;
   state.sync = null;
+  // A seed that is gone for good is asked now and then only.
+  const isStrangeSeed = failedPeer !== undefined && !state.records.has(failedPeer);
+  if (isStrangeSeed && state.records.size > 0) return;
   state.timers.syncAtMs = context.nowMs + JOIN_RETRY_MS * (0.5 + context.random());
 }
--- /dev/null
+++ b/packages/fuzz/src/worlds/authority/commands.ts
@@ -0,0 +1,270 @@
+/** The alphabet of the authority world. */
+import fc from 'fast-check';
+import { countFault } from '../../kit/faults.js';
+import { linkOf } from '../../kit/network.js';
+import { advance } from '../../kit/scheduler.js';
+import type { WorldCommand } from '../../kit/world.js';
+import { planOrder } from './authority-node.js';
+import { startOperatorEdit } from './configuration-node.js';
+import { crashEngine } from './engine.js';
+import { endLease } from './key-value.js';
+import { giveUp, goOn, kill, pause, replace } from './nodes.js';
+import { noteStanding } from './oracle.js';
+import type { SimulatedNode, Simulation } from './simulation.js';
+import { ALL_IDS, ENTRY_IDS, FAILURE_DOMAINS, SERVICE_ID, SIDECAR_IDS } from './simulation.js';
+
+type Command = WorldCommand<Simulation>;
+
+/** Between commands: within a check, a lease read, a lease's safety, a lease, a cut-off. */
+const stepMs = fc.constantFrom(0, 1, 3, 20, 200, 900, 2_500, 6_000, 12_000);
+const anyId = fc.constantFrom(...ALL_IDS);
+const entryId = fc.constantFrom(...ENTRY_IDS);
+const sidecarId = fc.constantFrom(...SIDECAR_IDS);
+const ratio = fc.constantFrom(0, 0, 0.05, 0.2, 0.4);
+
+function act(label: string, afterMs: number, run: (simulation: Simulation) => void): Command {
+  return {
+    label: `${label}; ${String(afterMs)} ms`,
+    run: (simulation) => {
+      run(simulation);
+      noteStanding(simulation);
+      advance(simulation.scheduler, afterMs);
+    },
+  };
+}
+
+function onNode(
+  verb: string,
+  ids: fc.Arbitrary<string>,
+  run: (simulation: Simulation, node: SimulatedNode) => void,
+): fc.Arbitrary<Command> {
+  return fc.tuple(ids, stepMs).map(([id, afterMs]) =>
+    act(`${verb} ${id}`, afterMs, (simulation) => {
+      const node = simulation.byId.get(id);
+      if (node !== undefined) run(simulation, node);
+    }),
+  );
+}
+
+const killOne = onNode('kill', anyId, kill);
+const replaceOne = onNode('replace', anyId, replace);
+const pauseOne = onNode('pause', anyId, pause);
+const pausePlanner = onNode('pause', entryId, pause);
+const goOnOne = onNode('let go on', anyId, (_simulation, node) => {
+  goOn(node);
+});
+const restartSidecar = onNode('restart', sidecarId, (simulation, node) => {
+  kill(simulation, node);
+  replace(simulation, node);
+});
+const giveUpOne = onNode('give up planning at', entryId, giveUp);
+const crashOne = onNode('crash the engine of', sidecarId, (simulation, node) => {
+  if (node.engine !== null) crashEngine(simulation, node.engine);
+});
+
+const goOnAll = stepMs.map((afterMs) =>
+  act('let all go on, and replace the dead', afterMs, (simulation) => {
+    for (const node of simulation.nodes) {
+      goOn(node);
+      replace(simulation, node);
+    }
+  }),
+);
+
+const order = fc.tuple(sidecarId, stepMs).map(([to, afterMs]) =>
+  act(`whoever may orders ${to}`, afterMs, (simulation) => {
+    for (const id of ENTRY_IDS) {
+      const node = simulation.byId.get(id);
+      if (node?.slot.status === 'running') planOrder(simulation, node, to);
+    }
+  }),
+);
+
+const pauseAfterOrder = fc.tuple(sidecarId, fc.constantFrom(1, 2, 4, 6, 8), stepMs);
+const orderThenPause = pauseAfterOrder.map(([to, checkMs, afterMs]) =>
+  act(`order ${to} and pause it ${String(checkMs)} ms later`, afterMs, (simulation) => {
+    for (const id of ENTRY_IDS) {
+      const node = simulation.byId.get(id);
+      if (node?.slot.status === 'running') planOrder(simulation, node, to);
+    }
+    advance(simulation.scheduler, checkMs);
+    const node = simulation.byId.get(to);
+    if (node !== undefined) pause(simulation, node);
+  }),
+);
+
+const handOver = fc.tuple(sidecarId, fc.constantFrom(1, 2, 4, 6, 8), stepMs);
+const orderThenGiveUp = handOver.map(([to, checkMs, afterMs]) =>
+  act(`order ${to} and give up ${String(checkMs)} ms later`, afterMs, (simulation) => {
+    for (const id of ENTRY_IDS) {
+      const node = simulation.byId.get(id);
+      if (node?.slot.status === 'running') planOrder(simulation, node, to);
+    }
+    advance(simulation.scheduler, checkMs);
+    for (const id of ENTRY_IDS) {
+      const node = simulation.byId.get(id);
+      if (node !== undefined) giveUp(simulation, node);
+    }
+  }),
+);
+
+const revoke = stepMs.map((afterMs) =>
+  act('the service drops all leases', afterMs, (simulation) => {
+    countFault(simulation.network.counts, 'leases-dropped');
+    const { service, scheduler } = simulation;
+    for (const leaseId of [...service.leases.keys()]) {
+      endLease(simulation, leaseId, scheduler.nowMs);
+    }
+  }),
+);
+
+const edit = fc.tuple(fc.constantFrom(0, 0, 0, 1), stepMs).map(([staleBy, afterMs]) =>
+  act(`edit${staleBy === 0 ? '' : ' from a stale base'}`, afterMs, (simulation) => {
+    startOperatorEdit(simulation, staleBy, '');
+  }),
+);
+
+const editsAtOnce = stepMs.map((afterMs) =>
+  act('two edits from the same base at once', afterMs, (simulation) => {
+    countFault(simulation.network.counts, 'edits-at-once');
+    startOperatorEdit(simulation, 0, '');
+    startOperatorEdit(simulation, 0, '');
+  }),
+);
+
+const editAgain = fc.tuple(fc.nat(), fc.constantFrom(0, 1), stepMs).map(([which, back, afterMs]) =>
+  act('an edit is sent again', afterMs, (simulation) => {
+    const { edits } = simulation.oracle;
+    const earlier = edits[which % Math.max(1, edits.length)];
+    if (earlier === undefined) return;
+    countFault(simulation.network.counts, 'edit-sent-again');
+    startOperatorEdit(simulation, back, earlier.editId);
+  }),
+);
+
+const serviceTrouble = fc
+  .tuple(fc.boolean(), ratio, ratio, stepMs)
+  .map(([isDown, lostAnswerRatio, slowRatio, afterMs]) =>
+    act(
+      `service ${isDown ? 'out' : 'there'}, loses ${String(lostAnswerRatio)} answers, slow ${String(slowRatio)}`,
+      afterMs,
+      (simulation) => {
+        if (isDown) countFault(simulation.network.counts, 'key-value-outage');
+        Object.assign(simulation.service, { isDown, lostAnswerRatio, slowRatio });
+      },
+    ),
+  );
+
+const disturb = fc
+  .tuple(ratio, ratio, ratio, ratio, stepMs)
+  .map(([lossRatio, repeatRatio, lateRatio, lateOrderRatio, afterMs]) =>
+    act(
+      `loses ${String(lossRatio)}, repeats ${String(repeatRatio)}, delays ${String(lateRatio)}, late orders ${String(lateOrderRatio)}`,
+      afterMs,
+      (simulation) => {
+        Object.assign(simulation.network.faults, { lossRatio, repeatRatio, lateRatio });
+        simulation.lateOrderRatio = lateOrderRatio;
+      },
+    ),
+  );
+
+function cut(simulation: Simulation, from: string, to: string): void {
+  countFault(simulation.network.counts, 'link-cut');
+  simulation.network.cutLinks.add(linkOf(from, to));
+}
+
+const cutOne = fc.tuple(anyId, fc.constantFrom(...ALL_IDS, SERVICE_ID), stepMs);
+const cutLink = cutOne.map(([from, to, afterMs]) =>
+  act(`cut ${from} to ${to}`, afterMs, (simulation) => {
+    cut(simulation, from, to);
+  }),
+);
+
+function part(simulation: Simulation, ids: readonly string[], withService: boolean): void {
+  countFault(simulation.network.counts, 'parted');
+  for (const id of ids) {
+    if (withService) cut(simulation, id, SERVICE_ID);
+    for (const other of ALL_IDS) {
+      if (ids.includes(other)) continue;
+      cut(simulation, id, other);
+      cut(simulation, other, id);
+    }
+  }
+}
+
+const isolate = fc.tuple(anyId, fc.constantFrom(20_000, 70_000, 130_000)).map(([id, afterMs]) =>
+  act(`cut ${id} off from everybody`, afterMs, (simulation) => {
+    part(simulation, [id], true);
+  }),
+);
+
+const partSome = fc
+  .tuple(fc.subarray(ALL_IDS, { minLength: 2, maxLength: 4 }), fc.boolean(), stepMs)
+  .map(([ids, withService, afterMs]) =>
+    act(`part ${ids.join(', ')}${withService ? ', also from the service' : ''}`, afterMs, (s) => {
+      part(s, ids, withService);
+    }),
+  );
+
+const loseDomain = fc.tuple(fc.constantFrom(...FAILURE_DOMAINS), stepMs).map(([domain, afterMs]) =>
+  act(`lose ${domain}`, afterMs, (simulation) => {
+    countFault(simulation.network.counts, 'failure-domain-lost');
+    for (const node of simulation.nodes) {
+      if (node.failureDomain !== domain) continue;
+      kill(simulation, node);
+      if (node.engine !== null) crashEngine(simulation, node.engine);
+    }
+  }),
+);
+
+const heal = stepMs.map((afterMs) =>
+  act('heal the network', afterMs, (simulation) => {
+    simulation.network.cutLinks.clear();
+  }),
+);
+
+const calm = fc.constantFrom(5_000, 30_000, 60_000).map((afterMs) =>
+  act('all links up, nothing lost, service there', afterMs, (simulation) => {
+    simulation.network.cutLinks.clear();
+    Object.assign(simulation.network.faults, { lossRatio: 0, repeatRatio: 0, lateRatio: 0 });
+    Object.assign(simulation.service, { isDown: false, lostAnswerRatio: 0, slowRatio: 0 });
+  }),
+);
+
+const wait = fc
+  .constantFrom(1_000, 5_000, 15_000, 40_000)
+  .map((durationMs) => act('wait', durationMs, () => undefined));
+
+/** All commands; what is listed more than once comes more often. */
+export const AUTHORITY_COMMANDS: readonly fc.Arbitrary<Command>[] = [
+  order,
+  orderThenPause,
+  orderThenGiveUp,
+  killOne,
+  replaceOne,
+  restartSidecar,
+  pauseOne,
+  pausePlanner,
+  goOnOne,
+  goOnOne,
+  goOnAll,
+  goOnAll,
+  giveUpOne,
+  crashOne,
+  revoke,
+  edit,
+  edit,
+  editsAtOnce,
+  editAgain,
+  serviceTrouble,
+  disturb,
+  cutLink,
+  isolate,
+  partSome,
+  loseDomain,
+  heal,
+  calm,
+  calm,
+  wait,
+  wait,
+];
--- /dev/null
+++ b/packages/fuzz/src/worlds/authority/membership-node.ts
@@ -0,0 +1,93 @@
+/** Runs the membership machine of a simulated process. */
+import type { MembershipContext, MembershipEffect } from '@cassiamast/coordination';
+import {
+  MembershipEffectKind,
+  answerSync,
+  configHints,
+  configHintsHeard,
+  decodeMembershipMessage,
+  encodeMembershipMessage,
+  receiveMembershipMessage,
+  receiveSyncAnswer,
+  syncFailed,
+  tickMembership,
+} from '@cassiamast/coordination';
+import { configContext, performConfig } from './configuration-node.js';
+import { noteBelief } from './oracle.js';
+import type { Simulation, SimulatedNode } from './simulation.js';
+import { call, sendDatagram } from './transport.js';
+
+function contextOf(simulation: Simulation, node: SimulatedNode): MembershipContext {
+  const { nowMs } = simulation.scheduler;
+  return {
+    nowMs,
+    random: simulation.random,
+    hash32: simulation.hashing.hash32,
+    hints: () => configHints(node.memory.config, nowMs),
+  };
+}
+
+/** Moves the membership machine on. */
+export function tickMembers(simulation: Simulation, node: SimulatedNode): void {
+  const effects = tickMembership(node.memory.membership, contextOf(simulation, node));
+  performMembership(simulation, node, effects);
+}
+
+function performMembership(
+  simulation: Simulation,
+  node: SimulatedNode,
+  effects: readonly MembershipEffect[],
+): void {
+  for (const effect of effects) performOne(simulation, node, effect);
+}
+
+function performOne(simulation: Simulation, node: SimulatedNode, effect: MembershipEffect): void {
+  const { memory } = node;
+  switch (effect.kind) {
+    case MembershipEffectKind.SendDatagram: {
+      const text = JSON.stringify(encodeMembershipMessage(effect.message));
+      sendDatagram(simulation, node, effect.to, (target) => {
+        const wire = JSON.parse(text) as { method: string; params: unknown };
+        const message = decodeMembershipMessage(wire.method, wire.params)._unsafeUnwrap();
+        const context = contextOf(simulation, target);
+        const { membership } = target.memory;
+        const received = receiveMembershipMessage(membership, node.id, message, context);
+        performMembership(simulation, target, received);
+      });
+      return;
+    }
+    case MembershipEffectKind.RequestSync:
+      call(
+        simulation,
+        node,
+        effect.to,
+        (target) => {
+          const context = contextOf(simulation, target);
+          const served = answerSync(target.memory.membership, effect.request, context);
+          if (served.isErr()) return null;
+          performMembership(simulation, target, served.value.effects);
+          return served.value.answer;
+        },
+        (answer) => {
+          const context = contextOf(simulation, node);
+          if (answer === null) syncFailed(memory.membership, context);
+          else {
+            const learned = receiveSyncAnswer(memory.membership, effect.to, answer, context);
+            performMembership(simulation, node, learned);
+          }
+        },
+      );
+      return;
+    case MembershipEffectKind.MemberChanged:
+      noteBelief(simulation, node, effect.member.id, effect.member.state);
+      return;
+    case MembershipEffectKind.HintsHeard: {
+      const { from, hints, askedAtMs } = effect;
+      const context = configContext(simulation, node);
+      const heard = configHintsHeard(memory.config, from, hints, askedAtMs, context);
+      performConfig(simulation, node, heard);
+      return;
+    }
+    case MembershipEffectKind.Refused:
+  }
+}
--- a/packages/fuzz/src/worlds/catalogue.ts
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -5,6 +5,7 @@
 import { runWorld } from '../kit/runner.js';
 import type { RunOptions, RunReport } from '../kit/runner.js';
 import type { World } from '../kit/world.js';
+import { createAuthorityWorld } from './authority/world.js';
 import { createRequestsWorld } from './requests/world.js';
 
 /** A world as the command line sees it. */
@@ -16,7 +17,7 @@
 
 /** Loads all worlds. */
 export async function loadWorlds(): Promise<readonly RunnableWorld[]> {
-  return [bind(await createRequestsWorld())];
+  return [bind(await createRequestsWorld()), bind(await createAuthorityWorld())];
 }
 
 function bind<Simulation extends object>(world: World<Simulation>): RunnableWorld {
