--- a/packages/coordination/src/core/records/record.ts
+++ b/packages/coordination/src/core/records/record.ts
@@ -113,6 +113,17 @@
   };
 }
 
+/** Whether a copy holds everything that another one holds. */
+export function coversRecord(copy: RequestRecord, other: RequestRecord): boolean {
+  const attemptIds = new Set(copy.attempts.map((attempt) => attempt.id));
+  const crashed = new Set(copy.crashedAttemptIds);
+  const hasAttempts = other.attempts.every((attempt) => attemptIds.has(attempt.id));
+  const hasCrashes = other.crashedAttemptIds.every((id) => crashed.has(id));
+  const hasAnswer = other.answer === null || copy.answer !== null;
+  const hasFailure = other.failure === null || copy.failure !== null;
+  return hasAttempts && hasCrashes && hasAnswer && hasFailure;
+}
+
 /** The phase that a record's parts amount to. */
 export function phaseOf(
   attempts: readonly Attempt[],
--- a/packages/coordination/src/core/records/repair.ts
+++ b/packages/coordination/src/core/records/repair.ts
@@ -7,6 +7,7 @@
 import type { HolderCall, HolderReply } from './messages.js';
 import { dropRecord, recordAt } from './holder.js';
 import type { HolderState } from './holder.js';
+import { coversRecord } from './record.js';
 import type { RequestRecord } from './record.js';
 
 /** Pace of repair. */
@@ -78,7 +79,12 @@
   return sends;
 }
 
-/** Takes a holder's acknowledgement; drops the copy here when its place is elsewhere now. */
+/**
+ * Takes a holder's acknowledgement; drops the copy here when its place is elsewhere now. Failure: an
+ * acknowledgement of an older copy comes late and is taken for the newer one's; it shows as an
+ * answer that was told and is then run anew. The guard holds because the reply shows what the
+ * holder has, and that must cover what was sent.
+ */
 export function onRepairReply(
   repair: RepairState,
   holder: HolderState,
@@ -87,7 +93,9 @@
   answer: { readonly from: string; readonly keyText: string; readonly reply: HolderReply },
 ): void {
   const pending = repair.pending.get(answer.keyText);
-  if (pending === undefined || answer.reply.kind !== HolderReplyKind.Done) return;
+  const copy = answer.reply.record;
+  if (pending === undefined || copy === null) return;
+  if (answer.reply.kind !== HolderReplyKind.Done || !coversRecord(copy, pending.sent)) return;
   pending.missing.delete(answer.from);
   if (pending.missing.size > 0) return;
   repair.pending.delete(answer.keyText);
--- a/packages/fuzz/src/worlds/requests/commands.ts
+++ b/packages/fuzz/src/worlds/requests/commands.ts
@@ -130,6 +130,24 @@
   }),
 );
 
+/** Shorter than detection, just beyond it, and long beyond it. */
+const pauseMs = fc.constantFrom(500, 4500, 5500, 6500, 20_000);
+
+const pauseFor = fc
+  .tuple(anyId, stepMs, pauseMs, stepMs)
+  .map(([id, beforeMs, durationMs, afterMs]) =>
+    act(
+      `after ${String(beforeMs)} ms pause ${id} for ${String(durationMs)} ms`,
+      afterMs,
+      (simulation) => {
+        advance(simulation.scheduler, beforeMs);
+        pause(simulation, nodeOf(simulation, id));
+        advance(simulation.scheduler, durationMs);
+        goOn(simulation, nodeOf(simulation, id));
+      },
+    ),
+  );
+
 const killEntries = stepMs.map((afterMs) =>
   act('kill all entries and replace them', afterMs, (simulation) => {
     countFault(simulation.network.counts, 'all-entries-killed');
@@ -238,6 +256,8 @@
   replaceOne,
   restartOne,
   pauseOne,
+  pauseFor,
+  pauseFor,
   goOnOne,
   goOnOne,
   killEntries,
--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -13,11 +13,17 @@
 } from '../../kit/processes.js';
 import { breakAllOf } from './callers.js';
 import { crashEngine } from './engine.js';
-import { tell } from './oracle.js';
+import { checkRecords, tell } from './oracle.js';
 import { noteLinksChanged } from './membership.js';
 import { createMemory, startNode } from './nodes.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
 
+/** Lets the oracle look at once: some faults end within the command that brings them about. */
+function linksChanged(simulation: Simulation): void {
+  noteLinksChanged(simulation);
+  checkRecords(simulation);
+}
+
 /** Kills a process; its engine, if any, lives on. */
 export function kill(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status === ProcessStatus.Dead) return;
@@ -26,7 +32,7 @@
   tell(simulation, `${node.id} is killed`);
   killProcess(node.slot);
   breakAllOf(simulation, node.id);
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Starts a new process where one is dead. */
@@ -36,7 +42,7 @@
   replaceProcess(node.slot);
   const { nowMs } = simulation.scheduler;
   node.memory = createMemory(simulation, node.id, node.slot.incarnation, nowMs);
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
   startNode(simulation, node, nowMs);
 }
 
@@ -53,23 +59,23 @@
   countFault(simulation.network.counts, 'process-paused');
   tell(simulation, `${node.id} is paused`);
   pauseProcess(node.slot);
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Lets a paused process go on. */
 export function goOn(simulation: Simulation, node: SimulatedNode): void {
   if (node.slot.status !== ProcessStatus.Paused) return;
   tell(simulation, `${node.id} goes on`);
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
   resumeProcess(node.slot);
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Cuts the link from one process to another. */
 export function cutLink(simulation: Simulation, from: string, to: string): void {
   countFault(simulation.network.counts, 'link-cut-one-way');
   simulation.network.cutLinks.add(linkOf(from, to));
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Parts some processes from all others, both ways. */
@@ -82,13 +88,13 @@
       }
     }
   }
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Joins all links again. */
 export function heal(simulation: Simulation): void {
   simulation.network.cutLinks.clear();
-  noteLinksChanged(simulation);
+  linksChanged(simulation);
 }
 
 /** Kills both holders of a key's record at once. */
--- a/packages/fuzz/src/worlds/requests/oracle.ts
+++ b/packages/fuzz/src/worlds/requests/oracle.ts
@@ -75,6 +75,8 @@
   readonly connections: CallerConnection[];
   readonly crashesByContent: Map<string, ContentCrashes>;
   readonly triesByEntry: Map<string, EntryTries>;
+  /** Last time at which running processes could not reach each other. */
+  lastPartedAtMs: number;
   /** Last time at which a process died. */
   lastKillAtMs: number;
   /** Last time at which some living process was out of others' reach. */
@@ -97,6 +99,7 @@
     connections: [],
     crashesByContent: new Map(),
     triesByEntry: new Map(),
+    lastPartedAtMs: -Infinity,
     lastKillAtMs: -Infinity,
     lastHiddenAtMs: -Infinity,
     story: [],
@@ -240,16 +243,17 @@
   return scheduler.nowMs - calmSinceMs >= JOINED_AFTER_MS;
 }
 
-/** Two copies, or one where a single process is left. */
-function copiesWanted(simulation: Simulation): number {
-  return Math.min(2, simulation.nodes.filter(isRunning).length);
+/** Two copies, or one where an entry knows of no other process. */
+function copiesWanted(simulation: Simulation, entryId: string): number {
+  const view = simulation.byId.get(entryId)?.memory.view.values() ?? [];
+  return Math.min(2, [...view].filter((entry) => entry.isLive).length);
 }
 
 function checkRecordedBeforeRun(simulation: Simulation, attempt: Attempt, keyText: string): void {
   if (!isCalm(simulation)) return;
   const copies = simulation.nodes.filter((node) => keepsRecord(node, keyText, attempt.id, null));
   holds(
-    copies.length >= copiesWanted(simulation),
+    copies.length >= copiesWanted(simulation, attempt.entry),
     'recorded-before-it-runs',
     () => `${attempt.id} runs with ${String(copies.length)} records`,
   );
@@ -378,7 +382,7 @@
   if (!isCalm(simulation)) return;
   const copies = simulation.nodes.filter((node) => keepsRecord(node, connection.keyText, '', text));
   holds(
-    copies.length >= copiesWanted(simulation),
+    copies.length >= copiesWanted(simulation, connection.entryId),
     'recorded-before-it-is-told',
     () => `${connection.keyText} is told with ${String(copies.length)} records`,
   );
@@ -428,6 +432,7 @@
   notePartitions(simulation);
   if (!reason.includes('differs from what was sent')) return;
   if (history.recordLost || history.lastPartedAtMs > -Infinity) return;
+  if (simulation.scheduler.nowMs - simulation.oracle.lastPartedAtMs < JOINED_AFTER_MS) return;
   const latest = history.startedAttempts.at(-1) ?? '';
   const last = connection.reading.tokens.at(-1) ?? '';
   holds(
@@ -483,6 +488,7 @@
   const [first] = running;
   if (first === undefined) return;
   if (running.every((node) => isReachable(simulation, first.id, node.id))) return;
+  simulation.oracle.lastPartedAtMs = simulation.scheduler.nowMs;
   for (const history of simulation.oracle.keys.values()) {
     history.lastPartedAtMs = simulation.scheduler.nowMs;
   }
