--- a/packages/coordination/src/core/records/holder.ts
+++ b/packages/coordination/src/core/records/holder.ts
@@ -6,7 +6,14 @@
 import { RecordPhase } from '../model/outcome.js';
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderCall, HolderReply } from './messages.js';
-import { compareAttempts, currentAttempt, isFinal, joinRecords, phaseOf } from './record.js';
+import {
+  compareAttempts,
+  coversRecord,
+  currentAttempt,
+  isFinal,
+  joinRecords,
+  phaseOf,
+} from './record.js';
 import type { Answer, Attempt, RequestRecord } from './record.js';
 
 /** Decides whether an answer may become the record's answer. */
@@ -232,6 +239,7 @@
   nowMs: number,
 ): UntimedReply {
   const held = state.records.get(record.keyText);
+  if (held !== undefined && coversRecord(held.record, record)) return done(held, nowMs);
   const joined = held === undefined ? record : joinRecords(recordAt(held, nowMs), record);
   return keep(state, joined, options, nowMs);
 }
--- a/packages/coordination/src/core/records/options.ts
+++ b/packages/coordination/src/core/records/options.ts
@@ -52,7 +52,11 @@
 };
 
 /** 200 records a tick: at ten ticks a second a member's records are restored within seconds. */
-export const DEFAULT_REPAIR_OPTIONS: RepairOptions = { repairsPerTick: 200, resendAfterMs: 1000 };
+export const DEFAULT_REPAIR_OPTIONS: RepairOptions = {
+  repairsPerTick: 200,
+  resendAfterMs: 1000,
+  handoverGraceMs: 30_000,
+};
 
 /** One session an entry; the window is far beyond the dispatches that can overtake each other. */
 export const DEFAULT_HOST_OPTIONS: HostOptions = {
--- a/packages/coordination/src/core/records/record.ts
+++ b/packages/coordination/src/core/records/record.ts
@@ -119,11 +119,16 @@
   const crashed = new Set(copy.crashedAttemptIds);
   const hasAttempts = other.attempts.every((attempt) => attemptIds.has(attempt.id));
   const hasCrashes = other.crashedAttemptIds.every((id) => crashed.has(id));
-  const hasAnswer = other.answer === null || copy.answer !== null;
+  const hasAnswer = other.answer === null || coversAnswer(copy.answer, other.answer);
   const hasFailure = other.failure === null || copy.failure !== null;
   return hasAttempts && hasCrashes && hasAnswer && hasFailure;
 }
 
+function coversAnswer(copy: Answer | null, other: Answer): boolean {
+  if (copy?.attemptId !== other.attemptId) return false;
+  return other.committedForMs === null || copy.committedForMs !== null;
+}
+
 /** The phase that a record's parts amount to. */
 export function phaseOf(
   attempts: readonly Attempt[],
--- a/packages/coordination/src/core/records/repair.ts
+++ b/packages/coordination/src/core/records/repair.ts
@@ -16,6 +16,8 @@
   readonly repairsPerTick: number;
   /** Wait before a copy that was not acknowledged is sent again. */
   readonly resendAfterMs: number;
+  /** Time without a change of members before a copy that belongs elsewhere is dropped. */
+  readonly handoverGraceMs: number;
 }
 
 /** A copy on its way. */
@@ -30,6 +32,9 @@
 export interface RepairState {
   queue: string[];
   readonly pending: Map<string, PendingRepair>;
+  /** Keys that the present holders have acknowledged and whose copy here is kept for the grace. */
+  readonly handedOver: Set<string>;
+  changedAtMs: number;
 }
 
 /** A copy to send. */
@@ -38,16 +43,29 @@
   readonly call: HolderCall;
 }
 
+/** A holder's answer to a copy that was sent. */
+export interface RepairAnswer {
+  readonly from: string;
+  readonly keyText: string;
+  readonly reply: HolderReply;
+  readonly options: RepairOptions;
+  readonly nowMs: number;
+  /** Joins what the holder has into the copy here. */
+  readonly restore: (copy: RequestRecord) => void;
+}
+
 /** Who should hold a key. */
 export type HoldersOfKey = (keyText: string) => readonly string[];
 
 /** Nothing to restore. */
 export function createRepair(): RepairState {
-  return { queue: [], pending: new Map() };
+  return { queue: [], pending: new Map(), handedOver: new Set(), changedAtMs: 0 };
 }
 
 /** Starts over after the members changed: every record is checked against its holders. */
-export function scheduleRepair(repair: RepairState, holder: HolderState): void {
+export function scheduleRepair(repair: RepairState, holder: HolderState, nowMs: number): void {
+  repair.changedAtMs = nowMs;
+  repair.handedOver.clear();
   repair.pending.clear();
   repair.queue = [...holder.records.keys()];
 }
@@ -62,6 +80,10 @@
   nowMs: number,
 ): readonly RepairSend[] {
   requeueUnanswered(repair, options, nowMs);
+  if (isCalm(repair, options, nowMs)) {
+    repair.queue.push(...repair.handedOver);
+    repair.handedOver.clear();
+  }
   const sends: RepairSend[] = [];
   for (const keyText of repair.queue.splice(0, options.repairsPerTick)) {
     const held = holder.records.get(keyText);
@@ -90,12 +112,16 @@
   holder: HolderState,
   selfId: string,
   holdersOfKey: HoldersOfKey,
-  answer: { readonly from: string; readonly keyText: string; readonly reply: HolderReply },
+  answer: RepairAnswer,
 ): void {
   const pending = repair.pending.get(answer.keyText);
   const copy = answer.reply.record;
   if (pending === undefined || copy === null) return;
-  if (answer.reply.kind !== HolderReplyKind.Done || !coversRecord(copy, pending.sent)) return;
+  if (answer.reply.kind !== HolderReplyKind.Done) return;
+  if (!coversRecord(copy, pending.sent)) {
+    answer.restore(copy);
+    return;
+  }
   pending.missing.delete(answer.from);
   if (pending.missing.size > 0) return;
   repair.pending.delete(answer.keyText);
@@ -104,7 +130,18 @@
     return;
   }
   const holders = holdersOfKey(answer.keyText);
-  if (holders.length > 0 && !holders.includes(selfId)) dropRecord(holder, answer.keyText);
+  if (holders.length === 0 || holders.includes(selfId)) return;
+  if (isCalm(repair, answer.options, answer.nowMs)) dropRecord(holder, answer.keyText);
+  else repair.handedOver.add(answer.keyText);
+}
+
+/**
+ * Guards a record between two members that each believe the other is its holder, since their views
+ * differ after a change. Failure: each is acknowledged by the other and drops its copy; it shows as
+ * a told answer that is run anew. The guard holds because by the end of the grace views agree.
+ */
+function isCalm(repair: RepairState, options: RepairOptions, nowMs: number): boolean {
+  return nowMs - repair.changedAtMs >= options.handoverGraceMs;
 }
 
 function requeueUnanswered(repair: RepairState, options: RepairOptions, nowMs: number): void {
--- a/packages/fuzz/src/worlds/requests/nodes.ts
+++ b/packages/fuzz/src/worlds/requests/nodes.ts
@@ -2,6 +2,7 @@
  * Starting processes: their memory, their regular work, and their death.
  */
 import {
+  HolderCallKind,
   HostEventKind,
   DriveEventKind,
   PoisonEventKind,
@@ -23,6 +24,7 @@
   tickRepair,
   handleHolderCall,
 } from '@cassiamast/coordination';
+import type { HolderCall, RequestRecord } from '@cassiamast/coordination';
 import { createProcess } from '../../kit/processes.js';
 import { claimContext, performClaims, performPoison, syncSuspicions } from './services.js';
 import { createEngine } from './engine.js';
@@ -127,7 +129,7 @@
 
 function onMembersChanged(simulation: Simulation, node: SimulatedNode): void {
   const { memory } = node;
-  scheduleRepair(memory.repair, memory.holder);
+  scheduleRepair(memory.repair, memory.holder, simulation.scheduler.nowMs);
   feedHost(simulation, node, { kind: HostEventKind.MembersChanged });
   for (const drive of [...memory.drives.values()]) {
     feedDrive(simulation, node, drive, { kind: DriveEventKind.MembersChanged });
@@ -155,7 +157,13 @@
         handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
       (reply) => {
         const keyText = 'record' in holderCall ? holderCall.record.keyText : holderCall.keyText;
-        onRepairReply(memory.repair, memory.holder, id, holdersOfKey, { from: to, keyText, reply });
+        const restore = (copy: RequestRecord): void => {
+          const own: HolderCall = { kind: HolderCallKind.Restore, record: copy };
+          handleHolderCall(memory.holder, own, options.holder, scheduler.nowMs);
+        };
+        const { nowMs } = scheduler;
+        const answer = { from: to, keyText, reply, restore, nowMs, options: options.repair };
+        onRepairReply(memory.repair, memory.holder, id, holdersOfKey, answer);
       },
     );
   }
