--- a/packages/coordination/src/core/membership/probing.ts
+++ b/packages/coordination/src/core/membership/probing.ts
@@ -38,9 +38,8 @@
 /** The news for one message. What is believed of the receiver goes first, so that it can contradict. */
 export function newsFor(state: MembershipState, receiver: string): MemberNews[] {
   const held = state.records.get(receiver)?.member;
-  const doubted = held?.state === MemberState.Suspect || held?.state === MemberState.Dead;
   const news = takeNews(state.news, state.options.newsBytesPerMessage, sendLimit(state));
-  if (held === undefined || !doubted) return news;
+  if (held === undefined || held.state === MemberState.Alive) return news;
   const { id, incarnation } = held;
   return [{ id, state: held.state, incarnation, details: null }, ...news];
 }
--- a/packages/coordination/src/core/membership/view.ts
+++ b/packages/coordination/src/core/membership/view.ts
@@ -143,8 +143,9 @@
   context: MembershipContext,
 ): void {
   const isNewer = news.incarnation > state.self.incarnation;
-  const doubts = news.state === MemberState.Suspect || news.state === MemberState.Dead;
-  const concerns = isNewer || (doubts && news.incarnation === state.self.incarnation);
+  // A new life may draw the number under which its predecessor said that it was leaving.
+  const differs = news.state !== state.self.state && news.state !== MemberState.Alive;
+  const concerns = isNewer || (differs && news.incarnation === state.self.incarnation);
   if (!concerns || !state.options.guards.refutes) return;
   if (state.self.state === MemberState.Dead) return;
   changeSelf(state, { ...state.self, incarnation: news.incarnation + 1 }, context);
--- a/packages/coordination/test/core/membership/membership.test.ts
+++ b/packages/coordination/test/core/membership/membership.test.ts
@@ -83,6 +83,25 @@
     });
   });
 
+  /**
+   * A process says that it is leaving, which raises its number, and ends. The clock of the VM that
+   * takes its place gives the new process that very number: two lives, one number, and nobody would
+   * ever give the new one work.
+   */
+  describe('a new life with the number of the last one', () => {
+    it('is told of its predecessor and raises it', () => {
+      const fleet = new Fleet({ size: 14, seed: 15 });
+      fleet.runUntil(JOINED_MS);
+      const before = fleet.member(5);
+      fleet.perform(before, announceLeaving(before.state, fleet.context()));
+      fleet.runUntil(JOINED_MS + 3_000);
+      before.killed = true;
+      fleet.start(5, before.state.self.incarnation);
+      fleet.runUntil(JOINED_MS + 40_000);
+      assertWhole(fleet);
+    });
+  });
+
   describe('failure detection', () => {
     it('finds a killed member suspect within 4 s and dead within 9 s everywhere', () => {
       const fleet = new Fleet({ size: 60, seed: 4 });
--- a/packages/fuzz/src/worlds/authority/membership-node.ts
+++ b/packages/fuzz/src/worlds/authority/membership-node.ts
@@ -3,6 +3,7 @@
 import {
   MembershipEffectKind,
   NOT_CONTRADICTED,
+  announceLeaving,
   answerSync,
   configHints,
   configHintsHeard,
@@ -34,6 +35,12 @@
   performMembership(simulation, node, effects);
 }
 
+/** Lets a process say that it shuts down. */
+export function sayLeaving(simulation: Simulation, node: SimulatedNode): void {
+  const effects = announceLeaving(node.memory.membership, contextOf(simulation, node));
+  performMembership(simulation, node, effects);
+}
+
 function performMembership(
   simulation: Simulation,
   node: SimulatedNode,
--- a/packages/fuzz/src/worlds/authority/world.ts
+++ b/packages/fuzz/src/worlds/authority/world.ts
@@ -21,7 +21,7 @@
 import { AUTHORITY_COMMANDS } from './commands.js';
 import { createService } from './key-value.js';
 import { AUTHORITY_MUTANTS } from './mutants.js';
-import { createNode, goOn, replace, startNode } from './nodes.js';
+import { createNode, endLeaving, goOn, replace, startNode } from './nodes.js';
 import { checkCutOff, checkEdits, createOracle, lifeOf, noteStanding } from './oracle.js';
 import type { AuthorityOptions, Simulation } from './simulation.js';
 import { ALL_IDS } from './simulation.js';
@@ -111,8 +111,9 @@
   Object.assign(simulation.service, { isDown: false, lostAnswerRatio: 0, slowRatio: 0 });
   simulation.lateOrderRatio = 0;
   for (const node of simulation.nodes) {
-    goOn(node);
+    goOn(simulation, node);
     replace(simulation, node);
+    endLeaving(simulation, node);
   }
   noteStanding(simulation);
 }
