--- a/benchmark/src/fake-engine/fake-engine.ts
+++ b/benchmark/src/fake-engine/fake-engine.ts
@@ -60,6 +60,7 @@
   steps: number;
   slowSteps: number;
   stepping: boolean;
+  stepEndsMs: number;
   lastStepMs: number;
   roleChanges: number;
   onIdle: (() => void) | null;
@@ -91,6 +92,7 @@
     steps: 0,
     slowSteps: 0,
     stepping: false,
+    stepEndsMs: 0,
     lastStepMs: 0,
     roleChanges: 0,
     onIdle: null,
@@ -144,7 +146,8 @@
     engine.slowness *
     noise(engine.random);
   const { epoch } = engine;
-  schedule(engine.clock, engine.clock.nowMs + stepMs, () => {
+  engine.stepEndsMs = engine.clock.nowMs + stepMs;
+  schedule(engine.clock, engine.stepEndsMs, () => {
     if (engine.epoch === epoch) endStep(engine, stepMs, chunk.read);
   });
 }
@@ -331,3 +334,30 @@
     stepMs: engine.lastStepMs,
   };
 }
+
+/** Time until the prompts that wait now are read, as the sidecar works it out. */
+export function queueAheadMs(engine: FakeEngine): number {
+  let unread = 0;
+  for (const job of engine.waiting) unread += job.unreadTokens;
+  const restMs = engine.stepping ? engine.stepEndsMs - engine.clock.nowMs : 0;
+  return unread * tokenMs(engine) + restMs;
+}
+
+/** Time to read a prompt here when nothing waits. */
+export function readTimeMs(engine: FakeEngine, job: ReadableJob): number {
+  const held = cachedBlocks(engine.cache, job.trace.blocks) * engine.cache.blockTokens;
+  return Math.max(1, job.contextTokens - held) * tokenMs(engine);
+}
+
+/** The part of a request that its reading time depends on. */
+export interface ReadableJob {
+  readonly contextTokens: number;
+  readonly trace: { readonly blocks: readonly string[] };
+}
+
+function tokenMs(engine: FakeEngine): number {
+  const { chunkTokens, prefillMsPerToken } = figures(engine);
+  const { size } = engine.running;
+  const stepMs = decodeStepMs(engine.profile, engine.role, size, engine.contextTokens);
+  return prefillMsPerToken + stepMs / chunkTokens;
+}
--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -3,14 +3,17 @@
  * (place, session, claim, note), dispatching it, attaching to one that runs, and its end.
  */
 import { EventKind } from '../events/event.js';
+import { RunState } from '../model/outcome.js';
 import { backOffMs } from '../retries/retries.js';
 import { closeStream, deliverAnswer, forgetUntold } from './drive-delivery.js';
 import {
+  abandonPrepared,
   convict,
   refuse,
   settleLoneRun,
   someMayHaveRun,
   tellFinalFailure,
+  tellRefusal,
 } from './drive-refusals.js';
 import { beginRound } from './drive-rounds.js';
 import { emit, nextId, remainingMs, setTimer } from './drive-support.js';
@@ -18,7 +21,7 @@
 import { DriveEffectKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd, Suspicion } from './drive-types.js';
 import type { Place, RequestDrive } from './drive-types.js';
-import { DEADLINE_PASSED, OUTCOME_UNKNOWN, TRIES_SPENT } from './failures.js';
+import { DEADLINE_PASSED, OUTCOME_UNKNOWN, RECORDS_UNREACHABLE, TRIES_SPENT } from './failures.js';
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderReply } from './messages.js';
 import { currentAttempt } from './record.js';
@@ -59,10 +62,7 @@
     return refuse(turn, OUTCOME_UNKNOWN.of({ service }), context.options.retryAfterMs);
   }
   const crashes = drive.known.crashedAttemptIds.length;
-  const isConvicted = context.suspicion() === Suspicion.Convicted;
-  if (isConvicted || crashes >= context.options.convictingCrashes) {
-    return convict(turn, Math.max(crashes, context.options.convictingCrashes));
-  }
+  if (crashes >= context.options.convictingCrashes) return convict(turn, crashes);
   if (remainingMs(turn) === 0) {
     return refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
   }
@@ -87,12 +87,22 @@
 /** Waits before the next attempt is prepared. */
 export function backOff(turn: Turn, afterMs: number): void {
   turn.drive.phase = DrivePhase.BackingOff;
+  turn.drive.round = null;
   setTimer(turn, DriveTimer.BackOff, afterMs);
 }
 
-/** Asks where the next attempt may run. */
+/**
+ * Asks where the next attempt may run. Leaves the last round: a late reply must not bring in
+ * another attempt, over which this one would be noted although that one runs.
+ */
 export function prepare(turn: Turn): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
+  const current = currentAttempt(drive.known);
+  if (current !== null && !drive.over.has(current.id)) return decide(turn);
+  const suspicion = context.suspicion();
+  if (suspicion === Suspicion.Unread) return backOff(turn, context.options.reattachAfterMs);
+  if (suspicion === Suspicion.Convicted) return convict(turn, context.options.convictingCrashes);
+  drive.round = null;
   drive.askId = nextId(drive);
   if (needsLoneRun(turn)) {
     drive.phase = DrivePhase.AwaitingLoneRun;
@@ -149,16 +159,31 @@
   const { drive } = turn;
   if (drive.attempt === null) return;
   drive.attempt = { ...drive.attempt, sessionId, sequence };
+  if (drive.attempt.alone && !isGivenBy(drive.loneIncarnation, sessionId)) {
+    settleLoneRun(turn, drive.attempt, LoneRunEnd.Aborted);
+    backOff(turn, turn.context.options.reattachAfterMs);
+    return;
+  }
   if (drive.request.repeatable) {
     noteAttempt(turn);
     return;
   }
   drive.phase = DrivePhase.Claiming;
   const { askId, attempt } = drive;
-  const replacesId = currentAttempt(drive.known)?.id ?? null;
+  const current = currentAttempt(drive.known);
+  const replacesId = current !== null && drive.neverRan.has(current.id) ? current.id : null;
   turn.out.push({ kind: DriveEffectKind.TakeClaim, askId, attempt, replacesId });
 }
 
+/**
+ * Guards the one lone run of a service. Failure: it was written for a sidecar that has restarted
+ * since; others, told that it is gone, begin theirs. The guard holds because it is dispatched only
+ * to the incarnation that it was written for.
+ */
+function isGivenBy(incarnation: string, sessionId: string): boolean {
+  return sessionId.startsWith(`${incarnation}.`);
+}
+
 /** Notes the prepared attempt at all holders. */
 export function noteAttempt(turn: Turn): void {
   const { drive } = turn;
@@ -169,12 +194,20 @@
   beginRound(turn, { kind: HolderCallKind.Note, record: known, attempt, previousId });
 }
 
-/** All holders have the attempt: hands it to its sidecar. */
+/**
+ * All holders have the attempt: hands it to its sidecar, unless its content was convicted while it
+ * was prepared.
+ */
 export function dispatch(turn: Turn): void {
-  const { drive } = turn;
+  const { drive, context } = turn;
   if (drive.attempt === null) return;
+  if (context.suspicion() === Suspicion.Convicted) {
+    abandonPrepared(turn);
+    return convict(turn, context.options.convictingCrashes);
+  }
   drive.round = null;
   const { attempt, known } = drive;
+  drive.textAttemptId = attempt.id;
   openConnection(turn);
   turn.out.push({
     kind: DriveEffectKind.Dispatch,
@@ -192,7 +225,10 @@
   });
 }
 
-/** Joins an attempt that runs; another text than the present one is read from its beginning. */
+/**
+ * Joins an attempt that runs. Unless the present text is known to be the beginning of the attempt's,
+ * it is read from its first token and compared: reading on from the middle would splice two texts.
+ */
 export function attachTo(turn: Turn, attempt: Attempt): void {
   const { drive } = turn;
   if (drive.attempt?.id !== attempt.id) {
@@ -202,7 +238,7 @@
       target: attempt.target,
     });
   }
-  const fromIndex = drive.attempt?.id === attempt.id ? drive.tokens.length : 0;
+  const fromIndex = drive.textAttemptId === attempt.id ? drive.tokens.length : 0;
   drive.attempt = attempt;
   openConnection(turn);
   const { connectionId, known } = drive;
@@ -274,19 +310,44 @@
   decide(turn);
 }
 
-/** An answer is known: makes every holder have it, then tells it. */
+/**
+ * An answer is known: makes every holder have it, then have it as committed, then tells it. Holders
+ * that know another answer bring it in with their replies, and the joined one is tried again.
+ */
 export function reconcile(turn: Turn, answer: Answer): void {
   const { drive, context } = turn;
   closeStream(turn);
-  const agreeing = new Map<string, HolderReply>();
-  for (const [member, reply] of drive.round?.replies ?? []) {
-    const hasAnswer = reply.record?.answer?.attemptId === answer.attemptId;
-    if (hasAnswer) agreeing.set(member, { ...reply, kind: HolderReplyKind.Done });
-  }
-  if (context.options.mayTellAnswer(agreeing, context.holders())) {
+  const agreeing = repliesWith(turn, (held) => held.attemptId === answer.attemptId);
+  const agreed = context.options.mayTellAnswer(agreeing, context.holders());
+  const committed = repliesWith(
+    turn,
+    (held) => held.attemptId === answer.attemptId && held.committedForMs !== null,
+  );
+  if (agreed && context.options.mayTellAnswer(committed, context.holders())) {
     deliverAnswer(turn, answer);
     return;
   }
   drive.phase = DrivePhase.Reconciling;
+  drive.reconcileCount += 1;
+  if (drive.reconcileCount > context.options.holderRounds) {
+    drive.pendingFailure = RECORDS_UNREACHABLE.of({ service: drive.request.service });
+    drive.pendingRetryAfterMs = context.options.retryAfterMs;
+    return tellRefusal(turn, RunState.Ran);
+  }
+  if (agreed) drive.known = { ...drive.known, answer: { ...answer, committedForMs: 0 } };
   beginRound(turn, { kind: HolderCallKind.Restore, record: drive.known });
 }
+
+function repliesWith(
+  turn: Turn,
+  holdsAnswer: (answer: Answer) => boolean,
+): ReadonlyMap<string, HolderReply> {
+  const found = new Map<string, HolderReply>();
+  for (const [member, reply] of turn.drive.round?.replies ?? []) {
+    const answer = reply.record?.answer ?? null;
+    if (answer !== null && holdsAnswer(answer)) {
+      found.set(member, { ...reply, kind: HolderReplyKind.Done });
+    }
+  }
+  return found;
+}
--- a/packages/coordination/src/core/records/drive-streams.ts
+++ b/packages/coordination/src/core/records/drive-streams.ts
@@ -10,7 +10,7 @@
 import { DriveEffectKind, DriveEventKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd } from './drive-types.js';
 import type { DriveEvent } from './drive-messages.js';
-import { DEADLINE_PASSED, OUTCOME_UNKNOWN } from './failures.js';
+import { DEADLINE_PASSED, KEY_CONFLICT, OUTCOME_UNKNOWN } from './failures.js';
 import { CancelOutcome, StreamFailureReason } from './messages.js';
 import type { StreamEnd, StreamFailure } from './messages.js';
 import { currentAttempt, joinRecords } from './record.js';
@@ -52,13 +52,22 @@
 
 function onTokens(turn: Turn, index: number, tokens: readonly string[]): void {
   const { drive } = turn;
-  if (index > drive.tokens.length) reattachSoon(turn);
-  else if (!takeTokens(turn, index, tokens)) tellDiverged(turn);
+  if (index > drive.tokens.length) {
+    reattachSoon(turn);
+    return;
+  }
+  if (!takeTokens(turn, index, tokens)) {
+    tellDiverged(turn);
+    return;
+  }
+  const isCompared = index + tokens.length === drive.tokens.length;
+  if (isCompared && drive.attempt !== null) drive.textAttemptId = drive.attempt.id;
 }
 
 function onEnd(turn: Turn, end: StreamEnd): void {
   const { drive } = turn;
-  if (end.tokenCount > drive.tokens.length) {
+  const isCompared = drive.tokens.length === 0 || drive.textAttemptId === drive.attempt?.id;
+  if (end.tokenCount > drive.tokens.length || (!isCompared && end.tokenCount > 0)) {
     reattachSoon(turn);
     return;
   }
@@ -88,7 +97,7 @@
       onLost(turn);
       return;
     case StreamFailureReason.Superseded:
-      onSuperseded(turn);
+      onSuperseded(turn, failure);
       return;
     case StreamFailureReason.Expired:
       attemptExpired(turn, failure);
@@ -199,8 +208,13 @@
   refuse(turn, DEADLINE_PASSED.of({ service }), context.options.retryAfterMs);
 }
 
-function onSuperseded(turn: Turn): void {
+function onSuperseded(turn: Turn, failure: StreamFailure): void {
   const { drive } = turn;
+  if (failure.record === null) {
+    if (drive.attempt !== null) drive.over.add(drive.attempt.id);
+    refuse(turn, KEY_CONFLICT.of({ service: drive.request.service }), 0);
+    return;
+  }
   const current = currentAttempt(drive.known);
   const isStill = drive.known.answer === null && current?.id === drive.attempt?.id;
   if (isStill) attemptOver(turn, true);
@@ -219,6 +233,7 @@
   drive.isSuspect = true;
   const crashedAttemptIds = [...new Set([...drive.known.crashedAttemptIds, attempt.id])].sort();
   drive.known = { ...drive.known, crashedAttemptIds };
+  turn.out.push({ kind: DriveEffectKind.NoteCrash, attemptId: attempt.id });
   emit(turn, EventKind.RequestSuspected, 'its engine crashed while it ran', {
     target: attempt.target,
     figures: { crashes: crashedAttemptIds.length },
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -86,12 +86,16 @@
 export enum LoneRunEnd {
   Finished = 'finished',
   Crashed = 'crashed',
+  /** Its sidecar was lost, and perhaps its target with it. */
+  Lost = 'lost',
   /** It never ran, or failed without a crash. */
   Aborted = 'aborted',
 }
 
 /** What this process knows of a content through the ledger's watch. */
 export enum Suspicion {
+  /** The ledger has not been read since this process started. */
+  Unread = 'unread',
   None = 'none',
   Suspect = 'suspect',
   Convicted = 'convicted',
@@ -179,6 +183,10 @@
   /** Attempt that is prepared, dispatched or attached to. */
   attempt: Attempt | null;
   place: Place | null;
+  /** Attempt of whose text `tokens` is known to be the beginning; null for none yet. */
+  textAttemptId: string | null;
+  /** Incarnation of the sidecar that a lone run was granted for. */
+  loneIncarnation: string;
   /** Attempts that are over or out of reach. */
   readonly over: Set<string>;
   /** Of these, the ones that did not and will never run. */
@@ -190,6 +198,8 @@
   lossCount: number;
   reattachCount: number;
   retryCount: number;
+  /** Times that the holders were asked to agree on the answer. */
+  reconcileCount: number;
   /** Whether the stream on the present connection was opened. */
   isOpen: boolean;
   readonly tokens: string[];
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -64,6 +64,8 @@
     roundsAsked: 0,
     attempt: null,
     place: null,
+    textAttemptId: null,
+    loneIncarnation: '',
     over: new Set(),
     neverRan: new Set(),
     absentAt: new Set(),
@@ -72,6 +74,7 @@
     lossCount: 0,
     reattachCount: 0,
     retryCount: 0,
+    reconcileCount: 0,
     isOpen: false,
     tokens: [],
     hashes: [EMPTY_TEXT_HASH],
@@ -172,6 +175,7 @@
 ): void {
   if (event.outcome === LoneRunOutcome.Convicted) convict(turn, event.crashes);
   else if (event.outcome === LoneRunOutcome.Granted && event.place !== null) {
+    turn.drive.loneIncarnation = event.sidecarIncarnation;
     takePlace(turn, event.place, true);
   } else backOff(turn, event.retryAfterMs);
 }
@@ -216,6 +220,7 @@
       return;
     case DrivePhase.Noting:
       if (options.mayDispatch(drive.round.replies, context.holders())) dispatch(turn);
+      else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
     case DrivePhase.Reconciling:
@@ -231,6 +236,12 @@
   }
 }
 
+/** Another request took the key at a holder that had lost this one's record. */
+function onNoteConflict(turn: Turn): void {
+  abandonPrepared(turn);
+  refuse(turn, KEY_CONFLICT.of({ service: turn.drive.request.service }), 0);
+}
+
 function onCreateProgress(turn: Turn): void {
   const { drive, context } = turn;
   const { service } = drive.request;
--- a/packages/coordination/src/core/records/host-types.ts
+++ b/packages/coordination/src/core/records/host-types.ts
@@ -54,6 +54,19 @@
   sizeBytes: number;
 }
 
+/** A lone run that has not come. */
+export interface AwaitedLoneRun {
+  readonly askedAtMs: number;
+  forbidden: boolean;
+}
+
+/** What a sidecar finds in its engine that it did not start itself. */
+export interface InheritedStreams {
+  readonly count: number;
+  /** One of them may be a lone run: nothing is started beside it. */
+  readonly mayBeLone: boolean;
+}
+
 /** All that a sidecar knows of attempts. */
 export interface HostState {
   readonly sidecarId: string;
@@ -62,10 +75,15 @@
   readonly attempts: Map<string, HostedAttempt>;
   totalBytes: number;
   draining: boolean;
+  /** Streams of a former incarnation; null until the engine was asked. */
+  inherited: InheritedStreams | null;
   /** Contents that crashed a target, oldest first. */
   readonly suspectedHashes: Set<string>;
-  /** Lone runs that gave way before they came; bounded, oldest first. */
-  readonly forbidden: Set<string>;
+  /**
+   * Lone runs that were asked after before they came, with the time of the first question; those
+   * that did not come within the grace are forbidden. Bounded, oldest first.
+   */
+  readonly awaitedLoneRuns: Map<string, AwaitedLoneRun>;
 }
 
 /** What the machine is told. */
@@ -82,6 +100,8 @@
   /** The engine has no such stream. */
   EngineStreamMissing = 'engine-stream-missing',
   EngineCrashed = 'engine-crashed',
+  /** The engine was asked what it runs. */
+  EngineInherited = 'engine-inherited',
   HolderReplied = 'holder-replied',
   MembersChanged = 'members-changed',
   ContentSuspected = 'content-suspected',
@@ -127,6 +147,7 @@
     }
   | { readonly kind: HostEventKind.EngineStreamMissing; readonly attemptId: string }
   | { readonly kind: HostEventKind.EngineCrashed }
+  | { readonly kind: HostEventKind.EngineInherited; readonly inherited: InheritedStreams }
   | {
       readonly kind: HostEventKind.HolderReplied;
       readonly attemptId: string;
@@ -218,7 +239,9 @@
   readonly maxBytes: number;
   readonly maxAnswerTokens: number;
   readonly maxSuspectedHashes: number;
-  readonly maxForbidden: number;
+  readonly maxAwaitedLoneRuns: number;
+  /** Time that a lone run has to come before it gives way to another. */
+  readonly loneRunGraceMs: number;
   /** Time for which an ended attempt is kept for readers. */
   readonly retentionMs: number;
   readonly holderRetryMs: number;
--- a/packages/coordination/src/core/records/record.ts
+++ b/packages/coordination/src/core/records/record.ts
@@ -50,6 +50,12 @@
   readonly attemptNumber: number;
   readonly tokens: readonly string[];
   readonly ending: AnswerEnding;
+  /**
+   * Time since every holder of the time had it, or null before: only then may it have been told to
+   * anybody. An age and no clock reading, so that no two clocks are compared; a message that was
+   * long under way looks younger than it is.
+   */
+  readonly committedForMs: number | null;
 }
 
 /** Everything that is known of a request. */
@@ -86,13 +92,14 @@
 
 /**
  * Joins two copies of one record: commutative, associative and idempotent, so that copies agree in
- * whatever order they meet. Of two answers the later attempt's wins: a later attempt was noted by
- * all holders, while an earlier one's answer can come to rest on a single holder that was away.
+ * whatever order they meet. Of two answers a committed one wins, since it may have been told; then
+ * the later attempt's: that attempt was noted by all holders, while an earlier one's answer can come
+ * to rest on a single holder that was away.
  */
 export function joinRecords(left: RequestRecord, right: RequestRecord): RequestRecord {
   if (left.bodyHash !== right.bodyHash) return compareRecords(left, right) >= 0 ? left : right;
   const attempts = joinAttempts(left.attempts, right.attempts);
-  const answer = laterAnswer(left.answer, right.answer);
+  const answer = standingAnswer(left.answer, right.answer);
   const failure = firstFailure(left.failure, right.failure);
   return {
     ...left,
@@ -129,12 +136,25 @@
   return left.id > right.id ? -1 : 1;
 }
 
-function laterAnswer(left: Answer | null, right: Answer | null): Answer | null {
+/** Commits closer to each other than this are told apart by their attempts. */
+const SAME_TIME_MS = 50;
+
+/**
+ * Of two answers the committed one stays, of two committed ones the older: a run that was forgotten
+ * with its holders may bring its answer late, when another one has been told. Else the later
+ * attempt's.
+ */
+function standingAnswer(left: Answer | null, right: Answer | null): Answer | null {
   if (left === null || right === null) return left ?? right;
+  const leftAgeMs = left.committedForMs ?? -Infinity;
+  const rightAgeMs = right.committedForMs ?? -Infinity;
+  if (left.attemptId === right.attemptId) return leftAgeMs >= rightAgeMs ? left : right;
+  const isSameTime = leftAgeMs === rightAgeMs || Math.abs(leftAgeMs - rightAgeMs) < SAME_TIME_MS;
+  if (!isSameTime) return leftAgeMs > rightAgeMs ? left : right;
   if (left.attemptNumber !== right.attemptNumber) {
     return left.attemptNumber > right.attemptNumber ? left : right;
   }
-  return left.attemptId <= right.attemptId ? left : right;
+  return left.attemptId < right.attemptId ? left : right;
 }
 
 function firstFailure(left: Failure | null, right: Failure | null): Failure | null {
--- a/packages/daemon/src/entry/request-run.ts
+++ b/packages/daemon/src/entry/request-run.ts
@@ -113,6 +113,9 @@
       case DriveEffectKind.SettleLoneRun:
         settleLoneRun(effect.attemptId, effect.end);
         return;
+      case DriveEffectKind.NoteCrash:
+        services.poison.noteCrash(request.bodyHash, effect.attemptId);
+        return;
       case DriveEffectKind.OpenSession:
         void openSession(effect.askId, effect.sidecar, effect.verify);
         return;
@@ -213,6 +216,7 @@
       askId,
       outcome,
       place: null,
+      sidecarIncarnation: '',
       crashes: 0,
       retryAfterMs,
     });
@@ -363,12 +367,13 @@
     },
     loneRunReplied: (reply) => {
       const askId = Number(reply.id.slice(reply.id.lastIndexOf('|') + 1));
-      const { outcome, place, crashes, retryAfterMs } = reply;
+      const { outcome, place, sidecarIncarnation, crashes, retryAfterMs } = reply;
       handle({
         kind: DriveEventKind.LoneRunReplied,
         askId,
         outcome,
         place,
+        sidecarIncarnation,
         crashes,
         retryAfterMs,
       });
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -5,6 +5,7 @@
  */
 import {
   DEFAULT_POISON_OPTIONS,
+  type LedgerSnapshot,
   LoneProbe,
   type Member,
   type PoisonEffect,
@@ -12,14 +13,18 @@
   type PoisonEvent,
   PoisonEventKind,
   type PoisonWork,
+  PoisonWorkKind,
   type ProbeMessage,
   type Random,
   type Suspicion,
+  snapshotOf,
+  readLedger,
+  clearSuspicion,
   createPoisonClient,
   createSuspicionTable,
   handlePoisonEvent,
   ledgerPrefixOf,
-  noteSuspicion,
+  noteCrashes,
   parseLedgerEntry,
   suspicionOf,
 } from '@cassiamast/coordination';
@@ -33,10 +38,18 @@
 const TICK_MS = 100;
 const PROBE_TIMEOUT_MS = 1_000;
 const MAX_SUSPICIONS = 4_096;
+const MAX_PEERS_ASKED = 5;
 
 /** A reply to a request for a lone run. */
 export type LoneRunReply = Extract<PoisonEffect, { kind: PoisonEffectKind.LoneRunReplied }>;
 
+/** Answer to `suspicion.read`. */
+export interface SuspicionAnswer {
+  readonly isRead: boolean;
+  /** Crashed attempts by content. */
+  readonly contents: readonly (readonly [string, readonly string[]])[];
+}
+
 /** What the driver needs. */
 export interface PoisonDriverOptions {
   readonly nowMs: () => number;
@@ -48,8 +61,8 @@
   readonly isLive: (memberId: string) => boolean;
   readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
   readonly onLoneRunReply: (reply: LoneRunReply) => void;
-  /** Called when a content becomes suspect (crashes above 0) or is cleared. */
-  readonly onSuspicion: (bodyHash: string, crashes: number) => void;
+  /** Called when a content becomes suspect or is cleared. */
+  readonly onSuspicion: (bodyHash: string, isSuspect: boolean) => void;
 }
 
 /** Work on the ledger. */
@@ -57,10 +70,15 @@
   readonly child: Child;
   readonly ask: (id: string, work: PoisonWork) => void;
   readonly suspicionOf: (bodyHash: string) => Suspicion;
+  /** A crash that this process saw itself: known here before the ledger has it. */
+  readonly noteCrash: (bodyHash: string, attemptId: string) => void;
   /** Takes in news that came in a datagram. */
   readonly heard: (params: unknown) => void;
+  /** What a peer is given that can not read the ledger. */
+  readonly answerRead: () => SuspicionAnswer;
   /** Reads the ledger of these services: a fresh process must not run a known suspect in a batch. */
   readonly readLedger: (services: readonly string[]) => Promise<void>;
+  readonly isRead: () => boolean;
 }
 
 /** Makes the driver. */
@@ -90,7 +108,7 @@
         options.onLoneRunReply(effect);
         return;
       case PoisonEffectKind.Announce:
-        announce(effect.bodyHash, effect.crashes);
+        announce(effect.bodyHash, effect.crashedAttemptIds);
     }
   }
 
@@ -129,15 +147,64 @@
     handle({ kind: PoisonEventKind.Probed, id, probe: answer.unwrapOr(silent) });
   }
 
-  function take(bodyHash: string, crashes: number): void {
-    noteSuspicion(suspicions, bodyHash, crashes);
-    options.onSuspicion(bodyHash, crashes);
+  function take(bodyHash: string, crashedAttemptIds: readonly string[]): void {
+    const isSuspect = crashedAttemptIds.length > 0;
+    if (isSuspect) noteCrashes(suspicions, bodyHash, crashedAttemptIds, false);
+    else clearSuspicion(suspicions, bodyHash);
+    options.onSuspicion(bodyHash, isSuspect);
   }
 
-  function announce(bodyHash: string, crashes: number): void {
-    take(bodyHash, crashes);
+  function announce(bodyHash: string, crashedAttemptIds: readonly string[]): void {
+    take(bodyHash, crashedAttemptIds);
     for (const member of options.present()) {
-      options.sendDatagram(member.id, RpcMethod.SuspicionNote, [bodyHash, crashes]);
+      options.sendDatagram(member.id, RpcMethod.SuspicionNote, [bodyHash, crashedAttemptIds]);
+    }
+  }
+
+  /** The ledger of all services, or null when the key-value service does not give it. */
+  async function listLedger(services: readonly string[]): Promise<LedgerSnapshot | null> {
+    const ledger = new Map<string, readonly string[]>();
+    for (const service of services) {
+      telemetry.count('key_value_reads_total');
+      const prefix = ledgerPrefixOf(service);
+      const entries = await keyValue.list(prefix, MAX_SUSPICIONS);
+      if (entries.isErr()) return null;
+      for (const entry of entries.value) {
+        ledger.set(entry.key.slice(prefix.length), parseLedgerEntry(entry).crashedAttemptIds);
+      }
+    }
+    return ledger;
+  }
+
+  /** In an outage a process that starts takes the word of a peer that had read the ledger. */
+  async function askPeer(): Promise<void> {
+    if (suspicions.isRead) return;
+    for (const peer of options.present().slice(0, MAX_PEERS_ASKED)) {
+      const answer = await rpc.call<SuspicionAnswer>(
+        peer.id,
+        RpcMethod.SuspicionRead,
+        {},
+        {
+          timeoutMs: PROBE_TIMEOUT_MS,
+        },
+      );
+      if (answer.isErr() || !answer.value.isRead) continue;
+      takeLedger(new Map(answer.value.contents), null);
+      return;
+    }
+  }
+
+  function takeLedger(ledger: LedgerSnapshot, service: string | null): void {
+    const { cleared, unwritten } = readLedger(suspicions, ledger);
+    for (const [bodyHash] of ledger) options.onSuspicion(bodyHash, true);
+    for (const bodyHash of cleared) options.onSuspicion(bodyHash, false);
+    if (service === null) return;
+    for (const [bodyHash, attemptIds] of unwritten) {
+      for (const attemptId of attemptIds) {
+        const kind = PoisonWorkKind.ReportCrash;
+        const work: PoisonWork = { kind, service, bodyHash, attemptId };
+        handle({ kind: PoisonEventKind.Asked, id: `${attemptId}|again`, work });
+      }
     }
   }
 
@@ -146,22 +213,23 @@
       handle({ kind: PoisonEventKind.Asked, id, work });
     },
     suspicionOf: (bodyHash) => suspicionOf(suspicions, bodyHash),
+    noteCrash: (bodyHash, attemptId) => {
+      take(bodyHash, [attemptId]);
+    },
     heard: (params) => {
-      const [bodyHash, crashes] = Array.isArray(params) ? (params as unknown[]) : [];
-      if (typeof bodyHash !== 'string' || typeof crashes !== 'number') return;
-      take(bodyHash, crashes);
+      const [bodyHash, attemptIds] = Array.isArray(params) ? (params as unknown[]) : [];
+      if (typeof bodyHash !== 'string' || !Array.isArray(attemptIds)) return;
+      take(bodyHash, attemptIds.map(String));
     },
+    answerRead: () => ({ isRead: suspicions.isRead, contents: [...snapshotOf(suspicions)] }),
     readLedger: async (services) => {
-      for (const service of services) {
-        telemetry.count('key_value_reads_total');
-        const prefix = ledgerPrefixOf(service);
-        const entries = await keyValue.list(prefix, MAX_SUSPICIONS);
-        for (const entry of entries.unwrapOr([])) {
-          const { crashedAttemptIds } = parseLedgerEntry(entry);
-          take(entry.key.slice(prefix.length), crashedAttemptIds.length);
-        }
-      }
+      const [first] = services;
+      if (first === undefined) return;
+      const ledger = await listLedger(services);
+      if (ledger === null) await askPeer();
+      else takeLedger(ledger, first);
     },
+    isRead: () => suspicions.isRead,
     child: createPeriodic(
       'poison-ledger',
       () => TICK_MS,
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -11,6 +11,9 @@
   type FetchRequest,
   type Member,
   type MemberConfiguration,
+  type ProcessMetrics,
+  type ProcessTimeline,
+  type TimelineQuery,
   type MemberKind,
   MemberState,
   answeredRatio,
@@ -30,12 +33,15 @@
 import { createMembershipDriver, type MembershipDriver } from '../node/membership-driver.js';
 import { type PlacementDriver, createPlacementDriver } from '../node/placement-driver.js';
 import { type LoneRunReply, type PoisonDriver, createPoisonDriver } from '../node/poison-driver.js';
+import { createPeriodic } from '../node/timers.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Settings } from '../settings/settings.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process.js';
 
 const MS_PER_S = 1_000;
+const US_PER_MS = 1_000;
+const GAUGES_MS = 1_000;
 /** Names the choice of the members that watch the configuration. */
 const CONFIGURATION_WATCH = 'configuration';
 
@@ -51,6 +57,7 @@
   readonly takeClaim: TakeClaim;
   readonly poison: PoisonDriver;
   readonly isLive: (memberId: string) => boolean;
+  readonly configurationSinceWallMs: () => number;
 }
 
 /** What a kind of daemon hears of. */
@@ -60,7 +67,7 @@
   readonly onInForce: (configuration: MemberConfiguration) => void;
   readonly onMembers: (changed: Member) => void;
   readonly onLoneRunReply: (reply: LoneRunReply) => void;
-  readonly onSuspicion: (bodyHash: string, crashes: number) => void;
+  readonly onSuspicion: (bodyHash: string, isSuspect: boolean) => void;
   /** Datagrams that are neither membership's nor the configuration's. */
   readonly onDatagram: (from: string, method: string, params: unknown) => void;
 }
@@ -73,6 +80,7 @@
 ): MemberParts {
   const { clocks, random, hashing, rpc, telemetry } = context;
   let answerRetentionMs = DEFAULT_HOLDER_OPTIONS.answerRetentionMs;
+  let inForceSinceWallMs = 0;
 
   const datagrams = createDatagrams(settings.control, context.proof, (from, method, params) => {
     if (method === (RpcMethod.ConfigAnnounce as string)) configuration.announced(from, params);
@@ -158,15 +166,48 @@
     answeredRatio: () => answeredRatio(membership.state),
     onInForce: (inForce) => {
       answerRetentionMs = inForce.compiled.limits.answerRetentionMs;
+      inForceSinceWallMs = clocks.wallMs();
       context.log.info(`configuration ${String(inForce.version)} is in force`);
       hooks.onInForce(inForce);
     },
   });
 
+  /** What the process costs, for the operators and for docs/CAPACITY.md. */
+  function takeGauges(): void {
+    const tcp = context.traffic.read();
+    const { user, system } = process.cpuUsage();
+    telemetry.gauge('tcp_received_bytes', tcp.receivedBytes);
+    telemetry.gauge('tcp_sent_bytes', tcp.sentBytes);
+    telemetry.gauge('datagrams_received_bytes', datagrams.counts.receivedBytes);
+    telemetry.gauge('datagrams_sent_bytes', datagrams.counts.sentBytes);
+    telemetry.gauge('processor_ms', (user + system) / US_PER_MS);
+    telemetry.gauge('resident_bytes', process.memoryUsage.rss());
+    telemetry.gauge('configuration_version', configuration.state.inForce?.version ?? 0);
+    telemetry.gauge('members_present', membership.present().length);
+  }
+
   return {
-    children: [datagrams.child, membership.child, configuration.child, holder.child, poison.child],
+    children: [
+      datagrams.child,
+      membership.child,
+      configuration.child,
+      holder.child,
+      poison.child,
+      createPeriodic('process-gauges', () => GAUGES_MS, takeGauges),
+    ],
     handlers: {
       ...holder.handlers,
+      [RpcMethod.TimelineRead]: (params): ProcessTimeline => ({
+        memberId: context.memberId,
+        kind: hooks.kind,
+        failureDomain: settings.failureDomain,
+        ...context.timeline.read(params as TimelineQuery),
+      }),
+      [RpcMethod.MetricsRead]: async (): Promise<ProcessMetrics> => ({
+        memberId: context.memberId,
+        prometheusText: await telemetry.metricsText(),
+      }),
+      [RpcMethod.SuspicionRead]: poison.answerRead,
       [RpcMethod.ClaimTake]: (params) => takeClaim(params as ClaimRequest),
       [RpcMethod.MemberSync]: (params) => orThrow(membership.answerSync(params as SyncRequest)),
       [RpcMethod.ConfigFetch]: (params) =>
@@ -180,6 +221,7 @@
     takeClaim,
     poison,
     isLive,
+    configurationSinceWallMs: () => inForceSinceWallMs,
   };
 }
 
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -5,17 +5,20 @@
   MemberKind,
   PoisonWorkKind,
   type ServiceSpec,
+  type StatusQuery,
   TargetKind,
   type TargetSpec,
 } from '@cassiamast/coordination';
 import {
   type EngineClient,
+  type EngineLoad,
   createEngineClient,
   createPlainServiceClient,
 } from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
+import { type ProcessStatusOptions, readStatus } from '../node/process-status.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { SidecarSettings } from '../settings/settings.js';
 import type { Backend } from '../sidecar/backend.js';
@@ -68,8 +71,8 @@
       host.handle({ kind: HostEventKind.MembersChanged });
     },
     onLoneRunReply: () => undefined,
-    onSuspicion: (bodyHash, crashes) => {
-      const kind = crashes > 0 ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
+    onSuspicion: (bodyHash, isSuspect) => {
+      const kind = isSuspect ? HostEventKind.ContentSuspected : HostEventKind.ContentCleared;
       host.handle({ kind, bodyHash });
     },
     onDatagram: (from, method) => {
@@ -99,7 +102,10 @@
     engine: () => engine,
     accepting: () => !host.state.draining,
     wantedModels: () => findService(configuration, beside)?.models ?? [],
-    onEpoch: (epoch) => engineBackend?.noteEpoch(epoch),
+    onRead: (load, epoch) => {
+      engineBackend?.noteEpoch(epoch);
+      noteInherited(load);
+    },
     sendDatagram: member.datagrams.send,
   });
 
@@ -133,6 +139,8 @@
   function makeBackend(found: Beside): Backend {
     const address = `http://${formatAddress(found.spec.backend)}`;
     if (found.kind === TargetKind.PlainService) {
+      const inherited = { count: 0, mayBeLone: false };
+      host.handle({ kind: HostEventKind.EngineInherited, inherited });
       return createPlainBackend(createPlainServiceClient({ address }), host.handle);
     }
     engine = createEngineClient({ address });
@@ -140,6 +148,18 @@
     return engineBackend;
   }
 
+  /**
+   * Streams that a former sidecar left in the engine. A lone run has nothing beside it, so a single
+   * stream may be one; our own streams are not counted.
+   */
+  function noteInherited(load: EngineLoad): void {
+    if (host.state.inherited?.count === 0) return;
+    const all = load.runningRequests + load.waitingRequests;
+    const count = Math.max(0, all - host.startedCount());
+    const inherited = { count, mayBeLone: count === 1 };
+    host.handle({ kind: HostEventKind.EngineInherited, inherited });
+  }
+
   /** No new work while the process stops or the operators have withdrawn the target. */
   function applyDrain(): void {
     const isOut = beside === null || beside.spec.withdrawn;
@@ -148,13 +168,35 @@
     host.handle({ kind: HostEventKind.DrainChanged, draining });
   }
 
+  const statusOptions: ProcessStatusOptions = {
+    memberId: context.memberId,
+    kind: MemberKind.Sidecar,
+    failureDomain: settings.failureDomain,
+    target: settings.target,
+    startedAtWallMs: clocks.wallMs(),
+    membership: member.membership,
+    configuration: member.configuration,
+    configurationSinceWallMs: member.configurationSinceWallMs,
+    telemetry,
+    isStopping: () => isDraining,
+    // The entries say how the services stand; a sidecar knows but its own target.
+    services: () => [],
+  };
+
   return {
     children: [
       createControlServer({
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
-        handlers: { ...member.handlers, ...host.handlers, ...gate.handlers, ...prefill.handlers },
+        clock: context.timeline.clock,
+        handlers: {
+          ...member.handlers,
+          ...host.handlers,
+          ...gate.handlers,
+          ...prefill.handlers,
+          [RpcMethod.StatusRead]: (params) => readStatus(statusOptions, params as StatusQuery),
+        },
         streams: host.streams,
         metricsText: telemetry.metricsText,
       }),
--- a/packages/fuzz/src/worlds/requests/entry.ts
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -16,6 +16,7 @@
   handleDriveEvent,
   handleHolderCall,
   holdersOf,
+  noteCrashes,
   openSession,
   rememberSession,
   suspicionOf,
@@ -131,6 +132,11 @@
       });
       return;
     }
+    case DriveEffectKind.NoteCrash: {
+      const { bodyHash } = drive.request;
+      noteCrashes(node.memory.suspicions, bodyHash, [effect.attemptId], false);
+      return;
+    }
     case DriveEffectKind.OpenSession:
       askSession(simulation, node, drive, effect);
       return;
@@ -499,6 +505,6 @@
       onToldAnswer(simulation, connection);
       return;
     case DriveEffectKind.TellRefusal:
-      onToldRefusal(simulation, connection, effect.runState);
+      onToldRefusal(simulation, connection, effect.runState, effect.failure.message);
   }
 }
