--- a/packages/coordination/src/core/records/drive-rounds.ts
+++ b/packages/coordination/src/core/records/drive-rounds.ts
@@ -34,8 +34,8 @@
 const MAX_YOUNG = 4;
 
 /**
- * Members that a round asks: the present holders and, for a new request, those that held the key
- * before members came that have not been up for long. Failure: both holders are replaced, and a
+ * Members that a round asks: the present holders and, for a new record or attempt, those that held
+ * the key before members came that have not been up for long. Failure: both holders are replaced, and a
  * resend finds them empty while a third member still has the record; it shows as a second run and
  * another text. The guard holds because whoever held the record without the new members is asked.
  */
@@ -48,7 +48,9 @@
 
 function noteYoung(turn: Turn, from: string, reply: HolderReply): void {
   const { round } = turn.drive;
-  if (round?.call.kind !== HolderCallKind.Create || round.young.size >= MAX_YOUNG) return;
+  if (round === null || round.young.size >= MAX_YOUNG) return;
+  const { kind } = round.call;
+  if (kind !== HolderCallKind.Create && kind !== HolderCallKind.Note) return;
   if (reply.upForMs >= turn.context.options.settleMs || round.young.has(from)) return;
   round.young.add(from);
   askMissing(turn);
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -226,7 +226,7 @@
       onCreateProgress(turn);
       return;
     case DrivePhase.Noting:
-      if (options.mayProceed(drive.round.replies, context.holders())) dispatch(turn);
+      if (options.mayProceed(drive.round.replies, roundTargets(turn))) dispatch(turn);
       else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
--- a/packages/coordination/src/core/records/host-engine.ts
+++ b/packages/coordination/src/core/records/host-engine.ts
@@ -82,14 +82,20 @@
   feedAll(turn, hosted);
 }
 
+/**
+ * The engine crashed. What counts as running here may have been started after the crash, when the
+ * news come late to a sidecar that was paused: it is cancelled, and nothing is started until the
+ * engine was asked what it runs. Else a lone run would begin beside it.
+ */
 export function onCrash(turn: HostTurn): void {
   const { state } = turn;
-  state.inherited = { count: 0, mayBeLone: false };
+  state.inherited = null;
   const running = runningAttempts(state).filter((hosted) => hosted.phase === HostedPhase.Running);
   for (const hosted of running) {
     failHosted(turn, hosted, StreamFailureReason.EngineCrashed, true);
     commitCrash(turn, hosted);
     noteSuspected(turn, hosted.record.bodyHash);
+    turn.out.push({ kind: HostEffectKind.CancelEngine, attemptId: hosted.attempt.id });
   }
   const service = running[0]?.record.service;
   if (service !== undefined) {
--- a/packages/coordination/test/core/records/host.test.ts
+++ b/packages/coordination/test/core/records/host.test.ts
@@ -298,5 +298,17 @@
       const again = dispatchOf(makeAttempt('a2', { sequence: 2 }));
       assert.equal(failureOf(host.feed(again)), StreamFailureReason.Suspected);
     });
+
+    // Story: a sidecar is paused while its engine crashes and restarts. It wakes, starts a request,
+    // then hears of the crash and takes that request for crashed; a suspect is started beside it.
+    // Cause: the news of the crash were older than the start.
+    it('that is heard of late leaves nothing running unseen', () => {
+      const host = bench();
+      host.feed(dispatchOf(attempt));
+      const effects = host.feed({ kind: HostEventKind.EngineCrashed });
+      assert.ok(effects.some((effect) => effect.kind === HostEffectKind.CancelEngine));
+      const lone = makeAttempt('lone', { alone: true, sequence: 2 });
+      assert.equal(starts(host.feed(dispatchOf(lone))), 0);
+    });
   });
 });
