--- a/packages/fuzz/src/worlds/catalogue.ts
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -6,6 +6,7 @@
 import type { RunOptions, RunReport } from '../kit/runner.js';
 import type { World } from '../kit/world.js';
 import { createAuthorityWorld } from './authority/world.js';
+import { CHANGES_WORLD } from './changes/world.js';
 import { createRequestsWorld } from './requests/world.js';
 
 /** A world as the command line sees it. */
@@ -17,7 +18,11 @@
 
 /** Loads all worlds. */
 export async function loadWorlds(): Promise<readonly RunnableWorld[]> {
-  return [bind(await createRequestsWorld()), bind(await createAuthorityWorld())];
+  return [
+    bind(await createRequestsWorld()),
+    bind(await createAuthorityWorld()),
+    bind(CHANGES_WORLD),
+  ];
 }
 
 function bind<Simulation extends object>(world: World<Simulation>): RunnableWorld {
