--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -11,8 +11,6 @@
   decide,
   dispatch,
   noteAttempt,
-  reconcile,
-  resolveNote,
   takePlace,
   takeSession,
 } from './drive-attempts.js';
@@ -38,14 +36,15 @@
 import { emit, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEventKind } from './drive-messages.js';
-import { ClaimOutcome, DrivePhase, DriveTimer, LoneRunOutcome } from './drive-types.js';
 import type { DriveEffect, DriveEvent } from './drive-messages.js';
+import { ClaimOutcome, DrivePhase, DriveTimer, LoneRunOutcome } from './drive-types.js';
 import type { DriveContext, DriveRequest, RequestDrive } from './drive-types.js';
 import { CLAIM_UNAVAILABLE, KEY_CONFLICT, NOT_ADMITTED, RECORDS_FULL } from './failures.js';
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderReply } from './messages.js';
 import { joinRecords } from './record.js';
 import { depositFirstTry } from '../retries/retries.js';
+import { resolveNote, reconcile } from './drive-agreement.js';
 
 /** A machine for one delivery. `id` is unique over all entries and their restarts. */
 export function createDrive(id: string, request: DriveRequest, nowMs: number): RequestDrive {
--- a/packages/fuzz/src/worlds/requests/engine.ts
+++ b/packages/fuzz/src/worlds/requests/engine.ts
@@ -6,8 +6,8 @@
 import type { Attempt } from '@cassiamast/coordination';
 import { countFault } from '../../kit/faults.js';
 import { schedule } from '../../kit/scheduler.js';
-import { onEngineCrashed, onEngineStarted, onEngineTokens, onEngineWhole } from './oracle.js';
 import type { Simulation } from './simulation.js';
+import { onEngineStarted, onEngineCrashed, onEngineTokens, onEngineWhole } from './oracle-runs.js';
 
 /** One stream in an engine. */
 interface EngineStream {
--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -13,10 +13,11 @@
 } from '../../kit/processes.js';
 import { breakAllOf } from './callers.js';
 import { crashEngine } from './engine.js';
-import { checkRecords, tell } from './oracle.js';
+import { tell } from './oracle.js';
 import { noteLinksChanged } from './membership.js';
 import { createMemory, startNode } from './nodes.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
+import { checkRecords } from './oracle-records.js';
 
 /** Lets the oracle look at once: some faults end within the command that brings them about. */
 function linksChanged(simulation: Simulation): void {
--- a/packages/fuzz/src/worlds/requests/nodes.ts
+++ b/packages/fuzz/src/worlds/requests/nodes.ts
@@ -26,14 +26,16 @@
 } from '@cassiamast/coordination';
 import type { HolderCall, RequestRecord } from '@cassiamast/coordination';
 import { createProcess } from '../../kit/processes.js';
-import { claimContext, performClaims, performPoison, syncSuspicions } from './services.js';
+import { claimContext, performClaims } from './services.js';
 import { createEngine } from './engine.js';
-import { feedDrive, watchConnections } from './entry.js';
+import { feedDrive } from './entry.js';
 import { askInherited, feedHost, listenToEngine } from './sidecar.js';
 import { renewPlacement, updateView } from './membership.js';
 import { FAILURE_DOMAINS } from './simulation.js';
 import type { NodeMemory, SimulatedNode, Simulation, ViewEntry } from './simulation.js';
 import { call, later } from './transport.js';
+import { watchConnections } from './entry-streams.js';
+import { syncSuspicions, performPoison } from './ledger.js';
 
 const TICK_MS = 1000;
 /** Ticks between two readings of the whole ledger, as its watch would bring them. */
--- a/packages/fuzz/src/worlds/requests/sidecar.ts
+++ b/packages/fuzz/src/worlds/requests/sidecar.ts
@@ -15,13 +15,13 @@
 import { ProcessStatus, runIn } from '../../kit/processes.js';
 import { cancelStream, resumeStream, startStream } from './engine.js';
 import type { SimulatedPayload } from './engine.js';
-import { onStreamMessage } from './entry.js';
-import type { StreamMessage } from './entry.js';
-import { reportCrash } from './services.js';
 import { callKeyValue, readKey } from './key-value.js';
 import { SERVICE } from './simulation.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
 import { call, send } from './transport.js';
+import { onStreamMessage } from './entry-streams.js';
+import type { StreamMessage } from './entry-streams.js';
+import { reportCrash } from './ledger.js';
 
 /** What the attempt machine of a process needs. */
 export function hostContext(simulation: Simulation, node: SimulatedNode): HostContext {
--- a/packages/fuzz/src/worlds/requests/world.ts
+++ b/packages/fuzz/src/worlds/requests/world.ts
@@ -25,10 +25,11 @@
 import { createKeyValue } from './key-value.js';
 import { REQUEST_MUTANTS } from './mutants.js';
 import { FOR_EVER_MS, createNode, startNode } from './nodes.js';
-import { checkRecords, createOracle } from './oracle.js';
+import { createOracle } from './oracle.js';
 import type { CallerConnection } from './oracle.js';
 import { ENTRY_IDS, SIDECAR_IDS } from './simulation.js';
 import type { SimulatedNode, Simulation, SimulationOptions } from './simulation.js';
+import { checkRecords } from './oracle-records.js';
 
 /** Beyond the latest message and every deadline. */
 const SETTLE_MS = 200_000;
