--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -31,6 +31,7 @@
   countFault(simulation.network.counts, node.isEntry ? 'entry-killed' : 'sidecar-killed');
   simulation.oracle.lastKillAtMs = simulation.scheduler.nowMs;
   tell(simulation, `${node.id} is killed`);
+  node.lastDownAtMs = simulation.scheduler.nowMs;
   killProcess(node.slot);
   breakAllOf(simulation, node.id);
   linksChanged(simulation);
@@ -59,6 +60,7 @@
   if (node.slot.status !== ProcessStatus.Running) return;
   countFault(simulation.network.counts, 'process-paused');
   tell(simulation, `${node.id} is paused`);
+  node.lastDownAtMs = simulation.scheduler.nowMs;
   pauseProcess(node.slot);
   linksChanged(simulation);
 }
--- a/packages/fuzz/src/worlds/requests/nodes.ts
+++ b/packages/fuzz/src/worlds/requests/nodes.ts
@@ -54,6 +54,7 @@
     engine: isEntry ? null : createEngine(`target-of-${id}`),
     memory: createMemory(simulation, id, 1, FOR_EVER_MS),
     lastTroubledAtMs: FOR_EVER_MS,
+    lastDownAtMs: FOR_EVER_MS,
   };
 }
 
--- a/packages/fuzz/src/worlds/requests/oracle-records.ts
+++ b/packages/fuzz/src/worlds/requests/oracle-records.ts
@@ -3,10 +3,11 @@
  * the fleet was parted.
  */
 
-import { ledgerKeyOf } from '@cassiamast/coordination';
+import { ledgerKeyOf, parseLedgerEntry } from '@cassiamast/coordination';
 import { ProcessStatus } from '../../kit/processes.js';
 import { isReachable } from './membership.js';
 import { SEPARATOR } from './oracle.js';
+import { readKey } from './key-value.js';
 import type { KeyHistory } from './oracle.js';
 import { SERVICE } from './simulation.js';
 import type { Simulation, SimulatedNode } from './simulation.js';
@@ -54,9 +55,9 @@
       const content = node.memory.suspicions.byHash.get(bodyHash);
       for (const id of content?.crashedAttemptIds ?? []) known.add(id);
     }
-    const stored = keyValue.values.get(ledgerKeyOf(SERVICE, bodyHash))?.value ?? '';
-    const written = (stored.match(/~/g) ?? []).length;
-    notes.count = Math.min(notes.count, Math.max(known.size, written));
+    const stored = readKey(keyValue, ledgerKeyOf(SERVICE, bodyHash));
+    for (const id of parseLedgerEntry(stored).crashedAttemptIds) known.add(id);
+    notes.count = Math.min(notes.count, known.size);
   }
 }
 
--- a/packages/fuzz/src/worlds/requests/simulation.ts
+++ b/packages/fuzz/src/worlds/requests/simulation.ts
@@ -97,6 +97,8 @@
   memory: NodeMemory;
   /** Last time at which it was dead, paused or parted from others. */
   lastTroubledAtMs: number;
+  /** Last time at which it was killed or paused. */
+  lastDownAtMs: number;
 }
 
 /** Everything. */
