--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -25,10 +25,13 @@
   cancelHosted,
   createHost,
   handleHostEvent,
+  loneRunKeyOf,
   openSession,
+  parseLoneRun,
   probeLoneRun,
   runningAttempts,
 } from '@cassiamast/coordination';
+import type { KeyValuePort } from '@cassiamast/platform';
 import {
   type JSONRPCID,
   createJSONRPCNotification,
@@ -54,6 +57,7 @@
   readonly telemetry: Telemetry;
   readonly holdersOf: (keyText: string) => readonly string[];
   readonly callHolder: CallHolder;
+  readonly keyValue: KeyValuePort;
   /** The backend of the target, or null while there is none. */
   readonly backend: () => Backend | null;
   /** The target's load as of now, sent along where a stream opens; empty before one was read. */
@@ -138,6 +142,9 @@
       case HostEffectKind.ReportCrash:
         options.reportCrash(effect.service, effect.suspects);
         return;
+      case HostEffectKind.CheckLoneRun:
+        void checkLoneRun(effect.attemptId, effect.service);
+        return;
       case HostEffectKind.Emit:
         telemetry.emit(effect.event);
     }
@@ -155,6 +162,15 @@
     }
   }
 
+  async function checkLoneRun(attemptId: string, service: string): Promise<void> {
+    telemetry.count('key_value_reads_total');
+    const stored = await options.keyValue.get(loneRunKeyOf(service));
+    // In an outage the machine asks again by itself.
+    if (stored.isErr()) return;
+    const stands = parseLoneRun(stored.value)?.attemptId === attemptId;
+    handle({ kind: HostEventKind.LoneRunChecked, attemptId, stands });
+  }
+
   async function callHolder(
     effect: Extract<HostEffect, { kind: HostEffectKind.CallHolder }>,
   ): Promise<void> {
--- a/packages/fuzz/src/worlds/requests/faults.ts
+++ b/packages/fuzz/src/worlds/requests/faults.ts
@@ -13,10 +13,11 @@
 } from '../../kit/processes.js';
 import { breakAllOf } from './callers.js';
 import { crashEngine } from './engine.js';
-import { checkRecords, tell } from './oracle.js';
+import { tell } from './oracle.js';
 import { noteLinksChanged } from './membership.js';
 import { createMemory, startNode } from './nodes.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
+import { checkRecords } from './oracle-records.js';
 
 /** Lets the oracle look at once: some faults end within the command that brings them about. */
 function linksChanged(simulation: Simulation): void {
@@ -30,6 +31,7 @@
   countFault(simulation.network.counts, node.isEntry ? 'entry-killed' : 'sidecar-killed');
   simulation.oracle.lastKillAtMs = simulation.scheduler.nowMs;
   tell(simulation, `${node.id} is killed`);
+  node.lastDownAtMs = simulation.scheduler.nowMs;
   killProcess(node.slot);
   breakAllOf(simulation, node.id);
   linksChanged(simulation);
@@ -58,6 +60,7 @@
   if (node.slot.status !== ProcessStatus.Running) return;
   countFault(simulation.network.counts, 'process-paused');
   tell(simulation, `${node.id} is paused`);
+  node.lastDownAtMs = simulation.scheduler.nowMs;
   pauseProcess(node.slot);
   linksChanged(simulation);
 }
