--- a/packages/coordination/src/core/records/repair.ts
+++ b/packages/coordination/src/core/records/repair.ts
@@ -5,8 +5,8 @@
  */
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderCall, HolderReply } from './messages.js';
-import { dropRecord, recordAt } from './holder.js';
-import type { HolderState } from './holder.js';
+import { dropRecord, handleHolderCall, recordAt } from './holder.js';
+import type { HolderOptions, HolderState } from './holder.js';
 import { coversRecord } from './record.js';
 import type { RequestRecord } from './record.js';
 
@@ -57,6 +57,14 @@
 /** Who should hold a key. */
 export type HoldersOfKey = (keyText: string) => readonly string[];
 
+/** A member's table with what its repair needs. */
+export interface HolderPlace {
+  readonly holder: HolderState;
+  readonly repair: RepairState;
+  readonly selfId: string;
+  readonly holdersOfKey: HoldersOfKey;
+}
+
 /** Nothing to restore. */
 export function createRepair(): RepairState {
   return { queue: [], pending: new Map(), handedOver: new Set(), changedAtMs: 0 };
@@ -70,6 +78,31 @@
   repair.queue = [...holder.records.keys()];
 }
 
+/**
+ * Answers a call, and queues what it brought for repair when its place is elsewhere. Failure: a
+ * sidecar whose view is old commits an answer at members that are holders to it alone; they see no
+ * change of members and would keep it for themselves; it shows as a told answer that is run anew.
+ * The guard holds because what a member stores and should not hold is handed to those that should.
+ */
+export function handleHolderCallAt(
+  place: HolderPlace,
+  call: HolderCall,
+  options: HolderOptions,
+  nowMs: number,
+): HolderReply {
+  const { holder, repair, selfId, holdersOfKey } = place;
+  const keyText = 'record' in call ? call.record.keyText : call.keyText;
+  const before = holder.records.get(keyText)?.record;
+  const reply = handleHolderCall(holder, call, options, nowMs);
+  const after = holder.records.get(keyText)?.record;
+  const isNews = after !== undefined && after !== before;
+  if (isNews && !holdersOfKey(keyText).includes(selfId)) {
+    repair.handedOver.delete(keyText);
+    repair.queue.push(keyText);
+  }
+  return reply;
+}
+
 /** Sends the next copies, and again those that were not acknowledged in time. */
 export function tickRepair(
   repair: RepairState,
--- a/packages/coordination/test/core/records/holder.test.ts
+++ b/packages/coordination/test/core/records/holder.test.ts
@@ -12,6 +12,7 @@
 import type { RequestRecord } from '../../../src/core/records/record.js';
 import {
   createRepair,
+  handleHolderCallAt,
   onRepairReply,
   scheduleRepair,
   tickRepair,
@@ -217,6 +218,21 @@
     assert.equal(state.records.get('key')?.record, before);
   });
 
+  // Story: a sidecar's view is old; it commits an answer at members that hold the key to it alone.
+  // Their own view never changes, so nothing moved the record, and a resend ran anew. Cause: repair
+  // began only with a change of members.
+  it('hands on what a member was given and should not hold', () => {
+    const holder = createHolder(0);
+    const repair = createRepair();
+    const place = { holder, repair, selfId: 'a', holdersOfKey: elsewhere };
+    const record = makeRecord({ attempts: [first], answer: makeAnswer(first, 0) });
+    const restore: HolderCall = { kind: HolderCallKind.Restore, record };
+    handleHolderCallAt(place, restore, DEFAULT_HOLDER_OPTIONS, 0);
+    assert.equal(tick(repair, holder, 0), 2);
+    handleHolderCallAt(place, restore, DEFAULT_HOLDER_OPTIONS, 1);
+    assert.deepEqual(repair.queue, []);
+  });
+
   it('is paced', () => {
     const state = createHolder(0);
     for (let index = 0; index < 5; index += 1) {
--- a/packages/fuzz/src/worlds/requests/entry.ts
+++ b/packages/fuzz/src/worlds/requests/entry.ts
@@ -10,7 +10,7 @@
   askClaim,
   forgetSession,
   handleDriveEvent,
-  handleHolderCall,
+  handleHolderCallAt,
   holdersOf,
   holdersWithout,
   noteCrashes,
@@ -27,7 +27,7 @@
   RequestDrive,
 } from '@cassiamast/coordination';
 import { countFault } from '../../kit/faults.js';
-import { contactsOf, isLiveTo } from './membership.js';
+import { contactsOf, holderPlaceOf, isLiveTo } from './membership.js';
 import { CALLER_SEPARATOR, onToldAnswer, onToldRefusal, onToldTokens } from './oracle.js';
 import { askIdOf, claimContext, performClaims } from './services.js';
 import { SERVICE } from './simulation.js';
@@ -170,7 +170,7 @@
     node,
     to,
     (receiver) =>
-      handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
+      handleHolderCallAt(holderPlaceOf(receiver), holderCall, options.holder, scheduler.nowMs),
     (reply) => {
       feedDrive(simulation, node, drive, {
         kind: DriveEventKind.HolderReplied,
--- a/packages/fuzz/src/worlds/requests/membership.ts
+++ b/packages/fuzz/src/worlds/requests/membership.ts
@@ -3,8 +3,8 @@
  * other world has the real one: a member is dead to a process that could not reach it, directly or
  * through others, for the detection time; news of its return come at once.
  */
-import { createPlacement } from '@cassiamast/coordination';
-import type { ContactHistory } from '@cassiamast/coordination';
+import { createPlacement, holdersOf } from '@cassiamast/coordination';
+import type { ContactHistory, HolderPlace } from '@cassiamast/coordination';
 import { linkIsUp } from '../../kit/network.js';
 import { ProcessStatus } from '../../kit/processes.js';
 import type { SimulatedNode, Simulation, ViewEntry } from './simulation.js';
@@ -112,3 +112,11 @@
     return [{ id, failureDomain, isEntry, seenSinceMs, lastAwayAtMs }];
   });
 }
+
+/** A process's table of records with its own view of who holds what. */
+export function holderPlaceOf(node: SimulatedNode): HolderPlace {
+  const { memory, id } = node;
+  const { holder, repair } = memory;
+  const holdersOfKey = (keyText: string): readonly string[] => holdersOf(memory.placement, keyText);
+  return { holder, repair, selfId: id, holdersOfKey };
+}
--- a/packages/fuzz/src/worlds/requests/nodes.ts
+++ b/packages/fuzz/src/worlds/requests/nodes.ts
@@ -23,6 +23,7 @@
   tickClaimClient,
   tickRepair,
   handleHolderCall,
+  handleHolderCallAt,
 } from '@cassiamast/coordination';
 import type { HolderCall, RequestRecord } from '@cassiamast/coordination';
 import { createProcess } from '../../kit/processes.js';
@@ -30,7 +31,7 @@
 import { createEngine } from './engine.js';
 import { feedDrive } from './entry.js';
 import { askInherited, feedHost, listenToEngine } from './sidecar.js';
-import { renewPlacement, updateView } from './membership.js';
+import { holderPlaceOf, renewPlacement, updateView } from './membership.js';
 import { FAILURE_DOMAINS } from './simulation.js';
 import type { NodeMemory, SimulatedNode, Simulation, ViewEntry } from './simulation.js';
 import { call, later } from './transport.js';
@@ -157,7 +158,7 @@
       node,
       to,
       (receiver) =>
-        handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
+        handleHolderCallAt(holderPlaceOf(receiver), holderCall, options.holder, scheduler.nowMs),
       (reply) => {
         const keyText = 'record' in holderCall ? holderCall.record.keyText : holderCall.keyText;
         const restore = (copy: RequestRecord): void => {
--- a/packages/fuzz/src/worlds/requests/sidecar.ts
+++ b/packages/fuzz/src/worlds/requests/sidecar.ts
@@ -4,7 +4,7 @@
 import {
   HostEffectKind,
   HostEventKind,
-  handleHolderCall,
+  handleHolderCallAt,
   handleHostEvent,
   holdersOf,
   loneRunKeyOf,
@@ -15,6 +15,7 @@
 import { ProcessStatus, runIn } from '../../kit/processes.js';
 import { cancelStream, resumeStream, startStream } from './engine.js';
 import type { SimulatedPayload } from './engine.js';
+import { holderPlaceOf } from './membership.js';
 import { callKeyValue, readKey } from './key-value.js';
 import { SERVICE } from './simulation.js';
 import type { SimulatedNode, Simulation } from './simulation.js';
@@ -129,7 +130,7 @@
     node,
     to,
     (receiver) =>
-      handleHolderCall(receiver.memory.holder, holderCall, options.holder, scheduler.nowMs),
+      handleHolderCallAt(holderPlaceOf(receiver), holderCall, options.holder, scheduler.nowMs),
     (reply) => {
       feedHost(simulation, node, {
         kind: HostEventKind.HolderReplied,
