--- a/packages/cli/src/core/fleet/watching.ts
+++ b/packages/cli/src/core/fleet/watching.ts
@@ -4,21 +4,21 @@
 import type { Failure, ProcessStatus } from '@cassiamast/coordination';
 import { ok, type Result } from 'neverthrow';
 import { fleetView, ratesBetween, type FleetView, type ServiceRates } from './fleet-view.js';
-import { gather } from './gather.js';
+import { gather, type Entries } from './gather.js';
 import { ReadMethod, type AskMember } from './member-client.js';
 
 /** One refresh of the view. */
 export interface Refresh {
   readonly atWallMs: number;
   readonly view: FleetView;
-  /** Since the refresh before; all 0 in the first. */
+  /** Since the refresh before; none in the first. */
   readonly rates: readonly ServiceRates[];
 }
 
 /** What watching needs. */
 export interface WatchOptions {
   readonly ask: AskMember;
-  readonly entry: string;
+  readonly entries: Entries;
   readonly intervalMs: number;
   /** Refreshes to make; infinite where the operator named no number. */
   readonly count: number;
@@ -51,12 +51,12 @@
 }
 
 async function takeRound(
-  { ask, entry, nowMs, wallMs }: WatchOptions,
+  { ask, entries, nowMs, wallMs }: WatchOptions,
   previous?: Round,
 ): Promise<Result<Round, Failure>> {
   const gathered = await gather<ProcessStatus>(
     ask,
-    entry,
+    entries,
     ReadMethod.Status,
     { withMembers: false },
     () => undefined,
@@ -65,7 +65,8 @@
     const view = fleetView(answers, members, unreachable);
     const takenAtMs = nowMs();
     const elapsedMs = previous === undefined ? 0 : takenAtMs - previous.takenAtMs;
-    const rates = ratesBetween(previous?.refresh.view ?? view, view, elapsedMs);
+    const rates =
+      previous === undefined ? [] : ratesBetween(previous.refresh.view, view, elapsedMs);
     return { refresh: { atWallMs: wallMs(), view, rates }, takenAtMs };
   });
 }
--- a/packages/coordination/src/core/records/drive.ts
+++ b/packages/coordination/src/core/records/drive.ts
@@ -11,8 +11,6 @@
   decide,
   dispatch,
   noteAttempt,
-  reconcile,
-  resolveNote,
   takePlace,
   takeSession,
 } from './drive-attempts.js';
@@ -38,14 +36,15 @@
 import { emit, setTimer } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEventKind } from './drive-messages.js';
-import { ClaimOutcome, DrivePhase, DriveTimer, LoneRunOutcome } from './drive-types.js';
 import type { DriveEffect, DriveEvent } from './drive-messages.js';
+import { ClaimOutcome, DrivePhase, DriveTimer, LoneRunOutcome } from './drive-types.js';
 import type { DriveContext, DriveRequest, RequestDrive } from './drive-types.js';
 import { CLAIM_UNAVAILABLE, KEY_CONFLICT, NOT_ADMITTED, RECORDS_FULL } from './failures.js';
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderReply } from './messages.js';
 import { joinRecords } from './record.js';
 import { depositFirstTry } from '../retries/retries.js';
+import { resolveNote, reconcile } from './drive-agreement.js';
 
 /** A machine for one delivery. `id` is unique over all entries and their restarts. */
 export function createDrive(id: string, request: DriveRequest, nowMs: number): RequestDrive {
@@ -226,12 +225,12 @@
       onCreateProgress(turn);
       return;
     case DrivePhase.Noting:
-      if (options.mayProceed(drive.round.replies, context.holders())) dispatch(turn);
+      if (options.mayProceed(drive.round.replies, roundTargets(turn))) dispatch(turn);
       else if (someReply(turn, HolderReplyKind.Conflict)) onNoteConflict(turn);
       else if (roundIsComplete(turn)) resolveNote(turn);
       return;
     case DrivePhase.Reconciling:
-      if (drive.known.answer !== null && roundIsComplete(turn)) reconcile(turn, drive.known.answer);
+      if (roundIsComplete(turn)) decide(turn);
       return;
     case DrivePhase.Convicting:
       if (roundIsComplete(turn)) onConvicted(turn);
@@ -275,7 +274,8 @@
 
 function onConvicted(turn: Turn): void {
   const { drive } = turn;
-  const { answer, failure } = drive.known;
+  const { answer } = drive.known;
+  const failure = drive.known.failure ?? drive.pendingFailure;
   if (answer !== null) reconcile(turn, answer);
   else if (failure !== null) tellFinalFailure(turn, failure);
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -16,6 +16,7 @@
 export * from './core/events/filter.js';
 export * from './core/events/hybrid-clock.js';
 export { timelinePage } from './core/events/page/page.js';
+export * from './core/events/outage.js';
 export * from './core/events/ring.js';
 export * from './core/events/timeline.js';
 export * from './core/events/write-text.js';
@@ -46,6 +47,8 @@
 export * from './core/routing/router.js';
 export * from './core/admission/admission.js';
 export * from './core/admission/failures.js';
+export { isBorrowing, type Waiting as FairWaiting } from './core/admission/fair-queue.js';
+
 export * from './core/admission/limits.js';
 export * from './core/admission/shedding.js';
 export * from './core/admission/start-rule.js';
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -4,14 +4,21 @@
  */
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
-import { type Failure, MemberKind, createHashing, seededRandom } from '@cassiamast/coordination';
+import {
+  EventKind,
+  type Failure,
+  MemberKind,
+  createHashing,
+  seededRandom,
+} from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/platform';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { tellOutages } from '../node/key-value-outages.js';
 import { createLog } from '../node/logging.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
-import { createTelemetry } from '../node/telemetry.js';
+import { type NewHistogram, createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
 import { startTrafficMeter } from '../node/traffic-meter.js';
 import type { LoadedSettings, Settings } from '../settings/settings.js';
@@ -22,6 +29,7 @@
 
 const MAX_SEED = 0x7fff_ffff;
 const DRAIN_POLL_MS = 50;
+const SIGNIFICANT_DIGITS = 2;
 
 /** A process that runs. */
 export interface RunningProcess {
@@ -38,6 +46,8 @@
   const memberId = formatAddress(settings.control);
   const proof = createMemberProof(secret);
   const timeline = createTimeline(memberId, settings.timelineEvents, SYSTEM_CLOCKS.wallMs);
+  const telemetry = createTelemetry(timeline.put, await histogramsFor(settings.kind));
+  const client = createKeyValueClient({ endpoints: settings.keyValue.endpoints });
   const context: ProcessContext = {
     memberId,
     clocks: SYSTEM_CLOCKS,
@@ -46,10 +56,8 @@
     log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
     proof,
     rpc: createRpcClient(proof, timeline.clock),
-    keyValue: createKeyValueClient({ endpoints: settings.keyValue.endpoints }),
-    telemetry: createTelemetry((event) => {
-      timeline.put(event);
-    }),
+    keyValue: tellOutages(client, telemetry.emit, SYSTEM_CLOCKS.monotonicMs),
+    telemetry,
     timeline,
     traffic,
     seeds: settings.peers,
@@ -70,6 +78,7 @@
   return {
     stop: async () => {
       context.log.info(`${settings.kind} stops`);
+      telemetry.emit({ kind: EventKind.ProcessStopping, reason: 'it was told to stop' });
       await drain(wired, context.clocks.monotonicMs);
       await root.stop();
       await context.rpc.close();
@@ -79,6 +88,14 @@
   };
 }
 
+/** Durations are recorded by entries only; see {@link createTelemetry}. */
+async function histogramsFor(kind: MemberKind): Promise<NewHistogram | null> {
+  if (kind === MemberKind.Sidecar) return null;
+  const { build } = await import('hdr-histogram-js');
+  return (highestTrackableValue) =>
+    build({ highestTrackableValue, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS });
+}
+
 /** A wired process of either kind, as its shutdown sees it. */
 interface Wired {
   readonly children: readonly Child[];
