--- a/benchmark/src/control/real/fleet.ts
+++ b/benchmark/src/control/real/fleet.ts
@@ -20,7 +20,7 @@
   type TargetSpec,
   headAfter,
 } from '@cassiamast/coordination';
-import { createKeyValueClient, type KeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient, type KeyValueClient } from '@cassiamast/ports';
 import { stringify } from 'yaml';
 
 const HOST = '127.0.0.1';
--- a/benchmark/src/path/fleet.ts
+++ b/benchmark/src/path/fleet.ts
@@ -17,7 +17,7 @@
   headAfter,
   TargetKind,
 } from '@cassiamast/coordination';
-import { createKeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient } from '@cassiamast/ports';
 import { stringify } from 'yaml';
 
 const HOST = '127.0.0.1';
--- a/examples/src/demo/apply.ts
+++ b/examples/src/demo/apply.ts
@@ -16,7 +16,7 @@
   transactAnswered,
   transactFailed,
 } from '@cassiamast/coordination';
-import type { KeyValueClient } from '@cassiamast/platform';
+import type { KeyValueClient } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import { err } from 'neverthrow';
 
--- a/examples/src/demo/fleet.ts
+++ b/examples/src/demo/fleet.ts
@@ -4,7 +4,7 @@
 import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '@cassiamast/coordination';
-import { createKeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient } from '@cassiamast/ports';
 import { readDeploymentText, ROOT, writeLayout } from '../deployment/files.js';
 import type { DeploymentLayout } from '../deployment/layout.js';
 import { layOutDeployment, ProcessKind } from '../deployment/layout.js';
--- a/examples/src/demo/text-editor.ts
+++ b/examples/src/demo/text-editor.ts
@@ -4,7 +4,7 @@
  */
 import type { Random } from '@cassiamast/coordination';
 import { FailureError } from '@cassiamast/coordination';
-import type { KeyValueClient } from '@cassiamast/platform';
+import type { KeyValueClient } from '@cassiamast/ports';
 import { applyText } from './apply.js';
 import { withDrain, withWithdrawn } from './edits.js';
 
--- a/examples/src/embedding/lease-worker.ts
+++ b/examples/src/embedding/lease-worker.ts
@@ -15,7 +15,7 @@
   mayOrder,
   tickLease,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 
 /** What a worker needs. */
 export interface LeaseWorkerOptions {
--- a/examples/src/embedding/main.ts
+++ b/examples/src/embedding/main.ts
@@ -3,7 +3,7 @@
  * nothing else of cassiamast. Without a URL it starts the private stand-in of an etcd.
  */
 import { seededRandom } from '@cassiamast/coordination';
-import { createKeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient } from '@cassiamast/ports';
 import { startKeyValue } from '@cassiamast/stand-ins';
 import { playTwoWorkers } from './two-workers.js';
 
--- a/examples/src/embedding/two-workers.ts
+++ b/examples/src/embedding/two-workers.ts
@@ -5,7 +5,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { LeaseOptions, Random } from '@cassiamast/coordination';
 import { LEASE_OPTIONS } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import type { LeaseWorker } from './lease-worker.js';
 import { createLeaseWorker } from './lease-worker.js';
 
--- a/examples/test/embedding/two-workers.test.ts
+++ b/examples/test/embedding/two-workers.test.ts
@@ -2,7 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { seededRandom } from '@cassiamast/coordination';
-import { createKeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient } from '@cassiamast/ports';
 import { startKeyValue } from '@cassiamast/stand-ins';
 import { playTwoWorkers } from '../../src/embedding/two-workers.js';
 
--- a/packages/cli/src/commands/apply.ts
+++ b/packages/cli/src/commands/apply.ts
@@ -9,7 +9,7 @@
   type ConfigurationEdit,
   type Failure,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import { applyEdit, editIdOf } from '../core/configuration/apply.js';
 import { compileFile } from '../core/configuration/compile-file.js';
 import { conflictDifferences, conflictLines } from '../core/configuration/conflict.js';
--- a/packages/cli/src/core/configuration/apply.ts
+++ b/packages/cli/src/core/configuration/apply.ts
@@ -18,7 +18,7 @@
   type Failure,
   type Random,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 
 /** What applying needs from its surroundings. */
--- a/packages/cli/src/core/configuration/read.ts
+++ b/packages/cli/src/core/configuration/read.ts
@@ -9,7 +9,7 @@
   type ConfigurationDocument,
   type Failure,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import { err, ok, okAsync, ResultAsync, type Result } from 'neverthrow';
 import { NO_SUCH_VERSION, SERVICE_FAILED } from '../process/failures.js';
 
--- a/packages/cli/src/core/process/command.ts
+++ b/packages/cli/src/core/process/command.ts
@@ -5,7 +5,7 @@
 import { readFile, writeFile } from 'node:fs/promises';
 import { Command, Flags, ux } from '@oclif/core';
 import { FailureError, type Failure } from '@cassiamast/coordination';
-import { createKeyValueClient, type KeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient, type KeyValueClient } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import {
   requireEntries,
--- a/packages/daemon/src/entry/caller-answer.ts
+++ b/packages/daemon/src/entry/caller-answer.ts
@@ -4,7 +4,7 @@
  */
 import type { ServerResponse } from 'node:http';
 import type { AnswerEnding } from '@cassiamast/coordination';
-import { FinishReason } from '@cassiamast/platform';
+import { FinishReason } from '@cassiamast/ports';
 import { startEventStream, type EventStreamWriter } from '../node/event-stream.js';
 import type { Refusal } from './failures.js';
 import {
--- a/packages/daemon/src/entry/openai-answer.ts
+++ b/packages/daemon/src/entry/openai-answer.ts
@@ -1,5 +1,5 @@
 /** Writes answers as OpenAI-compatible chunks and whole bodies. */
-import { FinishReason } from '@cassiamast/platform';
+import { FinishReason } from '@cassiamast/ports';
 import { AnswerFormat } from './caller-request.js';
 
 /** What all parts of one answer repeat. */
--- a/packages/daemon/src/node/claim-aggregator-driver.ts
+++ b/packages/daemon/src/node/claim-aggregator-driver.ts
@@ -11,7 +11,7 @@
   createAggregator,
   handleAggregatorEvent,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import type { Telemetry } from './telemetry.js';
 
 /** What the driver needs. */
--- a/packages/daemon/src/node/configuration-driver.ts
+++ b/packages/daemon/src/node/configuration-driver.ts
@@ -34,7 +34,7 @@
   serveConfigFetch,
   tickConfig,
 } from '@cassiamast/coordination';
-import type { KeyValuePort, StopWatch } from '@cassiamast/platform';
+import type { KeyValuePort, StopWatch } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
--- a/packages/daemon/src/node/key-value-outages.ts
+++ b/packages/daemon/src/node/key-value-outages.ts
@@ -12,7 +12,7 @@
   type OutageWatch,
   type ReadClock,
 } from '@cassiamast/coordination';
-import { KEY_VALUE_LEASE_GONE, type KeyValueClient } from '@cassiamast/platform';
+import { KEY_VALUE_LEASE_GONE, type KeyValueClient } from '@cassiamast/ports';
 import type { ResultAsync } from 'neverthrow';
 import type { Telemetry } from './telemetry.js';
 
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -28,7 +28,7 @@
   parseLedgerEntry,
   suspicionOf,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { RpcClient } from './rpc-client.js';
--- a/packages/daemon/src/node/vm-list-driver.ts
+++ b/packages/daemon/src/node/vm-list-driver.ts
@@ -1,5 +1,5 @@
 /** Follows the platform's lagging list of VMs, one sign among several of a target that leaves. */
-import { type VmListPort, VmState } from '@cassiamast/platform';
+import { type VmListPort, VmState } from '@cassiamast/ports';
 import type { Child } from '../supervisor/supervisor.js';
 import { formatAddress } from './address.js';
 import { createPeriodic } from './timers.js';
--- a/packages/daemon/src/planning/lease-driver.ts
+++ b/packages/daemon/src/planning/lease-driver.ts
@@ -17,7 +17,7 @@
   mayOrder,
   tickLease,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import type { Telemetry } from '../node/telemetry.js';
 import { plannerLeaseKey } from '../protocol/planning.js';
 
--- a/packages/daemon/src/planning/planning.ts
+++ b/packages/daemon/src/planning/planning.ts
@@ -13,7 +13,7 @@
   TargetKind,
   takeDemandReport,
 } from '@cassiamast/coordination';
-import type { KeyValuePort, WeightStorePort } from '@cassiamast/platform';
+import type { KeyValuePort, WeightStorePort } from '@cassiamast/ports';
 import type { Policies } from '../entry/policies.js';
 import type { TargetDirectory } from '../entry/target-directory.js';
 import type { RpcClient } from '../node/rpc-client.js';
--- a/packages/daemon/src/planning/service-planner.ts
+++ b/packages/daemon/src/planning/service-planner.ts
@@ -26,7 +26,7 @@
   planLoads,
   planRoles,
 } from '@cassiamast/coordination';
-import { OrderKind, type WeightStorePort } from '@cassiamast/platform';
+import { OrderKind, type WeightStorePort } from '@cassiamast/ports';
 import type { ModelPolicy } from '../entry/model-policy.js';
 import type { TargetDirectory } from '../entry/target-directory.js';
 import { formatAddress } from '../node/address.js';
--- a/packages/daemon/src/sidecar/engine-backend.ts
+++ b/packages/daemon/src/sidecar/engine-backend.ts
@@ -14,7 +14,7 @@
   type EngineRequest,
   type EngineStream,
   type EngineStreamHandlers,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import type { ModelPayload } from '../protocol/stream.js';
 import type { Backend, OnBackendEvent } from './backend.js';
 
--- a/packages/daemon/src/sidecar/gate-driver.ts
+++ b/packages/daemon/src/sidecar/gate-driver.ts
@@ -35,7 +35,7 @@
   type EngineClient,
   type EngineOrder,
   type KeyValuePort,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import type { RpcHandler } from '../node/control-server.js';
 import type { Telemetry } from '../node/telemetry.js';
 import { createPeriodic } from '../node/timers.js';
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -30,7 +30,7 @@
   probeLoneRun,
   runningAttempts,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/platform';
+import type { KeyValuePort } from '@cassiamast/ports';
 import {
   type JSONRPCID,
   createJSONRPCNotification,
--- a/packages/daemon/src/sidecar/load-reporter.ts
+++ b/packages/daemon/src/sidecar/load-reporter.ts
@@ -4,7 +4,7 @@
  * control budget at both ends. Where answers flow, they carry fresher loads at no cost.
  */
 import { EngineRole, type ModelSpec } from '@cassiamast/coordination';
-import type { EngineClient, EngineLoad, EngineState } from '@cassiamast/platform';
+import type { EngineClient, EngineLoad, EngineState } from '@cassiamast/ports';
 import { createPeriodic } from '../node/timers.js';
 import { type MissingLoad, encodeLoad } from '../protocol/load.js';
 import { RpcMethod } from '../protocol/methods.js';
--- a/packages/daemon/src/sidecar/plain-backend.ts
+++ b/packages/daemon/src/sidecar/plain-backend.ts
@@ -3,7 +3,7 @@
  * run; nothing here repeats it.
  */
 import { HostEventKind } from '@cassiamast/coordination';
-import type { PlainServiceClient } from '@cassiamast/platform';
+import type { PlainServiceClient } from '@cassiamast/ports';
 import type { PlainPayload } from '../protocol/stream.js';
 import type { Backend, OnBackendEvent } from './backend.js';
 
--- a/packages/daemon/src/sidecar/prefill.ts
+++ b/packages/daemon/src/sidecar/prefill.ts
@@ -4,7 +4,7 @@
  * itself: slower, and never a reason to fail the request.
  */
 import { FailureError } from '@cassiamast/coordination';
-import { type EngineClient, EngineChunkKind, type EngineRequest } from '@cassiamast/platform';
+import { type EngineClient, EngineChunkKind, type EngineRequest } from '@cassiamast/ports';
 import type { RpcHandler } from '../node/control-server.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { Telemetry } from '../node/telemetry.js';
--- a/packages/daemon/src/wiring/process.ts
+++ b/packages/daemon/src/wiring/process.ts
@@ -1,7 +1,7 @@
 /** What every daemon process has, whichever kind it is. */
 import type { Clocks, Hashing, Random } from '@cassiamast/coordination';
 import type { ConsolaInstance } from 'consola';
-import type { KeyValueClient } from '@cassiamast/platform';
+import type { KeyValueClient } from '@cassiamast/ports';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { MemberProof } from '../node/secret.js';
 import type { Telemetry } from '../node/telemetry.js';
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -17,7 +17,7 @@
   startDrain,
   tickDrain,
 } from '@cassiamast/coordination';
-import { createKeyValueClient } from '@cassiamast/platform';
+import { createKeyValueClient } from '@cassiamast/ports';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
 import { tellOutages } from '../node/key-value-outages.js';
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -12,7 +12,7 @@
   type TargetSpec,
   createRetryBudget,
 } from '@cassiamast/coordination';
-import { createVmListClient, createWeightStoreClient } from '@cassiamast/platform';
+import { createVmListClient, createWeightStoreClient } from '@cassiamast/ports';
 import { type Authenticate, createAuthenticate } from '../entry/authenticate.js';
 import { createCallerServer } from '../entry/caller-server.js';
 import { createClaimDriver } from '../entry/claim-driver.js';
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -13,7 +13,7 @@
   type EngineClient,
   createEngineClient,
   createPlainServiceClient,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
--- a/packages/stand-ins/src/core/engine/batch.ts
+++ b/packages/stand-ins/src/core/engine/batch.ts
@@ -3,8 +3,8 @@
  * computed in chunks beside running answers, and a step takes longer the larger its batch and
  * context. The caller waits for the step's duration before it hands on what the step brought.
  */
-import type { EngineRequest } from '@cassiamast/platform';
-import { FinishReason } from '@cassiamast/platform';
+import type { EngineRequest } from '@cassiamast/ports';
+import { FinishReason } from '@cassiamast/ports';
 import { EngineRole } from '@cassiamast/coordination';
 import type { AnswerSource } from './answer.js';
 import { answerSource, answerToken } from './answer.js';
--- a/packages/stand-ins/src/core/engine/order-execution.ts
+++ b/packages/stand-ins/src/core/engine/order-execution.ts
@@ -2,8 +2,8 @@
  * Carrying out an order that was taken: a role change drops all work and the cache and keeps the
  * engine away; a load fetches from the weight store and waits when told to slow down.
  */
-import type { EngineOrder } from '@cassiamast/platform';
-import { OrderKind } from '@cassiamast/platform';
+import type { EngineOrder } from '@cassiamast/ports';
+import { OrderKind } from '@cassiamast/ports';
 import { request as httpRequest } from 'undici';
 import { delay } from '../time/delay.js';
 import type { EngineContext } from './engine.js';
--- a/packages/stand-ins/src/core/engine/orders.ts
+++ b/packages/stand-ins/src/core/engine/orders.ts
@@ -3,8 +3,8 @@
  * what a correct system never makes an engine do, for oracles to read.
  */
 import type { EngineRole } from '@cassiamast/coordination';
-import type { EngineOrder, EngineState } from '@cassiamast/platform';
-import { OrderKind } from '@cassiamast/platform';
+import type { EngineOrder, EngineState } from '@cassiamast/ports';
+import { OrderKind } from '@cassiamast/ports';
 import type { HeldModel } from './options.js';
 
 /** The state that orders change. */
--- a/packages/stand-ins/src/core/engine/prefix-cache.ts
+++ b/packages/stand-ins/src/core/engine/prefix-cache.ts
@@ -2,8 +2,8 @@
  * The prefix cache: blocks by fingerprint in limited memory, the least recently used evicted
  * first, with a numbered event for each change.
  */
-import type { CacheEvent } from '@cassiamast/platform';
-import { CacheEventKind } from '@cassiamast/platform';
+import type { CacheEvent } from '@cassiamast/ports';
+import { CacheEventKind } from '@cassiamast/ports';
 import { BLOCK_TOKENS } from './prompt.js';
 
 /** Events kept for readers that are behind; older ones are a gap to them. */
--- a/packages/stand-ins/src/core/engine/requests.ts
+++ b/packages/stand-ins/src/core/engine/requests.ts
@@ -3,8 +3,8 @@
  * one and a refusal where it has none.
  */
 import { EngineRole } from '@cassiamast/coordination';
-import type { EngineOrder, EngineRequest } from '@cassiamast/platform';
-import { OrderKind } from '@cassiamast/platform';
+import type { EngineOrder, EngineRequest } from '@cassiamast/ports';
+import { OrderKind } from '@cassiamast/ports';
 import type { JsonBody } from '../http/http-server.js';
 
 /** OpenAI's default for `max_tokens` of completions. */
--- a/packages/stand-ins/src/core/engine/routes.ts
+++ b/packages/stand-ins/src/core/engine/routes.ts
@@ -1,7 +1,7 @@
 /**
  * The engine's paths; reports, orders and faults are answered here.
  */
-import type { EngineOrder } from '@cassiamast/platform';
+import type { EngineOrder } from '@cassiamast/ports';
 import type { Route } from '../http/http-server.js';
 import { sendJson } from '../http/http-server.js';
 import type { EngineContext } from './engine.js';
--- a/packages/stand-ins/src/core/engine/streams.ts
+++ b/packages/stand-ins/src/core/engine/streams.ts
@@ -3,7 +3,7 @@
  * own position in the one buffer, so that a slow reader costs no copy of the answer.
  */
 import type { ServerResponse } from 'node:http';
-import type { FinishReason } from '@cassiamast/platform';
+import type { FinishReason } from '@cassiamast/ports';
 
 /** How a stream ended well. */
 export interface StreamEnd {
--- a/packages/stand-ins/src/core/vm-list/vm-list.ts
+++ b/packages/stand-ins/src/core/vm-list/vm-list.ts
@@ -1,8 +1,8 @@
 /**
  * A stand-in of the platform's list of VMs, which tells of each change only after a lag.
  */
-import { VmState } from '@cassiamast/platform';
-import type { VmListing } from '@cassiamast/platform';
+import { VmState } from '@cassiamast/ports';
+import type { VmListing } from '@cassiamast/ports';
 import type { JsonBody, Route } from '../http/http-server.js';
 import { sendJson, startHttpServer } from '../http/http-server.js';
 
--- a/packages/stand-ins/test/core/engine/faults.test.ts
+++ b/packages/stand-ins/test/core/engine/faults.test.ts
@@ -6,7 +6,7 @@
   ENGINE_KV_TRANSFER_FAILED,
   ENGINE_OUT_OF_CACHE_MEMORY,
   ENGINE_STREAM_UNKNOWN,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import { expectedAnswer } from '../../../src/core/engine/answer.js';
 import { DEFAULT_ENGINE } from '../../../src/core/engine/options.js';
 import type { EnginePair } from '../../fixtures/engines.js';
--- a/packages/stand-ins/test/core/engine/orders.test.ts
+++ b/packages/stand-ins/test/core/engine/orders.test.ts
@@ -2,14 +2,14 @@
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
 import { EngineRole } from '@cassiamast/coordination';
-import type { EngineOrder } from '@cassiamast/platform';
+import type { EngineOrder } from '@cassiamast/ports';
 import {
   ENGINE_ANSWER_LOST,
   ENGINE_NOT_SERVING,
   ENGINE_ORDER_FENCED,
   ENGINE_REFUSED,
   OrderKind,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import { startWeightStore } from '../../../src/core/weight-store/weight-store.js';
 import type { EnginePair } from '../../fixtures/engines.js';
 import { readAll, startPair, until, work } from '../../fixtures/engines.js';
--- a/packages/stand-ins/test/core/engine/prefix-cache.test.ts
+++ b/packages/stand-ins/test/core/engine/prefix-cache.test.ts
@@ -1,7 +1,7 @@
 /** The prefix cache and its unreliable events. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { CacheEventKind } from '@cassiamast/platform';
+import { CacheEventKind } from '@cassiamast/ports';
 import {
   cachedPrefixTokens,
   clearCache,
--- a/packages/stand-ins/test/core/engine/streams.test.ts
+++ b/packages/stand-ins/test/core/engine/streams.test.ts
@@ -8,7 +8,7 @@
   ENGINE_STREAM_UNKNOWN,
   ENGINE_UNREACHABLE,
   FinishReason,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import { expectedAnswer } from '../../../src/core/engine/answer.js';
 import type { EnginePair } from '../../fixtures/engines.js';
 import { readAll, startPair, until, work } from '../../fixtures/engines.js';
--- a/packages/stand-ins/test/core/key-value/key-value.test.ts
+++ b/packages/stand-ins/test/core/key-value/key-value.test.ts
@@ -1,14 +1,14 @@
 /** The key-value stand-in, called through the product's own adapter. */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import type { KeyValueChange, KeyValueClient } from '@cassiamast/platform';
+import type { KeyValueChange, KeyValueClient } from '@cassiamast/ports';
 import {
   createKeyValueClient,
   KEY_VALUE_ANSWER_LOST,
   KEY_VALUE_LEASE_GONE,
   KEY_VALUE_UNREACHABLE,
   KEY_VALUE_WATCH_ENDED,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import type { KeyValueStandIn } from '../../../src/core/key-value/key-value.js';
 import { startKeyValue } from '../../../src/core/key-value/key-value.js';
 import { until } from '../../fixtures/engines.js';
--- a/packages/stand-ins/test/core/plain-service/plain-service.test.ts
+++ b/packages/stand-ins/test/core/plain-service/plain-service.test.ts
@@ -1,12 +1,12 @@
 /** The plain service stand-in, called through the product's own adapter. */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import type { PlainRequest, PlainServiceClient } from '@cassiamast/platform';
+import type { PlainRequest, PlainServiceClient } from '@cassiamast/ports';
 import {
   createPlainServiceClient,
   PLAIN_SERVICE_ANSWER_LOST,
   PLAIN_SERVICE_UNREACHABLE,
-} from '@cassiamast/platform';
+} from '@cassiamast/ports';
 import type { PlainServiceStandIn } from '../../../src/core/plain-service/plain-service.js';
 import { DeathPoint, startPlainService } from '../../../src/core/plain-service/plain-service.js';
 
--- a/packages/stand-ins/test/core/vm-list/vm-list.test.ts
+++ b/packages/stand-ins/test/core/vm-list/vm-list.test.ts
@@ -1,8 +1,8 @@
 /** The list of VMs follows the truth only after its lag. */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
-import type { VmListClient, VmListing } from '@cassiamast/platform';
-import { createVmListClient, VM_LIST_UNAVAILABLE, VmState } from '@cassiamast/platform';
+import type { VmListClient, VmListing } from '@cassiamast/ports';
+import { createVmListClient, VM_LIST_UNAVAILABLE, VmState } from '@cassiamast/ports';
 import type { VmListStandIn } from '../../../src/core/vm-list/vm-list.js';
 import { startVmList } from '../../../src/core/vm-list/vm-list.js';
 
--- a/packages/stand-ins/test/core/weight-store/weight-store.test.ts
+++ b/packages/stand-ins/test/core/weight-store/weight-store.test.ts
@@ -1,7 +1,7 @@
 /** The weight store says slow down past its fetches at once. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
-import { createWeightStoreClient, WEIGHT_STORE_UNAVAILABLE } from '@cassiamast/platform';
+import { createWeightStoreClient, WEIGHT_STORE_UNAVAILABLE } from '@cassiamast/ports';
 import { startWeightStore } from '../../../src/core/weight-store/weight-store.js';
 import { until } from '../../fixtures/engines.js';
 
