--- /dev/null
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -0,0 +1,193 @@
+/**
+ * The fleet as one gateway sees it, from a listing and the changes after it. Changes may be missed,
+ * repeated or old; revisions put them in order. Entries of targets lapse while the store is away
+ * and come back soon after it, so a target whose entry vanished around an outage stays in doubt for
+ * a moment before it is taken as gone.
+ */
+import type { FleetConfiguration, TargetEntry } from './fleet.js';
+import { type RouteTable, newerTable } from './route-table.js';
+
+/** Another gateway that lives. */
+export interface GatewayEntry {
+  /** Its `host:port` for calls between gateways. */
+  readonly id: string;
+  readonly failureDomain: string;
+  /** Part of a core that it may use. */
+  readonly coreShare: number;
+}
+
+/** Kinds of change. */
+export enum FleetChangeKind {
+  Configuration = 'configuration',
+  Target = 'target',
+  TargetRemoved = 'target-removed',
+  Gateway = 'gateway',
+  GatewayRemoved = 'gateway-removed',
+}
+
+/** One change; `revision` is the store's, and only grows. */
+export type FleetChange =
+  | {
+      readonly kind: FleetChangeKind.Configuration;
+      readonly revision: number;
+      readonly configuration: FleetConfiguration;
+    }
+  | {
+      readonly kind: FleetChangeKind.Target;
+      readonly revision: number;
+      readonly target: TargetEntry;
+    }
+  | {
+      readonly kind: FleetChangeKind.Gateway;
+      readonly revision: number;
+      readonly gateway: GatewayEntry;
+    }
+  | {
+      readonly kind: FleetChangeKind.TargetRemoved | FleetChangeKind.GatewayRemoved;
+      readonly revision: number;
+      readonly id: string;
+    };
+
+/** A target and what is known of its entry. */
+interface SeenTarget {
+  readonly entry: TargetEntry;
+  readonly revision: number;
+  /** When its entry was seen to be missing, null while it stands. */
+  missingSinceMs: number | null;
+}
+
+/** What a gateway knows. */
+export interface FleetView {
+  table: RouteTable | null;
+  readonly targets: Map<string, SeenTarget>;
+  readonly gateways: Map<string, GatewayEntry>;
+  /** The store's revision up to which changes are known; 0 before the first listing. */
+  revision: number;
+  /** When the store last answered. */
+  confirmedAtMs: number;
+  /** Until when a missing entry may only have lapsed with the store. */
+  doubtUntilMs: number;
+  /** Targets that left; an old change must not bring them back. */
+  readonly goneAtRevision: Map<string, number>;
+}
+
+/**
+ * How long after an outage a missing entry is doubted. Entries that lapsed are back within about
+ * two seconds; new work must stop within the same time of a true leaving, so the doubt is shorter.
+ */
+export const LAPSE_DOUBT_MS = 1500;
+/** Silence of the store that counts as an outage; a waiting watch is silent for less. */
+export const OUTAGE_SILENCE_MS = 2500;
+/** Departures that are remembered. */
+const MAX_GONE = 4096;
+
+/** A view of nothing. */
+export function createFleetView(): FleetView {
+  return {
+    table: null,
+    targets: new Map(),
+    gateways: new Map(),
+    revision: 0,
+    confirmedAtMs: 0,
+    doubtUntilMs: 0,
+    goneAtRevision: new Map(),
+  };
+}
+
+/** The store answered: the view is confirmed up to now. */
+export function noteStoreAnswer(view: FleetView, nowMs: number): void {
+  const wasAway = view.revision > 0 && nowMs - view.confirmedAtMs > OUTAGE_SILENCE_MS;
+  if (wasAway) view.doubtUntilMs = nowMs + LAPSE_DOUBT_MS;
+  view.confirmedAtMs = nowMs;
+}
+
+/** Takes in a whole listing: what it lacks has left. */
+export function applyListing(
+  view: FleetView,
+  changes: readonly FleetChange[],
+  revision: number,
+  nowMs: number,
+): void {
+  const targets = new Set<string>();
+  const gateways = new Set<string>();
+  for (const change of changes) {
+    if (change.kind === FleetChangeKind.Target) targets.add(change.target.id);
+    if (change.kind === FleetChangeKind.Gateway) gateways.add(change.gateway.id);
+  }
+  for (const [id, seen] of view.targets) {
+    if (!targets.has(id) && seen.revision <= revision) removeTarget(view, id, revision, nowMs);
+  }
+  for (const id of view.gateways.keys()) {
+    if (!gateways.has(id)) view.gateways.delete(id);
+  }
+  applyChanges(view, changes, revision, nowMs);
+}
+
+/** Takes in changes up to a revision. */
+export function applyChanges(
+  view: FleetView,
+  changes: readonly FleetChange[],
+  revision: number,
+  nowMs: number,
+): void {
+  for (const change of changes) applyChange(view, change, nowMs);
+  view.revision = Math.max(view.revision, revision);
+}
+
+function applyChange(view: FleetView, change: FleetChange, nowMs: number): void {
+  switch (change.kind) {
+    case FleetChangeKind.Configuration:
+      view.table = newerTable(view.table, change.configuration);
+      return;
+    case FleetChangeKind.Target:
+      putTarget(view, change.target, change.revision);
+      return;
+    case FleetChangeKind.TargetRemoved:
+      removeTarget(view, change.id, change.revision, nowMs);
+      return;
+    case FleetChangeKind.Gateway:
+      view.gateways.set(change.gateway.id, change.gateway);
+      return;
+    case FleetChangeKind.GatewayRemoved:
+      view.gateways.delete(change.id);
+      return;
+  }
+}
+
+function putTarget(view: FleetView, entry: TargetEntry, revision: number): void {
+  const known = view.targets.get(entry.id);
+  if (known !== undefined && known.revision > revision) return;
+  // A target that reports its leaving never takes that back; only an old entry says otherwise.
+  if (known?.entry.draining === true && !entry.draining) return;
+  if ((view.goneAtRevision.get(entry.id) ?? -1) > revision) return;
+  view.goneAtRevision.delete(entry.id);
+  view.targets.set(entry.id, { entry, revision, missingSinceMs: null });
+}
+
+function removeTarget(view: FleetView, id: string, revision: number, nowMs: number): void {
+  const known = view.targets.get(id);
+  if (known === undefined || known.revision > revision) return;
+  view.goneAtRevision.set(id, revision);
+  const oldest = view.goneAtRevision.keys().next().value;
+  if (view.goneAtRevision.size > MAX_GONE && oldest !== undefined) {
+    view.goneAtRevision.delete(oldest);
+  }
+  if (nowMs < view.doubtUntilMs && !known.entry.draining) known.missingSinceMs = nowMs;
+  else view.targets.delete(id);
+}
+
+/** Drops targets whose doubt has passed. */
+export function settleDoubts(view: FleetView, nowMs: number): void {
+  for (const [id, seen] of view.targets) {
+    if (seen.missingSinceMs !== null && nowMs >= view.doubtUntilMs) view.targets.delete(id);
+  }
+}
+
+/** The targets of a service that may take work. */
+export function servingTargets(view: FleetView, service: string): readonly TargetEntry[] {
+  const entries: TargetEntry[] = [];
+  for (const { entry } of view.targets.values()) {
+    if (entry.service === service && !entry.draining) entries.push(entry);
+  }
+  return entries;
+}
--- a/packages/coordination/src/core/placement/placement.ts
+++ b/packages/coordination/src/core/placement/placement.ts
@@ -102,6 +102,11 @@
   return bestFor(placement, `watch/${kind}/${failureDomain}`, inDomain);
 }
 
+/** The member that owns a key, among all that are known. */
+export function ownerOf(placement: Placement, key: string): string | null {
+  return bestFor(placement, key, () => true);
+}
+
 function bestFor(
   placement: Placement,
   key: string,
--- /dev/null
+++ b/packages/coordination/src/core/scheduling/job.ts
@@ -0,0 +1,82 @@
+/**
+ * What a scheduler is asked and what it decides. A job is one attempt of a caller that needs an
+ * engine; all times are readings of the scheduler's own clock.
+ */
+import type { PromptPart } from '../forwarding/fleet.js';
+
+/** A request that waits for an engine. */
+export interface Job {
+  readonly id: string;
+  /** Jobs of one route are compared by size with each other. */
+  readonly route: string;
+  /** 0 is the most urgent. */
+  readonly priority: number;
+  /** The parts of the prompt in order; the last one is the request's own. */
+  readonly parts: readonly PromptPart[];
+  readonly outputTokens: number;
+  /** Where its answer goes. */
+  readonly failureDomain: string;
+  /** The first event is on time until then. */
+  readonly aimAtMs: number;
+  /** The caller leaves then. */
+  readonly deadlineAtMs: number;
+  /** Targets that already failed this job. */
+  readonly avoid: readonly string[];
+}
+
+/** Where a job runs. */
+export interface Plan {
+  /** The engine that reads the prompt. */
+  readonly readAt: string;
+  /** The engine that makes the tokens, null where the first one does that as well. */
+  readonly streamAt: string | null;
+  /** Tokens that are expected to be read; the rest is in the engine's cache. */
+  readonly missingTokens: number;
+  readonly predictedReadMs: number;
+  readonly waitedMs: number;
+}
+
+/** Why a job is refused. */
+export enum RefusalReason {
+  /** No target takes work. */
+  NoTarget = 'no-target',
+  /** It would not be read before its caller leaves. */
+  TooLate = 'too-late',
+  /** Others that can still be on time need all that the engines can do. */
+  Overload = 'overload',
+}
+
+/** Kinds of decision. */
+export enum DecisionKind {
+  Run = 'run',
+  Refuse = 'refuse',
+}
+
+/** A decision on one job; it is final. */
+export type Decision =
+  | { readonly kind: DecisionKind.Run; readonly jobId: string; readonly plan: Plan }
+  | {
+      readonly kind: DecisionKind.Refuse;
+      readonly jobId: string;
+      readonly reason: RefusalReason;
+      /** When the job is likely to be taken. */
+      readonly retryAfterMs: number;
+    };
+
+/** What a gateway reports of a job that runs. */
+export enum JobEventKind {
+  /** The prompt is read: the first event came, or the handle of the prompt. */
+  Read = 'read',
+  /** It ended; nothing of it runs any more. */
+  Ended = 'ended',
+  /** The target failed it. */
+  Failed = 'failed',
+}
+
+/** One report. */
+export interface JobEvent {
+  readonly kind: JobEventKind;
+  readonly jobId: string;
+  /** The target that it is about. */
+  readonly target: string;
+}
--- /dev/null
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -0,0 +1,45 @@
+/** The limits of a scheduler, each with the load that it answers. */
+export interface SchedulerOptions {
+  /**
+   * Reading that an engine is given ahead, so that it never idles while the next job travels to
+   * it: two crossings between failure domains and the gateway's own work.
+   */
+  readonly lookaheadMs: number;
+  /** Prompts that one engine is given at once, whatever was predicted for them. */
+  readonly maxReading: number;
+  /**
+   * How many milliseconds a job may wait for the engine that holds its parts to spare another one
+   * a millisecond of reading them again.
+   */
+  readonly rereadWeight: number;
+  /** Work on jobs that are late already which an engine keeps waiting. */
+  readonly maxLateBacklogMs: number;
+  /** Time from the read prompt to the first event at the caller. */
+  readonly firstEventMs: number;
+  /** Time that a handle of a read prompt takes to the engine that goes on. */
+  readonly handoverMs: number;
+  /** Earliest time at which a refused caller is asked back. */
+  readonly minRetryAfterMs: number;
+  /** A gateway that has not asked for its waiting job so long has died or given up. */
+  readonly forgottenAfterMs: number;
+  /** How long a target that failed is left alone at first; doubles with each failure in a row. */
+  readonly suspendMs: number;
+  readonly maxSuspendMs: number;
+  /** Part of an engine's memory that running requests may take. */
+  readonly maxRunningShare: number;
+}
+
+/** Defaults; their reasons stand with the fields, their figures come from docs/MEASUREMENTS.md. */
+export const SCHEDULER_OPTIONS: SchedulerOptions = {
+  lookaheadMs: 10,
+  maxReading: 3,
+  rereadWeight: 1,
+  maxLateBacklogMs: 300,
+  firstEventMs: 15,
+  handoverMs: 25,
+  minRetryAfterMs: 300,
+  forgottenAfterMs: 700,
+  suspendMs: 500,
+  maxSuspendMs: 8000,
+  maxRunningShare: 0.8,
+};
--- /dev/null
+++ b/packages/coordination/src/core/scheduling/prompt-cache.ts
@@ -0,0 +1,46 @@
+/**
+ * What an engine has in its cache of prompt parts, as far as its scheduler knows: it sees every
+ * prompt that the engine is given, and forgets parts in the order in which the engine does.
+ */
+import type { PromptPart } from '../forwarding/fleet.js';
+
+/** Parts in the order of their last use, oldest first. */
+export interface PromptCache {
+  readonly capacityTokens: number;
+  readonly tokensByPart: Map<string, number>;
+  heldTokens: number;
+}
+
+/** An empty cache. */
+export function createPromptCache(capacityTokens: number): PromptCache {
+  return { capacityTokens, tokensByPart: new Map(), heldTokens: 0 };
+}
+
+/** Tokens of a prompt that would have to be read: all from its first part that is not held. */
+export function missingTokens(cache: PromptCache, parts: readonly PromptPart[]): number {
+  const firstMissing = parts.findIndex((part) => !cache.tokensByPart.has(part.id));
+  if (firstMissing === -1) return 0;
+  return parts.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0);
+}
+
+/** Notes that an engine reads a prompt; the least recently used parts give way. */
+export function notePrompt(cache: PromptCache, parts: readonly PromptPart[]): void {
+  for (const part of parts) {
+    cache.heldTokens += part.tokens - (cache.tokensByPart.get(part.id) ?? 0);
+    cache.tokensByPart.delete(part.id);
+    cache.tokensByPart.set(part.id, part.tokens);
+  }
+  for (const [id, tokens] of cache.tokensByPart) {
+    if (cache.heldTokens <= cache.capacityTokens) break;
+    cache.tokensByPart.delete(id);
+    cache.heldTokens -= tokens;
+  }
+}
+
+/** Notes that an engine could not have read a prompt after all. */
+export function forgetPrompt(cache: PromptCache, parts: readonly PromptPart[]): void {
+  for (const part of parts) {
+    cache.heldTokens -= cache.tokensByPart.get(part.id) ?? 0;
+    cache.tokensByPart.delete(part.id);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -0,0 +1,394 @@
+/**
+ * The waiting lines of a service's engines. One gateway runs the scheduler of a service for all of
+ * them: it sees every prompt, so it knows what each engine has still to read and what its cache
+ * holds. A job joins the line of the engine that would answer it first; an engine whose line is
+ * empty takes a job from another one. State and messages in, decisions out.
+ */
+import type { EngineSpec, TargetEntry } from '../forwarding/fleet.js';
+import {
+  type Decision,
+  DecisionKind,
+  type Job,
+  type JobEvent,
+  JobEventKind,
+  RefusalReason,
+} from './job.js';
+import { chooseStreamTarget } from './handover.js';
+import type { SchedulerOptions } from './options.js';
+import { missingTokens, notePrompt } from './prompt-cache.js';
+import {
+  type Offer,
+  type RouteSizes,
+  compareOffers,
+  createRouteSizes,
+  isOnTime,
+  jobValue,
+  noteSize,
+} from './ranking.js';
+import { noteReading, predictReadMs } from './read-time.js';
+import {
+  type TargetLoad,
+  createTargetLoad,
+  hasRoom,
+  isUsable,
+  makesTokens,
+  noteFailure,
+  noteSuccess,
+  pendingReadMs,
+} from './target-load.js';
+
+/** A job that waits. */
+interface Waiting {
+  readonly job: Job;
+  readonly value: number;
+  readonly submittedAtMs: number;
+  askedAtMs: number;
+  /** The engine whose line it stands in. */
+  target: string;
+}
+
+/** A job that was given to engines. */
+interface Running {
+  readonly decision: Decision;
+  readonly forgetAtMs: number;
+}
+
+/** The scheduler of one service. */
+export interface Scheduler {
+  readonly options: SchedulerOptions;
+  readonly targets: Map<string, TargetLoad>;
+  readonly waiting: Map<string, Waiting>;
+  /** Decided jobs, so that a repeated question gets the same answer. */
+  readonly decided: Map<string, Running>;
+  readonly sizes: RouteSizes;
+}
+
+/** How long a decision is remembered after its job's deadline. */
+const REMEMBER_MS = 1000;
+
+/** A scheduler without targets. */
+export function createScheduler(options: SchedulerOptions): Scheduler {
+  return {
+    options,
+    targets: new Map(),
+    waiting: new Map(),
+    decided: new Map(),
+    sizes: createRouteSizes(),
+  };
+}
+
+/** Follows the targets of the service; what is known of those that stay is kept. */
+export function noteEngines(
+  scheduler: Scheduler,
+  entries: readonly TargetEntry[],
+  spec: EngineSpec,
+): void {
+  const present = new Set(entries.map((entry) => entry.id));
+  for (const id of scheduler.targets.keys()) {
+    if (!present.has(id)) scheduler.targets.delete(id);
+  }
+  for (const entry of entries) {
+    const load = scheduler.targets.get(entry.id);
+    if (load === undefined) scheduler.targets.set(entry.id, createTargetLoad(entry, spec));
+    else load.entry = entry;
+  }
+}
+
+/** Takes a job in, or hears again of one that waits or is decided. */
+export function submitJob(scheduler: Scheduler, job: Job, nowMs: number): readonly Decision[] {
+  const decided = scheduler.decided.get(job.id);
+  if (decided !== undefined) return [decided.decision];
+  const known = scheduler.waiting.get(job.id);
+  if (known !== undefined) {
+    known.askedAtMs = nowMs;
+    return [];
+  }
+  noteSize(scheduler.sizes, job);
+  const value = jobValue(scheduler.sizes, job);
+  const place = bestPlace(scheduler, job, value, nowMs);
+  if (place === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
+  const refusal = admissionRefusal(scheduler, job, place, nowMs);
+  if (refusal !== null) return [refuse(scheduler, job, refusal, place.aheadMs, nowMs)];
+  scheduler.waiting.set(job.id, {
+    job,
+    value,
+    submittedAtMs: nowMs,
+    askedAtMs: nowMs,
+    target: place.load.entry.id,
+  });
+  return dispatch(scheduler, nowMs);
+}
+
+/** Takes in what a gateway reports of its jobs. */
+export function noteJobEvents(
+  scheduler: Scheduler,
+  events: readonly JobEvent[],
+  nowMs: number,
+): readonly Decision[] {
+  for (const event of events) noteJobEvent(scheduler, event, nowMs);
+  return dispatch(scheduler, nowMs);
+}
+
+/** A caller left before its job was decided. */
+export function withdrawJob(scheduler: Scheduler, jobId: string): void {
+  scheduler.waiting.delete(jobId);
+}
+
+/** Lets time pass: jobs that became hopeless are refused, engines that fell idle get work. */
+export function tickScheduler(scheduler: Scheduler, nowMs: number): readonly Decision[] {
+  for (const [id, running] of scheduler.decided) {
+    if (running.forgetAtMs > nowMs) continue;
+    scheduler.decided.delete(id);
+    for (const load of scheduler.targets.values()) {
+      load.reading.delete(id);
+      load.streaming.delete(id);
+    }
+  }
+  return [...refuseHopeless(scheduler, nowMs), ...dispatch(scheduler, nowMs)];
+}
+
+/** Where a job would wait, and for how long. */
+interface Place {
+  readonly load: TargetLoad;
+  readonly offer: Offer;
+  /** Reading that the engine does before it. */
+  readonly aheadMs: number;
+}
+
+function bestPlace(
+  scheduler: Scheduler,
+  job: Job,
+  value: number,
+  nowMs: number,
+): Place | null {
+  const places: Place[] = [];
+  for (const load of scheduler.targets.values()) {
+    if (!isUsable(load, nowMs) || job.avoid.includes(load.entry.id)) continue;
+    places.push(placeAt(scheduler, load, job, value, nowMs));
+  }
+  const leastServiceMs = Math.min(...places.map((place) => place.offer.serviceMs));
+  const costMs = (place: Place): number =>
+    place.offer.firstEventAtMs +
+    scheduler.options.rereadWeight * (place.offer.serviceMs - leastServiceMs);
+  let best: Place | null = null;
+  for (const place of places) {
+    if (best === null || costMs(place) < costMs(best)) best = place;
+  }
+  return best;
+}
+
+function placeAt(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  job: Job,
+  value: number,
+  nowMs: number,
+): Place {
+  const pendingMs = pendingReadMs(load, nowMs);
+  const immediate = makeOffer(scheduler, load, job, value, nowMs + pendingMs);
+  let aheadMs = pendingMs;
+  for (const other of lineOf(scheduler, load)) {
+    const theirs = makeOffer(scheduler, load, other.job, other.value, nowMs + pendingMs);
+    if (compareOffers(theirs, immediate) <= 0) aheadMs += theirs.serviceMs;
+  }
+  const offer = { ...immediate, firstEventAtMs: immediate.firstEventAtMs + aheadMs - pendingMs };
+  return { load, offer, aheadMs };
+}
+
+function makeOffer(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  job: Job,
+  value: number,
+  startAtMs: number,
+): Offer {
+  const { handoverMs, firstEventMs } = scheduler.options;
+  const serviceMs = predictReadMs(load.readTime, missingTokens(load.cache, job.parts));
+  const afterMs = makesTokens(load) ? firstEventMs : firstEventMs + handoverMs;
+  return {
+    value,
+    serviceMs,
+    firstEventAtMs: startAtMs + serviceMs + afterMs,
+    aimAtMs: job.aimAtMs,
+  };
+}
+
+function lineOf(scheduler: Scheduler, load: TargetLoad): readonly Waiting[] {
+  return [...scheduler.waiting.values()].filter((each) => each.target === load.entry.id);
+}
+
+/**
+ * Whether a job is turned away at its arrival. Guards against a line that only grows: it shows as
+ * every caller waiting until just before its patience ends. What can't be read before the caller
+ * leaves is refused at once; of what would be late, only as much waits as an engine can soon do.
+ */
+function admissionRefusal(
+  scheduler: Scheduler,
+  job: Job,
+  place: Place,
+  nowMs: number,
+): RefusalReason | null {
+  if (place.offer.firstEventAtMs > job.deadlineAtMs) return RefusalReason.TooLate;
+  if (isOnTime(place.offer)) return null;
+  const isIdle = place.aheadMs <= scheduler.options.lookaheadMs;
+  const backlogMs = lateBacklogMs(scheduler, place.load, nowMs);
+  const isBacklogged = backlogMs + place.offer.serviceMs > scheduler.options.maxLateBacklogMs;
+  return !isIdle && isBacklogged ? RefusalReason.Overload : null;
+}
+
+function lateBacklogMs(scheduler: Scheduler, load: TargetLoad, nowMs: number): number {
+  let backlogMs = 0;
+  for (const { job, value } of lineOf(scheduler, load)) {
+    const offer = makeOffer(scheduler, load, job, value, nowMs + pendingReadMs(load, nowMs));
+    if (!isOnTime(offer)) backlogMs += offer.serviceMs;
+  }
+  return backlogMs;
+}
+
+function refuse(
+  scheduler: Scheduler,
+  job: Job,
+  reason: RefusalReason,
+  aheadMs: number,
+  nowMs: number,
+): Decision {
+  const retryAfterMs = Math.max(scheduler.options.minRetryAfterMs, aheadMs);
+  const decision: Decision = { kind: DecisionKind.Refuse, jobId: job.id, reason, retryAfterMs };
+  remember(scheduler, job, decision, nowMs);
+  return decision;
+}
+
+function remember(scheduler: Scheduler, job: Job, decision: Decision, nowMs: number): void {
+  scheduler.waiting.delete(job.id);
+  const forgetAtMs = Math.max(nowMs, job.deadlineAtMs) + REMEMBER_MS;
+  scheduler.decided.set(job.id, { decision, forgetAtMs });
+}
+
+function refuseHopeless(scheduler: Scheduler, nowMs: number): readonly Decision[] {
+  const decisions: Decision[] = [];
+  for (const { job, value, askedAtMs, target } of [...scheduler.waiting.values()]) {
+    if (askedAtMs + scheduler.options.forgottenAfterMs < nowMs) {
+      scheduler.waiting.delete(job.id);
+      continue;
+    }
+    const load = scheduler.targets.get(target);
+    const startAtMs = load === undefined ? nowMs : nowMs + pendingReadMs(load, nowMs);
+    const offer = load === undefined ? null : makeOffer(scheduler, load, job, value, startAtMs);
+    if (offer !== null && offer.firstEventAtMs <= job.deadlineAtMs) continue;
+    if (offer === null && job.deadlineAtMs > nowMs) continue;
+    decisions.push(refuse(scheduler, job, RefusalReason.TooLate, startAtMs - nowMs, nowMs));
+  }
+  return decisions;
+}
+
+function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
+  const decisions: Decision[] = [];
+  moveFromUnusable(scheduler, nowMs);
+  for (const load of scheduler.targets.values()) {
+    while (hasRoom(load, scheduler.options, nowMs)) {
+      const next = nextOf(scheduler, load, nowMs) ?? stealFor(scheduler, load, nowMs);
+      if (next === null) break;
+      const decision = grant(scheduler, load, next, nowMs);
+      if (decision === null) break;
+      decisions.push(decision);
+    }
+  }
+  return decisions;
+}
+
+/** A job whose engine left or failed joins the line of another one. */
+function moveFromUnusable(scheduler: Scheduler, nowMs: number): void {
+  for (const waiting of scheduler.waiting.values()) {
+    const load = scheduler.targets.get(waiting.target);
+    if (load !== undefined && isUsable(load, nowMs)) continue;
+    const place = bestPlace(scheduler, waiting.job, waiting.value, nowMs);
+    if (place !== null) waiting.target = place.load.entry.id;
+  }
+}
+
+function nextOf(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
+  const startAtMs = nowMs + pendingReadMs(load, nowMs);
+  let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
+  for (const waiting of lineOf(scheduler, load)) {
+    const offer = makeOffer(scheduler, load, waiting.job, waiting.value, startAtMs);
+    if (best === null || compareOffers(offer, best.offer) < 0) best = { waiting, offer };
+  }
+  return best?.waiting ?? null;
+}
+
+/**
+ * The job of another line that an idle engine takes: one that it would answer sooner than the
+ * engine whose line it stands in, counting what is read again against it.
+ */
+function stealFor(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
+  let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
+  for (const waiting of scheduler.waiting.values()) {
+    const other = scheduler.targets.get(waiting.target);
+    if (other === undefined || waiting.job.avoid.includes(load.entry.id)) continue;
+    const there = placeAt(scheduler, other, waiting.job, waiting.value, nowMs);
+    const here = makeOffer(scheduler, load, waiting.job, waiting.value, nowMs);
+    const extraMs = Math.max(0, here.serviceMs - there.offer.serviceMs);
+    const weighedAtMs = here.firstEventAtMs + scheduler.options.rereadWeight * extraMs;
+    if (weighedAtMs >= there.offer.firstEventAtMs) continue;
+    if (best === null || compareOffers(here, best.offer) < 0) best = { waiting, offer: here };
+  }
+  return best?.waiting ?? null;
+}
+
+function grant(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  nowMs: number,
+): Decision | null {
+  const { job } = waiting;
+  const stream = makesTokens(load) ? load : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
+  if (stream === null) return null;
+  const missing = missingTokens(load.cache, job.parts);
+  const predictedReadMs = predictReadMs(load.readTime, missing);
+  notePrompt(load.cache, job.parts);
+  load.reading.set(job.id, {
+    jobId: job.id,
+    tokens: missing,
+    predictedMs: predictedReadMs,
+    startedAtMs: nowMs,
+  });
+  const heldTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
+  stream.streaming.set(job.id, heldTokens);
+  const decision: Decision = {
+    kind: DecisionKind.Run,
+    jobId: job.id,
+    plan: {
+      readAt: load.entry.id,
+      streamAt: stream === load ? null : stream.entry.id,
+      missingTokens: missing,
+      predictedReadMs,
+      waitedMs: nowMs - waiting.submittedAtMs,
+    },
+  };
+  remember(scheduler, job, decision, nowMs);
+  return decision;
+}
+
+function noteJobEvent(scheduler: Scheduler, event: JobEvent, nowMs: number): void {
+  const load = scheduler.targets.get(event.target);
+  if (event.kind === JobEventKind.Ended) {
+    for (const each of scheduler.targets.values()) {
+      each.reading.delete(event.jobId);
+      each.streaming.delete(event.jobId);
+    }
+  }
+  if (load === undefined) return;
+  if (event.kind === JobEventKind.Failed) noteFailure(load, scheduler.options, nowMs);
+  if (event.kind === JobEventKind.Read) noteRead(load, event.jobId, nowMs);
+}
+
+function noteRead(load: TargetLoad, jobId: string, nowMs: number): void {
+  noteSuccess(load);
+  const reading = load.reading.get(jobId);
+  if (reading === undefined) return;
+  load.reading.delete(jobId);
+  const begunAtMs = Math.max(reading.startedAtMs, load.lastReadEndAtMs);
+  load.lastReadEndAtMs = nowMs;
+  noteReading(load.readTime, reading.tokens, nowMs - begunAtMs);
+}
--- /dev/null
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -0,0 +1,92 @@
+/** What a scheduler knows of one engine: its work, its cache, its speed and its health. */
+import { EnginePhase, type EngineSpec, type TargetEntry } from '../forwarding/fleet.js';
+import { type PromptCache, createPromptCache } from './prompt-cache.js';
+import { FULL_TOKENS_PER_MS, type ReadTime, createReadTime } from './read-time.js';
+import type { SchedulerOptions } from './options.js';
+
+/** A prompt that an engine was given and has not read yet. */
+export interface Reading {
+  readonly jobId: string;
+  readonly tokens: number;
+  readonly predictedMs: number;
+  readonly startedAtMs: number;
+}
+
+/** One engine. */
+export interface TargetLoad {
+  entry: TargetEntry;
+  readonly cache: PromptCache;
+  readonly readTime: ReadTime;
+  /** In the order in which they were given. */
+  readonly reading: Map<string, Reading>;
+  /** Tokens in memory of the requests that make tokens here, by job. */
+  readonly streaming: Map<string, number>;
+  lastReadEndAtMs: number;
+  suspendedUntilMs: number;
+  failuresInARow: number;
+}
+
+/** An engine that nothing is known of. */
+export function createTargetLoad(entry: TargetEntry, spec: EngineSpec): TargetLoad {
+  return {
+    entry,
+    cache: createPromptCache(spec.kvCapacityTokens),
+    readTime: createReadTime(priorTokensPerMs(entry.phase)),
+    reading: new Map(),
+    streaming: new Map(),
+    lastReadEndAtMs: 0,
+    suspendedUntilMs: 0,
+    failuresInARow: 0,
+  };
+}
+
+/** Engines that make tokens read at half speed beside that, as their data sheet says. */
+const DECODE_READ_SHARE = 0.5;
+
+function priorTokensPerMs(phase: EnginePhase | null): number {
+  return phase === EnginePhase.Decode ? FULL_TOKENS_PER_MS * DECODE_READ_SHARE : FULL_TOKENS_PER_MS;
+}
+
+/** Reading that an engine still has before it, by prediction. */
+export function pendingReadMs(load: TargetLoad, nowMs: number): number {
+  let pendingMs = 0;
+  let isFirst = true;
+  for (const reading of load.reading.values()) {
+    // The engine reads in order: only the first prompt has had some of its time.
+    const begunAtMs = Math.max(reading.startedAtMs, load.lastReadEndAtMs);
+    const spentMs = isFirst ? Math.max(0, nowMs - begunAtMs) : 0;
+    pendingMs += Math.max(0, reading.predictedMs - spentMs);
+    isFirst = false;
+  }
+  return pendingMs;
+}
+
+/** Whether an engine may be given work at all. */
+export function isUsable(load: TargetLoad, nowMs: number): boolean {
+  return !load.entry.draining && load.suspendedUntilMs <= nowMs;
+}
+
+/** Whether an engine can be given one more prompt now. */
+export function hasRoom(load: TargetLoad, options: SchedulerOptions, nowMs: number): boolean {
+  if (!isUsable(load, nowMs)) return false;
+  if (load.reading.size >= options.maxReading) return false;
+  return pendingReadMs(load, nowMs) <= options.lookaheadMs;
+}
+
+/** Whether an engine makes tokens for callers. */
+export function makesTokens(load: TargetLoad): boolean {
+  return load.entry.phase !== EnginePhase.Prefill;
+}
+
+/** Leaves a target alone for a while; it is tried again with one job at a time. */
+export function noteFailure(load: TargetLoad, options: SchedulerOptions, nowMs: number): void {
+  const forMs = Math.min(options.maxSuspendMs, options.suspendMs * 2 ** load.failuresInARow);
+  load.failuresInARow += 1;
+  load.suspendedUntilMs = nowMs + forMs;
+}
+
+/** A target served: whatever it failed before is over. */
+export function noteSuccess(load: TargetLoad): void {
+  load.failuresInARow = 0;
+  load.suspendedUntilMs = 0;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -0,0 +1,106 @@
+/**
+ * Follows the fleet in the platform's store: one listing, then the changes after it, through
+ * outages, dropped history and a store that turns this VM away. Whatever it last knew stays in
+ * force meanwhile.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  type Failure,
+  type FleetView,
+  applyChanges,
+  applyListing,
+  noteStoreAnswer,
+  settleDoubts,
+} from '@cassiamast/coordination';
+import { FLEET_HISTORY_GONE, type FleetPort, type FleetReading } from '@cassiamast/ports';
+import type { Result } from 'neverthrow';
+import type { Child } from '../supervisor/supervisor.js';
+import type { GatewayLog } from './gateway-log.js';
+
+/** Longest wait of one question for changes: short, so that a silent connection is noticed. */
+const WATCH_WAIT_MS = 1500;
+/**
+ * Pause between two questions, in which changes gather: each question is paid for, and each target
+ * writes about once a second. Short against the two seconds in which a change must be in force.
+ */
+const GATHER_MS = 350;
+/** Pause after a failed question. */
+const RETRY_MS = 200;
+
+/** What the follower needs. */
+export interface FleetFollowerOptions {
+  readonly fleet: FleetPort;
+  readonly view: FleetView;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly onChanged: () => void;
+}
+
+/** Makes the follower. */
+export function createFleetFollower(options: FleetFollowerOptions): Child {
+  const { fleet, view, nowMs, log } = options;
+  let stopped = true;
+  let isAway = false;
+
+  function noteAway(failure: Failure): void {
+    if (!isAway) {
+      log.warn('store lost', { cause: failure.message, revision: view.revision });
+    }
+    isAway = true;
+  }
+
+  function noteBack(): void {
+    noteStoreAnswer(view, nowMs());
+    if (isAway) log.info('store regained', { revision: view.revision });
+    isAway = false;
+  }
+
+  function take(
+    reading: Result<FleetReading, Failure>,
+    apply: typeof applyChanges,
+  ): Failure | null {
+    if (reading.isErr()) return reading.error;
+    noteBack();
+    const { changes, revision } = reading.value;
+    const versionBefore = view.table?.configuration.version ?? 0;
+    apply(view, changes, revision, nowMs());
+    const version = view.table?.configuration.version ?? 0;
+    if (version !== versionBefore) log.info('configuration in force', { version, revision });
+    options.onChanged();
+    return null;
+  }
+
+  async function turn(): Promise<void> {
+    const isListing = view.revision === 0;
+    const failure = isListing
+      ? take(await fleet.list(), applyListing)
+      : take(await fleet.changesAfter(view.revision, WATCH_WAIT_MS), applyChanges);
+    settleDoubts(view, nowMs());
+    if (failure === null) {
+      await sleep(isListing ? 0 : GATHER_MS);
+      return;
+    }
+    if (FLEET_HISTORY_GONE.is(failure)) {
+      log.warn('fleet listed anew', { cause: failure.message, revision: view.revision });
+      const listed = take(await fleet.list(), applyListing);
+      if (listed === null) return;
+    }
+    noteAway(failure);
+    await sleep(RETRY_MS);
+  }
+
+  return {
+    name: 'fleet-follower',
+    start: () => {
+      stopped = false;
+      void (async () => {
+        while (!stopped) await turn();
+      })();
+      return Promise.resolve();
+    },
+    stop: () => {
+      stopped = true;
+      return Promise.resolve();
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -0,0 +1,24 @@
+/** What the forwarding paths share. */
+import type { FleetView, Hash32, Random } from '@cassiamast/coordination';
+import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import type { GatewayLog } from './gateway-log.js';
+import type { RetryBudgets } from './retry-budgets.js';
+import type { SchedulingClient } from './scheduling-client.js';
+import type { TargetHealth } from './target-health.js';
+
+/** The surroundings of a request's way through the gateway. */
+export interface ForwardingServices {
+  readonly view: FleetView;
+  readonly wire: CallerWire;
+  readonly transport: HttpTransport;
+  readonly budgets: RetryBudgets;
+  readonly health: TargetHealth;
+  readonly scheduling: SchedulingClient;
+  readonly random: Random;
+  readonly hash32: Hash32;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly count: (name: string) => void;
+  readonly record: (name: string, valueMs: number) => void;
+  readonly failureDomain: string;
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -0,0 +1,204 @@
+/**
+ * The port that callers connect to: reads each request whole, finds its route and sends it on its
+ * way. Requests are read by Node's strict parser, so that nothing can hide inside another request.
+ */
+import { randomUUID } from 'node:crypto';
+import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import {
+  DeliveryKind,
+  type RouteTable,
+  chooseService,
+  findRoute,
+  type Address,
+} from '@cassiamast/coordination';
+import { BodyFault, readBody } from '../node/http-body.js';
+import { listenExclusively } from '../node/control-server.js';
+import type { Child } from '../supervisor/supervisor.js';
+import type { Exchange } from './exchange.js';
+import type { ForwardingServices } from './forwarding-services.js';
+import { OwnStatus, sendOwnAnswer } from './own-answer.js';
+import { forwardPlain } from './plain-forwarding.js';
+import { forwardStream } from './stream-forwarding.js';
+
+/** Larger than any bound that operators set on headers: theirs is checked by the callers' side. */
+const MAX_HEADER_BYTES = 65_536;
+/** Body bound before a configuration is known. */
+const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+/** Kept longer than callers reuse idle connections, which is four fifths of the configured limit. */
+const DEFAULT_IDLE_MS = 15_000;
+/** A caller that says nothing is waited for so long. */
+const DEFAULT_PATIENCE_MS = 30_000;
+/** When callers are asked back while this gateway knows no configuration. */
+const STARTING_RETRY_MS = 500;
+/** Sockets that are looked at for slow requests so often. */
+const CONNECTION_CHECK_MS = 1000;
+
+/** The callers' port. */
+export interface FrontServer {
+  readonly child: Child;
+  /** Requests that have no whole answer yet. */
+  readonly open: () => number;
+  /** From now on each answer asks its caller to connect anew, which leads to another gateway. */
+  readonly turnAway: () => void;
+}
+
+/** Makes the port. */
+export function createFrontServer(address: Address, services: ForwardingServices): FrontServer {
+  let server: Server | null = null;
+  let open = 0;
+  let turnsAway = false;
+
+  function serve(request: IncomingMessage, response: ServerResponse): void {
+    open += 1;
+    if (turnsAway) response.shouldKeepAlive = false;
+    response.once('close', () => {
+      open -= 1;
+    });
+    handle(request, response, services).catch((error: unknown) => {
+      services.count('request_faults_total');
+      services.log.warn('request handling failed', { cause: String(error) });
+      response.destroy();
+    });
+  }
+
+  return {
+    child: {
+      name: 'front-server',
+      start: async () => {
+        server = createServer(
+          {
+            maxHeaderSize: MAX_HEADER_BYTES,
+            keepAliveTimeout: DEFAULT_IDLE_MS,
+            connectionsCheckingInterval: CONNECTION_CHECK_MS,
+            noDelay: true,
+          },
+          serve,
+        );
+        await listenExclusively(server, address);
+      },
+      stop: async () => {
+        const closing = server;
+        server = null;
+        if (closing === null) return;
+        await new Promise<void>((resolve) => {
+          closing.close(() => {
+            resolve();
+          });
+          closing.closeAllConnections();
+        });
+      },
+    },
+    open: () => open,
+    turnAway: () => {
+      turnsAway = true;
+    },
+  };
+}
+
+async function handle(
+  request: IncomingMessage,
+  response: ServerResponse,
+  services: ForwardingServices,
+): Promise<void> {
+  const receivedAtMs = services.nowMs();
+  const { table } = services.view;
+  const maxBytes = table?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
+  const body = await readBody(request, maxBytes);
+  if (body.isErr()) {
+    if (body.error === BodyFault.Broken) return;
+    response.shouldKeepAlive = false;
+    refuse(response, services, OwnStatus.TooLarge, 'the body is too large', null);
+    return;
+  }
+  services.count('requests_total');
+  if (table === null) {
+    refuse(response, services, OwnStatus.Refused, 'no configuration yet', STARTING_RETRY_MS);
+    return;
+  }
+  const exchange = open(request, response, table, body.value, receivedAtMs, services);
+  if (exchange === null) {
+    services.log.info('no route', {
+      host: request.headers.host,
+      path: request.url,
+      version: table.configuration.version,
+    });
+    refuse(response, services, OwnStatus.NoRoute, 'no route', null);
+    return;
+  }
+  await forward(exchange, services);
+}
+
+function refuse(
+  response: ServerResponse,
+  services: ForwardingServices,
+  status: OwnStatus,
+  reason: string,
+  retryAfterMs: number | null,
+): void {
+  services.count(`own_answers_${String(status)}_total`);
+  sendOwnAnswer(response, services.wire, { status, reason, retryAfterMs });
+}
+
+function open(
+  request: IncomingMessage,
+  response: ServerResponse,
+  table: RouteTable,
+  body: Buffer,
+  receivedAtMs: number,
+  services: ForwardingServices,
+): Exchange | null {
+  const path = request.url ?? '/';
+  const route = findRoute(table, request.headers.host ?? '', path);
+  if (route === null) return null;
+  const head = services.wire.readRequest(request.headers);
+  const id = head.attemptId ?? randomUUID();
+  const patienceMs = Math.min(head.patienceMs ?? DEFAULT_PATIENCE_MS, route.timeoutMs);
+  const endsAtMs = receivedAtMs + patienceMs;
+  const over = new AbortController();
+  const timer = setTimeout(() => {
+    over.abort();
+  }, endsAtMs - services.nowMs());
+  response.once('close', () => {
+    clearTimeout(timer);
+    over.abort();
+  });
+  return {
+    id,
+    head,
+    route,
+    service: chooseService(route, services.hash32(id)),
+    method: request.method ?? 'GET',
+    path,
+    rawHeaders: request.rawHeaders,
+    body,
+    receivedAtMs,
+    endsAtMs,
+    response,
+    signal: over.signal,
+    mayHaveRun: false,
+    sends: 0,
+    failedTargets: new Set(),
+    lastTarget: '',
+  };
+}
+
+async function forward(exchange: Exchange, services: ForwardingServices): Promise<void> {
+  const { route, service, response } = exchange;
+  const spec = services.view.table?.servicesByName.get(service);
+  const usesEngines = route.kind === DeliveryKind.Stream && spec?.engine != null;
+  await (usesEngines ? forwardStream : forwardPlain)(exchange, services);
+  const tookMs = services.nowMs() - exchange.receivedAtMs;
+  services.record('request_ms', tookMs);
+  services.log.info('request ended', {
+    request: exchange.id,
+    route: route.name,
+    service,
+    version: services.view.table?.configuration.version,
+    status: response.headersSent ? response.statusCode : 0,
+    whole: response.writableEnded,
+    callerLeft: response.destroyed && !response.writableEnded,
+    sends: exchange.sends,
+    target: exchange.lastTarget,
+    tookMs: Math.round(tookMs),
+  });
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/log-writer.ts
@@ -0,0 +1,107 @@
+/**
+ * Writes log lines without ever making the process wait: lines are gathered and written in one
+ * call a few times a second, and dropped, counted, where the reader is slow or too many come.
+ */
+import { write } from 'node:fs';
+
+/** Bounds of the log's volume. */
+export interface LogBounds {
+  /** Lines that may come each second in the long run. */
+  readonly linesPerS: number;
+  /** Lines that may come at once. */
+  readonly burstLines: number;
+  /** Characters that wait for a slow reader. */
+  readonly maxWaitingChars: number;
+  readonly flushEveryMs: number;
+}
+
+/** Room for every decision on some 40 requests a second, and a megabyte of memory at most. */
+export const LOG_BOUNDS: LogBounds = {
+  linesPerS: 150,
+  burstLines: 600,
+  maxWaitingChars: 1_000_000,
+  flushEveryMs: 100,
+};
+
+/** Takes lines, each with its line feed. */
+export interface LogWriter {
+  readonly write: (line: string) => void;
+  /** Lines dropped so far. */
+  readonly dropped: () => number;
+  /** Writes what waits; resolves when it is out or can't be written. */
+  readonly flush: () => Promise<void>;
+}
+
+/** Hands a text to the operating system; calls back when it is taken, with an error if it is not. */
+export type WriteText = (text: string, done: (error: Error | null) => void) => void;
+
+const STANDARD_OUTPUT = 1;
+
+/** Writes to standard output off the loop: a pipe whose reader stalls blocks a plain write. */
+export const writeStandardOutput: WriteText = (text, done) => {
+  write(STANDARD_OUTPUT, text, (error) => {
+    done(error);
+  });
+};
+
+/** Makes a writer; `nowMs` is a monotonic clock. */
+export function createLogWriter(
+  bounds: LogBounds,
+  writeText: WriteText,
+  nowMs: () => number,
+): LogWriter {
+  let waiting: string[] = [];
+  let waitingChars = 0;
+  let tokens = bounds.burstLines;
+  let refilledAtMs = nowMs();
+  let dropped = 0;
+  let isWriting = false;
+  let timer: NodeJS.Timeout | null = null;
+
+  function refill(): void {
+    const now = nowMs();
+    const gained = ((now - refilledAtMs) / 1000) * bounds.linesPerS;
+    tokens = Math.min(bounds.burstLines, tokens + gained);
+    refilledAtMs = now;
+  }
+
+  function flush(): Promise<void> {
+    if (timer !== null) clearTimeout(timer);
+    timer = null;
+    if (isWriting || waiting.length === 0) return Promise.resolve();
+    const text = waiting.join('');
+    const lines = waiting.length;
+    waiting = [];
+    waitingChars = 0;
+    isWriting = true;
+    return new Promise((resolve) => {
+      writeText(text, (error) => {
+        isWriting = false;
+        // There is nowhere to report that the log itself can't be written; the count tells.
+        if (error !== null) dropped += lines;
+        if (waiting.length > 0) schedule();
+        resolve();
+      });
+    });
+  }
+
+  function schedule(): void {
+    timer ??= setTimeout(() => void flush(), bounds.flushEveryMs);
+  }
+
+  return {
+    write: (line) => {
+      refill();
+      if (tokens < 1 || waitingChars + line.length > bounds.maxWaitingChars) {
+        dropped += 1;
+        return;
+      }
+      tokens -= 1;
+      waiting.push(line);
+      waitingChars += line.length;
+      schedule();
+    },
+    dropped: () => dropped,
+    flush,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/presence.ts
@@ -0,0 +1,81 @@
+/**
+ * Announces this gateway to the others for as long as it lives: an entry in the platform's store
+ * under a lease. The others choose from these entries who schedules a service.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import type { GatewayEntry } from '@cassiamast/coordination';
+import { type FleetPort, KEY_VALUE_LEASE_GONE } from '@cassiamast/ports';
+import type { Child } from '../supervisor/supervisor.js';
+import type { GatewayLog } from './gateway-log.js';
+
+/** A lease is renewed so many times in its time to live: two renewals may be lost. */
+const RENEWALS_PER_TTL = 3;
+/** Pause after a failed call. */
+const RETRY_MS = 300;
+
+/** What the presence needs. */
+export interface PresenceOptions {
+  readonly fleet: FleetPort;
+  readonly self: GatewayEntry;
+  readonly ttlMs: number;
+  readonly log: GatewayLog;
+}
+
+/** A presence that can be withdrawn before the process ends. */
+export interface Presence {
+  readonly child: Child;
+  readonly withdraw: () => Promise<void>;
+}
+
+/** Makes the presence. */
+export function createPresence(options: PresenceOptions): Presence {
+  const { fleet, self, ttlMs, log } = options;
+  let leaseId: string | null = null;
+  let stopped = true;
+
+  async function announce(): Promise<void> {
+    const granted = await fleet.grantLease(ttlMs);
+    if (granted.isErr()) return;
+    const announced = await fleet.announce(self, granted.value.leaseId);
+    // An announcement whose answer was lost may stand; its lease then lapses by itself.
+    if (announced.isErr()) return;
+    leaseId = granted.value.leaseId;
+    log.info('announced to the other gateways', { leaseId, ttlMs });
+  }
+
+  async function turn(): Promise<void> {
+    if (leaseId === null) await announce();
+    else {
+      const kept = await fleet.keepLeaseAlive(leaseId);
+      if (kept.isErr() && KEY_VALUE_LEASE_GONE.is(kept.error)) {
+        log.warn('announcement lapsed', { cause: kept.error.message });
+        leaseId = null;
+      }
+    }
+    await sleep(leaseId === null ? RETRY_MS : ttlMs / RENEWALS_PER_TTL);
+  }
+
+  async function withdraw(): Promise<void> {
+    stopped = true;
+    const held = leaseId;
+    leaseId = null;
+    if (held === null) return;
+    const revoked = await fleet.revokeLease(held);
+    if (revoked.isErr()) log.warn('announcement left to lapse', { cause: revoked.error.message });
+  }
+
+  return {
+    child: {
+      name: 'presence',
+      start: () => {
+        stopped = false;
+        void (async () => {
+          while (!stopped) await turn();
+        })();
+        return Promise.resolve();
+      },
+      stop: withdraw,
+    },
+    withdraw,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -0,0 +1,125 @@
+/**
+ * Asks for engines. All gateways ask the same one, found by rendezvous hashing over those that
+ * live; where it does not answer in time, the next one, at last this process itself. So the loss
+ * of the one that schedules costs each waiting request a single short timeout.
+ */
+import {
+  type Decision,
+  type FleetView,
+  type Hash32,
+  type JobEvent,
+  type JobEventKind,
+  createPlacement,
+  ownerOf,
+} from '@cassiamast/coordination';
+import { RpcMethod } from '../protocol/methods.js';
+import type { RpcClient } from '../node/rpc-client.js';
+import type { GatewayLog } from './gateway-log.js';
+import type { JobRequest, SchedulingService } from './scheduling-service.js';
+
+/** One question waits so long for a decision before it is asked again. */
+const QUESTION_MS = 150;
+/** A gateway that does not answer so long after that is passed over: some network round trips. */
+const ANSWER_SLACK_MS = 120;
+/** How long it is passed over. */
+const SUSPECT_MS = 2000;
+/** Reports that are lost only let the scheduler believe an engine busy for longer. */
+const REPORT_TIMEOUT_MS = 500;
+
+/** What the client needs. */
+export interface SchedulingClientOptions {
+  readonly selfId: string;
+  readonly view: FleetView;
+  readonly hash32: Hash32;
+  readonly rpc: RpcClient;
+  readonly local: SchedulingService;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly count: (name: string) => void;
+}
+
+/** A decision and who made it. */
+export interface SchedulingAnswer {
+  readonly decision: Decision;
+  readonly schedulerId: string;
+}
+
+/** Asks for engines. */
+export interface SchedulingClient {
+  /** Resolves with the decision, or null when the signal ended the wait. */
+  readonly take: (
+    service: string,
+    job: () => JobRequest,
+    signal: AbortSignal,
+  ) => Promise<SchedulingAnswer | null>;
+  readonly report: (
+    service: string,
+    schedulerId: string,
+    kind: JobEventKind,
+    jobId: string,
+    target: string,
+  ) => void;
+}
+
+/** Makes the client. */
+export function createSchedulingClient(options: SchedulingClientOptions): SchedulingClient {
+  const { selfId, view, hash32, rpc, local, nowMs, log, count } = options;
+  const suspectUntilMs = new Map<string, number>();
+
+  function schedulerOf(service: string): string {
+    const now = nowMs();
+    const live = [...view.gateways.values()].filter(
+      (gateway) => (suspectUntilMs.get(gateway.id) ?? 0) <= now,
+    );
+    return ownerOf(createPlacement(live, hash32), service) ?? selfId;
+  }
+
+  function suspect(gateway: string, service: string, cause: string): void {
+    const known = suspectUntilMs.get(gateway) ?? 0;
+    suspectUntilMs.set(gateway, nowMs() + SUSPECT_MS);
+    count('scheduler_unreachable_total');
+    if (known <= nowMs()) log.warn('scheduler passed over', { gateway, service, cause });
+  }
+
+  async function ask(
+    gateway: string,
+    service: string,
+    job: JobRequest,
+  ): Promise<Decision | null | undefined> {
+    if (gateway === selfId) return local.take(service, job, QUESTION_MS);
+    const answer = await rpc.call<Decision | null>(
+      gateway,
+      RpcMethod.ScheduleTake,
+      [service, job, QUESTION_MS],
+      { timeoutMs: QUESTION_MS + ANSWER_SLACK_MS },
+    );
+    if (answer.isOk()) return answer.value;
+    suspect(gateway, service, answer.error.message);
+    return undefined;
+  }
+
+  return {
+    take: async (service, job, signal) => {
+      while (!signal.aborted) {
+        const gateway = schedulerOf(service);
+        const decision = await ask(gateway, service, job());
+        if (decision) return { decision, schedulerId: gateway };
+      }
+      return null;
+    },
+    report: (service, schedulerId, kind, jobId, target) => {
+      const events: readonly JobEvent[] = [{ kind, jobId, target }];
+      if (schedulerId === selfId) {
+        local.report(service, events);
+        return;
+      }
+      void rpc
+        .call(schedulerId, RpcMethod.ScheduleReport, [service, events], {
+          timeoutMs: REPORT_TIMEOUT_MS,
+        })
+        .mapErr(() => {
+          count('scheduler_reports_lost_total');
+        });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -0,0 +1,119 @@
+/**
+ * Runs the schedulers of this gateway: one for each service that it was asked about, its own
+ * callers' jobs included. Whether it is the one that all gateways ask is their decision; a
+ * scheduler that is asked decides.
+ */
+import {
+  type Decision,
+  type FleetView,
+  type Job,
+  type JobEvent,
+  SCHEDULER_OPTIONS,
+  type Scheduler,
+  createScheduler,
+  noteEngines,
+  noteJobEvents,
+  servingTargets,
+  submitJob,
+  tickScheduler,
+  withdrawJob,
+} from '@cassiamast/coordination';
+
+/** A job as it crosses processes: times are relative, since clocks differ. */
+export interface JobRequest extends Omit<Job, 'aimAtMs' | 'deadlineAtMs'> {
+  readonly aimInMs: number;
+  readonly deadlineInMs: number;
+}
+
+/** How often lines are looked at while jobs wait: well under the reading of an ordinary prompt. */
+const TICK_MS = 10;
+
+/** The schedulers of one gateway. */
+export interface SchedulingService {
+  /** Takes a job in and waits a while for its decision; null while there is none. */
+  readonly take: (service: string, job: JobRequest, waitMs: number) => Promise<Decision | null>;
+  readonly report: (service: string, events: readonly JobEvent[]) => void;
+  readonly withdraw: (service: string, jobId: string) => void;
+  /** The fleet changed. */
+  readonly refresh: () => void;
+  readonly stop: () => void;
+}
+
+/** Tells a waiting question its answer. */
+type Answer = (decision: Decision | null) => void;
+
+/** Makes the service. */
+export function createSchedulingService(view: FleetView, nowMs: () => number): SchedulingService {
+  const schedulers = new Map<string, Scheduler>();
+  const answers = new Map<string, Answer>();
+  let timer: NodeJS.Timeout | null = null;
+
+  function schedulerOf(service: string): Scheduler {
+    const known = schedulers.get(service);
+    if (known !== undefined) return known;
+    const made = createScheduler(SCHEDULER_OPTIONS);
+    schedulers.set(service, made);
+    follow(service, made);
+    return made;
+  }
+
+  function follow(service: string, scheduler: Scheduler): void {
+    const spec = view.table?.servicesByName.get(service)?.engine ?? null;
+    if (spec !== null) noteEngines(scheduler, servingTargets(view, service), spec);
+  }
+
+  function tell(decisions: readonly Decision[]): void {
+    for (const decision of decisions) answers.get(decision.jobId)?.(decision);
+  }
+
+  function tick(): void {
+    timer = null;
+    let waits = false;
+    for (const scheduler of schedulers.values()) {
+      tell(tickScheduler(scheduler, nowMs()));
+      waits ||= scheduler.waiting.size > 0 || scheduler.decided.size > 0;
+    }
+    if (waits) keepTicking();
+  }
+
+  function keepTicking(): void {
+    timer ??= setTimeout(tick, TICK_MS);
+  }
+
+  return {
+    take: (service, request, waitMs) => {
+      const now = nowMs();
+      const { aimInMs, deadlineInMs, ...rest } = request;
+      const job: Job = { ...rest, aimAtMs: now + aimInMs, deadlineAtMs: now + deadlineInMs };
+      const decisions = submitJob(schedulerOf(service), job, now);
+      const own = decisions.find((decision) => decision.jobId === job.id) ?? null;
+      tell(decisions);
+      keepTicking();
+      if (own !== null) return Promise.resolve(own);
+      return new Promise((resolve) => {
+        const answer: Answer = (decision) => {
+          clearTimeout(timeout);
+          if (answers.get(job.id) === answer) answers.delete(job.id);
+          resolve(decision);
+        };
+        const timeout = setTimeout(() => {
+          answer(null);
+        }, waitMs);
+        answers.set(job.id, answer);
+      });
+    },
+    report: (service, events) => {
+      tell(noteJobEvents(schedulerOf(service), events, nowMs()));
+    },
+    withdraw: (service, jobId) => {
+      withdrawJob(schedulerOf(service), jobId);
+    },
+    refresh: () => {
+      for (const [service, scheduler] of schedulers) follow(service, scheduler);
+    },
+    stop: () => {
+      if (timer !== null) clearTimeout(timer);
+      timer = null;
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -0,0 +1,223 @@
+/**
+ * Wires a gateway: the process that takes callers' own requests to targets on a platform that lists
+ * its targets itself. One module that makes the parts and puts them under one root supervisor.
+ */
+import { randomInt } from 'node:crypto';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  DRAIN_OPTIONS,
+  type DrainEffect,
+  DrainEffectKind,
+  type Failure,
+  type JobEvent,
+  createDrain,
+  createFleetView,
+  createHashing,
+  seededRandom,
+  startDrain,
+  tickDrain,
+} from '@cassiamast/coordination';
+import { type CallerWire, type FleetPort, createHttpTransport } from '@cassiamast/ports';
+import { build } from 'hdr-histogram-js';
+import { formatAddress } from '../node/address.js';
+import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { createControlServer } from '../node/control-server.js';
+import { createLog } from '../node/logging.js';
+import { allowNetworks } from '../node/networks.js';
+import { createRpcClient } from '../node/rpc-client.js';
+import { createMemberProof } from '../node/secret.js';
+import { createTelemetry } from '../node/telemetry.js';
+import { createTimeline } from '../node/timeline.js';
+import { RpcMethod } from '../protocol/methods.js';
+import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
+import { createFleetFollower } from './fleet-follower.js';
+import type { ForwardingServices } from './forwarding-services.js';
+import { createFrontServer } from './front-server.js';
+import { createGatewayLog } from './gateway-log.js';
+import { LOG_BOUNDS, createLogWriter, writeStandardOutput } from './log-writer.js';
+import { createMetricsServer } from './metrics-server.js';
+import { createPresence } from './presence.js';
+import { createReadinessServer } from './readiness-server.js';
+import { createRetryBudgets } from './retry-budgets.js';
+import { createSchedulingClient } from './scheduling-client.js';
+import { type JobRequest, createSchedulingService } from './scheduling-service.js';
+import type { GatewaySettings } from './settings.js';
+import { createTargetHealth } from './target-health.js';
+
+const MAX_SEED = 0x7fff_ffff;
+const DRAIN_POLL_MS = 50;
+const SIGNIFICANT_DIGITS = 2;
+/** Events on the time line of one gateway: some seconds of its state changes. */
+const TIMELINE_EVENTS = 256;
+/** A target that does not take a connection within some crossings between domains is away. */
+const CONNECT_TIMEOUT_MS = 300;
+/** Requests of one gateway at one target at once; far more than it is ever given. */
+const MAX_CONNECTIONS_PER_TARGET = 48;
+/** Idle connections to targets are kept for less than targets keep them. */
+const TARGET_KEEP_ALIVE_MS = 4000;
+/** The balancer takes a gateway out after two questions without a 200, a second apart. */
+const NOTICE_MS = 2500;
+/** Left of the grace at the end of a drain, for closing down. */
+const CLOSING_MS = 700;
+
+/** What an adapter hands in. */
+export interface GatewayPlatform {
+  readonly fleet: FleetPort;
+  readonly wire: CallerWire;
+}
+
+/** A gateway that runs. */
+export interface RunningGateway {
+  /** Stops without cutting a request; resolves when nothing is left or the grace is over. */
+  readonly stop: () => Promise<void>;
+  /** The settings were read anew. */
+  readonly reload: (settings: GatewaySettings) => void;
+}
+
+/** Starts a gateway; `onFailure` is told when a part keeps failing. */
+export async function startGateway(
+  settings: GatewaySettings,
+  platform: GatewayPlatform,
+  onFailure: (failure: Failure) => void,
+): Promise<RunningGateway> {
+  const { monotonicMs, wallMs } = SYSTEM_CLOCKS;
+  const selfId = formatAddress(settings.members);
+  const writer = createLogWriter(LOG_BOUNDS, writeStandardOutput, monotonicMs);
+  const log = createGatewayLog(settings.name, writer, wallMs);
+  const timeline = createTimeline(selfId, TIMELINE_EVENTS, wallMs);
+  const telemetry = createTelemetry(timeline.put, (highestTrackableValue) =>
+    build({ highestTrackableValue, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS }),
+  );
+  const random = seededRandom(randomInt(MAX_SEED));
+  const { hash32 } = await createHashing();
+  const view = createFleetView();
+  // Gateways have no secret of their own here: the networks that may connect are what protects.
+  const proof = createMemberProof(settings.failureDomain.length > 0 ? 'gateway' : '');
+  const rpc = createRpcClient(proof, timeline.clock);
+  const transport = createHttpTransport({
+    connectTimeoutMs: CONNECT_TIMEOUT_MS,
+    maxConnections: MAX_CONNECTIONS_PER_TARGET,
+    keepAliveMs: TARGET_KEEP_ALIVE_MS,
+  });
+  const schedulers = createSchedulingService(view, monotonicMs);
+  const services: ForwardingServices = {
+    view,
+    wire: platform.wire,
+    transport,
+    budgets: createRetryBudgets(settings.retryWindow, view, monotonicMs),
+    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
+    scheduling: createSchedulingClient({
+      selfId,
+      view,
+      hash32,
+      rpc,
+      local: schedulers,
+      nowMs: monotonicMs,
+      log,
+      count: telemetry.count,
+    }),
+    random,
+    hash32,
+    nowMs: monotonicMs,
+    log,
+    count: telemetry.count,
+    record: telemetry.record,
+    failureDomain: settings.failureDomain,
+  };
+  const front = createFrontServer(settings.front, services);
+  const presence = createPresence({
+    fleet: platform.fleet,
+    self: {
+      id: selfId,
+      failureDomain: settings.failureDomain,
+      coreShare: settings.coreShare,
+    },
+    ttlMs: settings.leaseTtlMs,
+    log,
+  });
+  let leaving = false;
+  const root = createSupervisor({
+    name: 'root',
+    children: [
+      createFleetFollower({
+        fleet: platform.fleet,
+        view,
+        nowMs: monotonicMs,
+        log,
+        onChanged: schedulers.refresh,
+      }),
+      createControlServer({
+        address: settings.members,
+        allows: allowNetworks(settings.memberNetworks),
+        proof,
+        clock: timeline.clock,
+        handlers: {
+          [RpcMethod.ScheduleTake]: (params) => {
+            const [service, job, waitMs] = params as [string, JobRequest, number];
+            return schedulers.take(service, job, waitMs);
+          },
+          [RpcMethod.ScheduleReport]: (params) => {
+            const [service, events] = params as [string, readonly JobEvent[]];
+            schedulers.report(service, events);
+            return null;
+          },
+        },
+        streams: {},
+        metricsText: telemetry.metricsText,
+      }),
+      createMetricsServer(settings.metrics, telemetry.metricsText),
+      presence.child,
+      front.child,
+      createReadinessServer(
+        settings.readiness,
+        platform.wire.readinessPath,
+        () => !leaving && view.table !== null && view.targets.size > 0,
+      ),
+    ],
+    limit: DEFAULT_RESTART_LIMIT,
+    log: createLog('warn', settings.name, writer.write),
+    nowMs: monotonicMs,
+    sleep: async (delayMs) => {
+      await sleep(delayMs);
+    },
+  });
+  await root.start(onFailure);
+  log.info('gateway started', { selfId, failureDomain: settings.failureDomain });
+
+  async function drain(): Promise<void> {
+    const state = createDrain({
+      ...DRAIN_OPTIONS,
+      noticeMs: NOTICE_MS,
+      drainMs: settings.graceMs - CLOSING_MS,
+      handOverMs: 0,
+    });
+    let isOver = false;
+    const perform = (effects: readonly DrainEffect[]): void => {
+      for (const effect of effects) {
+        if (effect.kind === DrainEffectKind.Drained) {
+          isOver = true;
+          log.info('gateway drained', { leftRunning: effect.leftRunning });
+        }
+      }
+    };
+    perform(startDrain(state, monotonicMs()));
+    while (!isOver) {
+      perform(tickDrain(state, front.open(), monotonicMs()));
+      if (!isOver) await sleep(DRAIN_POLL_MS);
+    }
+  }
+
+  return {
+    stop: async () => {
+      leaving = true;
+      log.info('gateway stops', { openRequests: front.open(), graceMs: settings.graceMs });
+      front.turnAway();
+      void presence.withdraw();
+      await drain();
+      await writer.flush();
+    },
+    reload: (next) => {
+      log.info('settings read anew', { name: next.name, graceMs: next.graceMs });
+    },
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -0,0 +1,309 @@
+/**
+ * The way of a request to a service of engines: it waits for its turn, its prompt is read, perhaps
+ * by one engine for another, and its stream is passed on. A resumable stream that breaks off goes
+ * on at another engine within the same answer; any other one is visibly broken.
+ */
+import {
+  DecisionKind,
+  JobEventKind,
+  type Plan,
+  type TargetEntry,
+} from '@cassiamast/coordination';
+import type { PromptHandle } from '@cassiamast/ports';
+import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
+import { type Exchange, callerLeft } from './exchange.js';
+import type { ForwardingServices } from './forwarding-services.js';
+import { failureStatus, sendOwnAnswer } from './own-answer.js';
+import type { JobRequest } from './scheduling-service.js';
+import { type StreamRelay, createStreamRelay } from './stream-relay.js';
+
+/** Times that one request asks for engines: a first one and two after failures. */
+const MAX_TURNS = 3;
+/** When a caller is asked back whose engine failed before it ran anything. */
+const RETRY_AFTER_MS = 300;
+/** A caller of a stream leaves after a silence of the longest of these three. */
+const SILENCE_MS = 2000;
+const SILENCE_TARGET_LATENCIES = 4;
+const SILENCE_TARGET_GAPS = 8;
+
+/** One turn of an exchange at engines. */
+interface Turn {
+  readonly exchange: Exchange;
+  readonly services: ForwardingServices;
+  readonly relay: StreamRelay;
+  readonly jobId: string;
+  readonly schedulerId: string;
+  readonly plan: Plan;
+}
+
+/** How a turn ended. */
+enum TurnEnd {
+  Delivered = 'delivered',
+  /** Nothing ran; another turn may be taken. */
+  NotRun = 'not-run',
+  /** The stream broke off, or may have run unseen. */
+  Broken = 'broken',
+  Stopped = 'stopped',
+}
+
+/** Forwards a request; resolves when its answer is handed over or it was given up. */
+export async function forwardStream(
+  exchange: Exchange,
+  services: ForwardingServices,
+): Promise<void> {
+  const relay = createStreamRelay(exchange.response, services.wire, {
+    onFirstEvent: () => {
+      services.record('first_event_ms', services.nowMs() - exchange.receivedAtMs);
+    },
+  });
+  services.budgets.noteRequest(exchange.service);
+  let detail = '';
+  for (let turn = 1; turn <= MAX_TURNS && !exchange.signal.aborted; turn += 1) {
+    const jobId = `${exchange.id}/${String(turn)}`;
+    const answer = await services.scheduling.take(
+      exchange.service,
+      () => jobOf(exchange, services, jobId),
+      exchange.signal,
+    );
+    if (answer === null) break;
+    const { decision, schedulerId } = answer;
+    if (decision.kind === DecisionKind.Refuse) {
+      logRefusal(exchange, services, schedulerId, decision.reason, decision.retryAfterMs);
+      giveUp(exchange, services, decision.reason, decision.retryAfterMs);
+      return;
+    }
+    const taken: Turn = { exchange, services, relay, jobId, schedulerId, plan: decision.plan };
+    const end = await runTurn(taken);
+    report(taken, JobEventKind.Ended, decision.plan.readAt);
+    if (end === TurnEnd.Delivered) return;
+    if (end === TurnEnd.Stopped) break;
+    detail = `engine ${exchange.lastTarget}: ${end}`;
+    if (!mayGoOn(exchange, services, end)) break;
+  }
+  giveUp(exchange, services, detail, RETRY_AFTER_MS);
+}
+
+/** Whether another turn is allowed after one that failed. */
+function mayGoOn(exchange: Exchange, services: ForwardingServices, end: TurnEnd): boolean {
+  if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
+  if (exchange.sends >= exchange.route.maxAttempts) return false;
+  return services.budgets.take(exchange.service);
+}
+
+function jobOf(exchange: Exchange, services: ForwardingServices, jobId: string): JobRequest {
+  const { route, head } = exchange;
+  const now = services.nowMs();
+  const patienceMs = Math.max(
+    SILENCE_MS,
+    route.targetLatencyMs * SILENCE_TARGET_LATENCIES,
+    route.targetGapMs * SILENCE_TARGET_GAPS,
+  );
+  const leavesAtMs = Math.min(exchange.endsAtMs, exchange.receivedAtMs + patienceMs);
+  return {
+    id: jobId,
+    route: route.name,
+    priority: route.priority,
+    parts: head.parts,
+    outputTokens: head.outputTokens,
+    failureDomain: services.failureDomain,
+    aimInMs: Math.round(exchange.receivedAtMs + route.targetLatencyMs - now),
+    deadlineInMs: Math.round(leavesAtMs - now),
+    avoid: [...exchange.failedTargets],
+  };
+}
+
+async function runTurn(turn: Turn): Promise<TurnEnd> {
+  const { exchange, services, plan } = turn;
+  const reader = targetOf(services, plan.readAt);
+  if (reader === null) return TurnEnd.NotRun;
+  services.log.info('engine granted', {
+    request: exchange.id,
+    scheduler: turn.schedulerId,
+    readAt: plan.readAt,
+    streamAt: plan.streamAt,
+    waitedMs: Math.round(plan.waitedMs),
+    missingTokens: plan.missingTokens,
+    predictedReadMs: Math.round(plan.predictedReadMs),
+  });
+  services.record('queue_wait_ms', plan.waitedMs);
+  if (plan.streamAt === null) return streamAt(turn, reader, null);
+  const streamer = targetOf(services, plan.streamAt);
+  if (streamer === null) return TurnEnd.NotRun;
+  const handle = await readAt(turn, reader);
+  if (handle === null) return exchange.signal.aborted ? TurnEnd.Stopped : TurnEnd.NotRun;
+  const end = await streamAt(turn, streamer, handle);
+  if (end !== TurnEnd.Delivered) freeHandle(services, handle);
+  return end;
+}
+
+function targetOf(services: ForwardingServices, id: string): TargetEntry | null {
+  return services.view.targets.get(id)?.entry ?? null;
+}
+
+/** Has a prompt read for another engine; null when that failed, after which nothing has run. */
+async function readAt(turn: Turn, reader: TargetEntry): Promise<PromptHandle | null> {
+  const { exchange, services } = turn;
+  const held = holdBody();
+  const outcome = await ask(turn, reader, { readOnly: true, from: null }, held.sink);
+  logSend(turn, reader, 'read prompt', outcome);
+  const handle = outcome.kind === AskOutcomeKind.Complete ? services.wire.readHandle(held.body()) : null;
+  if (handle !== null) {
+    report(turn, JobEventKind.Read, reader.id);
+    return { address: reader.address, handle };
+  }
+  if (!exchange.signal.aborted) noteFailed(turn, reader);
+  return null;
+}
+
+/** Has the stream made and passes it on. */
+async function streamAt(
+  turn: Turn,
+  target: TargetEntry,
+  from: PromptHandle | null,
+): Promise<TurnEnd> {
+  const { exchange, services, relay, plan } = turn;
+  const sink = relay.nextSink();
+  const watched = {
+    ...sink,
+    onBytes: (bytes: Buffer, flow: Parameters<typeof sink.onBytes>[1]) => {
+      if (plan.streamAt === null) report(turn, JobEventKind.Read, target.id);
+      return sink.onBytes(bytes, flow);
+    },
+  };
+  const outcome = await ask(turn, target, { readOnly: false, from }, watched);
+  if (outcome.sent) exchange.sends += 1;
+  exchange.mayHaveRun ||= outcome.sent && outcome.kind !== AskOutcomeKind.NotRun;
+  logSend(turn, target, 'sent to target', outcome);
+  return judgeStream(turn, target, outcome);
+}
+
+function judgeStream(turn: Turn, target: TargetEntry, outcome: AskOutcome): TurnEnd {
+  const { exchange, relay } = turn;
+  switch (outcome.kind) {
+    case AskOutcomeKind.Complete:
+      if (relay.isCutInside()) {
+        noteFailed(turn, target);
+        return TurnEnd.Broken;
+      }
+      relay.end();
+      return TurnEnd.Delivered;
+    case AskOutcomeKind.NotSent:
+      noteFailed(turn, target);
+      return TurnEnd.NotRun;
+    case AskOutcomeKind.NotRun:
+      exchange.failedTargets.add(target.id);
+      return TurnEnd.NotRun;
+    case AskOutcomeKind.Stopped:
+      return TurnEnd.Stopped;
+    case AskOutcomeKind.Broken:
+      noteFailed(turn, target);
+      return TurnEnd.Broken;
+  }
+}
+
+function ask(
+  turn: Turn,
+  target: TargetEntry,
+  how: { readonly readOnly: boolean; readonly from: PromptHandle | null },
+  sink: Parameters<typeof askTarget>[3],
+): Promise<AskOutcome> {
+  const { exchange, services, relay } = turn;
+  exchange.lastTarget = target.id;
+  const headers = services.wire.targetHeaders(exchange.rawHeaders, {
+    targetId: target.id,
+    patienceMs: Math.max(1, Math.floor(exchange.endsAtMs - services.nowMs())),
+    readOnly: how.readOnly,
+    from: how.from,
+    lastEventId: relay.lastEventId() ?? exchange.head.lastEventId,
+  });
+  const { method, path, body, head } = exchange;
+  const request = { attemptId: head.attemptId, method, path, headers, body };
+  return askTarget(services, target, request, sink, exchange.signal);
+}
+
+function holdBody(): {
+  readonly sink: Parameters<typeof askTarget>[3];
+  readonly body: () => Buffer;
+} {
+  const parts: Buffer[] = [];
+  return {
+    sink: {
+      onHead: () => undefined,
+      onBytes: (bytes) => {
+        parts.push(bytes);
+        return null;
+      },
+    },
+    body: () => Buffer.concat(parts),
+  };
+}
+
+function noteFailed(turn: Turn, target: TargetEntry): void {
+  turn.exchange.failedTargets.add(target.id);
+  report(turn, JobEventKind.Failed, target.id);
+}
+
+function report(turn: Turn, kind: JobEventKind, target: string): void {
+  const { exchange, services } = turn;
+  services.scheduling.report(exchange.service, turn.schedulerId, kind, turn.jobId, target);
+}
+
+/** Lets go of a prompt that nobody will fetch; it would lapse by itself, and fill memory until then. */
+function freeHandle(services: ForwardingServices, from: PromptHandle): void {
+  const request = {
+    origin: `http://${from.address}`,
+    method: 'DELETE' as const,
+    path: services.wire.handlePath(from.handle),
+    headers: {},
+    body: null,
+  };
+  void services.transport.exchange(request, FREE_LIMITS);
+}
+
+const FREE_LIMITS = { timeoutMs: 1000, maxAnswerBytes: 65_536 };
+
+function logSend(turn: Turn, target: TargetEntry, message: string, outcome: AskOutcome): void {
+  const { exchange, services } = turn;
+  services.log.info(message, {
+    request: exchange.id,
+    target: target.id,
+    send: exchange.sends,
+    outcome: outcome.kind,
+    detail: outcome.detail,
+    ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
+  });
+}
+
+function logRefusal(
+  exchange: Exchange,
+  services: ForwardingServices,
+  scheduler: string,
+  reason: string,
+  retryAfterMs: number,
+): void {
+  services.log.info('engine refused', {
+    request: exchange.id,
+    scheduler,
+    reason,
+    retryAfterMs: Math.round(retryAfterMs),
+    ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
+  });
+}
+
+function giveUp(
+  exchange: Exchange,
+  services: ForwardingServices,
+  reason: string,
+  retryAfterMs: number,
+): void {
+  const { response } = exchange;
+  if (callerLeft(exchange)) return;
+  if (response.headersSent) {
+    // A part of the stream is out: only a broken connection tells the caller that it isn't whole.
+    response.destroy();
+    return;
+  }
+  const status = failureStatus(exchange, exchange.signal.aborted);
+  const answer = { status, reason, retryAfterMs: exchange.mayHaveRun ? null : retryAfterMs };
+  sendOwnAnswer(response, services.wire, answer);
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,4 +6,10 @@
 export { type MemberProof, createMemberProof } from './node/secret.js';
 export { RpcMethod } from './protocol/methods.js';
 export type { EntrySettings, LoadedSettings, SidecarSettings } from './settings/settings.js';
+export type { GatewaySettings } from './gateway/settings.js';
+export {
+  type GatewayPlatform,
+  type RunningGateway,
+  startGateway,
+} from './gateway/start-gateway.js';
 export { type RunningProcess, startProcess } from './wiring/start-process.js';
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -31,6 +31,8 @@
   StatusRead = 'status.read',
   TimelineRead = 'timeline.read',
   MetricsRead = 'metrics.read',
+  ScheduleTake = 'schedule.take',
+  ScheduleReport = 'schedule.report',
 }
 
 /** Path of calls with one answer. */
--- /dev/null
+++ b/packages/ports/src/fleet/port.ts
@@ -0,0 +1,30 @@
+/**
+ * The store that holds the fleet: what operators want, which targets have registered and which
+ * gateways live. Every call may fail, and a write whose answer is lost may have taken effect.
+ */
+import type { Failure, FleetChange, GatewayEntry } from '@cassiamast/coordination';
+import type { ResultAsync } from 'neverthrow';
+import type { KeyValueLease } from '../key-value/port.js';
+
+/** Changes up to a revision of the store. */
+export interface FleetReading {
+  readonly changes: readonly FleetChange[];
+  readonly revision: number;
+}
+
+/** Calls to the store. None retries by itself. */
+export interface FleetPort {
+  /** Everything, as changes. */
+  readonly list: () => ResultAsync<FleetReading, Failure>;
+  /**
+   * The changes after a revision, as soon as there are any and at the latest after `waitMs`.
+   * Fails with FLEET_HISTORY_GONE when a listing is needed.
+   */
+  readonly changesAfter: (revision: number, waitMs: number) => ResultAsync<FleetReading, Failure>;
+  readonly grantLease: (ttlMs: number) => ResultAsync<KeyValueLease, Failure>;
+  readonly keepLeaseAlive: (leaseId: string) => ResultAsync<KeyValueLease, Failure>;
+  readonly revokeLease: (leaseId: string) => ResultAsync<null, Failure>;
+  /** Announces this gateway for as long as the lease lives. */
+  readonly announce: (gateway: GatewayEntry, leaseId: string) => ResultAsync<null, Failure>;
+  readonly close: () => Promise<void>;
+}
--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -8,6 +8,8 @@
 
 /** Connections to one origin that are kept open but idle, in milliseconds. */
 const KEEP_ALIVE_MS = 30_000;
+/** An idle connection is given up this long before the other side would close it. */
+const KEEP_ALIVE_MARGIN_MS = 500;
 
 /** How an exchange failed. */
 export enum TroubleKind {
@@ -33,7 +35,8 @@
   readonly origin: string;
   readonly method: Dispatcher.HttpMethod;
   readonly path: string;
-  readonly headers: Readonly<Record<string, string>>;
+  /** By name, or names and values in turn where their order and repeats matter. */
+  readonly headers: Readonly<Record<string, string>> | readonly string[];
   readonly body: string | Buffer | null;
 }
 
@@ -46,7 +49,14 @@
 
 /** What a streamed answer brings; exactly one of `onEnd` and `onTrouble` is called, once, last. */
 export interface HttpStreamHandlers {
-  readonly onStart: (status: number) => void;
+  /** The first byte is about to leave; before that nothing can have reached the other side. */
+  readonly onSent?: () => void;
+  /** Header names of `headers` are lower case; `rawHeaders` has names and values in turn, as sent. */
+  readonly onStart: (
+    status: number,
+    headers: Readonly<Record<string, string>>,
+    rawHeaders: readonly string[],
+  ) => void;
   readonly onData: (chunk: Buffer) => void;
   readonly onEnd: () => void;
   readonly onTrouble: (trouble: Trouble) => void;
@@ -81,6 +91,8 @@
   readonly connectTimeoutMs: number;
   /** Most connections to one origin at once; more requests wait in line. */
   readonly maxConnections: number;
+  /** How long an idle connection is kept where the other side does not say; 30 s if left out. */
+  readonly keepAliveMs?: number;
 }
 
 /** Makes a transport with its own connections. */
@@ -88,7 +100,8 @@
   const agent = new Agent({
     connections: options.maxConnections,
     connect: { timeout: options.connectTimeoutMs },
-    keepAliveTimeout: KEEP_ALIVE_MS,
+    keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
+    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     // Streams may be silent for long; each call bounds its own time instead.
     headersTimeout: 0,
     bodyTimeout: 0,
@@ -109,7 +122,7 @@
     const chunks: Buffer[] = [];
     let bytes = 0;
     let status = 0;
-    let headers: Record<string, string> = {};
+    let headers: Readonly<Record<string, string>> = {};
     let sent = false;
     const finish = (outcome: HttpAnswer | Trouble): void => {
       clearTimeout(timer);
@@ -144,12 +157,12 @@
 }
 
 function stream(agent: Agent, request: HttpRequest, handlers: HttpStreamHandlers): HttpStream {
-  return dispatch(agent, request, { ...handlers, onSent: () => undefined });
+  return dispatch(agent, request, { onSent: () => undefined, ...handlers });
 }
 
 interface DispatchHandlers {
   readonly onSent: () => void;
-  readonly onStart: (status: number, headers: Record<string, string>) => void;
+  readonly onStart: HttpStreamHandlers['onStart'];
   readonly onData: (chunk: Buffer) => void;
   readonly onEnd: () => void;
   readonly onTrouble: (trouble: Trouble) => void;
@@ -172,7 +185,7 @@
       origin: request.origin,
       method: request.method,
       path: request.path,
-      headers: request.headers,
+      headers: request.headers as Record<string, string> | string[],
       body: request.body,
     },
     {
@@ -184,7 +197,7 @@
       onResponseStart: (started, status, headers) => {
         if (stopped) return;
         if (paused) started.pause();
-        handlers.onStart(status, plainHeaders(headers));
+        handlers.onStart(status, plainHeaders(headers), rawHeadersOf(started));
       },
       onResponseData: (_started, chunk) => {
         if (!stopped) handlers.onData(chunk);
@@ -216,6 +229,11 @@
   };
 }
 
+function rawHeadersOf(controller: Dispatcher.DispatchController): readonly string[] {
+  const raw = controller.rawHeaders;
+  return Array.isArray(raw) ? raw.map((each) => each.toString('latin1')) : [];
+}
+
 function plainHeaders(headers: Record<string, string | string[] | undefined>) {
   const plain: Record<string, string> = {};
   for (const [name, value] of Object.entries(headers)) {
