Take an answer without a length for broken when its connection was reset

Ruled out: our relay, which saw an ordinary end. Change: the transport hears the socket's error first, and asks for the peer's address at an end. Tests: two, both red without the guard.

--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -3,8 +3,9 @@
  * back-pressure. Both say whether the request may have reached the other side, because a caller
  * that believes "it did not run" of a request that did would run it twice.
  */
+import type { Socket } from 'node:net';
 import type { Dispatcher } from 'undici';
-import { Agent } from 'undici';
+import { Agent, buildConnector } from 'undici';
 
 /** Connections to one origin that are kept open but idle, in milliseconds. */
 const KEEP_ALIVE_MS = 30_000;
@@ -97,9 +98,10 @@
 
 /** Makes a transport with its own connections. */
 export function createHttpTransport(options: HttpTransportOptions): HttpTransport {
+  const resets = createResetWatch();
   const agent = new Agent({
     connections: options.maxConnections,
-    connect: { timeout: options.connectTimeoutMs },
+    connect: resets.watched(buildConnector({ timeout: options.connectTimeoutMs })),
     keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
     keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
     // Streams may be silent for long; each call bounds its own time instead.
@@ -107,14 +109,56 @@
     bodyTimeout: 0,
   });
   return {
-    exchange: (request, limits) => exchange(agent, request, limits),
-    stream: (request, handlers) => stream(agent, request, handlers),
+    exchange: (request, limits) => exchange(agent, resets, request, limits),
+    stream: (request, handlers) =>
+      dispatch(agent, resets, request, { onSent: () => undefined, ...handlers }),
     close: () => agent.destroy(),
   };
 }
 
+/** Tells whether the end of an answer that is being handed over is a connection's reset. */
+interface ResetWatch {
+  readonly watched: (connect: buildConnector.connector) => buildConnector.connector;
+  readonly isResetting: () => boolean;
+}
+
+/**
+ * Guards against an answer without a length that was cut: the library takes a reset for the end of
+ * such an answer, and it shows as a caller who gets a part of a body as the whole. The socket's
+ * error is heard here before the library hears it, and the library ends the answer while it does.
+ * A reset that arrives together with the last bytes is reported as an ordinary end; only the
+ * address of the other side, which a reset connection no longer has, tells it then.
+ */
+function createResetWatch(): ResetWatch {
+  let resetting = false;
+  const noteReset = (): void => {
+    resetting = true;
+    queueMicrotask(() => {
+      resetting = false;
+    });
+  };
+  const watch = (socket: Socket): void => {
+    socket.once('error', noteReset);
+    socket.once('end', () => {
+      if (socket.remoteAddress === undefined) noteReset();
+    });
+  };
+  return {
+    watched: (connect) => (options, callback) => {
+      connect(options, (...result) => {
+        const [, socket] = result;
+        // Left out, against its type, where the connection failed.
+        if (socket) watch(socket);
+        callback(...result);
+      });
+    },
+    isResetting: () => resetting,
+  };
+}
+
 function exchange(
   agent: Agent,
+  resets: ResetWatch,
   request: HttpRequest,
   limits: { readonly timeoutMs: number; readonly maxAnswerBytes: number },
 ): Promise<HttpAnswer | Trouble> {
@@ -135,7 +179,7 @@
     const timer = setTimeout(() => {
       giveUp(TroubleKind.TimedOut, `no whole answer within ${String(limits.timeoutMs)} ms`);
     }, limits.timeoutMs);
-    const running = dispatch(agent, request, {
+    const running = dispatch(agent, resets, request, {
       onSent: () => {
         sent = true;
       },
@@ -156,10 +200,6 @@
   });
 }
 
-function stream(agent: Agent, request: HttpRequest, handlers: HttpStreamHandlers): HttpStream {
-  return dispatch(agent, request, { onSent: () => undefined, ...handlers });
-}
-
 interface DispatchHandlers {
   readonly onSent: () => void;
   readonly onStart: HttpStreamHandlers['onStart'];
@@ -168,7 +208,12 @@
   readonly onTrouble: (trouble: Trouble) => void;
 }
 
-function dispatch(agent: Agent, request: HttpRequest, handlers: DispatchHandlers): HttpStream {
+function dispatch(
+  agent: Agent,
+  resets: ResetWatch,
+  request: HttpRequest,
+  handlers: DispatchHandlers,
+): HttpStream {
   let controller: Dispatcher.DispatchController | null = null;
   let stopped = false;
   let paused = false;
@@ -203,6 +248,10 @@
         if (!stopped) handlers.onData(chunk);
       },
       onResponseEnd: () => {
+        if (resets.isResetting()) {
+          fail(new Error('the connection was reset before the answer was whole'));
+          return;
+        }
         if (stopped) return;
         stopped = true;
         handlers.onEnd();
--- a/packages/ports/test/http/transport.test.ts
+++ b/packages/ports/test/http/transport.test.ts
@@ -48,6 +48,53 @@
     return [outcome.kind, outcome.mayHaveRun];
   };
 
+  describe('an answer without a length', () => {
+    const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
+
+    it('is whole when its connection ends', async () => {
+      onSocket = (socket) => socket.once('data', () => socket.end(`${head}all of it`));
+      const outcome = await transport.exchange(request(), LIMITS);
+      assert.ok(!isTrouble(outcome));
+      assert.equal(outcome.body.toString(), 'all of it');
+    });
+
+    // A caller gets the first half of a report as if it were the whole of it. A target crashes in
+    // the middle of an answer that has no length; its connection is reset. The client library takes
+    // that for the end of the answer, as it does for a connection that ends in order.
+    it('is broken when its connection is reset after its bytes came', async () => {
+      let server: Socket | null = null;
+      onSocket = (socket) => {
+        server = socket;
+        socket.once('data', () => socket.write(`${head}half`));
+      };
+      const kind = await new Promise((resolve) => {
+        transport.stream(request(), {
+          onStart: () => undefined,
+          onData: () => server?.resetAndDestroy(),
+          onEnd: () => {
+            resolve('whole');
+          },
+          onTrouble: (found) => {
+            resolve(found.kind);
+          },
+        });
+      });
+      assert.equal(kind, TroubleKind.Broken);
+    });
+
+    // The same, but the reset arrives together with the bytes: the runtime then reports an end.
+    it('is broken when its connection is reset with its bytes', async () => {
+      onSocket = (socket) => {
+        socket.once('data', () => {
+          socket.write(`${head}half`, () => {
+            setImmediate(() => socket.resetAndDestroy());
+          });
+        });
+      };
+      assert.deepEqual(await trouble(), [TroubleKind.Broken, true]);
+    });
+  });
+
   describe('an exchange', () => {
     it('brings status, headers and body', async () => {
       onSocket = answering('HTTP/1.1 201 Created\r\nX-A: b\r\ncontent-length: 2\r\n\r\nok');
