Order engines between phases under a lease; note what a stream's engine fetched

Cause: three of eight engines read prompts and were busy 33 of 34 s while five that make tokens idled. Change: a pure split of phases, a planner under the service's lease, reports and orders in the adapter.

--- /dev/null
+++ b/packages/coordination/src/core/scheduling/phase-split.ts
@@ -0,0 +1,105 @@
+/**
+ * How the engines of a service are split between reading prompts and making tokens. The load
+ * pattern: long prompts and short answers, so that reading binds and an engine that makes tokens
+ * reads at half speed beside it. As few engines make tokens as the streams need; the rest read. A
+ * change takes an engine away for seconds, so one is made only where the split is wrong for long.
+ */
+import { EnginePhase } from '../forwarding/fleet.js';
+
+/** An engine as the split sees it. */
+export interface PhaseEngine {
+  readonly id: string;
+  readonly failureDomain: string;
+  readonly phase: EnginePhase;
+  /** Whether it can be given an order and work. */
+  readonly usable: boolean;
+  /** Whether an order to it is on its way or being carried out. */
+  readonly changing: boolean;
+  /** Requests for which it reads or makes tokens. */
+  readonly requests: number;
+}
+
+/** The limits of a split. */
+export interface PhaseSplitOptions {
+  /**
+   * Streams that one engine makes tokens for: at 64 a step takes some 14 ms, far under the pauses
+   * that callers notice, and half of that leaves room for the loss of another engine.
+   */
+  readonly streamsPerEngine: number;
+  /** Engines that make tokens at the least, so that the loss of one stops nothing. */
+  readonly minDecode: number;
+  /** Services with fewer engines keep the split that they have. */
+  readonly minEngines: number;
+  /** Engines that may be changing at once while callers are served. */
+  readonly maxChanging: number;
+}
+
+/** Defaults. */
+export const PHASE_SPLIT_OPTIONS: PhaseSplitOptions = {
+  streamsPerEngine: 1000,
+  minDecode: 5,
+  minEngines: 4,
+  maxChanging: 1,
+};
+
+/** An order that improves the split. */
+export interface PhaseOrder {
+  readonly engineId: string;
+  readonly phase: EnginePhase;
+}
+
+/** Engines that should make tokens for so many streams at once. */
+export function decodeEnginesWanted(
+  engines: number,
+  streams: number,
+  options: PhaseSplitOptions,
+): number {
+  const forStreams = Math.ceil(streams / options.streamsPerEngine);
+  return Math.min(engines - 1, Math.max(options.minDecode, forStreams));
+}
+
+/** The next orders, none where the split is right or cannot be bettered now. */
+export function choosePhaseOrders(
+  engines: readonly PhaseEngine[],
+  streams: number,
+  isIdle: boolean,
+  options: PhaseSplitOptions,
+): readonly PhaseOrder[] {
+  const split = engines.filter((engine) => engine.phase !== EnginePhase.Both);
+  if (split.length < options.minEngines) return [];
+  const changing = split.filter((engine) => engine.changing).length;
+  const room = (isIdle ? split.length : options.maxChanging) - changing;
+  const steady = split.filter((engine) => engine.usable && !engine.changing);
+  const decode = steady.filter((engine) => engine.phase === EnginePhase.Decode);
+  const prefill = steady.filter((engine) => engine.phase === EnginePhase.Prefill);
+  const wanted = decodeEnginesWanted(split.length, streams, options);
+  const surplus = decode.length - wanted;
+  if (room <= 0 || surplus === 0) return [];
+  if (surplus > 0) return ordersTo(EnginePhase.Prefill, decode, Math.min(room, surplus));
+  return ordersTo(EnginePhase.Decode, prefill, Math.min(room, -surplus));
+}
+
+/** Takes engines of the fullest failure domains first, so that the rest stay spread. */
+function ordersTo(
+  phase: EnginePhase,
+  from: readonly PhaseEngine[],
+  count: number,
+): readonly PhaseOrder[] {
+  const left = [...from];
+  const orders: PhaseOrder[] = [];
+  while (orders.length < count && left.length > 0) {
+    const perDomain = new Map<string, number>();
+    for (const { failureDomain } of left) {
+      perDomain.set(failureDomain, (perDomain.get(failureDomain) ?? 0) + 1);
+    }
+    left.sort(
+      (a, b) =>
+        (perDomain.get(b.failureDomain) ?? 0) - (perDomain.get(a.failureDomain) ?? 0) ||
+        a.requests - b.requests ||
+        (a.id < b.id ? -1 : 1),
+    );
+    const chosen = left.shift();
+    if (chosen !== undefined) orders.push({ engineId: chosen.id, phase });
+  }
+  return orders;
+}
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -32,6 +32,7 @@
   hasRoom,
   isUsable,
   makesTokens,
+  noteEntry,
   noteFailure,
   noteSuccess,
   pendingReadMs,
@@ -90,10 +91,25 @@
   for (const entry of entries) {
     const load = scheduler.targets.get(entry.id);
     if (load === undefined) scheduler.targets.set(entry.id, createTargetLoad(entry, spec));
-    else load.entry = entry;
+    else noteEntry(load, entry);
   }
 }
 
+/** An engine carries out an order: it takes no work until then, or until its phase has changed. */
+export function suspendEngine(scheduler: Scheduler, id: string, untilMs: number): void {
+  const load = scheduler.targets.get(id);
+  if (load !== undefined) load.suspendedUntilMs = untilMs;
+}
+
+/** Requests for which each engine reads or makes tokens, by engine. */
+export function engineRequests(scheduler: Scheduler): ReadonlyMap<string, number> {
+  const requests = new Map<string, number>();
+  for (const [id, load] of scheduler.targets) {
+    requests.set(id, new Set([...load.reading.keys(), ...load.streaming.keys()]).size);
+  }
+  return requests;
+}
+
 /** Takes a job in, or hears again of one that waits or is decided. */
 export function submitJob(scheduler: Scheduler, job: Job, nowMs: number): readonly Decision[] {
   const decided = scheduler.decided.get(job.id);
@@ -347,6 +363,8 @@
   const missing = missingTokens(load.cache, job.parts);
   const predictedReadMs = predictReadMs(load.readTime, missing);
   notePrompt(load.cache, job.parts);
+  // The engine that goes on keeps what it fetches like what it read itself.
+  if (stream !== load) notePrompt(stream.cache, job.parts);
   load.reading.set(job.id, {
     jobId: job.id,
     tokens: missing,
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -16,7 +16,8 @@
 export interface TargetLoad {
   entry: TargetEntry;
   readonly cache: PromptCache;
-  readonly readTime: ReadTime;
+  /** Of its present phase. */
+  readTime: ReadTime;
   /** In the order in which they were given. */
   readonly reading: Map<string, Reading>;
   /** Tokens in memory of the requests that make tokens here, by job. */
@@ -90,3 +91,12 @@
   load.failuresInARow = 0;
   load.suspendedUntilMs = 0;
 }
+
+/** Follows what a target says of itself; in another phase it reads at another speed. */
+export function noteEntry(load: TargetLoad, entry: TargetEntry): void {
+  if (load.entry.phase !== entry.phase) {
+    load.readTime = createReadTime(priorTokensPerMs(entry.phase));
+    load.suspendedUntilMs = 0;
+  }
+  load.entry = entry;
+}
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -46,6 +46,8 @@
 
 /** Asks for engines. */
 export interface SchedulingClient {
+  /** The gateway that schedules a service, as far as this one knows. */
+  readonly schedulerOf: (service: string) => string;
   /** Resolves with the decision, or null when the signal ended the wait. */
   readonly take: (
     service: string,
@@ -99,6 +101,7 @@
   }
 
   return {
+    schedulerOf,
     take: async (service, job, signal) => {
       while (!signal.aborted) {
         const gateway = schedulerOf(service);
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -11,10 +11,12 @@
   SCHEDULER_OPTIONS,
   type Scheduler,
   createScheduler,
+  engineRequests,
   noteEngines,
   noteJobEvents,
   servingTargets,
   submitJob,
+  suspendEngine,
   tickScheduler,
   withdrawJob,
 } from '@cassiamast/coordination';
@@ -34,6 +36,10 @@
   readonly take: (service: string, job: JobRequest, waitMs: number) => Promise<Decision | null>;
   readonly report: (service: string, events: readonly JobEvent[]) => void;
   readonly withdraw: (service: string, jobId: string) => void;
+  /** Requests at each engine, as far as this process schedules them. */
+  readonly engineRequests: (service: string) => ReadonlyMap<string, number>;
+  /** An engine takes no work until then. */
+  readonly suspend: (service: string, target: string, untilMs: number) => void;
   /** The fleet changed. */
   readonly refresh: () => void;
   readonly stop: () => void;
@@ -108,6 +114,10 @@
     withdraw: (service, jobId) => {
       withdrawJob(schedulerOf(service), jobId);
     },
+    engineRequests: (service) => engineRequests(schedulerOf(service)),
+    suspend: (service, target, untilMs) => {
+      suspendEngine(schedulerOf(service), target, untilMs);
+    },
     refresh: () => {
       for (const [service, scheduler] of schedulers) follow(service, scheduler);
     },
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -11,13 +11,19 @@
   type Failure,
   type JobEvent,
   createDrain,
+  createElapsedClock,
   createFleetView,
   createHashing,
   seededRandom,
   startDrain,
   tickDrain,
 } from '@cassiamast/coordination';
-import { type CallerWire, type FleetPort, createHttpTransport } from '@cassiamast/ports';
+import {
+  type CallerWire,
+  type EngineOrderPort,
+  type FleetPort,
+  createHttpTransport,
+} from '@cassiamast/ports';
 import { build } from 'hdr-histogram-js';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
@@ -36,6 +42,7 @@
 import { createGatewayLog } from './gateway-log.js';
 import { LOG_BOUNDS, createLogWriter, writeStandardOutput } from './log-writer.js';
 import { createMetricsServer } from './metrics-server.js';
+import { createPhasePlanner } from './phase-planner.js';
 import { createPresence } from './presence.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudgets } from './retry-budgets.js';
@@ -63,6 +70,7 @@
 /** What an adapter hands in. */
 export interface GatewayPlatform {
   readonly fleet: FleetPort;
+  readonly orders: EngineOrderPort;
   readonly wire: CallerWire;
 }
 
@@ -167,6 +175,19 @@
       }),
       createMetricsServer(settings.metrics, telemetry.metricsText),
       presence.child,
+      createPhasePlanner({
+        selfId,
+        view,
+        store: platform.fleet,
+        orders: platform.orders,
+        schedulers,
+        random,
+        elapsedMs: createElapsedClock(SYSTEM_CLOCKS),
+        nowMs: monotonicMs,
+        isScheduler: (service) => !leaving && services.scheduling.schedulerOf(service) === selfId,
+        log,
+        count: telemetry.count,
+      }),
       front.child,
       createReadinessServer(
         settings.readiness,
--- a/packages/daemon/src/planning/lease-driver.ts
+++ b/packages/daemon/src/planning/lease-driver.ts
@@ -4,6 +4,7 @@
   type LeaseContext,
   type LeaseEffect,
   LeaseEffectKind,
+  type LeaseOptions,
   type LeaseState,
   type Random,
   createLease,
@@ -17,7 +18,7 @@
   mayOrder,
   tickLease,
 } from '@cassiamast/coordination';
-import type { KeyValuePort } from '@cassiamast/ports';
+import type { LeaseStore } from '@cassiamast/ports';
 import type { Telemetry } from '../node/telemetry.js';
 import { plannerLeaseKey } from '../protocol/planning.js';
 
@@ -27,8 +28,10 @@
   readonly service: string;
   readonly nowMs: () => number;
   readonly random: Random;
-  readonly keyValue: KeyValuePort;
-  readonly telemetry: Telemetry;
+  readonly keyValue: LeaseStore;
+  readonly telemetry: Pick<Telemetry, 'count'>;
+  /** Other times than the usual ones. */
+  readonly leaseOptions?: LeaseOptions;
   readonly isCandidate: () => boolean;
   readonly onGained: (fence: number) => void;
   readonly onLost: (fence: number, reason: string) => void;
@@ -47,7 +50,7 @@
 export function createLeaseDriver(options: LeaseDriverOptions): LeaseDriver {
   const { keyValue, telemetry } = options;
   const key = plannerLeaseKey(options.service);
-  const state = createLease(options.selfId, LEASE_OPTIONS, options.nowMs());
+  const state = createLease(options.selfId, options.leaseOptions ?? LEASE_OPTIONS, options.nowMs());
 
   const context = (): LeaseContext => ({
     nowMs: options.nowMs(),
--- /dev/null
+++ b/packages/ports/src/engine-orders/port.ts
@@ -0,0 +1,47 @@
+/**
+ * Orders to engines that register themselves: reading where one stands, and having it change what
+ * it does for prompts. An order without an answer may have been accepted, or be carried out later.
+ */
+import type { EnginePhase, Failure, TargetEntry } from '@cassiamast/coordination';
+import type { ResultAsync } from 'neverthrow';
+
+/** Where an engine stands. */
+export interface EngineStanding {
+  readonly phase: EnginePhase | null;
+  /** Whether it carries out an order. */
+  readonly busy: boolean;
+  /** Orders that it has accepted since its start. */
+  readonly ordersAccepted: number;
+}
+
+/** Who gives an order. */
+export interface OrderAuthority {
+  readonly holder: string;
+  /** Grows with each holder; some engines refuse a lower one than they have seen. */
+  readonly fence: number;
+}
+
+/** What an engine said to an order. */
+export enum OrderAnswer {
+  /** It is being carried out. */
+  Accepted = 'accepted',
+  /** What was ordered already holds. */
+  AlreadyHolds = 'already-holds',
+  /** Another order is in progress, or came in between. */
+  Conflict = 'conflict',
+  /** The engine has seen a higher fence. */
+  Fenced = 'fenced',
+  /** Another start of the target has its address, or it does not know the order. */
+  Refused = 'refused',
+}
+
+/** Calls to engines. None retries by itself. */
+export interface EngineOrderPort {
+  readonly readStanding: (target: TargetEntry) => ResultAsync<EngineStanding, Failure>;
+  readonly orderPhase: (
+    target: TargetEntry,
+    phase: EnginePhase,
+    authority: OrderAuthority,
+    ordersAccepted: number,
+  ) => ResultAsync<OrderAnswer, Failure>;
+}
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -4,7 +4,7 @@
  */
 import type { Failure, FleetChange, GatewayEntry } from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
-import type { KeyValueLease } from '../key-value/port.js';
+import type { LeaseStore } from '../key-value/port.js';
 
 /** Changes up to a revision of the store. */
 export interface FleetReading {
@@ -13,7 +13,7 @@
 }
 
 /** Calls to the store. None retries by itself. */
-export interface FleetPort {
+export interface FleetPort extends LeaseStore {
   /** Everything, as changes. */
   readonly list: () => ResultAsync<FleetReading, Failure>;
   /**
@@ -21,9 +21,6 @@
    * Fails with FLEET_HISTORY_GONE when a listing is needed.
    */
   readonly changesAfter: (revision: number, waitMs: number) => ResultAsync<FleetReading, Failure>;
-  readonly grantLease: (ttlMs: number) => ResultAsync<KeyValueLease, Failure>;
-  readonly keepLeaseAlive: (leaseId: string) => ResultAsync<KeyValueLease, Failure>;
-  readonly revokeLease: (leaseId: string) => ResultAsync<null, Failure>;
   /** Announces this gateway for as long as the lease lives. */
   readonly announce: (gateway: GatewayEntry, leaseId: string) => ResultAsync<null, Failure>;
   readonly close: () => Promise<void>;
--- a/packages/ports/src/key-value/port.ts
+++ b/packages/ports/src/key-value/port.ts
@@ -75,3 +75,9 @@
     onEnd: (failure: Failure | null) => void,
   ) => StopWatch;
 }
+
+/** The calls that a lease machine needs. */
+export type LeaseStore = Pick<
+  KeyValuePort,
+  'get' | 'transact' | 'grantLease' | 'keepLeaseAlive' | 'revokeLease'
+>;
