Fetch parts that another engine holds in place of reading them again

Cause: a job whose parts lie at a busy engine waited for it or had them read again, 13 thousand tokens at 27 a millisecond, where a transfer takes 5 to 10 ms. Change: the cost of reading counts a transfer from the best holder; the engine is told where to fetch.

--- a/packages/coordination/src/core/forwarding/fleet.ts
+++ b/packages/coordination/src/core/forwarding/fleet.ts
@@ -48,6 +48,10 @@
 export interface EngineSpec {
   readonly slots: number;
   readonly kvCapacityTokens: number;
+  /** Bytes of one token's memory. */
+  readonly kvTokenBytes: number;
+  /** Speed of the links over which engines hand memory to each other. */
+  readonly linkMbps: number;
   /** How long an engine keeps a prompt that it read for another one to fetch. */
   readonly kvRetentionMs: number;
 }
--- a/packages/coordination/src/core/scheduling/job.ts
+++ b/packages/coordination/src/core/scheduling/job.ts
@@ -30,7 +30,9 @@
   readonly readAt: string;
   /** The engine that makes the tokens, null where the first one does that as well. */
   readonly streamAt: string | null;
-  /** Tokens that are expected to be read; the rest is in the engine's cache. */
+  /** The engine that hands over parts which the reader lacks, null where there is none. */
+  readonly fetchFrom: string | null;
+  /** Tokens that are expected to be read; the rest is in the engine's cache or fetched. */
   readonly missingTokens: number;
   readonly predictedReadMs: number;
   readonly waitedMs: number;
--- a/packages/coordination/src/core/scheduling/prompt-cache.ts
+++ b/packages/coordination/src/core/scheduling/prompt-cache.ts
@@ -16,11 +16,15 @@
   return { capacityTokens, tokensByPart: new Map(), heldTokens: 0 };
 }
 
-/** Tokens of a prompt that would have to be read: all from its first part that is not held. */
-export function missingTokens(cache: PromptCache, parts: readonly PromptPart[]): number {
+/** Parts from the beginning of a prompt that are held without a gap; only these spare reading. */
+export function heldParts(cache: PromptCache, parts: readonly PromptPart[]): number {
   const firstMissing = parts.findIndex((part) => !cache.tokensByPart.has(part.id));
-  if (firstMissing === -1) return 0;
-  return parts.slice(firstMissing).reduce((sum, part) => sum + part.tokens, 0);
+  return firstMissing === -1 ? parts.length : firstMissing;
+}
+
+/** Tokens of the parts from one index up to another. */
+export function tokensBetween(parts: readonly PromptPart[], from: number, to: number): number {
+  return parts.slice(from, to).reduce((sum, part) => sum + part.tokens, 0);
 }
 
 /** Notes that an engine reads a prompt; the least recently used parts give way. */
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -15,7 +15,8 @@
 } from './job.js';
 import { chooseStreamTarget } from './handover.js';
 import type { SchedulerOptions } from './options.js';
-import { missingTokens, notePrompt } from './prompt-cache.js';
+import { notePrompt } from './prompt-cache.js';
+import { type ReadCost, readCost } from './read-cost.js';
 import {
   type Offer,
   type RouteSizes,
@@ -25,7 +26,7 @@
   jobValue,
   noteSize,
 } from './ranking.js';
-import { noteReading, predictReadMs } from './read-time.js';
+import { noteReading } from './read-time.js';
 import {
   type TargetLoad,
   createTargetLoad,
@@ -219,7 +220,7 @@
   startAtMs: number,
 ): Offer {
   const { handoverMs, firstEventMs } = scheduler.options;
-  const serviceMs = predictReadMs(load.readTime, missingTokens(load.cache, job.parts));
+  const serviceMs = readCost(scheduler.targets.values(), load, job, startAtMs).serviceMs;
   const afterMs = makesTokens(load) ? firstEventMs : firstEventMs + handoverMs;
   return {
     value,
@@ -360,15 +361,14 @@
   const { job } = waiting;
   const stream = makesTokens(load) ? load : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
   if (stream === null) return null;
-  const missing = missingTokens(load.cache, job.parts);
-  const predictedReadMs = predictReadMs(load.readTime, missing);
+  const cost: ReadCost = readCost(scheduler.targets.values(), load, job, nowMs);
   notePrompt(load.cache, job.parts);
   // The engine that goes on keeps what it fetches like what it read itself.
   if (stream !== load) notePrompt(stream.cache, job.parts);
   load.reading.set(job.id, {
     jobId: job.id,
-    tokens: missing,
-    predictedMs: predictedReadMs,
+    tokens: cost.missingTokens,
+    predictedMs: cost.serviceMs,
     startedAtMs: nowMs,
   });
   const heldTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
@@ -379,8 +379,9 @@
     plan: {
       readAt: load.entry.id,
       streamAt: stream === load ? null : stream.entry.id,
-      missingTokens: missing,
-      predictedReadMs,
+      fetchFrom: cost.fetchFrom?.entry.id ?? null,
+      missingTokens: cost.missingTokens,
+      predictedReadMs: cost.serviceMs,
       waitedMs: nowMs - waiting.submittedAtMs,
     },
   };
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -16,6 +16,8 @@
 export interface TargetLoad {
   entry: TargetEntry;
   readonly cache: PromptCache;
+  /** Time that a token's memory takes over the engine's link. */
+  readonly transferMsPerToken: number;
   /** Of its present phase. */
   readTime: ReadTime;
   /** In the order in which they were given. */
@@ -32,6 +34,7 @@
   return {
     entry,
     cache: createPromptCache(spec.kvCapacityTokens),
+    transferMsPerToken: transferMsPerToken(spec),
     readTime: createReadTime(priorTokensPerMs(entry.phase)),
     reading: new Map(),
     streaming: new Map(),
@@ -41,6 +44,15 @@
   };
 }
 
+const BITS_PER_BYTE = 8;
+const BITS_PER_MEGABIT = 1e6;
+const MS_PER_S = 1000;
+
+function transferMsPerToken({ kvTokenBytes, linkMbps }: EngineSpec): number {
+  if (linkMbps <= 0) return 0;
+  return (kvTokenBytes * BITS_PER_BYTE * MS_PER_S) / (linkMbps * BITS_PER_MEGABIT);
+}
+
 /** Engines that make tokens read at half speed beside that, as their data sheet says. */
 const DECODE_READ_SHARE = 0.5;
 
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -70,6 +70,7 @@
     patienceMs: leftMs,
     readOnly: false,
     from: null,
+    fetchFrom: null,
     lastEventId: exchange.head.lastEventId,
   });
   services.health.noteSent(target);
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -122,6 +122,7 @@
     readAt: plan.readAt,
     streamAt: plan.streamAt,
     waitedMs: Math.round(plan.waitedMs),
+    fetchFrom: plan.fetchFrom,
     missingTokens: plan.missingTokens,
     predictedReadMs: Math.round(plan.predictedReadMs),
   });
@@ -140,6 +141,10 @@
   return services.view.targets.get(id)?.entry ?? null;
 }
 
+function addressOf(services: ForwardingServices, id: string | null): string | null {
+  return id === null ? null : (targetOf(services, id)?.address ?? null);
+}
+
 /** Has a prompt read for another engine; null when that failed, after which nothing has run. */
 async function readAt(turn: Turn, reader: TargetEntry): Promise<PromptHandle | null> {
   const { exchange, services } = turn;
@@ -214,6 +219,7 @@
     patienceMs: Math.max(1, Math.floor(exchange.endsAtMs - services.nowMs())),
     readOnly: how.readOnly,
     from: how.from,
+    fetchFrom: how.from === null ? addressOf(services, turn.plan.fetchFrom) : null,
     lastEventId: relay.lastEventId() ?? exchange.head.lastEventId,
   });
   const { method, path, body, head } = exchange;
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -35,6 +35,8 @@
   readonly readOnly: boolean;
   /** Go on from a prompt that was read elsewhere. */
   readonly from: PromptHandle | null;
+  /** `host:port` of an engine that hands over the parts that this one lacks. */
+  readonly fetchFrom: string | null;
   /** Go on after this event of the stream. */
   readonly lastEventId: string | null;
 }
