--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -12,6 +12,11 @@
    * a millisecond of reading them again.
    */
   readonly rereadWeight: number;
+  /**
+   * How many milliseconds a job may wait for the engine that holds its parts to spare another one
+   * a copy of a thousand tokens: what the copy pushes out is read again, at some 35 ms a thousand.
+   */
+  readonly copyMsPerThousand: number;
   /** Work on jobs that are late already which an engine keeps waiting. */
   readonly maxLateBacklogMs: number;
   /** Time from the read prompt to the first event at the caller. */
@@ -22,6 +27,8 @@
   readonly minRetryAfterMs: number;
   /** A gateway that has not asked for its waiting job so long has died or given up. */
   readonly forgottenAfterMs: number;
+  /** A scheduler that was not asked for so long may have had another one beside it. */
+  readonly staleAfterMs: number;
   /** How long a target that failed is left alone at first; doubles with each failure in a row. */
   readonly suspendMs: number;
   readonly maxSuspendMs: number;
@@ -34,11 +41,13 @@
   lookaheadMs: 10,
   maxReading: 3,
   rereadWeight: 1,
+  copyMsPerThousand: 10,
   maxLateBacklogMs: 300,
   firstEventMs: 15,
   handoverMs: 25,
   minRetryAfterMs: 300,
   forgottenAfterMs: 700,
+  staleAfterMs: 1500,
   suspendMs: 500,
   maxSuspendMs: 8000,
   maxRunningShare: 0.8,
--- a/packages/coordination/src/core/scheduling/prompt-cache.ts
+++ b/packages/coordination/src/core/scheduling/prompt-cache.ts
@@ -41,10 +41,11 @@
   }
 }
 
-/** Notes that an engine could not have read a prompt after all. */
-export function forgetPrompt(cache: PromptCache, parts: readonly PromptPart[]): void {
-  for (const part of parts) {
-    cache.heldTokens -= cache.tokensByPart.get(part.id) ?? 0;
-    cache.tokensByPart.delete(part.id);
-  }
+/** Takes a listing of the cache in: parts that it lacks are gone unless they were noted since. */
+export function replaceHeld(cache: PromptCache, listed: readonly PromptPart[]): void {
+  const since = [...cache.tokensByPart].map(([id, tokens]) => ({ id, tokens }));
+  cache.tokensByPart.clear();
+  cache.heldTokens = 0;
+  notePrompt(cache, listed);
+  notePrompt(cache, since);
 }
--- a/packages/coordination/src/core/scheduling/ranking.ts
+++ b/packages/coordination/src/core/scheduling/ranking.ts
@@ -1,7 +1,8 @@
 /**
  * Which of several waiting jobs an engine takes first. The load pattern: more prompts than the
- * engines can read in time, from a hundred tokens to tens of thousands. Jobs that can still be on
- * time go before those that cannot, and among each those that are worth most for the engine's time.
+ * engines can read in time, from a hundred tokens to tens of thousands. First comes what is worth
+ * most for the engine's time; what is late already is worth a part of what it was, more if its
+ * caller was sent away before, and sizes that starve are worth more until they no longer do.
  */
 import type { Job } from './job.js';
 
@@ -47,11 +48,28 @@
   return value * PRIORITY_STEP ** job.priority;
 }
 
+/** What a late answer is worth against one that is on time; callers want it all the same. */
+const LATE_VALUE = 0.15;
+/** The same where the caller was refused before and would be sent away a second time. */
+const RETURNED_VALUE = 0.5;
+/** How much more a size that starves is worth, so that it gets its turn among smaller ones. */
+const STARVED_VALUE = 3;
+
+/** How a job stands beside others of its route. */
+export interface Standing {
+  /** Worth of the job when it is on time. */
+  readonly value: number;
+  readonly returned: boolean;
+  readonly starved: boolean;
+}
+
 /** What an engine would do for a job. */
 export interface Offer {
-  readonly value: number;
+  readonly standing: Standing;
   /** Time of the engine that it takes. */
   readonly serviceMs: number;
+  /** Tokens that get a second copy in the engines' memory. */
+  readonly copiedTokens: number;
   /** When its first event would reach the caller. */
   readonly firstEventAtMs: number;
   readonly aimAtMs: number;
@@ -62,9 +80,16 @@
   return offer.firstEventAtMs <= offer.aimAtMs;
 }
 
+/** What an offer is worth for each millisecond of the engine. */
+export function worthPerMs(offer: Offer): number {
+  const { value, returned, starved } = offer.standing;
+  const lateValue = returned ? RETURNED_VALUE : LATE_VALUE;
+  const timely = isOnTime(offer) ? 1 : lateValue;
+  const boost = starved ? STARVED_VALUE : 1;
+  return (value * timely * boost) / Math.max(1, offer.serviceMs);
+}
+
 /** Negative where `left` goes first. */
 export function compareOffers(left: Offer, right: Offer): number {
-  const leftOnTime = isOnTime(left);
-  if (leftOnTime !== isOnTime(right)) return leftOnTime ? -1 : 1;
-  return right.value / right.serviceMs - left.value / left.serviceMs;
+  return worthPerMs(right) - worthPerMs(left);
 }
--- a/packages/coordination/src/core/scheduling/read-cost.ts
+++ b/packages/coordination/src/core/scheduling/read-cost.ts
@@ -20,6 +20,8 @@
   readonly missingTokens: number;
   /** Time of the engine, transfer included. */
   readonly serviceMs: number;
+  /** Tokens that get a second copy, which pushes others out of the engine's cache. */
+  readonly copiedTokens: number;
   /** The engine that hands parts over, null where none does. */
   readonly fetchFrom: TargetLoad | null;
 }
@@ -34,7 +36,11 @@
   const { parts } = job;
   const own = heldParts(load.cache, parts);
   const missingTokens = tokensBetween(parts, own, parts.length);
-  const alone = { missingTokens, serviceMs: predictReadMs(load.readTime, missingTokens) };
+  const alone = {
+    missingTokens,
+    serviceMs: predictReadMs(load.readTime, missingTokens),
+    copiedTokens: 0,
+  };
   const holder = bestHolder(loads, load, job, own, nowMs);
   if (holder === null) return { ...alone, fetchFrom: null };
   const held = heldParts(holder.cache, parts);
@@ -47,7 +53,12 @@
   if (fetchedTokens < MIN_FETCH_TOKENS || serviceMs >= alone.serviceMs) {
     return { ...alone, fetchFrom: null };
   }
-  return { missingTokens: restTokens, serviceMs, fetchFrom: holder };
+  return {
+    missingTokens: restTokens,
+    serviceMs,
+    copiedTokens: fetchedTokens,
+    fetchFrom: holder,
+  };
 }
 
 /** The engine that holds most of a prompt, if it is more than the reader itself has. */
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -4,7 +4,7 @@
  * holds. A job joins the line of the engine that would answer it first; an engine whose line is
  * empty takes a job from another one. State and messages in, decisions out.
  */
-import type { EngineSpec, TargetEntry } from '../forwarding/fleet.js';
+import type { EngineSpec, PromptPart, TargetEntry } from '../forwarding/fleet.js';
 import {
   type Decision,
   DecisionKind,
@@ -15,18 +15,29 @@
 } from './job.js';
 import { chooseStreamTarget } from './handover.js';
 import type { SchedulerOptions } from './options.js';
-import { notePrompt } from './prompt-cache.js';
+import { notePrompt, replaceHeld } from './prompt-cache.js';
 import { type ReadCost, readCost } from './read-cost.js';
 import {
   type Offer,
   type RouteSizes,
+  type Standing,
   compareOffers,
   createRouteSizes,
   isOnTime,
+  jobSize,
   jobValue,
   noteSize,
 } from './ranking.js';
 import { noteReading } from './read-time.js';
+import { type Returners, createReturners, isReturner, noteRefused } from './returners.js';
+import {
+  type SizeClass,
+  type SizeFairness,
+  createSizeFairness,
+  isStarved,
+  noteAskedSize,
+  noteServedSize,
+} from './size-fairness.js';
 import {
   type TargetLoad,
   createTargetLoad,
@@ -42,6 +53,8 @@
 /** A job that waits. */
 interface Waiting {
   readonly job: Job;
+  readonly sizeClass: SizeClass;
+  readonly returned: boolean;
   readonly value: number;
   readonly submittedAtMs: number;
   askedAtMs: number;
@@ -63,6 +76,10 @@
   /** Decided jobs, so that a repeated question gets the same answer. */
   readonly decided: Map<string, Running>;
   readonly sizes: RouteSizes;
+  readonly fairness: SizeFairness;
+  readonly returners: Returners;
+  /** When it was last asked about a job. */
+  askedAtMs: number;
 }
 
 /** How long a decision is remembered after its job's deadline. */
@@ -76,6 +93,9 @@
     waiting: new Map(),
     decided: new Map(),
     sizes: createRouteSizes(),
+    fairness: createSizeFairness(),
+    returners: createReturners(),
+    askedAtMs: -Infinity,
   };
 }
 
@@ -102,6 +122,23 @@
   if (load !== undefined) load.suspendedUntilMs = untilMs;
 }
 
+/** Takes in what an engine's cache holds; what was given to it since stays noted. */
+export function seedCache(scheduler: Scheduler, id: string, parts: readonly PromptPart[]): void {
+  const load = scheduler.targets.get(id);
+  if (load !== undefined) replaceHeld(load.cache, parts);
+}
+
+/**
+ * Engines whose caches this scheduler has to ask for: it has not decided anything for a while, so
+ * another process may have, and what it knows of them is old. Guards against a change of the
+ * process that schedules: it shows as shared parts that all engines read again.
+ */
+export function enginesToList(scheduler: Scheduler, nowMs: number): readonly string[] {
+  const isStale = nowMs - scheduler.askedAtMs > scheduler.options.staleAfterMs;
+  scheduler.askedAtMs = nowMs;
+  return isStale ? [...scheduler.targets.keys()] : [];
+}
+
 /** Requests for which each engine reads or makes tokens, by engine. */
 export function engineRequests(scheduler: Scheduler): ReadonlyMap<string, number> {
   const requests = new Map<string, number>();
@@ -120,19 +157,13 @@
     known.askedAtMs = nowMs;
     return [];
   }
-  noteSize(scheduler.sizes, job);
-  const value = jobValue(scheduler.sizes, job);
-  const place = bestPlace(scheduler, job, value, nowMs);
+  const waiting = admit(scheduler, job, nowMs);
+  const place = bestPlace(scheduler, waiting, nowMs);
   if (place === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
-  const refusal = admissionRefusal(scheduler, job, place, nowMs);
+  const refusal = admissionRefusal(scheduler, waiting, place, nowMs);
   if (refusal !== null) return [refuse(scheduler, job, refusal, place.aheadMs, nowMs)];
-  scheduler.waiting.set(job.id, {
-    job,
-    value,
-    submittedAtMs: nowMs,
-    askedAtMs: nowMs,
-    target: place.load.entry.id,
-  });
+  waiting.target = place.load.entry.id;
+  scheduler.waiting.set(job.id, waiting);
   return dispatch(scheduler, nowMs);
 }
 
@@ -164,6 +195,24 @@
   return [...refuseHopeless(scheduler, nowMs), ...dispatch(scheduler, nowMs)];
 }
 
+function admit(scheduler: Scheduler, job: Job, nowMs: number): Waiting {
+  noteSize(scheduler.sizes, job);
+  return {
+    job,
+    sizeClass: noteAskedSize(scheduler.fairness, job.route, jobSize(job)),
+    returned: isReturner(scheduler.returners, job, nowMs),
+    value: jobValue(scheduler.sizes, job),
+    submittedAtMs: nowMs,
+    askedAtMs: nowMs,
+    target: '',
+  };
+}
+
+function standingOf(scheduler: Scheduler, waiting: Waiting): Standing {
+  const { job, value, returned, sizeClass } = waiting;
+  return { value, returned, starved: isStarved(scheduler.fairness, job.route, sizeClass) };
+}
+
 /** Where a job would wait, and for how long. */
 interface Place {
   readonly load: TargetLoad;
@@ -172,21 +221,19 @@
   readonly aheadMs: number;
 }
 
-function bestPlace(
-  scheduler: Scheduler,
-  job: Job,
-  value: number,
-  nowMs: number,
-): Place | null {
+function bestPlace(scheduler: Scheduler, waiting: Waiting, nowMs: number): Place | null {
   const places: Place[] = [];
   for (const load of scheduler.targets.values()) {
-    if (!isUsable(load, nowMs) || job.avoid.includes(load.entry.id)) continue;
-    places.push(placeAt(scheduler, load, job, value, nowMs));
+    if (!isUsable(load, nowMs) || waiting.job.avoid.includes(load.entry.id)) {
+      continue;
+    }
+    places.push(placeAt(scheduler, load, waiting, nowMs));
   }
   const leastServiceMs = Math.min(...places.map((place) => place.offer.serviceMs));
-  const costMs = (place: Place): number =>
-    place.offer.firstEventAtMs +
-    scheduler.options.rereadWeight * (place.offer.serviceMs - leastServiceMs);
+  const costMs = ({ offer }: Place): number =>
+    offer.firstEventAtMs +
+    scheduler.options.rereadWeight * (offer.serviceMs - leastServiceMs) +
+    copyCostMs(scheduler, offer);
   let best: Place | null = null;
   for (const place of places) {
     if (best === null || costMs(place) < costMs(best)) best = place;
@@ -194,18 +241,17 @@
   return best;
 }
 
-function placeAt(
-  scheduler: Scheduler,
-  load: TargetLoad,
-  job: Job,
-  value: number,
-  nowMs: number,
-): Place {
+function copyCostMs(scheduler: Scheduler, offer: Offer): number {
+  return (offer.copiedTokens / 1000) * scheduler.options.copyMsPerThousand;
+}
+
+function placeAt(scheduler: Scheduler, load: TargetLoad, waiting: Waiting, nowMs: number): Place {
   const pendingMs = pendingReadMs(load, nowMs);
-  const immediate = makeOffer(scheduler, load, job, value, nowMs + pendingMs);
+  const immediate = makeOffer(scheduler, load, waiting, nowMs + pendingMs);
   let aheadMs = pendingMs;
   for (const other of lineOf(scheduler, load)) {
-    const theirs = makeOffer(scheduler, load, other.job, other.value, nowMs + pendingMs);
+    if (other === waiting) continue;
+    const theirs = makeOffer(scheduler, load, other, nowMs + pendingMs);
     if (compareOffers(theirs, immediate) <= 0) aheadMs += theirs.serviceMs;
   }
   const offer = { ...immediate, firstEventAtMs: immediate.firstEventAtMs + aheadMs - pendingMs };
@@ -215,16 +261,18 @@
 function makeOffer(
   scheduler: Scheduler,
   load: TargetLoad,
-  job: Job,
-  value: number,
+  waiting: Waiting,
   startAtMs: number,
 ): Offer {
+  const { job } = waiting;
   const { handoverMs, firstEventMs } = scheduler.options;
-  const serviceMs = readCost(scheduler.targets.values(), load, job, startAtMs).serviceMs;
+  const cost = readCost(scheduler.targets.values(), load, job, startAtMs);
+  const { serviceMs, copiedTokens } = cost;
   const afterMs = makesTokens(load) ? firstEventMs : firstEventMs + handoverMs;
   return {
-    value,
+    standing: standingOf(scheduler, waiting),
     serviceMs,
+    copiedTokens,
     firstEventAtMs: startAtMs + serviceMs + afterMs,
     aimAtMs: job.aimAtMs,
   };
@@ -241,22 +289,25 @@
  */
 function admissionRefusal(
   scheduler: Scheduler,
-  job: Job,
+  waiting: Waiting,
   place: Place,
   nowMs: number,
 ): RefusalReason | null {
-  if (place.offer.firstEventAtMs > job.deadlineAtMs) return RefusalReason.TooLate;
-  if (isOnTime(place.offer)) return null;
+  const { offer } = place;
+  if (offer.firstEventAtMs > waiting.job.deadlineAtMs) return RefusalReason.TooLate;
+  if (isOnTime(offer)) return null;
   const isIdle = place.aheadMs <= scheduler.options.lookaheadMs;
   const backlogMs = lateBacklogMs(scheduler, place.load, nowMs);
-  const isBacklogged = backlogMs + place.offer.serviceMs > scheduler.options.maxLateBacklogMs;
+  const { returned, starved } = offer.standing;
+  const ownMs = returned || starved ? 0 : offer.serviceMs;
+  const isBacklogged = backlogMs + ownMs > scheduler.options.maxLateBacklogMs;
   return !isIdle && isBacklogged ? RefusalReason.Overload : null;
 }
 
 function lateBacklogMs(scheduler: Scheduler, load: TargetLoad, nowMs: number): number {
   let backlogMs = 0;
-  for (const { job, value } of lineOf(scheduler, load)) {
-    const offer = makeOffer(scheduler, load, job, value, nowMs + pendingReadMs(load, nowMs));
+  for (const waiting of lineOf(scheduler, load)) {
+    const offer = makeOffer(scheduler, load, waiting, nowMs + pendingReadMs(load, nowMs));
     if (!isOnTime(offer)) backlogMs += offer.serviceMs;
   }
   return backlogMs;
@@ -271,6 +322,7 @@
 ): Decision {
   const retryAfterMs = Math.max(scheduler.options.minRetryAfterMs, aheadMs);
   const decision: Decision = { kind: DecisionKind.Refuse, jobId: job.id, reason, retryAfterMs };
+  noteRefused(scheduler.returners, job, nowMs);
   remember(scheduler, job, decision, nowMs);
   return decision;
 }
@@ -283,14 +335,15 @@
 
 function refuseHopeless(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const decisions: Decision[] = [];
-  for (const { job, value, askedAtMs, target } of [...scheduler.waiting.values()]) {
+  for (const waiting of [...scheduler.waiting.values()]) {
+    const { job, askedAtMs, target } = waiting;
     if (askedAtMs + scheduler.options.forgottenAfterMs < nowMs) {
       scheduler.waiting.delete(job.id);
       continue;
     }
     const load = scheduler.targets.get(target);
     const startAtMs = load === undefined ? nowMs : nowMs + pendingReadMs(load, nowMs);
-    const offer = load === undefined ? null : makeOffer(scheduler, load, job, value, startAtMs);
+    const offer = load === undefined ? null : makeOffer(scheduler, load, waiting, startAtMs);
     if (offer !== null && offer.firstEventAtMs <= job.deadlineAtMs) continue;
     if (offer === null && job.deadlineAtMs > nowMs) continue;
     decisions.push(refuse(scheduler, job, RefusalReason.TooLate, startAtMs - nowMs, nowMs));
@@ -318,7 +371,7 @@
   for (const waiting of scheduler.waiting.values()) {
     const load = scheduler.targets.get(waiting.target);
     if (load !== undefined && isUsable(load, nowMs)) continue;
-    const place = bestPlace(scheduler, waiting.job, waiting.value, nowMs);
+    const place = bestPlace(scheduler, waiting, nowMs);
     if (place !== null) waiting.target = place.load.entry.id;
   }
 }
@@ -327,7 +380,7 @@
   const startAtMs = nowMs + pendingReadMs(load, nowMs);
   let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
   for (const waiting of lineOf(scheduler, load)) {
-    const offer = makeOffer(scheduler, load, waiting.job, waiting.value, startAtMs);
+    const offer = makeOffer(scheduler, load, waiting, startAtMs);
     if (best === null || compareOffers(offer, best.offer) < 0) best = { waiting, offer };
   }
   return best?.waiting ?? null;
@@ -342,11 +395,12 @@
   for (const waiting of scheduler.waiting.values()) {
     const other = scheduler.targets.get(waiting.target);
     if (other === undefined || waiting.job.avoid.includes(load.entry.id)) continue;
-    const there = placeAt(scheduler, other, waiting.job, waiting.value, nowMs);
-    const here = makeOffer(scheduler, load, waiting.job, waiting.value, nowMs);
+    const there = placeAt(scheduler, other, waiting, nowMs);
+    const here = makeOffer(scheduler, load, waiting, nowMs);
     const extraMs = Math.max(0, here.serviceMs - there.offer.serviceMs);
-    const weighedAtMs = here.firstEventAtMs + scheduler.options.rereadWeight * extraMs;
-    if (weighedAtMs >= there.offer.firstEventAtMs) continue;
+    const weighedAtMs =
+      here.firstEventAtMs + scheduler.options.rereadWeight * extraMs + copyCostMs(scheduler, here);
+    if (weighedAtMs >= there.offer.firstEventAtMs + copyCostMs(scheduler, there.offer)) continue;
     if (best === null || compareOffers(here, best.offer) < 0) best = { waiting, offer: here };
   }
   return best?.waiting ?? null;
@@ -359,9 +413,12 @@
   nowMs: number,
 ): Decision | null {
   const { job } = waiting;
-  const stream = makesTokens(load) ? load : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
+  const stream = makesTokens(load)
+    ? load
+    : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
   if (stream === null) return null;
   const cost: ReadCost = readCost(scheduler.targets.values(), load, job, nowMs);
+  noteServedSize(scheduler.fairness, job.route, waiting.sizeClass);
   notePrompt(load.cache, job.parts);
   // The engine that goes on keeps what it fetches like what it read itself.
   if (stream !== load) notePrompt(stream.cache, job.parts);
--- /dev/null
+++ b/packages/coordination/test/core/forwarding/event-framing.test.ts
@@ -0,0 +1,40 @@
+/** Cutting a stream into whole events. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import * as fc from 'fast-check';
+import { createEventFraming, hasPartialEvent, takeEventBytes } from '../../../src/index.js';
+
+describe('the framing of events', () => {
+  it('passes on whole events, however the bytes are cut', () => {
+    const events = [
+      'id: 1\ndata: a\n\n',
+      'id: 2\r\ndata: b\r\n\r\n',
+      ': note\n\n',
+      'id: 3\ndata: c\n\n',
+    ];
+    const bytes = Buffer.from(events.join(''));
+    fc.assert(
+      fc.property(fc.array(fc.nat(bytes.length)), (cuts) => {
+        const framing = createEventFraming();
+        const offsets = [0, ...cuts.sort((a, b) => a - b), bytes.length];
+        const parts = offsets
+          .slice(1)
+          .map((end, index) => takeEventBytes(framing, bytes.subarray(offsets[index], end)));
+        assert.equal(Buffer.concat(parts).toString(), bytes.toString());
+        assert.equal(hasPartialEvent(framing), false);
+        assert.equal(framing.lastEventId, '3');
+      }),
+      { seed: 2 },
+    );
+  });
+
+  // A caller's stream ends with half an event. The engine crashed while it wrote; what it had begun
+  // was passed on, and another engine then sent the same event whole.
+  it('holds back the event that an engine did not finish', () => {
+    const framing = createEventFraming();
+    const whole = takeEventBytes(framing, Buffer.from('id: 1\ndata: a\n\nid: 2\ndata: b'));
+    assert.equal(whole.toString(), 'id: 1\ndata: a\n\n');
+    assert.equal(hasPartialEvent(framing), true);
+    assert.equal(framing.lastEventId, '1');
+  });
+});
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -26,6 +26,8 @@
   /** Targets that it was sent to. */
   sends: number;
   readonly failedTargets: Set<string>;
+  /** Time to the first event of a stream, null before it. */
+  firstEventMs: number | null;
   /** The last target that it was sent to, for the log. */
   lastTarget: string;
 }
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -178,6 +178,7 @@
     mayHaveRun: false,
     sends: 0,
     failedTargets: new Set(),
+    firstEventMs: null,
     lastTarget: '',
   };
 }
@@ -199,6 +200,7 @@
     callerLeft: response.destroyed && !response.writableEnded,
     sends: exchange.sends,
     target: exchange.lastTarget,
+    firstEventMs: exchange.firstEventMs,
     tookMs: Math.round(tookMs),
   });
 }
--- a/packages/daemon/src/gateway/phase-planner.ts
+++ b/packages/daemon/src/gateway/phase-planner.ts
@@ -16,7 +16,7 @@
   choosePhaseOrders,
   servingTargets,
 } from '@cassiamast/coordination';
-import { type EngineOrderPort, type LeaseStore, OrderAnswer } from '@cassiamast/ports';
+import { type EngineControlPort, type LeaseStore, OrderAnswer } from '@cassiamast/ports';
 import { type LeaseDriver, createLeaseDriver } from '../planning/lease-driver.js';
 import type { Child } from '../supervisor/supervisor.js';
 import { createPeriodic } from '../node/timers.js';
@@ -57,7 +57,7 @@
   readonly selfId: string;
   readonly view: FleetView;
   readonly store: LeaseStore;
-  readonly orders: EngineOrderPort;
+  readonly control: EngineControlPort;
   readonly schedulers: SchedulingService;
   readonly random: Random;
   /** Counts suspended time as well. */
@@ -98,7 +98,7 @@
 }
 
 function createServicePhases(service: string, options: PhasePlannerOptions): ServicePhases {
-  const { view, orders, schedulers, log, nowMs, elapsedMs } = options;
+  const { view, control, schedulers, log, nowMs, elapsedMs } = options;
   const changingUntilMs = new Map<string, number>();
   let busyAtMs = nowMs();
   let rightAtMs = nowMs();
@@ -163,7 +163,7 @@
     const target = view.targets.get(engineId)?.entry;
     if (target === undefined) return;
     changingUntilMs.set(engineId, nowMs() + CHANGE_MS);
-    const standing = await orders.readStanding(target);
+    const standing = await control.readStanding(target);
     if (standing.isErr()) {
       log.warn('engine not read', { target: engineId, cause: standing.error.message });
       return;
@@ -180,7 +180,7 @@
     ordersAccepted: number,
   ): Promise<void> {
     const authority = { holder: options.selfId, fence: lease.state.fence };
-    const answer = await orders.orderPhase(target, phase, authority, ordersAccepted);
+    const answer = await control.orderPhase(target, phase, authority, ordersAccepted);
     const outcome = answer.match(
       (said) => said as string,
       (failure) => failure.message,
--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -18,18 +18,22 @@
   readonly fleet: FleetPort;
   readonly self: GatewayEntry;
   readonly ttlMs: number;
+  readonly nowMs: () => number;
   readonly log: GatewayLog;
 }
 
 /** A presence that can be withdrawn before the process ends. */
 export interface Presence {
   readonly child: Child;
+  /** Whether the announcement stands, as far as the store has said lately. */
+  readonly isConfirmed: () => boolean;
   readonly withdraw: () => Promise<void>;
 }
 
 /** Makes the presence. */
 export function createPresence(options: PresenceOptions): Presence {
-  const { fleet, self, ttlMs, log } = options;
+  const { fleet, self, ttlMs, nowMs, log } = options;
+  let confirmedAtMs = -Infinity;
   let leaseId: string | null = null;
   let stopped = true;
 
@@ -40,13 +44,16 @@
     // An announcement whose answer was lost may stand; its lease then lapses by itself.
     if (announced.isErr()) return;
     leaseId = granted.value.leaseId;
+    confirmedAtMs = nowMs();
     log.info('announced to the other gateways', { leaseId, ttlMs });
   }
 
   async function turn(): Promise<void> {
     if (leaseId === null) await announce();
     else {
+      const sentAtMs = nowMs();
       const kept = await fleet.keepLeaseAlive(leaseId);
+      if (kept.isOk()) confirmedAtMs = sentAtMs;
       if (kept.isErr() && KEY_VALUE_LEASE_GONE.is(kept.error)) {
         log.warn('announcement lapsed', { cause: kept.error.message });
         leaseId = null;
@@ -76,6 +83,7 @@
       },
       stop: withdraw,
     },
+    isConfirmed: () => leaseId !== null && nowMs() - confirmedAtMs < ttlMs,
     withdraw,
   };
 }
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -23,6 +23,8 @@
 const ANSWER_SLACK_MS = 120;
 /** How long it is passed over. */
 const SUSPECT_MS = 2000;
+/** Others ask a scheduler many times in this time if they take it for the one. */
+const ASKED_MEMORY_MS = 1000;
 /** Reports that are lost only let the scheduler believe an engine busy for longer. */
 const REPORT_TIMEOUT_MS = 500;
 
@@ -36,6 +38,8 @@
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
+  /** Whether the others can still see this gateway's announcement. */
+  readonly isConfirmed: () => boolean;
 }
 
 /** A decision and who made it. */
@@ -46,6 +50,8 @@
 
 /** Asks for engines. */
 export interface SchedulingClient {
+  /** Another gateway asked this one for an engine. */
+  readonly noteAsked: () => void;
   /** The gateway that schedules a service, as far as this one knows. */
   readonly schedulerOf: (service: string) => string;
   /** Resolves with the decision, or null when the signal ended the wait. */
@@ -67,11 +73,21 @@
 export function createSchedulingClient(options: SchedulingClientOptions): SchedulingClient {
   const { selfId, view, hash32, rpc, local, nowMs, log, count } = options;
   const suspectUntilMs = new Map<string, number>();
+  let askedAtMs = -Infinity;
+
+  /**
+   * Guards against two schedulers at once: a gateway that is cut off from the store still sees its
+   * own announcement when it has lapsed for all others. It shows as engines that are given work by
+   * two lines. It holds on to its part only while others ask it.
+   */
+  function mayScheduleHere(): boolean {
+    return options.isConfirmed() || nowMs() - askedAtMs < ASKED_MEMORY_MS;
+  }
 
   function schedulerOf(service: string): string {
     const now = nowMs();
     const live = [...view.gateways.values()].filter(
-      (gateway) => (suspectUntilMs.get(gateway.id) ?? 0) <= now,
+      ({ id }) => (suspectUntilMs.get(id) ?? 0) <= now && (id !== selfId || mayScheduleHere()),
     );
     return ownerOf(createPlacement(live, hash32), service) ?? selfId;
   }
@@ -101,6 +117,9 @@
   }
 
   return {
+    noteAsked: () => {
+      askedAtMs = nowMs();
+    },
     schedulerOf,
     take: async (service, job, signal) => {
       while (!signal.aborted) {
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -12,8 +12,10 @@
   type Scheduler,
   createScheduler,
   engineRequests,
+  enginesToList,
   noteEngines,
   noteJobEvents,
+  seedCache,
   servingTargets,
   submitJob,
   suspendEngine,
@@ -21,6 +23,9 @@
   withdrawJob,
 } from '@cassiamast/coordination';
 
+import type { EngineControlPort } from '@cassiamast/ports';
+import type { GatewayLog } from './gateway-log.js';
+
 /** A job as it crosses processes: times are relative, since clocks differ. */
 export interface JobRequest extends Omit<Job, 'aimAtMs' | 'deadlineAtMs'> {
   readonly aimInMs: number;
@@ -48,8 +53,17 @@
 /** Tells a waiting question its answer. */
 type Answer = (decision: Decision | null) => void;
 
+/** What the service needs. */
+export interface SchedulingServiceOptions {
+  readonly view: FleetView;
+  readonly control: EngineControlPort;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+}
+
 /** Makes the service. */
-export function createSchedulingService(view: FleetView, nowMs: () => number): SchedulingService {
+export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
+  const { view, control, nowMs, log } = options;
   const schedulers = new Map<string, Scheduler>();
   const answers = new Map<string, Answer>();
   let timer: NodeJS.Timeout | null = null;
@@ -68,6 +82,28 @@
     if (spec !== null) noteEngines(scheduler, servingTargets(view, service), spec);
   }
 
+  /** Asks engines for their caches where another process may have scheduled meanwhile. */
+  function refreshCaches(service: string, scheduler: Scheduler): void {
+    const ids = enginesToList(scheduler, nowMs());
+    if (ids.length === 0) return;
+    log.info('scheduling begins', { service, engines: ids.length });
+    for (const id of ids) void refreshCache(scheduler, id);
+  }
+
+  async function refreshCache(scheduler: Scheduler, id: string): Promise<void> {
+    const target = view.targets.get(id)?.entry;
+    if (target === undefined) return;
+    const listed = await control.readCache(target);
+    listed.match(
+      (parts) => {
+        seedCache(scheduler, id, parts);
+      },
+      (failure) => {
+        log.warn('cache not listed', { target: id, cause: failure.message });
+      },
+    );
+  }
+
   function tell(decisions: readonly Decision[]): void {
     for (const decision of decisions) answers.get(decision.jobId)?.(decision);
   }
@@ -91,7 +127,9 @@
       const now = nowMs();
       const { aimInMs, deadlineInMs, ...rest } = request;
       const job: Job = { ...rest, aimAtMs: now + aimInMs, deadlineAtMs: now + deadlineInMs };
-      const decisions = submitJob(schedulerOf(service), job, now);
+      const scheduler = schedulerOf(service);
+      refreshCaches(service, scheduler);
+      const decisions = submitJob(scheduler, job, now);
       const own = decisions.find((decision) => decision.jobId === job.id) ?? null;
       tell(decisions);
       keepTicking();
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -20,7 +20,7 @@
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
-  type EngineOrderPort,
+  type EngineControlPort,
   type FleetPort,
   createHttpTransport,
 } from '@cassiamast/ports';
@@ -62,6 +62,8 @@
 const MAX_CONNECTIONS_PER_TARGET = 48;
 /** Idle connections to targets are kept for less than targets keep them. */
 const TARGET_KEEP_ALIVE_MS = 4000;
+/** Gateways are given no secret here: the networks that may connect are what protects. */
+const MEMBER_PROOF = 'gateway';
 /** The balancer takes a gateway out after two questions without a 200, a second apart. */
 const NOTICE_MS = 2500;
 /** Left of the grace at the end of a drain, for closing down. */
@@ -70,7 +72,7 @@
 /** What an adapter hands in. */
 export interface GatewayPlatform {
   readonly fleet: FleetPort;
-  readonly orders: EngineOrderPort;
+  readonly control: EngineControlPort;
   readonly wire: CallerWire;
 }
 
@@ -99,31 +101,48 @@
   const random = seededRandom(randomInt(MAX_SEED));
   const { hash32 } = await createHashing();
   const view = createFleetView();
-  // Gateways have no secret of their own here: the networks that may connect are what protects.
-  const proof = createMemberProof(settings.failureDomain.length > 0 ? 'gateway' : '');
+  const proof = createMemberProof(MEMBER_PROOF);
   const rpc = createRpcClient(proof, timeline.clock);
   const transport = createHttpTransport({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     keepAliveMs: TARGET_KEEP_ALIVE_MS,
   });
-  const schedulers = createSchedulingService(view, monotonicMs);
+  const schedulers = createSchedulingService({
+    view,
+    control: platform.control,
+    nowMs: monotonicMs,
+    log,
+  });
+  const presence = createPresence({
+    fleet: platform.fleet,
+    self: {
+      id: selfId,
+      failureDomain: settings.failureDomain,
+      coreShare: settings.coreShare,
+    },
+    ttlMs: settings.leaseTtlMs,
+    nowMs: monotonicMs,
+    log,
+  });
+  const scheduling = createSchedulingClient({
+    selfId,
+    view,
+    hash32,
+    rpc,
+    local: schedulers,
+    nowMs: monotonicMs,
+    log,
+    count: telemetry.count,
+    isConfirmed: () => presence.isConfirmed(),
+  });
   const services: ForwardingServices = {
     view,
     wire: platform.wire,
     transport,
     budgets: createRetryBudgets(settings.retryWindow, view, monotonicMs),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
-    scheduling: createSchedulingClient({
-      selfId,
-      view,
-      hash32,
-      rpc,
-      local: schedulers,
-      nowMs: monotonicMs,
-      log,
-      count: telemetry.count,
-    }),
+    scheduling,
     random,
     hash32,
     nowMs: monotonicMs,
@@ -133,16 +152,6 @@
     failureDomain: settings.failureDomain,
   };
   const front = createFrontServer(settings.front, services);
-  const presence = createPresence({
-    fleet: platform.fleet,
-    self: {
-      id: selfId,
-      failureDomain: settings.failureDomain,
-      coreShare: settings.coreShare,
-    },
-    ttlMs: settings.leaseTtlMs,
-    log,
-  });
   let leaving = false;
   const root = createSupervisor({
     name: 'root',
@@ -162,6 +171,7 @@
         handlers: {
           [RpcMethod.ScheduleTake]: (params) => {
             const [service, job, waitMs] = params as [string, JobRequest, number];
+            scheduling.noteAsked();
             return schedulers.take(service, job, waitMs);
           },
           [RpcMethod.ScheduleReport]: (params) => {
@@ -179,12 +189,12 @@
         selfId,
         view,
         store: platform.fleet,
-        orders: platform.orders,
+        control: platform.control,
         schedulers,
         random,
         elapsedMs: createElapsedClock(SYSTEM_CLOCKS),
         nowMs: monotonicMs,
-        isScheduler: (service) => !leaving && services.scheduling.schedulerOf(service) === selfId,
+        isScheduler: (service) => !leaving && scheduling.schedulerOf(service) === selfId,
         log,
         count: telemetry.count,
       }),
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -3,12 +3,7 @@
  * by one engine for another, and its stream is passed on. A resumable stream that breaks off goes
  * on at another engine within the same answer; any other one is visibly broken.
  */
-import {
-  DecisionKind,
-  JobEventKind,
-  type Plan,
-  type TargetEntry,
-} from '@cassiamast/coordination';
+import { DecisionKind, JobEventKind, type Plan, type TargetEntry } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
 import { type Exchange, callerLeft } from './exchange.js';
@@ -53,7 +48,8 @@
 ): Promise<void> {
   const relay = createStreamRelay(exchange.response, services.wire, {
     onFirstEvent: () => {
-      services.record('first_event_ms', services.nowMs() - exchange.receivedAtMs);
+      exchange.firstEventMs ??= Math.round(services.nowMs() - exchange.receivedAtMs);
+      services.record('first_event_ms', exchange.firstEventMs);
     },
   });
   services.budgets.noteRequest(exchange.service);
@@ -151,7 +147,8 @@
   const held = holdBody();
   const outcome = await ask(turn, reader, { readOnly: true, from: null }, held.sink);
   logSend(turn, reader, 'read prompt', outcome);
-  const handle = outcome.kind === AskOutcomeKind.Complete ? services.wire.readHandle(held.body()) : null;
+  const handle =
+    outcome.kind === AskOutcomeKind.Complete ? services.wire.readHandle(held.body()) : null;
   if (handle !== null) {
     report(turn, JobEventKind.Read, reader.id);
     return { address: reader.address, handle };
@@ -166,7 +163,7 @@
   target: TargetEntry,
   from: PromptHandle | null,
 ): Promise<TurnEnd> {
-  const { exchange, services, relay, plan } = turn;
+  const { exchange, relay, plan } = turn;
   const sink = relay.nextSink();
   const watched = {
     ...sink,
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -9,11 +9,7 @@
   TargetKind,
   type TargetSpec,
 } from '@cassiamast/coordination';
-import {
-  type EngineClient,
-  createEngineClient,
-  createPlainServiceClient,
-} from '@cassiamast/ports';
+import { type EngineClient, createEngineClient, createPlainServiceClient } from '@cassiamast/ports';
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
 import { allowNetworks } from '../node/networks.js';
--- a/packages/ports/src/engine-orders/port.ts
+++ b/packages/ports/src/engine-control/port.ts
@@ -1,8 +1,8 @@
 /**
- * Orders to engines that register themselves: reading where one stands, and having it change what
- * it does for prompts. An order without an answer may have been accepted, or be carried out later.
+ * Calls to engines that register themselves: reading where one stands and what its cache holds, and
+ * having it change what it does for prompts. An order without an answer may have been accepted, or be carried out later.
  */
-import type { EnginePhase, Failure, TargetEntry } from '@cassiamast/coordination';
+import type { EnginePhase, Failure, PromptPart, TargetEntry } from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
 
 /** Where an engine stands. */
@@ -36,8 +36,10 @@
 }
 
 /** Calls to engines. None retries by itself. */
-export interface EngineOrderPort {
+export interface EngineControlPort {
   readonly readStanding: (target: TargetEntry) => ResultAsync<EngineStanding, Failure>;
+  /** The parts in its cache. Slows the engine for a moment: not for regular use. */
+  readonly readCache: (target: TargetEntry) => ResultAsync<readonly PromptPart[], Failure>;
   readonly orderPhase: (
     target: TargetEntry,
     phase: EnginePhase,
--- a/packages/ports/src/index.ts
+++ b/packages/ports/src/index.ts
@@ -2,8 +2,8 @@
  * The ports to the outside systems and their adapters. A port is a record of functions, so that a
  * user's real system replaces a stand-in without touching a decision.
  */
-export * from './engine-orders/failures.js';
-export * from './engine-orders/port.js';
+export * from './engine-control/failures.js';
+export * from './engine-control/port.js';
 export * from './engine/client.js';
 export { EngineErrorCode } from './engine/errors.js';
 export * from './engine/failures.js';
