Let engines that make tokens read no long prompts; two of eight make tokens

Cause: first events came 200 ms after the prompt was handed over on average, up to 2 s, whenever the engine that went on was reading a long prompt itself (calm: 20 ms); found from the log by subtracting 'read prompt' from the first event, per engine and two seconds. Ruled out: memory of the engines (no preemption), their links (7 ms a prompt). Change: while others read, an engine that makes tokens reads at most 400 tokens; two of them suffice then.

--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -17,6 +17,12 @@
    * a copy of a thousand tokens: what the copy pushes out is read again, at some 35 ms a thousand.
    */
   readonly copyMsPerThousand: number;
+  /**
+   * Longest prompt that an engine which makes tokens reads itself while others read for it. Guards
+   * streams against long readings beside them: they show as first events that come 200 to 1500 ms
+   * after the prompt was handed over, in place of 20 ms.
+   */
+  readonly maxDecodeReadTokens: number;
   /** Work on jobs that are late already which an engine keeps waiting. */
   readonly maxLateBacklogMs: number;
   /** Time from the read prompt to the first event at the caller. */
@@ -41,6 +47,7 @@
   lookaheadMs: 10,
   maxReading: 3,
   rereadWeight: 1,
+  maxDecodeReadTokens: 400,
   copyMsPerThousand: 10,
   maxLateBacklogMs: 300,
   firstEventMs: 15,
--- a/packages/coordination/src/core/scheduling/phase-split.ts
+++ b/packages/coordination/src/core/scheduling/phase-split.ts
@@ -37,7 +37,7 @@
 /** Defaults. */
 export const PHASE_SPLIT_OPTIONS: PhaseSplitOptions = {
   streamsPerEngine: 1000,
-  minDecode: 3,
+  minDecode: 2,
   minEngines: 4,
   maxChanging: 1,
 };
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -4,7 +4,12 @@
  * holds. A job joins the line of the engine that would answer it first; an engine whose line is
  * empty takes a job from another one. State and messages in, decisions out.
  */
-import type { EngineSpec, PromptPart, TargetEntry } from '../forwarding/fleet.js';
+import {
+  EnginePhase,
+  type EngineSpec,
+  type PromptPart,
+  type TargetEntry,
+} from '../forwarding/fleet.js';
 import {
   type Decision,
   DecisionKind,
@@ -15,7 +20,7 @@
 } from './job.js';
 import { chooseStreamTarget } from './handover.js';
 import type { SchedulerOptions } from './options.js';
-import { notePrompt, replaceHeld } from './prompt-cache.js';
+import { heldParts, notePrompt, replaceHeld, tokensBetween } from './prompt-cache.js';
 import { type ReadCost, readCost } from './read-cost.js';
 import {
   type Offer,
@@ -224,9 +229,7 @@
 function bestPlace(scheduler: Scheduler, waiting: Waiting, nowMs: number): Place | null {
   const places: Place[] = [];
   for (const load of scheduler.targets.values()) {
-    if (!isUsable(load, nowMs) || waiting.job.avoid.includes(load.entry.id)) {
-      continue;
-    }
+    if (!mayRead(scheduler, load, waiting.job, nowMs)) continue;
     places.push(placeAt(scheduler, load, waiting, nowMs));
   }
   const leastServiceMs = Math.min(...places.map((place) => place.offer.serviceMs));
@@ -241,6 +244,23 @@
   return best;
 }
 
+/** Whether an engine may read a job's prompt. */
+function mayRead(scheduler: Scheduler, load: TargetLoad, job: Job, nowMs: number): boolean {
+  if (!isUsable(load, nowMs) || job.avoid.includes(load.entry.id)) return false;
+  if (load.entry.phase !== EnginePhase.Decode || !hasReaders(scheduler, job, nowMs)) return true;
+  const held = heldParts(load.cache, job.parts);
+  const missing = tokensBetween(job.parts, held, job.parts.length);
+  return missing <= scheduler.options.maxDecodeReadTokens;
+}
+
+function hasReaders(scheduler: Scheduler, job: Job, nowMs: number): boolean {
+  for (const load of scheduler.targets.values()) {
+    const reads = load.entry.phase === EnginePhase.Prefill;
+    if (reads && isUsable(load, nowMs) && !job.avoid.includes(load.entry.id)) return true;
+  }
+  return false;
+}
+
 function copyCostMs(scheduler: Scheduler, offer: Offer): number {
   return (offer.copiedTokens / 1000) * scheduler.options.copyMsPerThousand;
 }
@@ -394,7 +414,7 @@
   let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
   for (const waiting of scheduler.waiting.values()) {
     const other = scheduler.targets.get(waiting.target);
-    if (other === undefined || waiting.job.avoid.includes(load.entry.id)) continue;
+    if (other === undefined || !mayRead(scheduler, load, waiting.job, nowMs)) continue;
     const there = placeAt(scheduler, other, waiting, nowMs);
     const here = makeOffer(scheduler, load, waiting, nowMs);
     const extraMs = Math.max(0, here.serviceMs - there.offer.serviceMs);
