Count both arrivals of a further turn, and leave alone an engine that turned work away

Change: two are taken; the scheduler hears of every refusal and leaves the engine alone for a while. Test: the retry window takes several at once.

--- a/packages/coordination/src/core/forwarding/retry-window.ts
+++ b/packages/coordination/src/core/forwarding/retry-window.ts
@@ -40,18 +40,23 @@
 }
 
 /**
- * Takes one retry; false when it must not happen. Guards against a retry storm: it shows as
+ * Takes so many retries; false when they must not happen. Guards against a retry storm: it shows as
  * arrivals that multiply when a service fails, and the bound holds in every window because both
  * sums are of the same window.
  */
-export function takeWindowRetry(window: RetryWindow, gateways: number, nowMs: number): boolean {
+export function takeWindowRetries(
+  window: RetryWindow,
+  retries: number,
+  gateways: number,
+  nowMs: number,
+): boolean {
   forgetBefore(window, nowMs);
   const { ratio, slack } = window.options;
   const allowed =
     window.requestsAtMs.length * ratio * RATIO_SHARE +
     (slack * SLACK_SHARE) / Math.max(1, gateways);
-  if (window.retriesAtMs.length + 1 > allowed) return false;
-  window.retriesAtMs.push(nowMs);
+  if (window.retriesAtMs.length + retries > allowed) return false;
+  for (let taken = 0; taken < retries; taken += 1) window.retriesAtMs.push(nowMs);
   return true;
 }
 
--- a/packages/coordination/test/core/forwarding/retry-window.test.ts
+++ b/packages/coordination/test/core/forwarding/retry-window.test.ts
@@ -2,22 +2,24 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import * as fc from 'fast-check';
-import { createRetryWindow, noteWindowRequest, takeWindowRetry } from '../../../src/index.js';
+import { createRetryWindow, noteWindowRequest, takeWindowRetries } from '../../../src/index.js';
 
 const OPTIONS = { windowMs: 10_000, ratio: 0.2, slack: 58 };
 
 describe('a retry window', () => {
   it('allows retries from its slack while there are no requests', () => {
     const window = createRetryWindow(OPTIONS);
-    const taken = Array.from({ length: 100 }, () => takeWindowRetry(window, 1, 0)).filter(Boolean);
+    const taken = Array.from({ length: 100 }, () => takeWindowRetries(window, 1, 1, 0)).filter(
+      Boolean,
+    );
     assert.equal(taken.length, OPTIONS.slack / 2);
   });
 
   it('has room again when the window has passed', () => {
     const window = createRetryWindow({ ...OPTIONS, slack: 2 });
-    assert.equal(takeWindowRetry(window, 1, 0), true);
-    assert.equal(takeWindowRetry(window, 1, 9_999), false);
-    assert.equal(takeWindowRetry(window, 1, 10_001), true);
+    assert.equal(takeWindowRetries(window, 1, 1, 0), true);
+    assert.equal(takeWindowRetries(window, 1, 1, 9_999), false);
+    assert.equal(takeWindowRetries(window, 1, 1, 10_001), true);
   });
 
   // A service fails for ten seconds, each gateway retries all it may, and the service gets more
@@ -37,7 +39,9 @@
           if (!retry) {
             requests.push(nowMs);
             noteWindowRequest(window, nowMs);
-          } else if (takeWindowRetry(window, 5, nowMs)) retries.push(nowMs);
+          } else if (takeWindowRetries(window, 2, 5, nowMs)) {
+            retries.push(nowMs, nowMs);
+          }
           const within = (times: readonly number[]): number =>
             times.filter((each) => each >= nowMs - OPTIONS.windowMs).length;
           assert.ok(within(retries) <= within(requests) * OPTIONS.ratio + OPTIONS.slack);
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -5,13 +5,14 @@
   type RetryWindowOptions,
   createRetryWindow,
   noteWindowRequest,
-  takeWindowRetry,
+  takeWindowRetries,
 } from '@cassiamast/coordination';
 
 /** Counts requests and takes retries, by service. */
 export interface RetryBudgets {
   readonly noteRequest: (service: string) => void;
-  readonly take: (service: string) => boolean;
+  /** Takes so many retries or none. */
+  readonly take: (service: string, arrivals?: number) => boolean;
 }
 
 /** Makes empty windows. */
@@ -32,6 +33,7 @@
     noteRequest: (service) => {
       noteWindowRequest(windowOf(service), nowMs());
     },
-    take: (service) => takeWindowRetry(windowOf(service), view.gateways.size, nowMs()),
+    take: (service, arrivals = 1) =>
+      takeWindowRetries(windowOf(service), arrivals, view.gateways.size, nowMs()),
   };
 }
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -14,6 +14,11 @@
 
 /** Times that one request asks for engines: a first one and two after failures. */
 const MAX_TURNS = 3;
+/**
+ * Arrivals at engines that a further turn may add: one to have the prompt read, one to go on. Only
+ * the first reading of a request is free.
+ */
+const ARRIVALS_PER_TURN = 2;
 /** When a caller is asked back whose engine failed before it ran anything. */
 const RETRY_AFTER_MS = 300;
 /** A caller of a stream leaves after a silence of the longest of these three. */
@@ -83,7 +88,7 @@
 function mayGoOn(exchange: Exchange, services: ForwardingServices, end: TurnEnd): boolean {
   if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
   if (exchange.sends >= exchange.route.maxAttempts) return false;
-  return services.budgets.take(exchange.service);
+  return services.budgets.take(exchange.service, ARRIVALS_PER_TURN);
 }
 
 function jobOf(exchange: Exchange, services: ForwardingServices, jobId: string): JobRequest {
@@ -193,7 +198,8 @@
       noteFailed(turn, target);
       return TurnEnd.NotRun;
     case AskOutcomeKind.NotRun:
-      exchange.failedTargets.add(target.id);
+      // It changes its phase, or is full: others must not be sent there either.
+      noteFailed(turn, target);
       return TurnEnd.NotRun;
     case AskOutcomeKind.Stopped:
       return TurnEnd.Stopped;
