Hand over only parts that are read, serve starved sizes first; tests of the whole path

Change: a reading's parts can be handed over when it has ended, and are forgotten when it fails; a starved size is worth twenty times as much until it is not. Tests: scheduler on a virtual clock, red for both before; route table, fleet view, framing, retry window; platform/ against stand-ins of store, engines and plain targets.

--- a/packages/coordination/src/core/scheduling/prompt-cache.ts
+++ b/packages/coordination/src/core/scheduling/prompt-cache.ts
@@ -49,3 +49,11 @@
   notePrompt(cache, listed);
   notePrompt(cache, since);
 }
+
+/** Notes that parts did not come into the cache after all. */
+export function forgetParts(cache: PromptCache, parts: readonly PromptPart[]): void {
+  for (const part of parts) {
+    cache.heldTokens -= cache.tokensByPart.get(part.id) ?? 0;
+    cache.tokensByPart.delete(part.id);
+  }
+}
--- a/packages/coordination/src/core/scheduling/ranking.ts
+++ b/packages/coordination/src/core/scheduling/ranking.ts
@@ -53,7 +53,7 @@
 /** The same where the caller was refused before and would be sent away a second time. */
 const RETURNED_VALUE = 0.5;
 /** How much more a size that starves is worth, so that it gets its turn among smaller ones. */
-const STARVED_VALUE = 3;
+const STARVED_VALUE = 20;
 
 /** How a job stands beside others of its route. */
 export interface Standing {
--- a/packages/coordination/src/core/scheduling/read-cost.ts
+++ b/packages/coordination/src/core/scheduling/read-cost.ts
@@ -5,7 +5,7 @@
 import type { Job } from './job.js';
 import { heldParts, tokensBetween } from './prompt-cache.js';
 import { predictReadMs } from './read-time.js';
-import { type TargetLoad, isUsable } from './target-load.js';
+import { type TargetLoad, isUsable, partsToHandOver } from './target-load.js';
 
 /** Memory takes so many times as long to another failure domain. */
 const OTHER_DOMAIN_RATIO = 2;
@@ -43,7 +43,7 @@
   };
   const holder = bestHolder(loads, load, job, own, nowMs);
   if (holder === null) return { ...alone, fetchFrom: null };
-  const held = heldParts(holder.cache, parts);
+  const held = partsToHandOver(holder, parts);
   const fetchedTokens = tokensBetween(parts, own, held);
   const isNear = holder.entry.failureDomain === load.entry.failureDomain;
   const perTokenMs = load.transferMsPerToken * (isNear ? 1 : OTHER_DOMAIN_RATIO);
@@ -73,7 +73,7 @@
   let bestHeld = own;
   for (const other of loads) {
     if (other === load || !isUsable(other, nowMs)) continue;
-    const held = heldParts(other.cache, job.parts);
+    const held = partsToHandOver(other, job.parts);
     const isNear = other.entry.failureDomain === load.entry.failureDomain;
     if (held > bestHeld || (held === bestHeld && best !== null && isNear)) {
       best = other;
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -20,7 +20,7 @@
 } from './job.js';
 import { chooseStreamTarget } from './handover.js';
 import type { SchedulerOptions } from './options.js';
-import { heldParts, notePrompt, replaceHeld, tokensBetween } from './prompt-cache.js';
+import { forgetParts, heldParts, notePrompt, replaceHeld, tokensBetween } from './prompt-cache.js';
 import { type ReadCost, readCost } from './read-cost.js';
 import {
   type Offer,
@@ -192,10 +192,7 @@
   for (const [id, running] of scheduler.decided) {
     if (running.forgetAtMs > nowMs) continue;
     scheduler.decided.delete(id);
-    for (const load of scheduler.targets.values()) {
-      load.reading.delete(id);
-      load.streaming.delete(id);
-    }
+    forgetJob(scheduler, id);
   }
   return [...refuseHopeless(scheduler, nowMs), ...dispatch(scheduler, nowMs)];
 }
@@ -439,15 +436,16 @@
   if (stream === null) return null;
   const cost: ReadCost = readCost(scheduler.targets.values(), load, job, nowMs);
   noteServedSize(scheduler.fairness, job.route, waiting.sizeClass);
-  notePrompt(load.cache, job.parts);
-  // The engine that goes on keeps what it fetches like what it read itself.
-  if (stream !== load) notePrompt(stream.cache, job.parts);
   load.reading.set(job.id, {
     jobId: job.id,
+    parts: job.parts,
+    heldParts: heldParts(load.cache, job.parts),
     tokens: cost.missingTokens,
     predictedMs: cost.serviceMs,
     startedAtMs: nowMs,
   });
+  // Noted at once, so that those who share its parts wait for this reading.
+  notePrompt(load.cache, job.parts);
   const heldTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
   stream.streaming.set(job.id, heldTokens);
   const decision: Decision = {
@@ -468,22 +466,31 @@
 
 function noteJobEvent(scheduler: Scheduler, event: JobEvent, nowMs: number): void {
   const load = scheduler.targets.get(event.target);
-  if (event.kind === JobEventKind.Ended) {
-    for (const each of scheduler.targets.values()) {
-      each.reading.delete(event.jobId);
-      each.streaming.delete(event.jobId);
-    }
-  }
+  if (event.kind === JobEventKind.Ended) forgetJob(scheduler, event.jobId);
   if (load === undefined) return;
   if (event.kind === JobEventKind.Failed) noteFailure(load, scheduler.options, nowMs);
-  if (event.kind === JobEventKind.Read) noteRead(load, event.jobId, nowMs);
+  if (event.kind === JobEventKind.Read) noteRead(scheduler, load, event.jobId, nowMs);
 }
 
-function noteRead(load: TargetLoad, jobId: string, nowMs: number): void {
+/** Nothing of a job runs any more; a prompt that was not read to its end is not in the cache. */
+function forgetJob(scheduler: Scheduler, jobId: string): void {
+  for (const load of scheduler.targets.values()) {
+    const reading = load.reading.get(jobId);
+    if (reading !== undefined) forgetParts(load.cache, reading.parts.slice(reading.heldParts));
+    load.reading.delete(jobId);
+    load.streaming.delete(jobId);
+  }
+}
+
+function noteRead(scheduler: Scheduler, load: TargetLoad, jobId: string, nowMs: number): void {
   noteSuccess(load);
   const reading = load.reading.get(jobId);
   if (reading === undefined) return;
   load.reading.delete(jobId);
+  // The engine that goes on keeps what it fetches like what it read itself.
+  for (const other of scheduler.targets.values()) {
+    if (other !== load && other.streaming.has(jobId)) notePrompt(other.cache, reading.parts);
+  }
   const begunAtMs = Math.max(reading.startedAtMs, load.lastReadEndAtMs);
   load.lastReadEndAtMs = nowMs;
   noteReading(load.readTime, reading.tokens, nowMs - begunAtMs);
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -1,12 +1,20 @@
 /** What a scheduler knows of one engine: its work, its cache, its speed and its health. */
-import { EnginePhase, type EngineSpec, type TargetEntry } from '../forwarding/fleet.js';
-import { type PromptCache, createPromptCache } from './prompt-cache.js';
+import {
+  EnginePhase,
+  type EngineSpec,
+  type PromptPart,
+  type TargetEntry,
+} from '../forwarding/fleet.js';
+import { type PromptCache, createPromptCache, heldParts } from './prompt-cache.js';
 import { FULL_TOKENS_PER_MS, type ReadTime, createReadTime } from './read-time.js';
 import type { SchedulerOptions } from './options.js';
 
 /** A prompt that an engine was given and has not read yet. */
 export interface Reading {
   readonly jobId: string;
+  readonly parts: readonly PromptPart[];
+  /** Parts from the beginning that were in the cache already; the rest is being read. */
+  readonly heldParts: number;
   readonly tokens: number;
   readonly predictedMs: number;
   readonly startedAtMs: number;
@@ -74,6 +82,20 @@
   return pendingMs;
 }
 
+/**
+ * Parts from the beginning of a prompt that an engine can hand over now. Guards against fetching
+ * what is still being read: it shows as a prompt that is read in full where a transfer was meant.
+ */
+export function partsToHandOver(load: TargetLoad, parts: readonly PromptPart[]): number {
+  let count = heldParts(load.cache, parts);
+  for (const reading of load.reading.values()) {
+    const unread = new Set(reading.parts.slice(reading.heldParts).map((part) => part.id));
+    const firstUnread = parts.findIndex((part) => unread.has(part.id));
+    if (firstUnread !== -1) count = Math.min(count, firstUnread);
+  }
+  return count;
+}
+
 /** Whether an engine may be given work at all. */
 export function isUsable(load: TargetLoad, nowMs: number): boolean {
   return !load.entry.draining && load.suspendedUntilMs <= nowMs;
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -40,7 +40,7 @@
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
 import { createGatewayLog } from './gateway-log.js';
-import { LOG_BOUNDS, createLogWriter, writeStandardOutput } from './log-writer.js';
+import { LOG_BOUNDS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMetricsServer } from './metrics-server.js';
 import { createPhasePlanner } from './phase-planner.js';
 import { createPresence } from './presence.js';
@@ -74,12 +74,16 @@
   readonly fleet: FleetPort;
   readonly control: EngineControlPort;
   readonly wire: CallerWire;
+  /** Where log lines go. */
+  readonly writeLog: WriteText;
 }
 
 /** A gateway that runs. */
 export interface RunningGateway {
   /** Stops without cutting a request; resolves when nothing is left or the grace is over. */
   readonly stop: () => Promise<void>;
+  /** Ends at once, as a killed process does; for tests and for what can't be drained. */
+  readonly close: () => Promise<void>;
   /** The settings were read anew. */
   readonly reload: (settings: GatewaySettings) => void;
 }
@@ -92,7 +96,7 @@
 ): Promise<RunningGateway> {
   const { monotonicMs, wallMs } = SYSTEM_CLOCKS;
   const selfId = formatAddress(settings.members);
-  const writer = createLogWriter(LOG_BOUNDS, writeStandardOutput, monotonicMs);
+  const writer = createLogWriter(LOG_BOUNDS, platform.writeLog, monotonicMs);
   const log = createGatewayLog(settings.name, writer, wallMs);
   const timeline = createTimeline(selfId, TIMELINE_EVENTS, wallMs);
   const telemetry = createTelemetry(timeline.put, (highestTrackableValue) =>
@@ -247,6 +251,12 @@
       await drain();
       await writer.flush();
     },
+    close: async () => {
+      schedulers.stop();
+      await root.stop();
+      await Promise.all([rpc.close(), transport.close(), platform.fleet.close()]);
+      await writer.flush();
+    },
     reload: (next) => {
       log.info('settings read anew', { name: next.name, graceMs: next.graceMs });
     },
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -8,7 +8,7 @@
 import { fileURLToPath } from 'node:url';
 
 const ROOT = join(dirname(fileURLToPath(import.meta.url)), '..');
-const TEST_ROOTS = ['packages', 'benchmark', 'examples'];
+const TEST_ROOTS = ['packages', 'platform', 'benchmark', 'examples'];
 const CUCUMBER = join(ROOT, 'node_modules', '@cucumber', 'cucumber', 'bin', 'cucumber.js');
 const FEATURES = join(ROOT, 'packages', 'promises', 'features');
 
