--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -25,6 +25,11 @@
   readonly maxDecodeReadTokens: number;
   /** Work on jobs that are late already which an engine keeps waiting. */
   readonly maxLateBacklogMs: number;
+  /**
+   * How long a job that can no longer be on time keeps its place: those that come meanwhile go
+   * before it, and a caller who is sent away late has waited for nothing.
+   */
+  readonly maxLateWaitMs: number;
   /** Time from the read prompt to the first event at the caller. */
   readonly firstEventMs: number;
   /** Time that a handle of a read prompt takes to the engine that goes on. */
@@ -50,6 +55,7 @@
   maxDecodeReadTokens: 400,
   copyMsPerThousand: 10,
   maxLateBacklogMs: 300,
+  maxLateWaitMs: 400,
   firstEventMs: 15,
   handoverMs: 25,
   minRetryAfterMs: 300,
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -63,6 +63,8 @@
   readonly value: number;
   readonly submittedAtMs: number;
   askedAtMs: number;
+  /** Since when it cannot be on time any more, null while it can. */
+  lateSinceMs: number | null;
   /** The engine whose line it stands in. */
   target: string;
 }
@@ -206,6 +208,7 @@
     value: jobValue(scheduler.sizes, job),
     submittedAtMs: nowMs,
     askedAtMs: nowMs,
+    lateSinceMs: null,
     target: '',
   };
 }
@@ -359,15 +362,36 @@
       continue;
     }
     const load = scheduler.targets.get(target);
-    const startAtMs = load === undefined ? nowMs : nowMs + pendingReadMs(load, nowMs);
-    const offer = load === undefined ? null : makeOffer(scheduler, load, waiting, startAtMs);
-    if (offer !== null && offer.firstEventAtMs <= job.deadlineAtMs) continue;
-    if (offer === null && job.deadlineAtMs > nowMs) continue;
-    decisions.push(refuse(scheduler, job, RefusalReason.TooLate, startAtMs - nowMs, nowMs));
+    if (load === undefined) {
+      if (job.deadlineAtMs > nowMs) continue;
+      decisions.push(refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs));
+      continue;
+    }
+    const aheadMs = pendingReadMs(load, nowMs);
+    const reason = hopelessReason(scheduler, waiting, load, nowMs);
+    if (reason !== null) decisions.push(refuse(scheduler, job, reason, aheadMs, nowMs));
   }
   return decisions;
 }
 
+/** Why a waiting job should wait no longer, null while it should. */
+function hopelessReason(
+  scheduler: Scheduler,
+  waiting: Waiting,
+  load: TargetLoad,
+  nowMs: number,
+): RefusalReason | null {
+  const offer = makeOffer(scheduler, load, waiting, nowMs + pendingReadMs(load, nowMs));
+  if (offer.firstEventAtMs > waiting.job.deadlineAtMs) return RefusalReason.TooLate;
+  if (isOnTime(offer)) {
+    waiting.lateSinceMs = null;
+    return null;
+  }
+  waiting.lateSinceMs ??= nowMs;
+  const lateForMs = nowMs - waiting.lateSinceMs;
+  return lateForMs > scheduler.options.maxLateWaitMs ? RefusalReason.Overload : null;
+}
+
 function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const decisions: Decision[] = [];
   moveFromUnusable(scheduler, nowMs);
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -185,7 +185,7 @@
 }
 
 function judgeStream(turn: Turn, target: TargetEntry, outcome: AskOutcome): TurnEnd {
-  const { exchange, relay } = turn;
+  const { relay } = turn;
   switch (outcome.kind) {
     case AskOutcomeKind.Complete:
       if (relay.isCutInside()) {
