--- /dev/null
+++ b/packages/coordination/src/core/scheduling/dispatching.ts
@@ -0,0 +1,111 @@
+/**
+ * Gives jobs to engines that have room: the best of an engine's own line, or where that is empty one
+ * of another line that it would answer sooner.
+ */
+import { chooseStreamTarget } from './handover.js';
+import { type Decision, DecisionKind } from './job.js';
+import { bestPlace, copyCostMs, lineOf, makeOffer, mayRead, placeAt } from './placing.js';
+import { heldParts, notePrompt } from './prompt-cache.js';
+import { type Offer, compareOffers } from './ranking.js';
+import { type ReadCost, readCost } from './read-cost.js';
+import { remember } from './refusing.js';
+import type { Scheduler, Waiting } from './scheduler-state.js';
+import { noteServedSize } from './size-fairness.js';
+import { type TargetLoad, hasRoom, isUsable, makesTokens, pendingReadMs } from './target-load.js';
+
+/** Gives each engine that has room its next job. */
+export function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
+  const decisions: Decision[] = [];
+  moveFromUnusable(scheduler, nowMs);
+  for (const load of scheduler.targets.values()) {
+    while (hasRoom(load, scheduler.options, nowMs)) {
+      const next = nextOf(scheduler, load, nowMs) ?? stealFor(scheduler, load, nowMs);
+      if (next === null) break;
+      const decision = grant(scheduler, load, next, nowMs);
+      if (decision === null) break;
+      decisions.push(decision);
+    }
+  }
+  return decisions;
+}
+
+/** A job whose engine left or failed joins the line of another one. */
+function moveFromUnusable(scheduler: Scheduler, nowMs: number): void {
+  for (const waiting of scheduler.waiting.values()) {
+    const load = scheduler.targets.get(waiting.target);
+    if (load !== undefined && isUsable(load, nowMs)) continue;
+    const place = bestPlace(scheduler, waiting, nowMs);
+    if (place !== null) waiting.target = place.load.entry.id;
+  }
+}
+
+function nextOf(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
+  const startAtMs = nowMs + pendingReadMs(load, nowMs);
+  let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
+  for (const waiting of lineOf(scheduler, load)) {
+    const offer = makeOffer(scheduler, load, waiting, startAtMs);
+    if (best === null || compareOffers(offer, best.offer) < 0) best = { waiting, offer };
+  }
+  return best?.waiting ?? null;
+}
+
+/**
+ * The job of another line that an idle engine takes: one that it would answer sooner than the
+ * engine whose line it stands in, counting what is read again against it.
+ */
+function stealFor(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
+  let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
+  for (const waiting of scheduler.waiting.values()) {
+    const other = scheduler.targets.get(waiting.target);
+    if (other === undefined || !mayRead(scheduler, load, waiting.job, nowMs)) continue;
+    const there = placeAt(scheduler, other, waiting, nowMs);
+    const here = makeOffer(scheduler, load, waiting, nowMs);
+    const extraMs = Math.max(0, here.serviceMs - there.offer.serviceMs);
+    const weighedAtMs =
+      here.firstEventAtMs + scheduler.options.rereadWeight * extraMs + copyCostMs(scheduler, here);
+    if (weighedAtMs >= there.offer.firstEventAtMs + copyCostMs(scheduler, there.offer)) continue;
+    if (best === null || compareOffers(here, best.offer) < 0) best = { waiting, offer: here };
+  }
+  return best?.waiting ?? null;
+}
+
+function grant(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  nowMs: number,
+): Decision | null {
+  const { job } = waiting;
+  const stream = makesTokens(load)
+    ? load
+    : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
+  if (stream === null) return null;
+  const cost: ReadCost = readCost(scheduler.targets.values(), load, job, nowMs);
+  noteServedSize(scheduler.fairness, job.route, waiting.sizeClass);
+  load.reading.set(job.id, {
+    jobId: job.id,
+    parts: job.parts,
+    heldParts: heldParts(load.cache, job.parts),
+    tokens: cost.missingTokens,
+    predictedMs: cost.serviceMs,
+    startedAtMs: nowMs,
+  });
+  // Noted at once, so that those who share its parts wait for this reading.
+  notePrompt(load.cache, job.parts);
+  const heldTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
+  stream.streaming.set(job.id, heldTokens);
+  const decision: Decision = {
+    kind: DecisionKind.Run,
+    jobId: job.id,
+    plan: {
+      readAt: load.entry.id,
+      streamAt: stream === load ? null : stream.entry.id,
+      fetchFrom: cost.fetchFrom?.entry.id ?? null,
+      missingTokens: cost.missingTokens,
+      predictedReadMs: cost.serviceMs,
+      waitedMs: nowMs - waiting.submittedAtMs,
+    },
+  };
+  remember(scheduler, job, decision, nowMs);
+  return decision;
+}
