--- a/packages/coordination/src/core/scheduling/job.ts
+++ b/packages/coordination/src/core/scheduling/job.ts
@@ -63,6 +63,10 @@
       readonly reason: RefusalReason;
       /** When the job is likely to be taken. */
       readonly retryAfterMs: number;
+      /** Reading that its engine had to do before it. */
+      readonly aheadMs: number;
+      /** Jobs that waited for any engine. */
+      readonly waitingJobs: number;
     };
 
 /** What a gateway reports of a job that runs. */
--- a/packages/coordination/src/core/scheduling/refusing.ts
+++ b/packages/coordination/src/core/scheduling/refusing.ts
@@ -53,7 +53,14 @@
   nowMs: number,
 ): Decision {
   const retryAfterMs = Math.max(scheduler.options.minRetryAfterMs, aheadMs);
-  const decision: Decision = { kind: DecisionKind.Refuse, jobId: job.id, reason, retryAfterMs };
+  const decision: Decision = {
+    kind: DecisionKind.Refuse,
+    jobId: job.id,
+    reason,
+    retryAfterMs,
+    aheadMs,
+    waitingJobs: scheduler.waiting.size,
+  };
   noteRefused(scheduler.returners, job, nowMs);
   remember(scheduler, job, decision, nowMs);
   return decision;
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -22,3 +22,8 @@
   readonly record: (name: string, valueMs: number) => void;
   readonly failureDomain: string;
 }
+
+/** Age of what this gateway knows of the fleet, for the log: decisions rest on it. */
+export function newsAgeMs(services: ForwardingServices): number {
+  return Math.round(services.nowMs() - services.view.confirmedAtMs);
+}
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -15,7 +15,7 @@
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { Exchange } from './exchange.js';
-import type { ForwardingServices } from './forwarding-services.js';
+import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { OwnStatus, sendOwnAnswer } from './own-answer.js';
 import { forwardPlain } from './plain-forwarding.js';
 import { forwardStream } from './stream-forwarding.js';
@@ -121,6 +121,7 @@
       host: request.headers.host,
       path: request.url,
       version: table.configuration.version,
+      newsAgeMs: newsAgeMs(services),
     });
     refuse(response, services, OwnStatus.NoRoute, 'no route', null);
     return;
@@ -135,7 +136,7 @@
   reason: string,
   retryAfterMs: number | null,
 ): void {
-  services.count(`own_answers_${String(status)}_total`);
+  services.count(`answers_${String(status)}_total`);
   sendOwnAnswer(response, services.wire, { status, reason, retryAfterMs });
 }
 
@@ -190,6 +191,7 @@
   await (usesEngines ? forwardStream : forwardPlain)(exchange, services);
   const tookMs = services.nowMs() - exchange.receivedAtMs;
   services.record('request_ms', tookMs);
+  services.count(`answers_${String(response.headersSent ? response.statusCode : 0)}_total`);
   services.log.info('request ended', {
     request: exchange.id,
     route: route.name,
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -7,7 +7,7 @@
 import type { Exchange } from './exchange.js';
 import { type HeldAnswer, holdAnswer } from './held-answer.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
-import type { ForwardingServices } from './forwarding-services.js';
+import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 
 /** A repeatable request whose answer takes so many times its target latency is tried elsewhere. */
 const SLOW_ANSWER_RATIO = 2;
@@ -100,6 +100,7 @@
     detail: outcome.detail,
     tookMs: Math.round(services.nowMs() - startedAtMs),
     leftMs,
+    newsAgeMs: newsAgeMs(services),
   });
   return outcome;
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -187,7 +187,11 @@
         streams: {},
         metricsText: telemetry.metricsText,
       }),
-      createMetricsServer(settings.metrics, telemetry.metricsText),
+      createMetricsServer(settings.metrics, () => {
+        telemetry.gauge('log_lines_dropped', writer.dropped());
+        telemetry.gauge('open_requests', front.open());
+        return telemetry.metricsText();
+      }),
       presence.child,
       createPhasePlanner({
         selfId,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -3,11 +3,17 @@
  * by one engine for another, and its stream is passed on. A resumable stream that breaks off goes
  * on at another engine within the same answer; any other one is visibly broken.
  */
-import { DecisionKind, JobEventKind, type Plan, type TargetEntry } from '@cassiamast/coordination';
+import {
+  type Decision,
+  DecisionKind,
+  JobEventKind,
+  type Plan,
+  type TargetEntry,
+} from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
 import { type Exchange, callerLeft } from './exchange.js';
-import type { ForwardingServices } from './forwarding-services.js';
+import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
 import type { JobRequest } from './scheduling-service.js';
 import { type StreamRelay, createStreamRelay } from './stream-relay.js';
@@ -26,6 +32,9 @@
 const SILENCE_TARGET_LATENCIES = 4;
 const SILENCE_TARGET_GAPS = 8;
 
+/** The scheduler's decision not to give a request an engine. */
+type Refusal = Extract<Decision, { readonly kind: DecisionKind.Refuse }>;
+
 /** One turn of an exchange at engines. */
 interface Turn {
   readonly exchange: Exchange;
@@ -69,7 +78,7 @@
     if (answer === null) break;
     const { decision, schedulerId } = answer;
     if (decision.kind === DecisionKind.Refuse) {
-      logRefusal(exchange, services, schedulerId, decision.reason, decision.retryAfterMs);
+      logRefusal(exchange, services, schedulerId, decision);
       giveUp(exchange, services, decision.reason, decision.retryAfterMs);
       return;
     }
@@ -126,6 +135,7 @@
     fetchFrom: plan.fetchFrom,
     missingTokens: plan.missingTokens,
     predictedReadMs: Math.round(plan.predictedReadMs),
+    newsAgeMs: newsAgeMs(services),
   });
   services.record('queue_wait_ms', plan.waitedMs);
   if (plan.streamAt === null) return streamAt(turn, reader, null);
@@ -287,15 +297,17 @@
   exchange: Exchange,
   services: ForwardingServices,
   scheduler: string,
-  reason: string,
-  retryAfterMs: number,
+  decision: Refusal,
 ): void {
   services.log.info('engine refused', {
     request: exchange.id,
     scheduler,
-    reason,
-    retryAfterMs: Math.round(retryAfterMs),
+    reason: decision.reason,
+    retryAfterMs: Math.round(decision.retryAfterMs),
+    aheadMs: Math.round(decision.aheadMs),
+    waitingJobs: decision.waitingJobs,
     ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
+    newsAgeMs: newsAgeMs(services),
   });
 }
 
