Send nothing for a caller who left, and give its engine back

A request whose caller left while it waited was granted an engine, written and then broken off, and the scheduler took the engine for busy until the deadline. Ruled out: a target that had the request before (arrival after the leaving in each). Change: nothing is begun once the signal is aborted; the wait ends with a report that the job ended, which takes it out of the line as well. Tests: three, red before.

--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -45,11 +45,6 @@
   return dispatch(scheduler, nowMs);
 }
 
-/** A caller left before its job was decided. */
-export function withdrawJob(scheduler: Scheduler, jobId: string): void {
-  scheduler.waiting.delete(jobId);
-}
-
 /** Lets time pass: jobs that became hopeless are refused, engines that fell idle get work. */
 export function tickScheduler(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   for (const [id, running] of scheduler.decided) {
@@ -84,6 +79,7 @@
 
 /** Nothing of a job runs any more; a prompt that was not read to its end is not in the cache. */
 function forgetJob(scheduler: Scheduler, jobId: string): void {
+  scheduler.waiting.delete(jobId);
   for (const load of scheduler.targets.values()) {
     const reading = load.reading.get(jobId);
     if (reading !== undefined) forgetParts(load.cache, reading.parts.slice(reading.heldParts));
--- a/packages/coordination/test/core/scheduling/scheduler.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler.test.ts
@@ -228,6 +228,16 @@
       assert.equal(decision.kind, DecisionKind.Refuse);
     });
 
+    it('gives no engine to a waiting job that has ended', () => {
+      submitJob(scheduler, job('a', 9000), 0);
+      const waiting = job('b', 1000, { aimAtMs: 2000 });
+      submitJob(scheduler, waiting, 1);
+      assert.equal(scheduler.waiting.size, 1);
+      const ended = { kind: JobEventKind.Ended, jobId: waiting.id, target: '' };
+      noteJobEvents(scheduler, [ended], 10);
+      assert.equal(scheduler.waiting.size, 0);
+    });
+
     it('forgets a job whose gateway no longer asks', () => {
       submitJob(scheduler, job('a', 9000), 0);
       submitJob(scheduler, job('b', 1000), 1);
--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -63,6 +63,10 @@
   sink: AnswerSink,
   signal: AbortSignal,
 ): Promise<AskOutcome> {
+  // A request that is written and then broken off still reaches its target.
+  if (signal.aborted) {
+    return Promise.resolve({ kind: AskOutcomeKind.Stopped, sent: false, detail: 'not begun' });
+  }
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
@@ -115,7 +119,6 @@
       },
     );
     signal.addEventListener('abort', onAbort);
-    if (signal.aborted) onAbort();
   });
 }
 
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -8,7 +8,7 @@
   type FleetView,
   type Hash32,
   type JobEvent,
-  type JobEventKind,
+  JobEventKind,
   createPlacement,
   ownerOf,
 } from '@cassiamast/coordination';
@@ -116,32 +116,44 @@
     return undefined;
   }
 
+  function report(
+    service: string,
+    schedulerId: string,
+    kind: JobEventKind,
+    jobId: string,
+    target: string,
+  ): void {
+    const events: readonly JobEvent[] = [{ kind, jobId, target }];
+    if (schedulerId === selfId) {
+      local.report(service, events);
+      return;
+    }
+    void rpc
+      .call(schedulerId, RpcMethod.ScheduleReport, [service, events], {
+        timeoutMs: REPORT_TIMEOUT_MS,
+      })
+      .mapErr(() => {
+        count('scheduler_reports_lost_total');
+      });
+  }
+
   return {
     noteAsked: () => {
       askedAtMs = nowMs();
     },
     schedulerOf,
     take: async (service, job, signal) => {
+      let gateway = '';
       while (!signal.aborted) {
-        const gateway = schedulerOf(service);
+        gateway = schedulerOf(service);
         const decision = await ask(gateway, service, job());
-        if (decision) return { decision, schedulerId: gateway };
+        if (decision && !signal.aborted) return { decision, schedulerId: gateway };
       }
+      // Guards against an engine that is kept for a caller who left: it shows as engines that read
+      // nothing while others wait, until the caller's deadline has passed.
+      if (gateway !== '') report(service, gateway, JobEventKind.Ended, job().id, '');
       return null;
     },
-    report: (service, schedulerId, kind, jobId, target) => {
-      const events: readonly JobEvent[] = [{ kind, jobId, target }];
-      if (schedulerId === selfId) {
-        local.report(service, events);
-        return;
-      }
-      void rpc
-        .call(schedulerId, RpcMethod.ScheduleReport, [service, events], {
-          timeoutMs: REPORT_TIMEOUT_MS,
-        })
-        .mapErr(() => {
-          count('scheduler_reports_lost_total');
-        });
-    },
+    report,
   };
 }
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -20,7 +20,6 @@
   submitJob,
   suspendEngine,
   tickScheduler,
-  withdrawJob,
 } from '@cassiamast/coordination';
 
 import type { EngineControlPort } from '@cassiamast/ports';
@@ -40,7 +39,6 @@
   /** Takes a job in and waits a while for its decision; null while there is none. */
   readonly take: (service: string, job: JobRequest, waitMs: number) => Promise<Decision | null>;
   readonly report: (service: string, events: readonly JobEvent[]) => void;
-  readonly withdraw: (service: string, jobId: string) => void;
   /** Requests at each engine, as far as this process schedules them. */
   readonly engineRequests: (service: string) => ReadonlyMap<string, number>;
   /** An engine takes no work until then. */
@@ -149,9 +147,6 @@
     report: (service, events) => {
       tell(noteJobEvents(schedulerOf(service), events, nowMs()));
     },
-    withdraw: (service, jobId) => {
-      withdrawJob(schedulerOf(service), jobId);
-    },
     engineRequests: (service) => engineRequests(schedulerOf(service)),
     suspend: (service, target, untilMs) => {
       suspendEngine(schedulerOf(service), target, untilMs);
--- /dev/null
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -0,0 +1,102 @@
+/** A caller who leaves: nothing is sent for it any more, and nothing waits for it. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  DecisionKind,
+  JobEventKind,
+  createFleetView,
+  type Decision,
+  type TargetEntry,
+} from '@cassiamast/coordination';
+import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import { AskOutcomeKind, askTarget } from '../../src/gateway/ask-target.js';
+import { createSchedulingClient } from '../../src/gateway/scheduling-client.js';
+import type { JobRequest, SchedulingService } from '../../src/gateway/scheduling-service.js';
+
+const TARGET: TargetEntry = {
+  id: 'i-1',
+  service: 's',
+  address: '10.0.0.1:80',
+  failureDomain: 'eros-hall',
+  slots: 1,
+  draining: false,
+  phase: null,
+};
+
+const JOB: JobRequest = {
+  id: 'j-1',
+  route: 'r',
+  priority: 0,
+  parts: [],
+  outputTokens: 1,
+  failureDomain: 'eros-hall',
+  aimInMs: 500,
+  deadlineInMs: 2000,
+  avoid: [],
+};
+
+const RUN: Decision = {
+  kind: DecisionKind.Run,
+  jobId: JOB.id,
+  plan: {
+    readAt: TARGET.id,
+    streamAt: null,
+    fetchFrom: null,
+    missingTokens: 0,
+    predictedReadMs: 0,
+    waitedMs: 0,
+  },
+};
+
+// Engines read prompts for callers who have long left. A caller leaves while its request waits for
+// an engine; the engine is granted a moment later, and the request goes out all the same, to be
+// broken off when its first bytes are on their way.
+describe('a caller who left', () => {
+  it('has nothing sent to a target', async () => {
+    let sends = 0;
+    const transport = {
+      stream: () => {
+        sends += 1;
+        return { stop: () => undefined, pause: () => undefined, resume: () => undefined };
+      },
+    } as unknown as HttpTransport;
+    const request = {
+      attemptId: 'a',
+      method: 'POST',
+      path: '/',
+      headers: [],
+      body: Buffer.alloc(0),
+    };
+    const sink = { onHead: () => undefined, onBytes: () => null };
+    const services = { transport, wire: {} as CallerWire };
+    const outcome = await askTarget(services, TARGET, request, sink, AbortSignal.abort());
+    assert.deepEqual([outcome.kind, outcome.sent, sends], [AskOutcomeKind.Stopped, false, 0]);
+  });
+
+  it('gives back the engine that was granted meanwhile', async () => {
+    const left = new AbortController();
+    const reported: string[] = [];
+    const local = {
+      take: () => {
+        left.abort();
+        return Promise.resolve(RUN);
+      },
+      report: (_: string, events: readonly { kind: JobEventKind; jobId: string }[]) => {
+        reported.push(...events.map(({ kind, jobId }) => `${kind} ${jobId}`));
+      },
+    } as unknown as SchedulingService;
+    const client = createSchedulingClient({
+      selfId: 'self',
+      view: createFleetView(),
+      hash32: () => 0,
+      rpc: {} as never,
+      local,
+      nowMs: () => 0,
+      log: { info: () => undefined, warn: () => undefined },
+      count: () => undefined,
+      isConfirmed: () => true,
+    });
+    assert.equal(await client.take('s', () => JOB, left.signal), null);
+    assert.deepEqual(reported, [`${JobEventKind.Ended} ${JOB.id}`]);
+  });
+});
