Let imports between poison, records and roles point one way

Cause: two circles of imports in the library: poison/ledger and records/drive-types, roles/choose-target and planner. Change: Place has a file of its own, PlannerTarget stands with the choice among them. Nothing that the gateway runs is touched; no behaviour changes. One circle in the library is left (drive-agreement and drive-attempts decide for each other), and four in stand-ins and fuzz worlds.

--- a/packages/coordination/src/core/poison/client.ts
+++ b/packages/coordination/src/core/poison/client.ts
@@ -6,7 +6,7 @@
  */
 import type { RevisionCompare, StoredValue, StoredWrite } from '../claims/key-value.js';
 import { LoneRunEnd, LoneRunOutcome } from '../records/drive-types.js';
-import type { Place } from '../records/drive-types.js';
+import type { Place } from '../records/place.js';
 import { LoneProbe } from '../records/messages.js';
 import { PoisonEffectKind, PoisonEventKind, PoisonWorkKind } from './client-types.js';
 import type {
--- a/packages/coordination/src/core/poison/ledger.ts
+++ b/packages/coordination/src/core/poison/ledger.ts
@@ -4,7 +4,7 @@
  * it stands, per service, the one lone run that may be under way, written before the run begins.
  */
 import type { StoredValue } from '../claims/key-value.js';
-import type { Place } from '../records/drive-types.js';
+import type { Place } from '../records/place.js';
 
 /** What is known of one content. */
 export interface LedgerEntry {
--- a/packages/coordination/src/core/records/drive-messages.ts
+++ b/packages/coordination/src/core/records/drive-messages.ts
@@ -4,7 +4,8 @@
 import type { UnstampedEvent } from '../events/event.js';
 import type { Failure } from '../failures/failure.js';
 import type { RunState } from '../model/outcome.js';
-import type { ClaimOutcome, DriveTimer, LoneRunEnd, LoneRunOutcome, Place } from './drive-types.js';
+import type { ClaimOutcome, DriveTimer, LoneRunEnd, LoneRunOutcome } from './drive-types.js';
+import type { Place } from './place.js';
 import type {
   CancelOutcome,
   HolderCall,
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -6,6 +6,7 @@
 import type { Failure } from '../failures/failure.js';
 import type { Hash32 } from '../hashing/hashing.js';
 import type { IsConvicted } from '../poison/ledger.js';
+import type { Place } from './place.js';
 import type { Random } from '../random/random.js';
 import type { RetryBudget, RetryOptions, WithdrawRetry } from '../retries/retries.js';
 import type { HolderCall, HolderReply } from './messages.js';
@@ -69,12 +70,6 @@
   Unavailable = 'unavailable',
 }
 
-/** A place for an attempt. */
-export interface Place {
-  readonly sidecar: string;
-  readonly target: string;
-}
-
 /** What the policy or the poison ledger says of a suspect. */
 export enum LoneRunOutcome {
   Granted = 'granted',
--- a/packages/coordination/src/core/roles/choose-target.ts
+++ b/packages/coordination/src/core/roles/choose-target.ts
@@ -3,7 +3,19 @@
  * wanted role least, so that the loss of a domain never takes all readers or all writers.
  */
 import { EngineRole } from '../model/configuration.js';
-import type { PlannerTarget } from './planner.js';
+import type { LoadReport } from '../routing/load-report.js';
+
+/** A target as the planner sees it. */
+export interface PlannerTarget {
+  readonly name: string;
+  readonly failureDomain: string;
+  readonly role: EngineRole;
+  /** Takes new work. */
+  readonly accepting: boolean;
+  /** Role that it is being changed to, or null. */
+  readonly changingTo: EngineRole | null;
+  readonly report: LoadReport | null;
+}
 
 /** Name of the target to change to `role`, or null where the floor or the roles allow none. */
 export function chooseTarget(
--- a/packages/coordination/src/core/roles/planner.ts
+++ b/packages/coordination/src/core/roles/planner.ts
@@ -9,11 +9,10 @@
 import type { UnstampedEvent } from '../events/event.js';
 import { EngineRole } from '../model/configuration.js';
 import type { EngineProfile } from '../routing/engine-profile.js';
-import type { LoadReport } from '../routing/load-report.js';
 import { servedShare } from './capacity.js';
 import type { RoleSplit } from './capacity.js';
 import type { DemandReport, DemandSample } from './demand.js';
-import { chooseTarget } from './choose-target.js';
+import { type PlannerTarget, chooseTarget } from './choose-target.js';
 import { changeCostRequests } from './change-cost.js';
 
 /** What a planner is made with. */
@@ -46,18 +45,6 @@
   maxChangingShare: 0.26,
 } as const;
 
-/** A target as the planner sees it. */
-export interface PlannerTarget {
-  readonly name: string;
-  readonly failureDomain: string;
-  readonly role: EngineRole;
-  /** Takes new work. */
-  readonly accepting: boolean;
-  /** Role that it is being changed to, or null. */
-  readonly changingTo: EngineRole | null;
-  readonly report: LoadReport | null;
-}
-
 /** What a decision looks at. */
 export interface PlannerView {
   readonly targets: readonly PlannerTarget[];
