--- a/packages/coordination/src/core/records/drive-attempts.ts
+++ b/packages/coordination/src/core/records/drive-attempts.ts
@@ -20,7 +20,7 @@
 import { DriveEffectKind } from './drive-messages.js';
 import { DrivePhase, DriveTimer, LoneRunEnd, Suspicion } from './drive-types.js';
 import type { Place } from './place.js';
-import type { Place, RequestDrive } from './drive-types.js';
+import type { RequestDrive } from './drive-types.js';
 import { DEADLINE_PASSED, OUTCOME_UNKNOWN, TRIES_SPENT } from './failures.js';
 import { HolderCallKind } from './messages.js';
 import { currentAttempt } from './record.js';
