Take no grant of a target that leaves; when stopping take only what can end in time

Ruled out: late news at the gateway that sent (it had the leaving). Change: the gateway that sends checks a grant against its own news; after the notice a stopping gateway sends away at once what could not end before it does.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -183,6 +183,12 @@
   }
 }
 
+/** A target that may take work, null where it leaves, is gone or was never there. */
+export function servingTarget(view: FleetView, id: string): TargetEntry | null {
+  const seen = view.targets.get(id);
+  return seen === undefined || seen.entry.draining ? null : seen.entry;
+}
+
 /** The targets of a service that may take work. */
 export function servingTargets(view: FleetView, service: string): readonly TargetEntry[] {
   const entries: TargetEntry[] = [];
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -30,6 +30,8 @@
 const DEFAULT_PATIENCE_MS = 30_000;
 /** When callers are asked back while this gateway knows no configuration. */
 const STARTING_RETRY_MS = 500;
+/** When callers are asked back by a gateway that stops: at once, they reach another one. */
+const STOPPING_RETRY_MS = 50;
 /** Sockets that are looked at for slow requests so often. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -40,6 +42,8 @@
   readonly open: () => number;
   /** From now on each answer asks its caller to connect anew, which leads to another gateway. */
   readonly turnAway: () => void;
+  /** From now on only requests are taken that end by then, whatever happens to them. */
+  readonly takeOnlyUntil: (endsAtMs: number) => void;
 }
 
 /** Makes the port. */
@@ -47,6 +51,7 @@
   let server: Server | null = null;
   let open = 0;
   let turnsAway = false;
+  let takenUntilMs = Infinity;
 
   function serve(request: IncomingMessage, response: ServerResponse): void {
     open += 1;
@@ -54,7 +59,7 @@
     response.once('close', () => {
       open -= 1;
     });
-    handle(request, response, services).catch((error: unknown) => {
+    handle(request, response, services, () => takenUntilMs).catch((error: unknown) => {
       services.count('request_faults_total');
       services.log.warn('request handling failed', { cause: String(error) });
       response.destroy();
@@ -92,6 +97,9 @@
     turnAway: () => {
       turnsAway = true;
     },
+    takeOnlyUntil: (endsAtMs) => {
+      takenUntilMs = endsAtMs;
+    },
   };
 }
 
@@ -99,6 +107,7 @@
   request: IncomingMessage,
   response: ServerResponse,
   services: ForwardingServices,
+  takenUntilMs: () => number,
 ): Promise<void> {
   const receivedAtMs = services.nowMs();
   const { table } = services.view;
@@ -126,6 +135,13 @@
     refuse(response, services, OwnStatus.NoRoute, 'no route', null);
     return;
   }
+  // Guards against a request that is taken shortly before the process ends: it shows as an answer
+  // that is cut. Callers may still be sent here long after the balancer was told to stop.
+  if (exchange.endsAtMs > takenUntilMs()) {
+    services.log.info('not taken, the gateway stops', { request: exchange.id });
+    refuse(response, services, OwnStatus.Refused, 'the gateway stops', STOPPING_RETRY_MS);
+    return;
+  }
   await forward(exchange, services);
 }
 
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -233,6 +233,9 @@
     let isOver = false;
     const perform = (effects: readonly DrainEffect[]): void => {
       for (const effect of effects) {
+        if (effect.kind === DrainEffectKind.StopAccepting) {
+          front.takeOnlyUntil(state.startedAtMs + state.options.drainMs);
+        }
         if (effect.kind === DrainEffectKind.Drained) {
           isOver = true;
           log.info('gateway drained', { leftRunning: effect.leftRunning });
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -9,6 +9,7 @@
   JobEventKind,
   type Plan,
   type TargetEntry,
+  servingTarget,
 } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
@@ -18,8 +19,8 @@
 import type { JobRequest } from './scheduling-service.js';
 import { type StreamRelay, createStreamRelay } from './stream-relay.js';
 
-/** Times that one request asks for engines: a first one and two after failures. */
-const MAX_TURNS = 3;
+/** Times that one request asks for engines: a first one and some after failures. */
+const MAX_TURNS = 4;
 /**
  * Arrivals at engines that a further turn may add: one to have the prompt read, one to go on. Only
  * the first reading of a request is free.
@@ -50,6 +51,8 @@
   Delivered = 'delivered',
   /** Nothing ran; another turn may be taken. */
   NotRun = 'not-run',
+  /** Nothing was sent: what was granted is leaving, as this gateway knows and the scheduler not. */
+  NotServing = 'not-serving',
   /** The stream broke off, or may have run unseen. */
   Broken = 'broken',
   Stopped = 'stopped',
@@ -95,6 +98,7 @@
 
 /** Whether another turn is allowed after one that failed. */
 function mayGoOn(exchange: Exchange, services: ForwardingServices, end: TurnEnd): boolean {
+  if (end === TurnEnd.NotServing) return true;
   if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
   if (exchange.sends >= exchange.route.maxAttempts) return false;
   return services.budgets.take(exchange.service, ARRIVALS_PER_TURN);
@@ -124,8 +128,9 @@
 
 async function runTurn(turn: Turn): Promise<TurnEnd> {
   const { exchange, services, plan } = turn;
-  const reader = targetOf(services, plan.readAt);
-  if (reader === null) return TurnEnd.NotRun;
+  const reader = servingTarget(services.view, plan.readAt);
+  const streamer = plan.streamAt === null ? reader : servingTarget(services.view, plan.streamAt);
+  if (reader === null || streamer === null) return refuseGrant(turn);
   services.log.info('engine granted', {
     request: exchange.id,
     scheduler: turn.schedulerId,
@@ -139,8 +144,6 @@
   });
   services.record('queue_wait_ms', plan.waitedMs);
   if (plan.streamAt === null) return streamAt(turn, reader, null);
-  const streamer = targetOf(services, plan.streamAt);
-  if (streamer === null) return TurnEnd.NotRun;
   const handle = await readAt(turn, reader);
   if (handle === null) return exchange.signal.aborted ? TurnEnd.Stopped : TurnEnd.NotRun;
   const end = await streamAt(turn, streamer, handle);
@@ -148,12 +151,28 @@
   return end;
 }
 
-function targetOf(services: ForwardingServices, id: string): TargetEntry | null {
-  return services.view.targets.get(id)?.entry ?? null;
+/**
+ * Guards against a scheduler that is cut off from the store and does not know that a target leaves:
+ * it shows as new work that reaches a target seconds after its leaving was accepted. The gateway
+ * that sends looks at its own news.
+ */
+function refuseGrant({ exchange, services, plan, schedulerId }: Turn): TurnEnd {
+  for (const id of [plan.readAt, plan.streamAt]) {
+    if (id === null || servingTarget(services.view, id) !== null) continue;
+    exchange.failedTargets.add(id);
+    services.log.warn('grant not taken', {
+      request: exchange.id,
+      scheduler: schedulerId,
+      target: id,
+      reason: 'the target leaves',
+      newsAgeMs: newsAgeMs(services),
+    });
+  }
+  return TurnEnd.NotServing;
 }
 
 function addressOf(services: ForwardingServices, id: string | null): string | null {
-  return id === null ? null : (targetOf(services, id)?.address ?? null);
+  return id === null ? null : (servingTarget(services.view, id)?.address ?? null);
 }
 
 /** Has a prompt read for another engine; null when that failed, after which nothing has run. */
--- /dev/null
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -0,0 +1,132 @@
+/** What a gateway does with a grant that its own news contradicts. */
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import { describe, it } from 'node:test';
+import {
+  DecisionKind,
+  DeliveryKind,
+  EnginePhase,
+  FleetChangeKind,
+  applyChanges,
+  createFleetView,
+} from '@cassiamast/coordination';
+import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import type { Exchange } from '../../src/gateway/exchange.js';
+import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
+import { forwardStream } from '../../src/gateway/stream-forwarding.js';
+
+function viewWith(states: Readonly<Record<string, boolean>>): ReturnType<typeof createFleetView> {
+  const view = createFleetView();
+  const changes = Object.entries(states).map(([id, draining]) => ({
+    kind: FleetChangeKind.Target as const,
+    revision: 1,
+    target: {
+      id,
+      service: 's',
+      address: `${id}:80`,
+      failureDomain: 'eros-hall',
+      slots: 1,
+      draining,
+      phase: EnginePhase.Both,
+    },
+  }));
+  applyChanges(view, changes, 1, 0);
+  return view;
+}
+
+const EXCHANGE: Omit<Exchange, 'response'> = {
+  id: 'x',
+  head: { attemptId: 'x', patienceMs: 1000, parts: [], outputTokens: 1, lastEventId: null },
+  route: {
+    name: 'r',
+    host: 'h',
+    pathPrefix: '/',
+    kind: DeliveryKind.Stream,
+    timeoutMs: 1000,
+    targetLatencyMs: 500,
+    targetGapMs: 300,
+    priority: 0,
+    shares: [],
+    maxAttempts: 1,
+    hasPrompts: true,
+    resumable: false,
+  },
+  service: 's',
+  method: 'POST',
+  path: '/',
+  rawHeaders: [],
+  body: Buffer.alloc(0),
+  receivedAtMs: 0,
+  endsAtMs: 1000,
+  signal: new AbortController().signal,
+  mayHaveRun: false,
+  sends: 0,
+  failedTargets: new Set(),
+  firstEventMs: null,
+  lastTarget: '',
+};
+
+describe('a grant of an engine', () => {
+  // A leaving engine gets new work for seconds. The gateway that schedules is cut off from the store
+  // and still grants the engine; the one that sends has heard of its leaving.
+  it('that leaves is not taken, and another engine is asked for', async () => {
+    const granted = ['leaving', 'staying'];
+    const avoided: (readonly string[])[] = [];
+    const sentTo: string[] = [];
+    const response = {
+      headersSent: false,
+      destroyed: false,
+      writeHead: () => undefined,
+      end: () => undefined,
+    } as unknown as ServerResponse;
+    const services = {
+      view: viewWith({ leaving: true, staying: false }),
+      wire: {
+        targetHeaders: () => [],
+        readAnswer: (status: number) => ({
+          status,
+          attemptId: null,
+          notRun: false,
+          encoded: false,
+        }),
+        callerHeaders: () => [],
+        ownHeaders: () => ({}),
+      } as unknown as CallerWire,
+      transport: {
+        stream: (request: { origin: string }, handlers: Parameters<HttpTransport['stream']>[1]) => {
+          sentTo.push(request.origin);
+          setImmediate(() => {
+            handlers.onSent?.();
+            handlers.onStart(200, {}, []);
+            handlers.onEnd();
+          });
+          return { stop: () => undefined, pause: () => undefined, resume: () => undefined };
+        },
+      },
+      budgets: { noteRequest: () => undefined, take: () => false },
+      scheduling: {
+        take: (_: string, job: () => { avoid: readonly string[]; id: string }) => {
+          avoided.push(job().avoid);
+          const plan = {
+            readAt: granted.shift() ?? '',
+            streamAt: null,
+            fetchFrom: null,
+            missingTokens: 0,
+            predictedReadMs: 0,
+            waitedMs: 0,
+          };
+          const decision = { kind: DecisionKind.Run, jobId: job().id, plan };
+          return Promise.resolve({ decision, schedulerId: 'g' });
+        },
+        report: () => undefined,
+      },
+      nowMs: () => 0,
+      log: { info: () => undefined, warn: () => undefined },
+      count: () => undefined,
+      record: () => undefined,
+    } as unknown as ForwardingServices;
+    await forwardStream({ ...EXCHANGE, response, failedTargets: new Set() }, services);
+    assert.deepEqual(sentTo, ['http://staying:80']);
+    assert.deepEqual(avoided, [[], ['leaving']]);
+  });
+});
