End the doubt about a missing target by the clock

A gateway that regained the store doubted a removed entry for 1.5 s, as meant, but looked again only with its next news, up to 2.1 s later. Ruled out: the scheduler alone (the gateway that sent had the same view). Change: whether a target may take work is decided by the clock at each look. Test: red before (the function took no time).

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -183,17 +183,28 @@
   }
 }
 
+/**
+ * Whether a target may take work. A doubt ends by the clock, not with the next news: after an outage
+ * news may take longer than the time in which new work must stop.
+ */
+function maySend(view: FleetView, seen: SeenTarget, nowMs: number): boolean {
+  const isGone = seen.missingSinceMs !== null && nowMs >= view.doubtUntilMs;
+  return !seen.entry.draining && !isGone;
+}
+
 /** A target that may take work, null where it leaves, is gone or was never there. */
-export function servingTarget(view: FleetView, id: string): TargetEntry | null {
+export function servingTarget(view: FleetView, id: string, nowMs: number): TargetEntry | null {
   const seen = view.targets.get(id);
-  return seen === undefined || seen.entry.draining ? null : seen.entry;
+  return seen !== undefined && maySend(view, seen, nowMs) ? seen.entry : null;
 }
 
 /** The targets of a service that may take work. */
-export function servingTargets(view: FleetView, service: string): readonly TargetEntry[] {
-  const entries: TargetEntry[] = [];
-  for (const { entry } of view.targets.values()) {
-    if (entry.service === service && !entry.draining) entries.push(entry);
-  }
-  return entries;
+export function servingTargets(
+  view: FleetView,
+  service: string,
+  nowMs: number,
+): readonly TargetEntry[] {
+  return [...view.targets.values()]
+    .filter((seen) => seen.entry.service === service && maySend(view, seen, nowMs))
+    .map((seen) => seen.entry);
 }
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -37,7 +37,8 @@
 
 describe('the fleet as a gateway sees it', () => {
   let view: FleetView;
-  const serving = (): readonly string[] => servingTargets(view, SERVICE).map(({ id }) => id);
+  const serving = (nowMs = 0): readonly string[] =>
+    servingTargets(view, SERVICE, nowMs).map(({ id }) => id);
 
   beforeEach(() => {
     view = createFleetView();
@@ -107,6 +108,13 @@
       assert.deepEqual(serving(), ['b']);
     });
 
+    // A leaving target gets new work for three seconds. Its entry went while the store was away for
+    // this gateway, and the doubt about it ended only with the next news, which took a watch's wait.
+    it('gives it no work once the doubt has passed, whether news come or not', () => {
+      assert.deepEqual(serving(backAtMs + LAPSE_DOUBT_MS - 1), ['a', 'b']);
+      assert.deepEqual(serving(backAtMs + LAPSE_DOUBT_MS), ['b']);
+    });
+
     it('drops one at once that had reported its leaving', () => {
       applyChanges(view, [target('b', 7, true), removed('b', 8)], 8, backAtMs + 100);
       assert.equal(view.targets.has('b'), false);
--- a/packages/daemon/src/gateway/phase-planner.ts
+++ b/packages/daemon/src/gateway/phase-planner.ts
@@ -131,7 +131,7 @@
   function engines(): readonly PhaseEngine[] {
     const now = nowMs();
     const requests = schedulers.engineRequests(service);
-    return servingTargets(view, service).flatMap(({ id, failureDomain, phase }) => {
+    return servingTargets(view, service, nowMs()).flatMap(({ id, failureDomain, phase }) => {
       if (phase === null) return [];
       const changing = (changingUntilMs.get(id) ?? 0) > now;
       return { id, failureDomain, phase, changing, usable: true, requests: requests.get(id) ?? 0 };
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -77,7 +77,7 @@
 
   function follow(service: string, scheduler: Scheduler): void {
     const spec = view.table?.servicesByName.get(service)?.engine ?? null;
-    if (spec !== null) noteEngines(scheduler, servingTargets(view, service), spec);
+    if (spec !== null) noteEngines(scheduler, servingTargets(view, service, nowMs()), spec);
   }
 
   /** Asks engines for their caches where another process may have scheduled meanwhile. */
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -128,8 +128,9 @@
 
 async function runTurn(turn: Turn): Promise<TurnEnd> {
   const { exchange, services, plan } = turn;
-  const reader = servingTarget(services.view, plan.readAt);
-  const streamer = plan.streamAt === null ? reader : servingTarget(services.view, plan.streamAt);
+  const reader = servingTarget(services.view, plan.readAt, services.nowMs());
+  const streamer =
+    plan.streamAt === null ? reader : servingTarget(services.view, plan.streamAt, services.nowMs());
   if (reader === null || streamer === null) return refuseGrant(turn);
   services.log.info('engine granted', {
     request: exchange.id,
@@ -158,7 +159,7 @@
  */
 function refuseGrant({ exchange, services, plan, schedulerId }: Turn): TurnEnd {
   for (const id of [plan.readAt, plan.streamAt]) {
-    if (id === null || servingTarget(services.view, id) !== null) continue;
+    if (id === null || servingTarget(services.view, id, services.nowMs()) !== null) continue;
     exchange.failedTargets.add(id);
     services.log.warn('grant not taken', {
       request: exchange.id,
@@ -172,7 +173,7 @@
 }
 
 function addressOf(services: ForwardingServices, id: string | null): string | null {
-  return id === null ? null : (servingTarget(services.view, id)?.address ?? null);
+  return id === null ? null : (servingTarget(services.view, id, services.nowMs())?.address ?? null);
 }
 
 /** Has a prompt read for another engine; null when that failed, after which nothing has run. */
--- a/packages/daemon/src/gateway/target-health.ts
+++ b/packages/daemon/src/gateway/target-health.ts
@@ -75,11 +75,13 @@
 
   return {
     choose: (service, tried) => {
-      const entries = servingTargets(view, service).filter((entry) => !tried.has(entry.id));
+      const entries = servingTargets(view, service, nowMs()).filter(
+        (entry) => !tried.has(entry.id),
+      );
       const outliers = outliersOf(service);
       noteOutlierTargets(
         outliers,
-        servingTargets(view, service).map((entry) => entry.id),
+        servingTargets(view, service, nowMs()).map((entry) => entry.id),
       );
       const excluded = excludedTargets(outliers, nowMs(), random);
       const healthy = entries.filter((entry) => !excluded.has(entry.id));
