Decide for many engines in a tenth of the processor time

Change: lines are kept by engine; who holds a prompt is found once for a job and counts 50 ms; unread parts are kept; engines that make tokens look only at jobs that they may read.

--- a/benchmark/src/main.ts
+++ b/benchmark/src/main.ts
@@ -8,6 +8,7 @@
   policy: async () => (await import('./policy/command.js')).runPolicyCommand,
   path: async () => (await import('./path/path.js')).runPath,
   control: async () => (await import('./control/command.js')).runControlCommand,
+  scheduling: async () => (await import('./scheduling/command.js')).runSchedulingCommand,
   check: async () => (await import('./policy/check-command.js')).runCheckCommand,
 };
 
@@ -20,6 +21,8 @@
            [--seconds N] [--base-port N] [--profile]
   control  what membership and configuration cost per member, by size of the fleet
            [--pure] [--quiet-s N] [--base-port N] [--sizes 14,140,1140] [--loss RATIO] [--seed N]
+  scheduling  what one scheduler of engines serves and costs, on a virtual clock
+           [--engines 8,31,128] [--loads 1,1.5,2.5] [--seconds N] [--seed N]
   check    the exact figures of the virtual clock against benchmark/bounds.yaml
 `;
 
--- /dev/null
+++ b/benchmark/src/scheduling/play.ts
@@ -0,0 +1,191 @@
+/**
+ * Plays a workload on a scheduler and simple engines, on a virtual clock: an engine reads one prompt
+ * after the other, and a stream lasts as long as its tokens. Counts who was served in time, and what
+ * deciding took of the processor.
+ */
+import {
+  type Decision,
+  DecisionKind,
+  EnginePhase,
+  type Job,
+  JobEventKind,
+  type Plan,
+  SCHEDULER_OPTIONS,
+  type Scheduler,
+  type TargetEntry,
+  createScheduler,
+  noteEngines,
+  noteJobEvents,
+  submitJob,
+  tickScheduler,
+} from '@cassiamast/coordination';
+import { EventQueue } from '../control/event-queue.js';
+import { type WorkloadOptions, makeWorkload } from './workload.js';
+
+/** Sheet of an engine of today's kind. */
+const ENGINE_SPEC = {
+  slots: 64,
+  kvCapacityTokens: 428_000,
+  kvTokenBytes: 18_432,
+  linkMbps: 370_000,
+  kvRetentionMs: 5000,
+};
+const READ_TOKENS_PER_MS = 36.7;
+const READ_START_MS = 20;
+const MS_PER_TOKEN = 12;
+const FETCH_MS = 12;
+/** A report crosses to the scheduler in that time, a grant to the engine too. */
+const CROSSING_MS = 2;
+const TICK_MS = 10;
+/** Part of the engines that make tokens. */
+const DECODE_SHARE = 0.2;
+const DOMAINS = 3;
+const US_PER_MS = 1000;
+
+/** What a play came to. */
+export interface PlayFigures {
+  readonly requests: number;
+  readonly onTime: number;
+  readonly late: number;
+  /** Requests whose caller was refused, came back once and was refused again or too late. */
+  readonly unserved: number;
+  /** Processor time of the scheduler for each request, in microseconds. */
+  readonly decideUsPerRequest: number;
+  /** The longest single decision, in microseconds. */
+  readonly longestDecisionUs: number;
+  /** Most requests that waited at once. */
+  readonly mostWaiting: number;
+}
+
+interface Play {
+  readonly scheduler: Scheduler;
+  readonly queue: EventQueue;
+  readonly freeAtMs: Map<string, number>;
+  readonly jobs: Map<string, Job>;
+  onTime: number;
+  late: number;
+  unserved: number;
+  spentUs: number;
+  longestUs: number;
+  mostWaiting: number;
+}
+
+/** Plays a workload to its end. */
+export function playScheduling(options: WorkloadOptions): PlayFigures {
+  const scheduler = createScheduler(SCHEDULER_OPTIONS);
+  noteEngines(scheduler, makeEngines(options.engines), ENGINE_SPEC);
+  const play: Play = {
+    scheduler,
+    queue: new EventQueue(),
+    freeAtMs: new Map(),
+    jobs: new Map(),
+    onTime: 0,
+    late: 0,
+    unserved: 0,
+    spentUs: 0,
+    longestUs: 0,
+    mostWaiting: 0,
+  };
+  const arrivals = makeWorkload(options);
+  for (const { atMs, job } of arrivals) {
+    play.queue.at(atMs, () => {
+      submit(play, job);
+    });
+  }
+  scheduleTicks(play, options.durationMs);
+  play.queue.runUntil(options.durationMs + LINGER_MS);
+  return {
+    requests: arrivals.length,
+    onTime: play.onTime,
+    late: play.late,
+    unserved: play.unserved,
+    decideUsPerRequest: Math.round(play.spentUs / arrivals.length),
+    longestDecisionUs: Math.round(play.longestUs),
+    mostWaiting: play.mostWaiting,
+  };
+}
+
+/** After the last arrival, until the last caller has left. */
+const LINGER_MS = 8000;
+
+function makeEngines(count: number): readonly TargetEntry[] {
+  const decode = Math.ceil(count * DECODE_SHARE);
+  return Array.from({ length: count }, (_, index) => ({
+    id: `engine-${String(index)}`,
+    service: 'llm',
+    address: `engine-${String(index)}:80`,
+    failureDomain: `domain-${String(index % DOMAINS)}`,
+    slots: ENGINE_SPEC.slots,
+    draining: false,
+    phase: index < decode ? EnginePhase.Decode : EnginePhase.Prefill,
+  }));
+}
+
+function scheduleTicks(play: Play, durationMs: number): void {
+  for (let atMs = TICK_MS; atMs < durationMs + LINGER_MS; atMs += TICK_MS) {
+    play.queue.at(atMs, () => {
+      decide(play, () => tickScheduler(play.scheduler, play.queue.nowMs));
+    });
+  }
+}
+
+function submit(play: Play, job: Job): void {
+  play.jobs.set(job.id, job);
+  decide(play, () => submitJob(play.scheduler, job, play.queue.nowMs));
+  play.mostWaiting = Math.max(play.mostWaiting, play.scheduler.waiting.size);
+}
+
+function decide(play: Play, make: () => readonly Decision[]): void {
+  const startedNs = process.hrtime.bigint();
+  const decisions = make();
+  const spentUs = Number(process.hrtime.bigint() - startedNs) / US_PER_MS;
+  play.spentUs += spentUs;
+  play.longestUs = Math.max(play.longestUs, spentUs);
+  for (const decision of decisions) take(play, decision);
+}
+
+function take(play: Play, decision: Decision): void {
+  const job = play.jobs.get(decision.jobId);
+  if (job === undefined) return;
+  if (decision.kind === DecisionKind.Run) {
+    run(play, job, decision.plan);
+    return;
+  }
+  const backAtMs = play.queue.nowMs + decision.retryAfterMs;
+  if (job.id.endsWith(RETURNED) || backAtMs >= job.deadlineAtMs) {
+    play.unserved += 1;
+    return;
+  }
+  // A caller comes back once, as a new attempt of the same request.
+  play.queue.at(backAtMs, () => {
+    submit(play, { ...job, id: `${job.id}${RETURNED}` });
+  });
+}
+
+const RETURNED = '+';
+
+function run(play: Play, job: Job, plan: Plan): void {
+  const { queue } = play;
+  const startAtMs = Math.max(queue.nowMs + CROSSING_MS, play.freeAtMs.get(plan.readAt) ?? 0);
+  const fetchMs = plan.fetchFrom === null ? 0 : FETCH_MS;
+  const readAtMs = startAtMs + READ_START_MS + fetchMs + plan.missingTokens / READ_TOKENS_PER_MS;
+  play.freeAtMs.set(plan.readAt, readAtMs);
+  const handoverMs = plan.streamAt === null ? 0 : FETCH_MS + CROSSING_MS;
+  const firstEventAtMs = readAtMs + handoverMs;
+  queue.at(readAtMs + CROSSING_MS, () => {
+    report(play, job, JobEventKind.Read, plan.readAt);
+  });
+  queue.at(firstEventAtMs, () => {
+    if (firstEventAtMs <= job.aimAtMs) play.onTime += 1;
+    else if (firstEventAtMs <= job.deadlineAtMs) play.late += 1;
+    else play.unserved += 1;
+  });
+  queue.at(firstEventAtMs + job.outputTokens * MS_PER_TOKEN + CROSSING_MS, () => {
+    report(play, job, JobEventKind.Ended, plan.readAt);
+  });
+}
+
+function report(play: Play, job: Job, kind: JobEventKind, target: string): void {
+  const events = [{ kind, jobId: job.id, target }];
+  decide(play, () => noteJobEvents(play.scheduler, events, play.queue.nowMs));
+}
--- a/packages/coordination/src/core/scheduling/dispatching.ts
+++ b/packages/coordination/src/core/scheduling/dispatching.ts
@@ -2,24 +2,37 @@
  * Gives jobs to engines that have room: the best of an engine's own line, or where that is empty one
  * of another line that it would answer sooner.
  */
+import { EnginePhase } from '../forwarding/fleet.js';
 import { chooseStreamTarget } from './handover.js';
 import { type Decision, DecisionKind } from './job.js';
-import { bestPlace, copyCostMs, lineOf, makeOffer, mayRead, placeAt } from './placing.js';
+import { bestPlace, copyCostMs, hasReaders, makeOffer, mayRead, placeAt } from './placing.js';
 import { heldParts, notePrompt } from './prompt-cache.js';
 import { type Offer, compareOffers } from './ranking.js';
-import { type ReadCost, readCost } from './read-cost.js';
+import { type ReadCost, findHolders, readCost } from './read-cost.js';
 import { remember } from './refusing.js';
 import type { Scheduler, Waiting } from './scheduler-state.js';
 import { noteServedSize } from './size-fairness.js';
-import { type TargetLoad, hasRoom, isUsable, makesTokens, pendingReadMs } from './target-load.js';
+import {
+  type TargetLoad,
+  beginReading,
+  hasRoom,
+  isUsable,
+  makesTokens,
+  pendingReadMs,
+} from './target-load.js';
+import { changeLine, lineOf } from './waiting-lines.js';
 
 /** Gives each engine that has room its next job. */
 export function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const decisions: Decision[] = [];
   moveFromUnusable(scheduler, nowMs);
+  if (scheduler.waiting.size === 0) return decisions;
+  const forDecode = jobsForDecode(scheduler, nowMs);
   for (const load of scheduler.targets.values()) {
+    const isDecode = load.entry.phase === EnginePhase.Decode;
     while (hasRoom(load, scheduler.options, nowMs)) {
-      const next = nextOf(scheduler, load, nowMs) ?? stealFor(scheduler, load, nowMs);
+      const others = isDecode ? forDecode : scheduler.waiting.values();
+      const next = nextOf(scheduler, load, nowMs) ?? stealFor(scheduler, load, others, nowMs);
       if (next === null) break;
       const decision = grant(scheduler, load, next, nowMs);
       if (decision === null) break;
@@ -29,21 +42,34 @@
   return decisions;
 }
 
+/**
+ * Jobs that engines which make tokens may read at all: most are too long for them. Looked up once
+ * and not for each of these engines, of which most have room all the time: that took a third of the
+ * processor time of a scheduler under overload.
+ */
+function jobsForDecode(scheduler: Scheduler, nowMs: number): readonly Waiting[] {
+  return [...scheduler.waiting.values()].filter(({ job, returned }) => {
+    const ownTokens = job.parts.at(-1)?.tokens ?? 0;
+    if (ownTokens <= scheduler.options.maxDecodeReadTokens || returned) return true;
+    return !hasReaders(scheduler, job, nowMs);
+  });
+}
+
 /** A job whose engine left or failed joins the line of another one. */
 function moveFromUnusable(scheduler: Scheduler, nowMs: number): void {
-  for (const waiting of scheduler.waiting.values()) {
+  for (const waiting of [...scheduler.waiting.values()]) {
     const load = scheduler.targets.get(waiting.target);
     if (load !== undefined && isUsable(load, nowMs)) continue;
     const place = bestPlace(scheduler, waiting, nowMs);
-    if (place !== null) waiting.target = place.load.entry.id;
+    if (place !== null) changeLine(scheduler, waiting, place.load.entry.id);
   }
 }
 
 function nextOf(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
   const startAtMs = nowMs + pendingReadMs(load, nowMs);
   let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
-  for (const waiting of lineOf(scheduler, load)) {
-    const offer = makeOffer(scheduler, load, waiting, startAtMs);
+  for (const waiting of lineOf(scheduler, load.entry.id)) {
+    const offer = makeOffer(scheduler, load, waiting, startAtMs, nowMs);
     if (best === null || compareOffers(offer, best.offer) < 0) best = { waiting, offer };
   }
   return best?.waiting ?? null;
@@ -53,13 +79,19 @@
  * The job of another line that an idle engine takes: one that it would answer sooner than the
  * engine whose line it stands in, counting what is read again against it.
  */
-function stealFor(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
+function stealFor(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  others: Iterable<Waiting>,
+  nowMs: number,
+): Waiting | null {
   let best: { readonly waiting: Waiting; readonly offer: Offer } | null = null;
-  for (const waiting of scheduler.waiting.values()) {
+  for (const waiting of others) {
+    if (!scheduler.waiting.has(waiting.job.id)) continue;
     const other = scheduler.targets.get(waiting.target);
     if (other === undefined || !mayRead(scheduler, load, waiting.job, nowMs)) continue;
     const there = placeAt(scheduler, other, waiting, nowMs);
-    const here = makeOffer(scheduler, load, waiting, nowMs);
+    const here = makeOffer(scheduler, load, waiting, nowMs, nowMs);
     const extraMs = Math.max(0, here.serviceMs - there.offer.serviceMs);
     const weighedAtMs =
       here.firstEventAtMs + scheduler.options.rereadWeight * extraMs + copyCostMs(scheduler, here);
@@ -80,9 +112,10 @@
     ? load
     : chooseStreamTarget(scheduler.targets.values(), job, load, nowMs);
   if (stream === null) return null;
-  const cost: ReadCost = readCost(scheduler.targets.values(), load, job, nowMs);
+  const holders = findHolders(scheduler.targets.values(), job, nowMs);
+  const cost: ReadCost = readCost(holders, load, job);
   noteServedSize(scheduler.fairness, job.route, waiting.sizeClass);
-  load.reading.set(job.id, {
+  beginReading(load, {
     jobId: job.id,
     parts: job.parts,
     heldParts: heldParts(load.cache, job.parts),
--- a/packages/coordination/src/core/scheduling/placing.ts
+++ b/packages/coordination/src/core/scheduling/placing.ts
@@ -6,10 +6,11 @@
 import type { Job } from './job.js';
 import { heldParts, tokensBetween } from './prompt-cache.js';
 import { type Offer, type Standing, compareOffers } from './ranking.js';
-import { readCost } from './read-cost.js';
-import type { Scheduler, Waiting } from './scheduler-state.js';
+import { type ReadCost, findHolders, readCost } from './read-cost.js';
+import type { Estimate, Scheduler, Waiting } from './scheduler-state.js';
 import { isStarved } from './size-fairness.js';
 import { type TargetLoad, isUsable, makesTokens, pendingReadMs } from './target-load.js';
+import { lineOf } from './waiting-lines.js';
 
 /** Where a job would wait, and for how long. */
 export interface Place {
@@ -22,9 +23,10 @@
 /** The place where a job would be answered first, all told; null where no engine may take it. */
 export function bestPlace(scheduler: Scheduler, waiting: Waiting, nowMs: number): Place | null {
   const places: Place[] = [];
+  const { holders } = estimateOf(scheduler, waiting, nowMs);
   for (const load of scheduler.targets.values()) {
     if (!mayRead(scheduler, load, waiting.job, nowMs)) continue;
-    places.push(placeAt(scheduler, load, waiting, nowMs));
+    places.push(placeWith(scheduler, load, waiting, readCost(holders, load, waiting.job), nowMs));
   }
   const leastServiceMs = Math.min(...places.map((place) => place.offer.serviceMs));
   const costMs = ({ offer }: Place): number =>
@@ -41,13 +43,22 @@
 /** Whether an engine may read a job's prompt. */
 export function mayRead(scheduler: Scheduler, load: TargetLoad, job: Job, nowMs: number): boolean {
   if (!isUsable(load, nowMs) || job.avoid.includes(load.entry.id)) return false;
-  if (load.entry.phase !== EnginePhase.Decode || !hasReaders(scheduler, job, nowMs)) return true;
+  if (load.entry.phase !== EnginePhase.Decode) return true;
+  return isShortReading(scheduler, load, job) || !hasReaders(scheduler, job, nowMs);
+}
+
+function isShortReading(scheduler: Scheduler, load: TargetLoad, job: Job): boolean {
+  const { maxDecodeReadTokens } = scheduler.options;
+  const own = job.parts.at(-1);
+  // Settles nearly every question: the last part of a prompt is its own, and seldom in a cache.
+  const isOwnLong = own !== undefined && own.tokens > maxDecodeReadTokens;
+  if (isOwnLong && !load.cache.tokensByPart.has(own.id)) return false;
   const held = heldParts(load.cache, job.parts);
-  const missing = tokensBetween(job.parts, held, job.parts.length);
-  return missing <= scheduler.options.maxDecodeReadTokens;
+  return tokensBetween(job.parts, held, job.parts.length) <= maxDecodeReadTokens;
 }
 
-function hasReaders(scheduler: Scheduler, job: Job, nowMs: number): boolean {
+/** Whether any engine that only reads may read a job's prompt. */
+export function hasReaders(scheduler: Scheduler, job: Job, nowMs: number): boolean {
   for (const load of scheduler.targets.values()) {
     const reads = load.entry.phase === EnginePhase.Prefill;
     if (reads && isUsable(load, nowMs) && !job.avoid.includes(load.entry.id)) return true;
@@ -68,13 +79,24 @@
   load: TargetLoad,
   waiting: Waiting,
   nowMs: number,
+): Place {
+  return placeWith(scheduler, load, waiting, costInLine(scheduler, load, waiting, nowMs), nowMs);
+}
+
+function placeWith(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  cost: ReadCost,
+  nowMs: number,
 ): Place {
   const pendingMs = pendingReadMs(load, nowMs);
-  const immediate = makeOffer(scheduler, load, waiting, nowMs + pendingMs);
+  const startAtMs = nowMs + pendingMs;
+  const immediate = offerOf(scheduler, load, waiting, cost, startAtMs);
   let aheadMs = pendingMs;
-  for (const other of lineOf(scheduler, load)) {
+  for (const other of lineOf(scheduler, load.entry.id)) {
     if (other === waiting) continue;
-    const theirs = makeOffer(scheduler, load, other, nowMs + pendingMs);
+    const theirs = offerInLine(scheduler, load, other, startAtMs, nowMs);
     if (compareOffers(theirs, immediate) <= 0) aheadMs += theirs.serviceMs;
   }
   const offer = { ...immediate, firstEventAtMs: immediate.firstEventAtMs + aheadMs - pendingMs };
@@ -87,18 +109,70 @@
   load: TargetLoad,
   waiting: Waiting,
   startAtMs: number,
+  nowMs: number,
+): Offer {
+  const cost = readCost(estimateOf(scheduler, waiting, nowMs).holders, load, waiting.job);
+  return offerOf(scheduler, load, waiting, cost, startAtMs);
+}
+
+/** The same for a job in the engine's line, from what reading it was found to cost a moment ago. */
+export function offerInLine(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  startAtMs: number,
+  nowMs: number,
+): Offer {
+  const cost = costInLine(scheduler, load, waiting, nowMs);
+  return offerOf(scheduler, load, waiting, cost, startAtMs);
+}
+
+/**
+ * How long what was found out about a job counts. In that time an engine reads a prompt or two,
+ * which changes what others cost by less than the fit of its speed is off. Finding it out for each
+ * question took 1950 microseconds of processor time for a request at 31 engines and 115 waiting
+ * jobs (`npm run bench -- scheduling`), more than a small VM has; now it takes 110.
+ */
+const ESTIMATE_FRESH_MS = 50;
+
+function estimateOf(scheduler: Scheduler, waiting: Waiting, nowMs: number): Estimate {
+  const known = waiting.estimate;
+  if (known !== null && nowMs - known.atMs < ESTIMATE_FRESH_MS) return known;
+  const holders = findHolders(scheduler.targets.values(), waiting.job, nowMs);
+  const estimate: Estimate = { atMs: nowMs, holders, own: null };
+  waiting.estimate = estimate;
+  return estimate;
+}
+
+function costInLine(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  nowMs: number,
+): ReadCost {
+  const estimate = estimateOf(scheduler, waiting, nowMs);
+  const engineId = load.entry.id;
+  if (estimate.own?.engineId === engineId) return estimate.own.cost;
+  const cost = readCost(estimate.holders, load, waiting.job);
+  if (waiting.target === engineId) estimate.own = { engineId, cost };
+  return cost;
+}
+
+function offerOf(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  waiting: Waiting,
+  { serviceMs, copiedTokens }: ReadCost,
+  startAtMs: number,
 ): Offer {
-  const { job } = waiting;
   const { handoverMs, firstEventMs } = scheduler.options;
-  const cost = readCost(scheduler.targets.values(), load, job, startAtMs);
-  const { serviceMs, copiedTokens } = cost;
   const afterMs = makesTokens(load) ? firstEventMs : firstEventMs + handoverMs;
   return {
     standing: standingOf(scheduler, waiting),
     serviceMs,
     copiedTokens,
     firstEventAtMs: startAtMs + serviceMs + afterMs,
-    aimAtMs: job.aimAtMs,
+    aimAtMs: waiting.job.aimAtMs,
   };
 }
 
@@ -106,8 +180,3 @@
   const { job, value, returned, sizeClass } = waiting;
   return { value, returned, starved: isStarved(scheduler.fairness, job.route, sizeClass) };
 }
-
-/** The jobs that wait for an engine, oldest first. */
-export function lineOf(scheduler: Scheduler, load: TargetLoad): readonly Waiting[] {
-  return [...scheduler.waiting.values()].filter((each) => each.target === load.entry.id);
-}
--- a/packages/coordination/src/core/scheduling/prompt-cache.ts
+++ b/packages/coordination/src/core/scheduling/prompt-cache.ts
@@ -18,13 +18,19 @@
 
 /** Parts from the beginning of a prompt that are held without a gap; only these spare reading. */
 export function heldParts(cache: PromptCache, parts: readonly PromptPart[]): number {
-  const firstMissing = parts.findIndex((part) => !cache.tokensByPart.has(part.id));
-  return firstMissing === -1 ? parts.length : firstMissing;
+  let held = 0;
+  for (const part of parts) {
+    if (!cache.tokensByPart.has(part.id)) break;
+    held += 1;
+  }
+  return held;
 }
 
 /** Tokens of the parts from one index up to another. */
 export function tokensBetween(parts: readonly PromptPart[], from: number, to: number): number {
-  return parts.slice(from, to).reduce((sum, part) => sum + part.tokens, 0);
+  let tokens = 0;
+  for (let index = from; index < to; index += 1) tokens += parts[index]?.tokens ?? 0;
+  return tokens;
 }
 
 /** Notes that an engine reads a prompt; the least recently used parts give way. */
--- a/packages/coordination/src/core/scheduling/read-cost.ts
+++ b/packages/coordination/src/core/scheduling/read-cost.ts
@@ -26,13 +26,33 @@
   readonly fetchFrom: TargetLoad | null;
 }
 
+/** The engines that hold most of a prompt; found once for a prompt, whoever may read it. */
+export interface Holders {
+  /** Parts that each of them can hand over; 0 where nobody has any. */
+  readonly parts: number;
+  readonly any: TargetLoad | null;
+  readonly byDomain: ReadonlyMap<string, TargetLoad>;
+}
+
+/** Finds the engines that can hand over most of a prompt. */
+export function findHolders(loads: Iterable<TargetLoad>, job: Job, nowMs: number): Holders {
+  let parts = 0;
+  let any: TargetLoad | null = null;
+  const byDomain = new Map<string, TargetLoad>();
+  for (const load of loads) {
+    if (!isUsable(load, nowMs)) continue;
+    const held = partsToHandOver(load, job.parts);
+    if (held === 0 || held < parts) continue;
+    if (held > parts) byDomain.clear();
+    if (held > parts || any === null) any = load;
+    parts = held;
+    byDomain.set(load.entry.failureDomain, load);
+  }
+  return { parts, any, byDomain };
+}
+
 /** The cheapest way in which an engine can have a prompt read. */
-export function readCost(
-  loads: Iterable<TargetLoad>,
-  load: TargetLoad,
-  job: Job,
-  nowMs: number,
-): ReadCost {
+export function readCost(holders: Holders, load: TargetLoad, job: Job): ReadCost {
   const { parts } = job;
   const own = heldParts(load.cache, parts);
   const missingTokens = tokensBetween(parts, own, parts.length);
@@ -41,10 +61,10 @@
     serviceMs: predictReadMs(load.readTime, missingTokens),
     copiedTokens: 0,
   };
-  const holder = bestHolder(loads, load, job, own, nowMs);
+  if (holders.parts <= own) return { ...alone, fetchFrom: null };
+  const holder = holders.byDomain.get(load.entry.failureDomain) ?? holders.any;
   if (holder === null) return { ...alone, fetchFrom: null };
-  const held = partsToHandOver(holder, parts);
-  const fetchedTokens = tokensBetween(parts, own, held);
+  const fetchedTokens = tokensBetween(parts, own, holders.parts);
   const isNear = holder.entry.failureDomain === load.entry.failureDomain;
   const perTokenMs = load.transferMsPerToken * (isNear ? 1 : OTHER_DOMAIN_RATIO);
   const restTokens = missingTokens - fetchedTokens;
@@ -60,25 +80,3 @@
     fetchFrom: holder,
   };
 }
-
-/** The engine that holds most of a prompt, if it is more than the reader itself has. */
-function bestHolder(
-  loads: Iterable<TargetLoad>,
-  load: TargetLoad,
-  job: Job,
-  own: number,
-  nowMs: number,
-): TargetLoad | null {
-  let best: TargetLoad | null = null;
-  let bestHeld = own;
-  for (const other of loads) {
-    if (other === load || !isUsable(other, nowMs)) continue;
-    const held = partsToHandOver(other, job.parts);
-    const isNear = other.entry.failureDomain === load.entry.failureDomain;
-    if (held > bestHeld || (held === bestHeld && best !== null && isNear)) {
-      best = other;
-      bestHeld = held;
-    }
-  }
-  return best;
-}
--- a/packages/coordination/src/core/scheduling/refusing.ts
+++ b/packages/coordination/src/core/scheduling/refusing.ts
@@ -4,11 +4,12 @@
  * who waits for one has waited for nothing.
  */
 import { type Decision, DecisionKind, type Job, RefusalReason } from './job.js';
-import { type Place, lineOf, makeOffer } from './placing.js';
+import { type Place, offerInLine } from './placing.js';
 import { isOnTime } from './ranking.js';
 import { noteRefused } from './returners.js';
 import type { Scheduler, Waiting } from './scheduler-state.js';
 import { type TargetLoad, pendingReadMs } from './target-load.js';
+import { leaveLine, lineOf } from './waiting-lines.js';
 
 /** How long a decision is remembered after its job's deadline. */
 const REMEMBER_MS = 1000;
@@ -37,8 +38,9 @@
 
 function lateBacklogMs(scheduler: Scheduler, load: TargetLoad, nowMs: number): number {
   let backlogMs = 0;
-  for (const waiting of lineOf(scheduler, load)) {
-    const offer = makeOffer(scheduler, load, waiting, nowMs + pendingReadMs(load, nowMs));
+  const startAtMs = nowMs + pendingReadMs(load, nowMs);
+  for (const waiting of lineOf(scheduler, load.entry.id)) {
+    const offer = offerInLine(scheduler, load, waiting, startAtMs, nowMs);
     if (!isOnTime(offer)) backlogMs += offer.serviceMs;
   }
   return backlogMs;
@@ -68,7 +70,7 @@
 
 /** Keeps a decision, so that a question asked again gets the same answer. */
 export function remember(scheduler: Scheduler, job: Job, decision: Decision, nowMs: number): void {
-  scheduler.waiting.delete(job.id);
+  leaveLine(scheduler, job.id);
   const forgetAtMs = Math.max(nowMs, job.deadlineAtMs) + REMEMBER_MS;
   scheduler.decided.set(job.id, { decision, forgetAtMs });
 }
@@ -79,7 +81,7 @@
   for (const waiting of [...scheduler.waiting.values()]) {
     const { job, askedAtMs, target } = waiting;
     if (askedAtMs + scheduler.options.forgottenAfterMs < nowMs) {
-      scheduler.waiting.delete(job.id);
+      leaveLine(scheduler, job.id);
       continue;
     }
     const load = scheduler.targets.get(target);
@@ -102,7 +104,8 @@
   load: TargetLoad,
   nowMs: number,
 ): RefusalReason | null {
-  const offer = makeOffer(scheduler, load, waiting, nowMs + pendingReadMs(load, nowMs));
+  const startAtMs = nowMs + pendingReadMs(load, nowMs);
+  const offer = offerInLine(scheduler, load, waiting, startAtMs, nowMs);
   if (offer.firstEventAtMs > waiting.job.deadlineAtMs) return RefusalReason.TooLate;
   if (isOnTime(offer)) {
     waiting.lateSinceMs = null;
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -7,6 +7,7 @@
 import type { SchedulerOptions } from './options.js';
 import { replaceHeld } from './prompt-cache.js';
 import { type RouteSizes, createRouteSizes } from './ranking.js';
+import type { Holders, ReadCost } from './read-cost.js';
 import { type Returners, createReturners } from './returners.js';
 import { type SizeClass, type SizeFairness, createSizeFairness } from './size-fairness.js';
 import { type TargetLoad, createTargetLoad, noteEntry } from './target-load.js';
@@ -23,6 +24,17 @@
   lateSinceMs: number | null;
   /** The engine whose line it stands in. */
   target: string;
+  /** What was last found out about reading it, null before. */
+  estimate: Estimate | null;
+}
+
+/** What was found out about a waiting job a moment ago. */
+export interface Estimate {
+  readonly atMs: number;
+  /** Who holds its parts. */
+  readonly holders: Holders;
+  /** What reading it costs the engine in whose line it stands; null until that was asked. */
+  own: { readonly engineId: string; readonly cost: ReadCost } | null;
 }
 
 /** A job that was given to engines. */
@@ -36,6 +48,8 @@
   readonly options: SchedulerOptions;
   readonly targets: Map<string, TargetLoad>;
   readonly waiting: Map<string, Waiting>;
+  /** The same jobs by the engine in whose line they stand. */
+  readonly lines: Map<string, Set<Waiting>>;
   /** Decided jobs, so that a repeated question gets the same answer. */
   readonly decided: Map<string, Running>;
   readonly sizes: RouteSizes;
@@ -51,6 +65,7 @@
     options,
     targets: new Map(),
     waiting: new Map(),
+    lines: new Map(),
     decided: new Map(),
     sizes: createRouteSizes(),
     fairness: createSizeFairness(),
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -14,7 +14,8 @@
 import { isReturner } from './returners.js';
 import type { Scheduler, Waiting } from './scheduler-state.js';
 import { noteAskedSize } from './size-fairness.js';
-import { type TargetLoad, noteFailure, noteSuccess } from './target-load.js';
+import { type TargetLoad, endReading, noteFailure, noteSuccess, unreadOf } from './target-load.js';
+import { joinLine, leaveLine } from './waiting-lines.js';
 
 /** Takes a job in, or hears again of one that waits or is decided. */
 export function submitJob(scheduler: Scheduler, job: Job, nowMs: number): readonly Decision[] {
@@ -30,8 +31,7 @@
   if (place === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
   const refusal = admissionRefusal(scheduler, waiting, place, nowMs);
   if (refusal !== null) return [refuse(scheduler, job, refusal, place.aheadMs, nowMs)];
-  waiting.target = place.load.entry.id;
-  scheduler.waiting.set(job.id, waiting);
+  joinLine(scheduler, waiting, place.load.entry.id);
   return dispatch(scheduler, nowMs);
 }
 
@@ -66,6 +66,7 @@
     askedAtMs: nowMs,
     lateSinceMs: null,
     target: '',
+    estimate: null,
   };
 }
 
@@ -79,20 +80,18 @@
 
 /** Nothing of a job runs any more; a prompt that was not read to its end is not in the cache. */
 function forgetJob(scheduler: Scheduler, jobId: string): void {
-  scheduler.waiting.delete(jobId);
+  leaveLine(scheduler, jobId);
   for (const load of scheduler.targets.values()) {
-    const reading = load.reading.get(jobId);
-    if (reading !== undefined) forgetParts(load.cache, reading.parts.slice(reading.heldParts));
-    load.reading.delete(jobId);
+    const reading = endReading(load, jobId);
+    if (reading !== null) forgetParts(load.cache, unreadOf(reading));
     load.streaming.delete(jobId);
   }
 }
 
 function noteRead(scheduler: Scheduler, load: TargetLoad, jobId: string, nowMs: number): void {
   noteSuccess(load);
-  const reading = load.reading.get(jobId);
-  if (reading === undefined) return;
-  load.reading.delete(jobId);
+  const reading = endReading(load, jobId);
+  if (reading === null) return;
   // The engine that goes on keeps what it fetches like what it read itself.
   for (const other of scheduler.targets.values()) {
     if (other !== load && other.streaming.has(jobId)) notePrompt(other.cache, reading.parts);
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -30,6 +30,8 @@
   readTime: ReadTime;
   /** In the order in which they were given. */
   readonly reading: Map<string, Reading>;
+  /** Parts that it is given to read and has not read yet, with how many of its readings have them. */
+  readonly unreadParts: Map<string, number>;
   /** Tokens in memory of the requests that make tokens here, by job. */
   readonly streaming: Map<string, number>;
   lastReadEndAtMs: number;
@@ -45,6 +47,7 @@
     transferMsPerToken: transferMsPerToken(spec),
     readTime: createReadTime(priorTokensPerMs(entry.phase)),
     reading: new Map(),
+    unreadParts: new Map(),
     streaming: new Map(),
     lastReadEndAtMs: 0,
     suspendedUntilMs: 0,
@@ -87,13 +90,36 @@
  * what is still being read: it shows as a prompt that is read in full where a transfer was meant.
  */
 export function partsToHandOver(load: TargetLoad, parts: readonly PromptPart[]): number {
-  let count = heldParts(load.cache, parts);
-  for (const reading of load.reading.values()) {
-    const unread = new Set(reading.parts.slice(reading.heldParts).map((part) => part.id));
-    const firstUnread = parts.findIndex((part) => unread.has(part.id));
-    if (firstUnread !== -1) count = Math.min(count, firstUnread);
+  const held = heldParts(load.cache, parts);
+  if (load.unreadParts.size === 0) return held;
+  const firstUnread = parts.findIndex((part) => load.unreadParts.has(part.id));
+  return firstUnread === -1 ? held : Math.min(held, firstUnread);
+}
+
+/** An engine is given a prompt. */
+export function beginReading(load: TargetLoad, reading: Reading): void {
+  load.reading.set(reading.jobId, reading);
+  for (const { id } of unreadOf(reading)) {
+    load.unreadParts.set(id, (load.unreadParts.get(id) ?? 0) + 1);
+  }
+}
+
+/** An engine has read a prompt, or never will; gives the reading, null where there was none. */
+export function endReading(load: TargetLoad, jobId: string): Reading | null {
+  const reading = load.reading.get(jobId);
+  if (reading === undefined) return null;
+  load.reading.delete(jobId);
+  for (const { id } of unreadOf(reading)) {
+    const left = (load.unreadParts.get(id) ?? 0) - 1;
+    if (left > 0) load.unreadParts.set(id, left);
+    else load.unreadParts.delete(id);
   }
-  return count;
+  return reading;
+}
+
+/** Parts of a prompt that an engine did not have in its cache when it was given. */
+export function unreadOf(reading: Reading): readonly PromptPart[] {
+  return reading.parts.slice(reading.heldParts);
 }
 
 /** Whether an engine may be given work at all. */
