Let one of the largest gateways schedule a service

Cause: a scheduler is chosen by hashing alone, and gateways have from 0.243 to 1.35 cores. Change: only gateways with at least 0.7 of the largest share of a core are candidates. Test: choosing among unlike gateways failed before (a small one was chosen for some of fifty services).

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -82,5 +82,6 @@
 export * from './core/scheduling/job.js';
 export * from './core/scheduling/options.js';
 export * from './core/scheduling/phase-split.js';
+export * from './core/scheduling/scheduler-choice.js';
 export * from './core/scheduling/scheduler-state.js';
 export * from './core/scheduling/scheduler.js';
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -9,8 +9,7 @@
   type Hash32,
   type JobEvent,
   JobEventKind,
-  createPlacement,
-  ownerOf,
+  chooseScheduler,
 } from '@cassiamast/coordination';
 import { RpcMethod } from '../protocol/methods.js';
 import type { RpcClient } from '../node/rpc-client.js';
@@ -89,7 +88,7 @@
     const live = [...view.gateways.values()].filter(
       ({ id }) => (suspectUntilMs.get(id) ?? 0) <= now && (id !== selfId || mayScheduleHere()),
     );
-    return ownerOf(createPlacement(live, hash32), service) ?? selfId;
+    return chooseScheduler(live, service, hash32) ?? selfId;
   }
 
   function suspect(gateway: string, service: string, cause: string): void {
