Run no more what crashes targets: gateways share it through the store

Change: a connection that breaks while a target may have run the request is noted by content (method, path, body) and target, under a lease of 60 s in the store; from three targets on the request is refused at once, by all gateways, unless a target ran the same content whole. Notes gather for 200 ms, 32 a write; at most 256 wait. Weighed: counting in the scheduler only (plain services have none; a change of scheduler forgets).

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -4,6 +4,13 @@
  * and come back soon after it, so a target whose entry vanished around an outage stays in doubt for
  * a moment before it is taken as gone.
  */
+import {
+  type CrashMemory,
+  type CrashNote,
+  createCrashMemory,
+  forgetCrash,
+  rememberCrash,
+} from './crash-memory.js';
 import type { FleetConfiguration, TargetEntry } from './fleet.js';
 import { type RouteTable, newerTable } from './route-table.js';
 
@@ -23,6 +30,8 @@
   TargetRemoved = 'target-removed',
   Gateway = 'gateway',
   GatewayRemoved = 'gateway-removed',
+  Crash = 'crash',
+  CrashForgotten = 'crash-forgotten',
 }
 
 /** One change; `revision` is the store's, and only grows. */
@@ -42,6 +51,11 @@
       readonly revision: number;
       readonly gateway: GatewayEntry;
     }
+  | {
+      readonly kind: FleetChangeKind.Crash | FleetChangeKind.CrashForgotten;
+      readonly revision: number;
+      readonly crash: CrashNote;
+    }
   | {
       readonly kind: FleetChangeKind.TargetRemoved | FleetChangeKind.GatewayRemoved;
       readonly revision: number;
@@ -69,6 +83,8 @@
   doubtUntilMs: number;
   /** Targets that left; an old change must not bring them back. */
   readonly goneAtRevision: Map<string, number>;
+  /** Requests during which targets broke off. */
+  readonly crashes: CrashMemory;
 }
 
 /**
@@ -91,6 +107,7 @@
     confirmedAtMs: 0,
     doubtUntilMs: 0,
     goneAtRevision: new Map(),
+    crashes: createCrashMemory(),
   };
 }
 
@@ -151,6 +168,12 @@
     case FleetChangeKind.GatewayRemoved:
       view.gateways.delete(change.id);
       return;
+    case FleetChangeKind.Crash:
+      rememberCrash(view.crashes, change.crash);
+      return;
+    case FleetChangeKind.CrashForgotten:
+      forgetCrash(view.crashes, change.crash);
+      return;
   }
 }
 
--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -27,6 +27,8 @@
   readonly sent: boolean;
   /** What happened, for the log. */
   readonly detail: string;
+  /** Whether the connection broke while the target may have run the request, as in a crash. */
+  readonly brokeOff: boolean;
 }
 
 /** What is sent. */
@@ -65,15 +67,16 @@
 ): Promise<AskOutcome> {
   // A request that is written and then broken off still reaches its target.
   if (signal.aborted) {
-    return Promise.resolve({ kind: AskOutcomeKind.Stopped, sent: false, detail: 'not begun' });
+    const detail = 'not begun';
+    return Promise.resolve({ kind: AskOutcomeKind.Stopped, sent: false, detail, brokeOff: false });
   }
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
-    const finish = (kind: AskOutcomeKind, detail: string): void => {
+    const finish = (kind: AskOutcomeKind, detail: string, brokeOff = false): void => {
       signal.removeEventListener('abort', onAbort);
       running.stop();
-      resolve({ kind, sent, detail });
+      resolve({ kind, sent, detail, brokeOff });
     };
     const onAbort = (): void => {
       finish(AskOutcomeKind.Stopped, 'stopped');
@@ -113,7 +116,7 @@
         onTrouble: (trouble) => {
           // A refusal that broke off is still a refusal: its head vouched for it.
           if (head?.notRun === true) finish(AskOutcomeKind.NotRun, `status ${String(head.status)}`);
-          else if (trouble.mayHaveRun) finish(AskOutcomeKind.Broken, trouble.detail);
+          else if (trouble.mayHaveRun) finish(AskOutcomeKind.Broken, trouble.detail, true);
           else finish(AskOutcomeKind.NotSent, trouble.detail);
         },
       },
--- /dev/null
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -0,0 +1,125 @@
+/**
+ * Tells all gateways, through the platform's store, of requests during which targets broke off, and
+ * knows which requests are therefore run no more.
+ */
+import { createHash } from 'node:crypto';
+import {
+  type CrashNote,
+  type FleetView,
+  clearContent,
+  isConvictedContent,
+  rememberCrash,
+} from '@cassiamast/coordination';
+import type { FleetPort } from '@cassiamast/ports';
+import { type AskOutcome, AskOutcomeKind } from './ask-target.js';
+import type { Exchange } from './exchange.js';
+import type { GatewayLog } from './gateway-log.js';
+
+/** A crash counts for so long: its caller has given up by then, or may find the target mended. */
+export const CRASH_MEMORY_MS = 60_000;
+/** A lease is used for new notes until half of its time is over. */
+const LEASE_USE_MS = CRASH_MEMORY_MS / 2;
+/** Notes gather for so long, since each write is paid for. */
+const GATHER_MS = 200;
+/** Entries that one write takes at the most. */
+const MAX_NOTES_PER_WRITE = 32;
+/** Notes that wait while the store is away; a crash of a full engine brings some sixty. */
+const MAX_WAITING_NOTES = 256;
+/** Hexadecimal digits of a content's hash: no two of a day's requests share so many. */
+const CONTENT_DIGITS = 24;
+
+/** What the reports need. */
+export interface CrashReportsOptions {
+  readonly fleet: FleetPort;
+  readonly view: FleetView;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly count: (name: string) => void;
+}
+
+/** Crashes as this gateway tells and knows them. */
+export interface CrashReports {
+  /** A target's connection broke while it may have run the request. */
+  readonly noteCrash: (exchange: Exchange, target: string) => void;
+  /** A target ran the request whole. */
+  readonly noteWhole: (exchange: Exchange) => void;
+  /** Whether the request is run no more. */
+  readonly isConvicted: (exchange: Exchange) => boolean;
+  readonly stop: () => void;
+}
+
+/** Draws from the end of one sending what it says about crashes. */
+export function noteForCrashes(
+  exchange: Exchange,
+  { crashes }: { readonly crashes: CrashReports },
+  target: string,
+  outcome: AskOutcome,
+): void {
+  if (outcome.brokeOff) crashes.noteCrash(exchange, target);
+  else if (outcome.kind === AskOutcomeKind.Complete) crashes.noteWhole(exchange);
+}
+
+/** Makes the reports. */
+export function createCrashReports(options: CrashReportsOptions): CrashReports {
+  const { fleet, view, nowMs, log, count } = options;
+  let waiting: CrashNote[] = [];
+  let timer: NodeJS.Timeout | null = null;
+  let lease: { readonly id: string; readonly grantedAtMs: number } | null = null;
+
+  async function leaseId(): Promise<string | null> {
+    if (lease !== null && nowMs() - lease.grantedAtMs < LEASE_USE_MS) return lease.id;
+    const grantedAtMs = nowMs();
+    const granted = await fleet.grantLease(CRASH_MEMORY_MS);
+    if (granted.isErr()) return null;
+    lease = { id: granted.value.leaseId, grantedAtMs };
+    return lease.id;
+  }
+
+  async function write(): Promise<void> {
+    timer = null;
+    const notes = waiting.splice(0, MAX_NOTES_PER_WRITE);
+    const id = await leaseId();
+    const written = id === null ? null : await fleet.recordCrashes(notes, id);
+    // Own knowledge stands; that the others do not hear of it costs at most some crashes more.
+    if (written === null || written.isErr()) {
+      const cause = written?.isErr() === true ? written.error.message : 'no lease';
+      count('crash_notes_lost_total');
+      log.warn('crashes not told', { notes: notes.length, cause });
+    }
+    if (waiting.length > 0) schedule();
+  }
+
+  function schedule(): void {
+    timer ??= setTimeout(() => void write(), GATHER_MS);
+  }
+
+  return {
+    noteCrash: (exchange, target) => {
+      const note = { content: contentOf(exchange), target };
+      rememberCrash(view.crashes, note);
+      count('crashes_noted_total');
+      if (waiting.length >= MAX_WAITING_NOTES) {
+        count('crash_notes_lost_total');
+        return;
+      }
+      waiting.push(note);
+      schedule();
+    },
+    noteWhole: (exchange) => {
+      if (view.crashes.targetsByContent.size === 0) return;
+      clearContent(view.crashes, contentOf(exchange));
+    },
+    isConvicted: (exchange) =>
+      view.crashes.targetsByContent.size > 0 &&
+      isConvictedContent(view.crashes, contentOf(exchange)),
+    stop: () => {
+      if (timer !== null) clearTimeout(timer);
+      waiting = [];
+    },
+  };
+}
+
+function contentOf({ method, path, body }: Exchange): string {
+  const hash = createHash('sha256').update(method).update('\n').update(path).update('\n');
+  return hash.update(body).digest('hex').slice(0, CONTENT_DIGITS);
+}
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -1,6 +1,7 @@
 /** What the forwarding paths share. */
 import type { FleetView, Hash32, Random } from '@cassiamast/coordination';
 import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import type { CrashReports } from './crash-reports.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
@@ -14,6 +15,7 @@
   readonly budgets: RetryBudgets;
   readonly health: TargetHealth;
   readonly scheduling: SchedulingClient;
+  readonly crashes: CrashReports;
   readonly random: Random;
   readonly hash32: Hash32;
   readonly nowMs: () => number;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -14,6 +14,7 @@
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
+import { CRASH_MEMORY_MS } from './crash-reports.js';
 import type { Exchange } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { OwnStatus, sendOwnAnswer } from './own-answer.js';
@@ -32,6 +33,7 @@
 const STARTING_RETRY_MS = 500;
 /** When callers are asked back by a gateway that stops: at once, they reach another one. */
 const STOPPING_RETRY_MS = 50;
+const CRASHES_TARGETS = 'each target that ran this request broke off';
 /** Sockets that are looked at for slow requests so often. */
 const CONNECTION_CHECK_MS = 1000;
 
@@ -142,6 +144,11 @@
     refuse(response, services, OwnStatus.Refused, 'the gateway stops', STOPPING_RETRY_MS);
     return;
   }
+  if (services.crashes.isConvicted(exchange)) {
+    services.log.warn('not taken, it crashes targets', { request: exchange.id });
+    refuse(response, services, OwnStatus.Refused, CRASHES_TARGETS, CRASH_MEMORY_MS);
+    return;
+  }
   await forward(exchange, services);
 }
 
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -4,6 +4,7 @@
  */
 import { DeliveryKind, type TargetEntry } from '@cassiamast/coordination';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
+import { noteForCrashes } from './crash-reports.js';
 import type { Exchange } from './exchange.js';
 import { type HeldAnswer, holdAnswer } from './held-answer.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
@@ -92,6 +93,7 @@
   if (outcome.sent) exchange.sends += 1;
   exchange.lastTarget = target.id;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== AskOutcomeKind.NotRun;
+  noteForCrashes(exchange, services, target.id, outcome);
   services.log.info('sent to target', {
     request: exchange.id,
     target: target.id,
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -36,6 +36,7 @@
 import { createTimeline } from '../node/timeline.js';
 import { RpcMethod } from '../protocol/methods.js';
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
+import { createCrashReports } from './crash-reports.js';
 import { createFleetFollower } from './fleet-follower.js';
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
@@ -140,6 +141,13 @@
     count: telemetry.count,
     isConfirmed: () => presence.isConfirmed(),
   });
+  const crashes = createCrashReports({
+    fleet: platform.fleet,
+    view,
+    nowMs: monotonicMs,
+    log,
+    count: telemetry.count,
+  });
   const services: ForwardingServices = {
     view,
     wire: platform.wire,
@@ -147,6 +155,7 @@
     budgets: createRetryBudgets(settings.retryWindow, view, monotonicMs),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
     scheduling,
+    crashes,
     random,
     hash32,
     nowMs: monotonicMs,
@@ -260,6 +269,7 @@
     },
     close: async () => {
       schedulers.stop();
+      crashes.stop();
       await root.stop();
       await Promise.all([rpc.close(), transport.close(), platform.fleet.close()]);
       await writer.flush();
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -13,6 +13,7 @@
 } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
+import { noteForCrashes } from './crash-reports.js';
 import { type Exchange, callerLeft } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
@@ -181,6 +182,8 @@
   const { exchange, services } = turn;
   const held = holdBody();
   const outcome = await ask(turn, reader, { readOnly: true, from: null }, held.sink);
+  // A prompt that was read whole says nothing yet: it may crash what makes its tokens.
+  if (outcome.brokeOff) services.crashes.noteCrash(exchange, reader.id);
   logSend(turn, reader, 'read prompt', outcome);
   const handle =
     outcome.kind === AskOutcomeKind.Complete ? services.wire.readHandle(held.body()) : null;
@@ -210,6 +213,7 @@
   const outcome = await ask(turn, target, { readOnly: false, from }, watched);
   if (outcome.sent) exchange.sends += 1;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== AskOutcomeKind.NotRun;
+  noteForCrashes(exchange, turn.services, target.id, outcome);
   logSend(turn, target, 'sent to target', outcome);
   return judgeStream(turn, target, outcome);
 }
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -120,6 +120,7 @@
         },
         report: () => undefined,
       },
+      crashes: { noteWhole: () => undefined },
       nowMs: () => 0,
       log: { info: () => undefined, warn: () => undefined },
       count: () => undefined,
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -2,7 +2,7 @@
  * The store that holds the fleet: what operators want, which targets have registered and which
  * gateways live. Every call may fail, and a write whose answer is lost may have taken effect.
  */
-import type { Failure, FleetChange, GatewayEntry } from '@cassiamast/coordination';
+import type { CrashNote, Failure, FleetChange, GatewayEntry } from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
 import type { LeaseStore } from '../key-value/port.js';
 
@@ -23,5 +23,10 @@
   readonly changesAfter: (revision: number, waitMs: number) => ResultAsync<FleetReading, Failure>;
   /** Announces this gateway for as long as the lease lives. */
   readonly announce: (gateway: GatewayEntry, leaseId: string) => ResultAsync<null, Failure>;
+  /** Tells all gateways of crashes, for as long as the lease lives. */
+  readonly recordCrashes: (
+    crashes: readonly CrashNote[],
+    leaseId: string,
+  ) => ResultAsync<null, Failure>;
   readonly close: () => Promise<void>;
 }
