Send a stream's head with its first event; never end one by another engine's failure

Idle connections of callers were kept for 15 s whatever operators set. Change: the head waits for the first event; a failure in the middle is a break; the configured idle limit is followed and told to callers.

--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -25,7 +25,7 @@
 const MAX_HEADER_BYTES = 65_536;
 /** Body bound before a configuration is known. */
 const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
-/** Kept longer than callers reuse idle connections, which is four fifths of the configured limit. */
+/** Idle limit before a configuration is known. */
 const DEFAULT_IDLE_MS = 15_000;
 /** A caller that says nothing is waited for so long. */
 const DEFAULT_PATIENCE_MS = 30_000;
@@ -42,6 +42,8 @@
   readonly child: Child;
   /** Requests that have no whole answer yet. */
   readonly open: () => number;
+  /** Follows the limits of the configuration in force. */
+  readonly follow: () => void;
   /** From now on each answer asks its caller to connect anew, which leads to another gateway. */
   readonly turnAway: () => void;
   /** From now on only requests are taken that end by then, whatever happens to them. */
@@ -96,6 +98,11 @@
       },
     },
     open: () => open,
+    follow: () => {
+      const idleMs = services.view.table?.configuration.limits.idleTimeoutMs ?? 0;
+      // Answers tell callers of it, who close before it is over.
+      if (server !== null && idleMs > 0) server.keepAliveTimeout = idleMs;
+    },
     turnAway: () => {
       turnsAway = true;
     },
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -176,7 +176,10 @@
         view,
         nowMs: monotonicMs,
         log,
-        onChanged: schedulers.refresh,
+        onChanged: () => {
+          schedulers.refresh();
+          front.follow();
+        },
       }),
       createControlServer({
         address: settings.members,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -235,7 +235,7 @@
   const { relay } = turn;
   switch (outcome.kind) {
     case AskOutcomeKind.Complete:
-      if (relay.isCutInside()) {
+      if (relay.isCutInside() || relay.isFailureInside()) {
         noteFailed(turn, target, JobEventKind.Broke);
         return TurnEnd.Broken;
       }
--- a/packages/daemon/src/gateway/stream-relay.ts
+++ b/packages/daemon/src/gateway/stream-relay.ts
@@ -14,12 +14,13 @@
 export interface StreamRelay {
   /** A sink for the next target that goes on with the stream. */
   readonly nextSink: () => AnswerSink;
-  /** Whether the caller has got the head of the answer. */
-  readonly hasBegun: () => boolean;
   /** The last whole event that went out; null before the first with an id. */
   readonly lastEventId: () => string | null;
-  /** Whether the current target's answer is a failure, which is held back. */
-  readonly heldFailure: () => AnswerHead | null;
+  /**
+   * Whether the current target failed after others had brought a part. Guards against a stream that
+   * ends as whole where the target that was to go on with it answered with a failure.
+   */
+  readonly isFailureInside: () => boolean;
   /** Whether the current target left an event unfinished. */
   readonly isCutInside: () => boolean;
   /** Ends the answer as whole, or sends the failure that was held back. */
@@ -40,13 +41,23 @@
 ): StreamRelay {
   let framing = createEventFraming();
   let lastEventId: string | null = null;
+  let headers: readonly string[] = [];
+  let status = 0;
   let failure: AnswerHead | null = null;
-  let failureHeaders: readonly string[] = [];
   let failureBody: Buffer[] = [];
 
+  /**
+   * The head goes out with the first event. Guards against a stream that breaks off before it: with
+   * the head out, only a broken connection could tell the caller, who then has to connect anew.
+   */
+  function begin(): void {
+    if (!response.headersSent) response.writeHead(status, wire.callerHeaders(headers));
+  }
+
   function relay(whole: Buffer, flow: { pause: () => void; resume: () => void }): void {
     if (whole.length === 0 || response.destroyed) return;
     lastEventId = framing.lastEventId ?? lastEventId;
+    begin();
     if (response.write(whole)) return;
     flow.pause();
     response.once('drain', () => {
@@ -61,13 +72,11 @@
     failureBody = [];
     return {
       onHead: (head, rawHeaders) => {
-        if (head.status >= FIRST_FAILURE) {
-          failure = head;
-          failureHeaders = rawHeaders;
-          return;
-        }
-        if (response.headersSent || response.destroyed) return;
-        response.writeHead(head.status, wire.callerHeaders(rawHeaders));
+        if (head.status >= FIRST_FAILURE) failure = head;
+        // The caller keeps the head that it has got.
+        if (response.headersSent) return;
+        status = head.status;
+        headers = rawHeaders;
       },
       onBytes: (bytes, flow) => {
         if (failure !== null) {
@@ -87,18 +96,14 @@
 
   return {
     nextSink,
-    hasBegun: () => response.headersSent,
     lastEventId: () => lastEventId,
-    heldFailure: () => failure,
+    isFailureInside: () => failure !== null && response.headersSent,
     isCutInside: () => hasPartialEvent(framing),
     end: () => {
       if (response.destroyed) return;
-      if (failure !== null && !response.headersSent) {
-        response.writeHead(failure.status, wire.callerHeaders(failureHeaders));
-        response.end(Buffer.concat(failureBody));
-        return;
-      }
-      response.end();
+      const isHeldFailure = failure !== null && !response.headersSent;
+      begin();
+      response.end(isHeldFailure ? Buffer.concat(failureBody) : undefined);
     },
   };
 }
