--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -15,7 +15,7 @@
 /** What is known of crashes. */
 export interface CrashMemory {
   readonly targetsByContent: Map<string, Set<string>>;
-  /** Contents that a target ran whole: what broke off around them was not their doing. */
+  /** Contents that a target ran whole lately: what broke off around them was not their doing. */
   readonly cleared: Set<string>;
 }
 
@@ -46,9 +46,12 @@
   if (targets?.size === 0) memory.targetsByContent.delete(content);
 }
 
-/** A target ran a content whole. */
+/**
+ * A target ran a content whole. Remembered also of contents that nothing is known against yet: many
+ * callers may send the same content, and targets that crash by themselves break off some of it.
+ */
 export function clearContent(memory: CrashMemory, content: string): void {
-  if (!memory.targetsByContent.has(content)) return;
+  memory.cleared.delete(content);
   memory.cleared.add(content);
   const oldest = memory.cleared.values().next().value;
   if (memory.cleared.size > MAX_CLEARED && oldest !== undefined) memory.cleared.delete(oldest);
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -48,9 +48,14 @@
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
+  it('does not convict what a target ran whole before', () => {
+    clearContent(memory, 'r');
+    for (const target of ['t1', 't2', 't3']) rememberCrash(memory, { content: 'r', target });
+    assert.equal(isConvictedContent(memory, 'r'), false);
+  });
+
   it('keeps a bounded number of harmless contents', () => {
     for (let content = 0; content < 3000; content += 1) {
-      rememberCrash(memory, { content: String(content), target: 't1' });
       clearContent(memory, String(content));
     }
     assert.equal(memory.cleared.size, 1024);
--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -5,6 +5,7 @@
  */
 import type { TargetEntry } from '@cassiamast/coordination';
 import type { AnswerHead, CallerWire, HttpStream, HttpTransport } from '@cassiamast/ports';
+import type { TargetPulse } from './target-pulse.js';
 
 /** How a sending ended. */
 export enum AskOutcomeKind {
@@ -57,6 +58,7 @@
 export interface AskServices {
   readonly transport: HttpTransport;
   readonly wire: CallerWire;
+  readonly pulse: TargetPulse;
 }
 
 /** Sends a request to a target and hands the answer to the sink. */
@@ -96,6 +98,7 @@
           sent = true;
         },
         onStart: (status, headers, rawHeaders) => {
+          services.pulse.heard(target.id);
           const received = services.wire.readAnswer(status, headers);
           const fault = headFault(received, request);
           if (fault !== null) {
@@ -106,6 +109,7 @@
           if (!received.notRun) sink.onHead(received, rawHeaders);
         },
         onData: (bytes) => {
+          services.pulse.heard(target.id);
           if (head === null || head.notRun) return;
           const fault = sink.onBytes(bytes, running);
           if (fault !== null) finish(AskOutcomeKind.Broken, fault);
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -14,13 +14,17 @@
 import { type AskOutcome, AskOutcomeKind } from './ask-target.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
+import type { TargetPulse } from './target-pulse.js';
 
 /** A crash counts for so long: its caller has given up by then, or may find the target mended. */
 export const CRASH_MEMORY_MS = 60_000;
 /** A lease is used for new notes until half of its time is over. */
 const LEASE_USE_MS = CRASH_MEMORY_MS / 2;
-/** Notes gather for so long, since each write is paid for. */
-const GATHER_MS = 200;
+/**
+ * A target that broke off is listened to for so long: one that answers anybody meanwhile has not
+ * crashed, it lost an answer. Notes gather in that time as well, since each write is paid for.
+ */
+const CONFIRM_MS = 1000;
 /** Entries that one write takes at the most. */
 const MAX_NOTES_PER_WRITE = 32;
 /** Notes that wait while the store is away; a crash of a full engine brings some sixty. */
@@ -32,6 +36,7 @@
 export interface CrashReportsOptions {
   readonly fleet: FleetPort;
   readonly view: FleetView;
+  readonly pulse: TargetPulse;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
@@ -59,10 +64,16 @@
   else if (outcome.kind === AskOutcomeKind.Complete) crashes.noteWhole(exchange);
 }
 
+/** A target that broke off, and when. */
+interface Suspicion {
+  readonly note: CrashNote;
+  readonly atMs: number;
+}
+
 /** Makes the reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { fleet, view, nowMs, log, count } = options;
-  let waiting: CrashNote[] = [];
+  const { fleet, view, pulse, nowMs, log, count } = options;
+  let waiting: Suspicion[] = [];
   let timer: NodeJS.Timeout | null = null;
   let lease: { readonly id: string; readonly grantedAtMs: number } | null = null;
 
@@ -75,9 +86,26 @@
     return lease.id;
   }
 
+  /** Takes the suspicions that are old enough; gives those that nothing speaks against. */
+  function takeConfirmed(): readonly CrashNote[] {
+    const now = nowMs();
+    const notes: CrashNote[] = [];
+    while (notes.length < MAX_NOTES_PER_WRITE) {
+      const [oldest] = waiting;
+      if (oldest === undefined || now - oldest.atMs < CONFIRM_MS) break;
+      waiting.shift();
+      const { note, atMs } = oldest;
+      if (pulse.isSilent(note.target, now - atMs)) notes.push(note);
+    }
+    return notes;
+  }
+
   async function write(): Promise<void> {
     timer = null;
-    const notes = waiting.splice(0, MAX_NOTES_PER_WRITE);
+    const notes = takeConfirmed();
+    if (waiting.length > 0) schedule();
+    if (notes.length === 0) return;
+    for (const note of notes) rememberCrash(view.crashes, note);
     const id = await leaseId();
     const written = id === null ? null : await fleet.recordCrashes(notes, id);
     // Own knowledge stands; that the others do not hear of it costs at most some crashes more.
@@ -86,27 +114,24 @@
       count('crash_notes_lost_total');
       log.warn('crashes not told', { notes: notes.length, cause });
     }
-    if (waiting.length > 0) schedule();
   }
 
   function schedule(): void {
-    timer ??= setTimeout(() => void write(), GATHER_MS);
+    timer ??= setTimeout(() => void write(), CONFIRM_MS);
   }
 
   return {
     noteCrash: (exchange, target) => {
       const note = { content: contentOf(exchange), target };
-      rememberCrash(view.crashes, note);
       count('crashes_noted_total');
       if (waiting.length >= MAX_WAITING_NOTES) {
         count('crash_notes_lost_total');
         return;
       }
-      waiting.push(note);
+      waiting.push({ note, atMs: nowMs() });
       schedule();
     },
     noteWhole: (exchange) => {
-      if (view.crashes.targetsByContent.size === 0) return;
       clearContent(view.crashes, contentOf(exchange));
     },
     isConvicted: (exchange) =>
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -142,9 +142,11 @@
     count: telemetry.count,
     isConfirmed: () => presence.isConfirmed(),
   });
+  const pulse = createTargetPulse(monotonicMs);
   const crashes = createCrashReports({
     fleet: platform.fleet,
     view,
+    pulse,
     nowMs: monotonicMs,
     log,
     count: telemetry.count,
@@ -157,7 +159,7 @@
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
     scheduling,
     crashes,
-    pulse: createTargetPulse(monotonicMs),
+    pulse,
     random,
     hash32,
     nowMs: monotonicMs,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -298,7 +298,6 @@
     onHead: sink.onHead,
     onBytes: (bytes, flow) => {
       watch.noteBytes();
-      services.pulse.heard(target.id);
       return sink.onBytes(bytes, flow);
     },
   };
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -68,7 +68,8 @@
       body: Buffer.alloc(0),
     };
     const sink = { onHead: () => undefined, onBytes: () => null };
-    const services = { transport, wire: {} as CallerWire };
+    const pulse = { heard: () => undefined, isSilent: () => false };
+    const services = { transport, wire: {} as CallerWire, pulse };
     const outcome = await askTarget(services, TARGET, request, sink, AbortSignal.abort());
     assert.deepEqual([outcome.kind, outcome.sent, sends], [AskOutcomeKind.Stopped, false, 0]);
   });
--- a/packages/stand-ins/test/core/engine/faults.test.ts
+++ b/packages/stand-ins/test/core/engine/faults.test.ts
@@ -102,7 +102,8 @@
 
   describe('cache memory', () => {
     it('that runs out in mid-answer ends it by name', async () => {
-      const small = await startPair({ kvCapacityTokens: 60 });
+      // Steps are long, so that both answers are under way at once however slow this process is.
+      const small = await startPair({ kvCapacityTokens: 60, stepBaseMs: 10 });
       const prompt = 'one two three four five';
       const readings = await Promise.all(
         ['a', 'b'].map((streamId) =>
