Acquit for all gateways what one has seen run whole; know a crashing request by its caller too

Change: the gateway that sees it run takes the notes back from the store; the caller's address is part of what a request is; notes last 30 s in place of 60. Left: where all gateways start anew within that time of three targets going silent, the same caller's same request is refused for 30 s at most.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -49,12 +49,16 @@
 /**
  * A target ran a content whole. Remembered also of contents that nothing is known against yet: many
  * callers may send the same content, and targets that crash by themselves break off some of it.
+ * Gives what was noted against it, which counts no more for anybody.
  */
-export function clearContent(memory: CrashMemory, content: string): void {
+export function clearContent(memory: CrashMemory, content: string): readonly CrashNote[] {
+  const targets = memory.targetsByContent.get(content) ?? new Set();
+  memory.targetsByContent.delete(content);
   memory.cleared.delete(content);
   memory.cleared.add(content);
   const oldest = memory.cleared.values().next().value;
   if (memory.cleared.size > MAX_CLEARED && oldest !== undefined) memory.cleared.delete(oldest);
+  return [...targets].map((target) => ({ content, target }));
 }
 
 /**
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -48,6 +48,12 @@
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
+  it('gives what was noted against a content that ran whole, to be taken back for all', () => {
+    rememberCrash(memory, { content: 'r', target: 't1' });
+    assert.deepEqual(clearContent(memory, 'r'), [{ content: 'r', target: 't1' }]);
+    assert.deepEqual(clearContent(memory, 'r'), []);
+  });
+
   it('does not convict what a target ran whole before', () => {
     clearContent(memory, 'r');
     for (const target of ['t1', 't2', 't3']) rememberCrash(memory, { content: 'r', target });
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -16,8 +16,11 @@
 import type { GatewayLog } from './gateway-log.js';
 import type { TargetPulse } from './target-pulse.js';
 
-/** A crash counts for so long: its caller has given up by then, or may find the target mended. */
-export const CRASH_MEMORY_MS = 60_000;
+/**
+ * A crash counts for so long: several times what a caller waits. Where all gateways lose their memory
+ * at once, none knows what ran whole before, so it is no longer than callers can bear.
+ */
+export const CRASH_MEMORY_MS = 30_000;
 /** A lease is used for new notes until half of its time is over. */
 const LEASE_USE_MS = CRASH_MEMORY_MS / 2;
 /**
@@ -116,6 +119,18 @@
     }
   }
 
+  /**
+   * Guards against a content that one gateway has seen run whole and another one still refuses: it
+   * shows as callers who are served or refused by the gateway that they reach.
+   */
+  async function acquit(notes: readonly CrashNote[]): Promise<void> {
+    const forgotten = await fleet.forgetCrashes(notes);
+    // They lapse by themselves a little later.
+    if (forgotten.isErr()) {
+      log.warn('crashes not taken back', { cause: forgotten.error.message });
+    }
+  }
+
   function schedule(): void {
     timer ??= setTimeout(() => void write(), CONFIRM_MS);
   }
@@ -132,7 +147,8 @@
       schedule();
     },
     noteWhole: (exchange) => {
-      clearContent(view.crashes, contentOf(exchange));
+      const notes = clearContent(view.crashes, contentOf(exchange));
+      if (notes.length > 0) void acquit(notes);
     },
     isConvicted: (exchange) =>
       view.crashes.targetsByContent.size > 0 &&
@@ -144,7 +160,8 @@
   };
 }
 
-function contentOf({ method, path, body }: Exchange): string {
-  const hash = createHash('sha256').update(method).update('\n').update(path).update('\n');
+/** What a request is, and whose: many callers may send the same without harm. */
+function contentOf({ caller, method, path, body }: Exchange): string {
+  const hash = createHash('sha256').update(`${caller}\n${method}\n${path}\n`);
   return hash.update(body).digest('hex').slice(0, CONTENT_DIGITS);
 }
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -10,6 +10,8 @@
   readonly head: RequestHead;
   readonly route: Route;
   readonly service: string;
+  /** IP address of the caller. */
+  readonly caller: string;
   readonly method: string;
   readonly path: string;
   /** Names and values in turn, as the caller sent them. */
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -198,6 +198,7 @@
     head,
     route,
     service: chooseService(route, services.hash32(id)),
+    caller: request.socket.remoteAddress ?? '',
     method: request.method ?? 'GET',
     path,
     rawHeaders: request.rawHeaders,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -52,6 +52,7 @@
     resumable: false,
   },
   service: 's',
+  caller: '10.9.0.1',
   method: 'POST',
   path: '/',
   rawHeaders: [],
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -28,5 +28,7 @@
     crashes: readonly CrashNote[],
     leaseId: string,
   ) => ResultAsync<null, Failure>;
+  /** Takes back what was told of crashes. */
+  readonly forgetCrashes: (crashes: readonly CrashNote[]) => ResultAsync<null, Failure>;
   readonly close: () => Promise<void>;
 }
