--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -17,7 +17,7 @@
 import { type Exchange, callerLeft } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
-import type { JobRequest } from './scheduling-service.js';
+import { jobOf } from './engine-job.js';
 import { watchSilence } from './silence-watch.js';
 import { type StreamRelay, createStreamRelay } from './stream-relay.js';
 
@@ -38,11 +38,6 @@
 const STREAM_SILENCE_MS = 700;
 /** When a caller is asked back whose engine failed before it ran anything. */
 const RETRY_AFTER_MS = 300;
-/** A caller of a stream leaves after a silence of the longest of these three. */
-const SILENCE_MS = 2000;
-const SILENCE_TARGET_LATENCIES = 4;
-const SILENCE_TARGET_GAPS = 8;
-
 /** The scheduler's decision not to give a request an engine. */
 type Refusal = Extract<Decision, { readonly kind: DecisionKind.Refuse }>;
 
@@ -115,28 +110,6 @@
   return services.budgets.take(exchange.service, ARRIVALS_PER_TURN);
 }
 
-function jobOf(exchange: Exchange, services: ForwardingServices, jobId: string): JobRequest {
-  const { route, head } = exchange;
-  const now = services.nowMs();
-  const patienceMs = Math.max(
-    SILENCE_MS,
-    route.targetLatencyMs * SILENCE_TARGET_LATENCIES,
-    route.targetGapMs * SILENCE_TARGET_GAPS,
-  );
-  const leavesAtMs = Math.min(exchange.endsAtMs, exchange.receivedAtMs + patienceMs);
-  return {
-    id: jobId,
-    route: route.name,
-    priority: route.priority,
-    parts: head.parts,
-    outputTokens: head.outputTokens,
-    failureDomain: services.failureDomain,
-    aimInMs: Math.round(exchange.receivedAtMs + route.targetLatencyMs - now),
-    deadlineInMs: Math.round(leavesAtMs - now),
-    avoid: [...exchange.failedTargets],
-  };
-}
-
 async function runTurn(turn: Turn): Promise<TurnEnd> {
   const { exchange, services, plan } = turn;
   const reader = servingTarget(services.view, plan.readAt, services.nowMs());
