Take each start of a target for a target of its own; pass over entries of other writers

Cause: a server may start again under its id; all that was known by id (cache, handles, health, silence, running work, orders) was taken for the new start's. Entries of other programs under the targets' prefix were decoded with missing fields filled in, and named a target. Ruled out: comparing births wherever something is held by id (a dozen places, one to be missed).

--- a/benchmark/src/scheduling/play.ts
+++ b/benchmark/src/scheduling/play.ts
@@ -112,6 +112,8 @@
   const decode = Math.ceil(count * DECODE_SHARE);
   return Array.from({ length: count }, (_, index) => ({
     id: `engine-${String(index)}`,
+    name: `engine-${String(index)}`,
+    bornAtMs: 0,
     service: 'llm',
     address: `engine-${String(index)}:80`,
     failureDomain: `domain-${String(index % DOMAINS)}`,
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -57,7 +57,12 @@
       readonly crash: CrashNote;
     }
   | {
-      readonly kind: FleetChangeKind.TargetRemoved | FleetChangeKind.GatewayRemoved;
+      readonly kind: FleetChangeKind.TargetRemoved;
+      readonly revision: number;
+      readonly name: string;
+    }
+  | {
+      readonly kind: FleetChangeKind.GatewayRemoved;
       readonly revision: number;
       readonly id: string;
     };
@@ -74,6 +79,8 @@
 export interface FleetView {
   table: RouteTable | null;
   readonly targets: Map<string, SeenTarget>;
+  /** The newest start of each name that is registered. */
+  readonly idsByName: Map<string, string>;
   readonly gateways: Map<string, GatewayEntry>;
   /** The store's revision up to which changes are known; 0 before the first listing. */
   revision: number;
@@ -81,7 +88,7 @@
   confirmedAtMs: number;
   /** Until when a missing entry may only have lapsed with the store. */
   doubtUntilMs: number;
-  /** Targets that left; an old change must not bring them back. */
+  /** Names of targets that left; an old change must not bring them back. */
   readonly goneAtRevision: Map<string, number>;
   /** Requests during which targets broke off. */
   readonly crashes: CrashMemory;
@@ -102,6 +109,7 @@
   return {
     table: null,
     targets: new Map(),
+    idsByName: new Map(),
     gateways: new Map(),
     revision: 0,
     confirmedAtMs: 0,
@@ -125,14 +133,14 @@
   revision: number,
   nowMs: number,
 ): void {
-  const targets = new Set<string>();
+  const names = new Set<string>();
   const gateways = new Set<string>();
   for (const change of changes) {
-    if (change.kind === FleetChangeKind.Target) targets.add(change.target.id);
+    if (change.kind === FleetChangeKind.Target) names.add(change.target.name);
     if (change.kind === FleetChangeKind.Gateway) gateways.add(change.gateway.id);
   }
-  for (const [id, seen] of view.targets) {
-    if (!targets.has(id) && seen.revision <= revision) removeTarget(view, id, revision, nowMs);
+  for (const { entry } of [...view.targets.values()]) {
+    if (!names.has(entry.name)) removeTarget(view, entry.name, revision, nowMs);
   }
   for (const id of view.gateways.keys()) {
     if (!gateways.has(id)) view.gateways.delete(id);
@@ -160,7 +168,7 @@
       putTarget(view, change.target, change.revision);
       return;
     case FleetChangeKind.TargetRemoved:
-      removeTarget(view, change.id, change.revision, nowMs);
+      removeTarget(view, change.name, change.revision, nowMs);
       return;
     case FleetChangeKind.Gateway:
       view.gateways.set(change.gateway.id, change.gateway);
@@ -177,32 +185,52 @@
   }
 }
 
+/**
+ * Guards against a target that starts again under its name: it shows as requests, reports and
+ * caches of the earlier start that are taken for the new one's. Each start is a target of its own,
+ * so all that is known by id ends with it; an entry of an earlier start that arrives late is older
+ * by its birth, whatever its revision says.
+ */
 function putTarget(view: FleetView, entry: TargetEntry, revision: number): void {
-  const known = view.targets.get(entry.id);
+  const known = currentOf(view, entry.name);
   if (known !== undefined && known.revision > revision) return;
+  if ((view.goneAtRevision.get(entry.name) ?? -1) > revision) return;
+  if (known !== undefined && known.entry.bornAtMs > entry.bornAtMs) return;
   // A target that reports its leaving never takes that back; only an old entry says otherwise.
-  if (known?.entry.draining === true && !entry.draining) return;
-  if ((view.goneAtRevision.get(entry.id) ?? -1) > revision) return;
-  view.goneAtRevision.delete(entry.id);
+  const isSameStart = known?.entry.id === entry.id;
+  if (isSameStart && known.entry.draining && !entry.draining) return;
+  if (known !== undefined && !isSameStart) dropTarget(view, known);
+  view.goneAtRevision.delete(entry.name);
   view.targets.set(entry.id, { entry, revision, missingSinceMs: null });
+  view.idsByName.set(entry.name, entry.id);
 }
 
-function removeTarget(view: FleetView, id: string, revision: number, nowMs: number): void {
-  const known = view.targets.get(id);
+function currentOf(view: FleetView, name: string): SeenTarget | undefined {
+  const id = view.idsByName.get(name);
+  return id === undefined ? undefined : view.targets.get(id);
+}
+
+function dropTarget(view: FleetView, { entry }: SeenTarget): void {
+  view.targets.delete(entry.id);
+  if (view.idsByName.get(entry.name) === entry.id) view.idsByName.delete(entry.name);
+}
+
+function removeTarget(view: FleetView, name: string, revision: number, nowMs: number): void {
+  const known = currentOf(view, name);
   if (known === undefined || known.revision > revision) return;
-  view.goneAtRevision.set(id, revision);
+  view.goneAtRevision.set(name, revision);
   const oldest = view.goneAtRevision.keys().next().value;
   if (view.goneAtRevision.size > MAX_GONE && oldest !== undefined) {
     view.goneAtRevision.delete(oldest);
   }
   if (nowMs < view.doubtUntilMs && !known.entry.draining) known.missingSinceMs = nowMs;
-  else view.targets.delete(id);
+  else dropTarget(view, known);
 }
 
 /** Drops targets whose doubt has passed. */
 export function settleDoubts(view: FleetView, nowMs: number): void {
-  for (const [id, seen] of view.targets) {
-    if (seen.missingSinceMs !== null && nowMs >= view.doubtUntilMs) view.targets.delete(id);
+  for (const seen of [...view.targets.values()]) {
+    if (seen.missingSinceMs !== null && nowMs >= view.doubtUntilMs) dropTarget(view, seen);
   }
 }
 
@@ -221,6 +249,12 @@
   return seen !== undefined && maySend(view, seen, nowMs) ? seen.entry : null;
 }
 
+/** Whether a target has started again since: nothing that the earlier start held is there. */
+export function hasStartedAgain(view: FleetView, { id, name }: TargetEntry): boolean {
+  const newest = view.idsByName.get(name);
+  return newest !== undefined && newest !== id;
+}
+
 /** The targets of a service that may take work. */
 export function servingTargets(
   view: FleetView,
--- a/packages/coordination/src/core/forwarding/fleet.ts
+++ b/packages/coordination/src/core/forwarding/fleet.ts
@@ -92,8 +92,12 @@
 
 /** A target as it registered itself. */
 export interface TargetEntry {
-  /** New with each start of the target. */
+  /** One start of the target: what is known of an earlier start says nothing of this one. */
   readonly id: string;
+  /** What it registers under; kept by some targets when they start again. */
+  readonly name: string;
+  /** Unix milliseconds of this start, 0 where the target does not tell. Orders starts of a name. */
+  readonly bornAtMs: number;
   readonly service: string;
   /** `host:port`. */
   readonly address: string;
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -11,16 +11,20 @@
   applyChanges,
   applyListing,
   createFleetView,
+  hasStartedAgain,
   noteStoreAnswer,
+  servingTarget,
   servingTargets,
   settleDoubts,
 } from '../../../src/index.js';
 
 const SERVICE = 'inspect-llm';
 
-function target(id: string, revision: number, draining = false): FleetChange {
+function target(name: string, revision: number, draining = false, bornAtMs = 0): FleetChange {
   const entry = {
-    id,
+    id: bornAtMs === 0 ? name : `${name}@${String(bornAtMs)}`,
+    name,
+    bornAtMs,
     service: SERVICE,
     address: '10.0.0.1:80',
     failureDomain: 'eros-hall',
@@ -31,8 +35,8 @@
   return { kind: FleetChangeKind.Target, revision, target: entry };
 }
 
-function removed(id: string, revision: number): FleetChange {
-  return { kind: FleetChangeKind.TargetRemoved, revision, id };
+function removed(name: string, revision: number): FleetChange {
+  return { kind: FleetChangeKind.TargetRemoved, revision, name };
 }
 
 describe('the fleet as a gateway sees it', () => {
@@ -120,4 +124,37 @@
       assert.equal(view.targets.has('b'), false);
     });
   });
+
+  // An engine crashes and is back under its name a second later. Requests that were meant for the
+  // earlier start go to the new one, which holds nothing of theirs, and its crashes count for it.
+  describe('a target that starts again under its name', () => {
+    it('takes the place of its earlier start, which is no target any more', () => {
+      applyChanges(view, [target('a', 6, false, 2000)], 6, 100);
+      assert.deepEqual(serving().toSorted(), ['a@2000', 'b']);
+      assert.equal(servingTarget(view, 'a', 100), null);
+    });
+
+    it('serves although its earlier start was leaving', () => {
+      applyChanges(view, [target('a', 6, true), target('a', 7, false, 2000)], 7, 100);
+      assert.deepEqual(serving().toSorted(), ['a@2000', 'b']);
+    });
+
+    it('is not disturbed by an entry of its earlier start that arrives late', () => {
+      const late = [target('a', 6, false, 2000), target('a', 7, true, 1000)];
+      applyChanges(view, late, 7, 100);
+      assert.deepEqual(serving().toSorted(), ['a@2000', 'b']);
+    });
+
+    it('is gone when its entry is removed', () => {
+      applyChanges(view, [target('a', 6, false, 2000), removed('a', 7)], 7, 100);
+      assert.deepEqual(serving(), ['b']);
+    });
+
+    it('tells what the earlier start held from what the new one holds', () => {
+      const before = servingTarget(view, 'a', 0);
+      assert.ok(before !== null && !hasStartedAgain(view, before));
+      applyChanges(view, [target('a', 6, false, 2000)], 6, 100);
+      assert.ok(hasStartedAgain(view, before));
+    });
+  });
 });
--- a/packages/coordination/test/core/scheduling/scheduler.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler.test.ts
@@ -31,7 +31,8 @@
 
 function engine(id: string, phase: EnginePhase, failureDomain = 'eros-hall'): TargetEntry {
   const address = `${id}:80`;
-  return { id, service: 's', address, failureDomain, slots: 64, draining: false, phase };
+  const start = { id, name: id, bornAtMs: 0 };
+  return { ...start, service: 's', address, failureDomain, slots: 64, draining: false, phase };
 }
 
 let lastJob = 0;
@@ -79,10 +80,11 @@
 
 describe('a scheduler', () => {
   let scheduler: Scheduler;
+  const streamer = engine('streamer', EnginePhase.Decode);
   const engines = [
     engine('reader-1', EnginePhase.Prefill),
     engine('reader-2', EnginePhase.Prefill),
-    engine('streamer', EnginePhase.Decode),
+    streamer,
   ];
 
   beforeEach(() => {
@@ -197,6 +199,31 @@
     });
   });
 
+  // An engine crashes and is back under its name a second later. It is sent prompts that it is taken
+  // to hold in part, reads them whole, and is left alone for what its earlier start has failed.
+  describe('an engine that starts again under its name', () => {
+    const before = engine('solo', EnginePhase.Both);
+    const again: TargetEntry = { ...before, id: 'solo@2000', bornAtMs: 2000 };
+
+    it('holds nothing of what its earlier start had read', () => {
+      noteEngines(scheduler, [before], SPEC);
+      const first = job('a', 1000);
+      submitJob(scheduler, first, 0);
+      read(scheduler, first.id, before.id, 400);
+      noteEngines(scheduler, [again], SPEC);
+      const plan = planOf(submitJob(scheduler, job('a', 1000), 500));
+      assert.equal(plan.readAt, again.id);
+      assert.equal(plan.missingTokens, 11_000);
+    });
+
+    it('is not left alone for what is reported of its earlier start', () => {
+      noteEngines(scheduler, [again], SPEC);
+      const failed = { kind: JobEventKind.Failed, jobId: 'x', target: before.id };
+      noteJobEvents(scheduler, [failed, failed], 0);
+      assert.equal(planOf(submitJob(scheduler, job('a', 1000), 10)).readAt, again.id);
+    });
+  });
+
   describe('asked twice about a job', () => {
     it('gives the same answer, and the engine no second prompt', () => {
       const asked = job('a', 1000);
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -6,13 +6,20 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type Failure,
+  type FleetChange,
+  FleetChangeKind,
   type FleetView,
   applyChanges,
   applyListing,
   noteStoreAnswer,
   settleDoubts,
 } from '@cassiamast/coordination';
-import { FLEET_HISTORY_GONE, type FleetPort, type FleetReading } from '@cassiamast/ports';
+import {
+  type EntryFault,
+  FLEET_HISTORY_GONE,
+  type FleetPort,
+  type FleetReading,
+} from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
@@ -27,12 +34,16 @@
 /** Pause after a failed question. */
 const RETRY_MS = 200;
 
+/** Entries of other writers that are remembered as logged; more of them are logged again. */
+const MAX_LOGGED_FAULTS = 256;
+
 /** What the follower needs. */
 export interface FleetFollowerOptions {
   readonly fleet: FleetPort;
   readonly view: FleetView;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
+  readonly count: (name: string) => void;
   readonly onChanged: () => void;
 }
 
@@ -41,6 +52,7 @@
   const { fleet, view, nowMs, log } = options;
   let stopped = true;
   let isAway = false;
+  const loggedFaults = new Set<string>();
 
   function noteAway(failure: Failure): void {
     if (!isAway) {
@@ -55,14 +67,33 @@
     isAway = false;
   }
 
+  /** Such an entry may be written again with each heartbeat of its writer: logged once. */
+  function noteFault({ key }: EntryFault): void {
+    options.count('fleet_entries_ignored_total');
+    if (loggedFaults.has(key)) return;
+    if (loggedFaults.size >= MAX_LOGGED_FAULTS) loggedFaults.clear();
+    loggedFaults.add(key);
+    log.warn('entry ignored', { key, reason: 'fields missing, of another type, or not readable' });
+  }
+
+  function noteNewStart(change: FleetChange): void {
+    if (change.kind !== FleetChangeKind.Target) return;
+    const { id, name } = change.target;
+    const before = view.idsByName.get(name);
+    if (before === undefined || before === id) return;
+    log.info('target started again', { target: id, before, revision: change.revision });
+  }
+
   function take(
     reading: Result<FleetReading, Failure>,
     apply: typeof applyChanges,
   ): Failure | null {
     if (reading.isErr()) return reading.error;
     noteBack();
-    const { changes, revision } = reading.value;
+    const { changes, faults, revision } = reading.value;
+    for (const fault of faults) noteFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
+    for (const change of changes) noteNewStart(change);
     apply(view, changes, revision, nowMs());
     const version = view.table?.configuration.version ?? 0;
     if (version !== versionBefore) log.info('configuration in force', { version, revision });
--- a/packages/daemon/src/gateway/phase-planner.ts
+++ b/packages/daemon/src/gateway/phase-planner.ts
@@ -170,7 +170,7 @@
     }
     if (standing.value.busy || standing.value.phase === phase) return;
     // Asked again right before sending: the lease may have run out during the reading.
-    if (!mayOrder()) return;
+    if (!mayOrder() || !view.targets.has(engineId)) return;
     await send(target, phase, standing.value.ordersAccepted);
   }
 
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -67,7 +67,7 @@
     slow.abort();
   }, slowAfterMs);
   const headers = services.wire.targetHeaders(exchange.rawHeaders, {
-    targetId: target.id,
+    targetName: target.name,
     patienceMs: leftMs,
     readOnly: false,
     from: null,
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -178,6 +178,7 @@
         view,
         nowMs: monotonicMs,
         log,
+        count: telemetry.count,
         onChanged: () => {
           schedulers.refresh();
           front.follow();
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -9,6 +9,7 @@
   JobEventKind,
   type Plan,
   type TargetEntry,
+  hasStartedAgain,
   servingTarget,
 } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
@@ -131,6 +132,7 @@
   if (plan.streamAt === null) return streamAt(turn, reader, null);
   const handle = await readAt(turn, reader);
   if (handle === null) return exchange.signal.aborted ? TurnEnd.Stopped : TurnEnd.NotRun;
+  if (hasStartedAgain(services.view, reader)) return refuseHandle(turn, reader);
   const end = await streamAt(turn, streamer, handle);
   if (end !== TurnEnd.Delivered) freeHandle(services, handle);
   return end;
@@ -156,6 +158,21 @@
   return TurnEnd.NotServing;
 }
 
+/**
+ * Guards against a handle of an engine that has started again since: the new start may have given
+ * the same handle to another prompt, and it shows as an answer to somebody else's question.
+ */
+function refuseHandle({ exchange, services }: Turn, reader: TargetEntry): TurnEnd {
+  exchange.failedTargets.add(reader.id);
+  services.log.warn('prompt not fetched', {
+    request: exchange.id,
+    target: reader.id,
+    reason: 'the engine that read it has started again',
+    newsAgeMs: newsAgeMs(services),
+  });
+  return TurnEnd.NotRun;
+}
+
 function addressOf(services: ForwardingServices, id: string | null): string | null {
   return id === null ? null : (servingTarget(services.view, id, services.nowMs())?.address ?? null);
 }
@@ -250,7 +267,7 @@
   const { exchange, services, relay } = turn;
   exchange.lastTarget = target.id;
   const headers = services.wire.targetHeaders(exchange.rawHeaders, {
-    targetId: target.id,
+    targetName: target.name,
     patienceMs: Math.max(1, Math.floor(exchange.endsAtMs - services.nowMs())),
     readOnly: how.readOnly,
     from: how.from,
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -15,6 +15,8 @@
 
 const TARGET: TargetEntry = {
   id: 'i-1',
+  name: 'i-1',
+  bornAtMs: 0,
   service: 's',
   address: '10.0.0.1:80',
   failureDomain: 'eros-hall',
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -22,6 +22,8 @@
     revision: 1,
     target: {
       id,
+      name: id,
+      bornAtMs: 0,
       service: 's',
       address: `${id}:80`,
       failureDomain: 'eros-hall',
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -27,8 +27,8 @@
 
 /** What a target is told beside the caller's own headers. */
 export interface Directions {
-  /** Start of the target that is meant; another one at the same address refuses. */
-  readonly targetId: string;
+  /** Name of the target that is meant; another one at the same address refuses. */
+  readonly targetName: string;
   /** How long the caller still waits. */
   readonly patienceMs: number;
   /** Only read the prompt, and keep it for another engine. */
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -6,9 +6,15 @@
 import type { ResultAsync } from 'neverthrow';
 import type { LeaseStore } from '../key-value/port.js';
 
+/** An entry of the store that is not what should lie under its key: another program wrote it. */
+export interface EntryFault {
+  readonly key: string;
+}
+
 /** Changes up to a revision of the store. */
 export interface FleetReading {
   readonly changes: readonly FleetChange[];
+  readonly faults: readonly EntryFault[];
   readonly revision: number;
 }
 
