--- /dev/null
+++ b/packages/daemon/test/gateway/gateway-log.test.ts
@@ -0,0 +1,50 @@
+/** Log lines of a gateway: what they hold, and what becomes of them where there is no room. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { createGatewayLog } from '../../src/gateway/gateway-log.js';
+import { createLogWriter } from '../../src/gateway/log-writer.js';
+
+const BOUNDS = { linesPerS: 1, burstLines: 2, maxWaitingChars: 1000, flushEveryMs: 1 };
+
+describe('the log of a gateway', () => {
+  it('writes one JSON object a line, with the fields given', async () => {
+    let text = '';
+    const writer = createLogWriter(
+      BOUNDS,
+      (lines, done) => {
+        text += lines;
+        done(null);
+      },
+      () => 0,
+    );
+    const log = createGatewayLog('edge-1', writer, () => 1_700_000_000_000);
+    log.warn('entry ignored', { key: 'k', ageMs: 7 });
+    await writer.flush();
+    assert.deepEqual(JSON.parse(text), {
+      at: '2023-11-14T22:13:20.000Z',
+      level: 'warn',
+      process: 'edge-1',
+      message: 'entry ignored',
+      key: 'k',
+      ageMs: 7,
+    });
+  });
+
+  // Callers wait while a burst is logged: lines that are dropped in the end cost as much processor
+  // time as those that are written.
+  it('makes no line that it has no room for, and counts it', () => {
+    let made = 0;
+    const writer = createLogWriter(
+      BOUNDS,
+      () => undefined,
+      () => 0,
+    );
+    const log = createGatewayLog('edge-1', writer, () => {
+      made += 1;
+      return 0;
+    });
+    for (let line = 0; line < 5; line += 1) log.info('engine granted', {});
+    assert.equal(made, BOUNDS.burstLines);
+    assert.equal(writer.dropped(), 3);
+  });
+});
