Keep each demo run's report, and say who did not answer and how late timers fire

Cause: a lost request of the demo could not be read: the page was overwritten by the next run, a refusal named no holder, an entry that takes no work left no trace of whom it sent away, and nothing told a slow process from a slow network.

--- a/examples/src/demo/context.ts
+++ b/examples/src/demo/context.ts
@@ -3,6 +3,7 @@
  */
 import type { GoalsSpec } from '@cassiamast/coordination';
 import type { Oracle } from './oracle.js';
+import type { Stories } from './stories.js';
 import type { Tally } from './tally.js';
 
 /** Shared by all callers. */
@@ -15,6 +16,7 @@
   readonly plainGoals: GoalsSpec;
   readonly oracle: Oracle;
   readonly tally: Tally;
+  readonly stories: Stories;
   readonly nowMs: () => number;
   /** After this nobody tries again. */
   readonly giveUpAtMs: number;
--- a/examples/src/demo/exchange.ts
+++ b/examples/src/demo/exchange.ts
@@ -157,3 +157,14 @@
 function broken(accepted: boolean): Attempt {
   return { end: AttemptEnd.Broken, accepted, problem: null, body: '' };
 }
+
+/** One attempt in words, for the story of its request. */
+export function attemptLine(url: string, attempt: Attempt, tookMs: number): string {
+  const { end, problem } = attempt;
+  const { host } = new URL(url);
+  const what =
+    problem === null
+      ? end
+      : `${end} ${problem.type} ${problem.runState}, retry after ${String(problem.retryAfterMs)} ms`;
+  return `${host}: ${what} after ${String(Math.round(tookMs))} ms`;
+}
--- a/examples/src/demo/fleet.ts
+++ b/examples/src/demo/fleet.ts
@@ -1,11 +1,10 @@
 /**
  * Starts the whole fleet of a deployment on this machine, from the stand-ins to serving entries.
  */
-import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/ports';
-import { readDeploymentText, ROOT, writeLayout } from '../deployment/files.js';
+import { readDeploymentText, writeLayout } from '../deployment/files.js';
 import type { DeploymentLayout } from '../deployment/layout.js';
 import { layOutDeployment, ProcessKind } from '../deployment/layout.js';
 import type { DemoOptions } from './options.js';
@@ -26,15 +25,15 @@
   readonly stop: () => Promise<void>;
 }
 
-/** Starts a fleet; `onProcesses` is told of its processes before the first one starts. */
+/** Starts a fleet with its settings and logs in a folder; `onProcesses` is told of its processes before the first one starts. */
 export async function startFleet(
   options: DemoOptions,
+  folder: string,
   note: (event: string) => void,
   onProcesses: (processes: Processes) => void,
 ): Promise<Fleet> {
   const basePort = options.basePort ?? (await findFreeBlock(process.pid));
   const layout = layOutDeployment(readDeploymentText(options.deployment), basePort);
-  const folder = join(ROOT, 'reports', 'demo', `${options.deployment}-${String(basePort)}`);
   writeLayout(layout, folder);
   const processes = createProcesses(layout.processes, folder);
   onProcesses(processes);
--- a/examples/src/demo/model-caller.ts
+++ b/examples/src/demo/model-caller.ts
@@ -6,7 +6,7 @@
 import type { CallerContext } from './context.js';
 import { entryFor, retryWaitMs } from './context.js';
 import type { Attempt, CallerRequest } from './exchange.js';
-import { AttemptEnd, exchangeStream, exchangeWhole } from './exchange.js';
+import { AttemptEnd, attemptLine, exchangeStream, exchangeWhole } from './exchange.js';
 import type { Reading } from './judgement.js';
 import { Ending, judge, measure } from './judgement.js';
 import { Manner } from './workload.js';
@@ -52,7 +52,11 @@
     lastFailure: '',
   };
   while (reading.attempts === 0 || context.nowMs() < context.giveUpAtMs) {
+    const sentAtMs = context.nowMs();
+    const entry = entryFor(context, plan.entry + entryOffset, reading.attempts);
     const attempt = await tryOnce(context, plan, reading, entryOffset);
+    const line = attemptLine(entry, attempt, context.nowMs() - sentAtMs);
+    context.stories.note(plan.idempotencyKey, line);
     reading.attempts += 1;
     reading.accepted ||= attempt.accepted;
     if (attempt.end === AttemptEnd.Done) {
--- a/examples/src/demo/plain-caller.ts
+++ b/examples/src/demo/plain-caller.ts
@@ -7,7 +7,7 @@
 import type { CallerContext } from './context.js';
 import { entryFor, retryWaitMs } from './context.js';
 import type { Attempt, CallerRequest } from './exchange.js';
-import { AttemptEnd, exchangeWhole } from './exchange.js';
+import { AttemptEnd, attemptLine, exchangeWhole } from './exchange.js';
 import { remark } from './tally.js';
 import type { PlannedCall } from './workload.js';
 
@@ -19,7 +19,11 @@
   let accepted = false;
   let last: Attempt | null = null;
   for (let tries = 0; tries === 0 || context.nowMs() < context.giveUpAtMs; tries++) {
-    last = await exchangeWhole(callerRequest(context, plan, tries));
+    const sentAtMs = context.nowMs();
+    const sent = callerRequest(context, plan, tries);
+    last = await exchangeWhole(sent);
+    const line = attemptLine(sent.url, last, context.nowMs() - sentAtMs);
+    context.stories.note(plan.idempotencyKey, line);
     accepted ||= last.accepted || (last.problem !== null && last.problem.runState !== 'not-run');
     if (last.end === AttemptEnd.Done) break;
     tally.retries += 1;
--- a/examples/src/demo/report.ts
+++ b/examples/src/demo/report.ts
@@ -1,8 +1,6 @@
 /**
  * The report page of a run: the figures, what was brought about, and what a person should look at.
  */
-import { mkdirSync, writeFileSync } from 'node:fs';
-import { dirname } from 'node:path';
 import type { DemoOptions } from './options.js';
 import type { DemoResult, Tally } from './tally.js';
 import { promisesKept, quantile } from './tally.js';
@@ -13,21 +11,15 @@
   readonly result: DemoResult;
   readonly tally: Tally;
   readonly events: readonly string[];
-  /** Events of each remarked request, by its idempotency key. */
-  readonly requestEvents: ReadonlyMap<string, readonly string[]>;
+  /** What callers and processes noted of each remarked request, by its idempotency key. */
+  readonly stories: ReadonlyMap<string, readonly string[]>;
 }
 
 const SHARES = [0.5, 0.9, 0.95, 0.99] as const;
 
-/** Writes the page. */
-export function writeReport(path: string, input: ReportInput): void {
-  mkdirSync(dirname(path), { recursive: true });
-  writeFileSync(path, reportPage(input));
-}
-
 /** The page as HTML, self-contained. */
 export function reportPage(input: ReportInput): string {
-  const { options, result, tally, events, requestEvents } = input;
+  const { options, result, tally, events, stories } = input;
   const title = `cassiamast demo, ${options.deployment}`;
   const verdict = promisesKept(result) ? 'Every promise was kept.' : 'A promise was broken.';
   const run =
@@ -52,7 +44,7 @@
     list(events, 'Nothing was brought about.'),
     '<h2>Remarks</h2>',
     list(tally.remarks, 'None.'),
-    ...[...requestEvents].map(
+    ...[...stories].map(
       ([key, lines]) => `<h3>${escape(key)}</h3><pre>${escape(lines.join('\n'))}</pre>`,
     ),
     '</body></html>',
--- a/examples/src/demo/run.ts
+++ b/examples/src/demo/run.ts
@@ -2,12 +2,9 @@
  * One run of the demo from start to end: start the fleet, play the callers, bring the faults, check
  * what came of it, write the pages, stop everything.
  */
-import { writeFileSync } from 'node:fs';
-import { join } from 'node:path';
 import { setTimeout as sleep } from 'node:timers/promises';
 import type { GoalsSpec } from '@cassiamast/coordination';
 import { timelinePage } from '@cassiamast/coordination';
-import { ROOT } from '../deployment/files.js';
 import type { DeploymentLayout } from '../deployment/layout.js';
 import { promptSource } from '../prompts/prompts.js';
 import type { CallerContext } from './context.js';
@@ -21,10 +18,13 @@
 import { callPlainService, countDoubledCalls } from './plain-caller.js';
 import type { Processes } from './processes.js';
 import { createProgress } from './progress.js';
-import { writeReport } from './report.js';
+import { reportPage } from './report.js';
+import type { RunFolder } from './run-folder.js';
+import { createRunFolder } from './run-folder.js';
+import { createStories, mergeStory } from './stories.js';
 import type { DemoResult } from './tally.js';
 import { createTally, remark, resultOf } from './tally.js';
-import { eventsOf, readTimeline } from './timeline.js';
+import { eventsOf, readMetrics, readTimeline } from './timeline.js';
 import type { Workload } from './workload.js';
 import { planWorkload } from './workload.js';
 
@@ -48,7 +48,10 @@
     events.push(`${((nowMs() - startMs) / MS_PER_S).toFixed(1)} s: ${event}`);
     progress.note(event);
   };
-  const fleet = await startFleet(options, note, onProcesses);
+  const folder = createRunFolder(options);
+  progress.note(`the run's files: ${folder.path}`);
+  const stopLoad = folder.followLoad();
+  const fleet = await startFleet(options, folder.processes, note, onProcesses);
   try {
     const source = promptSource(options.deployment);
     const durationMs = options.durationS * MS_PER_S;
@@ -59,8 +62,9 @@
     const faults = options.faults ? playFaults(fleet, durationMs, note) : Promise.resolve();
     await Promise.all([playCallers(context, workload), faults]);
     stopFollowing();
-    return await finish(options, fleet, context, workload, events);
+    return await finish({ options, folder, fleet, context, workload, events });
   } finally {
+    stopLoad();
     await closeConnections();
     await fleet.stop();
   }
@@ -80,6 +84,7 @@
     plainGoals: goalsOf(layout, (service) => service.name === source.plainService),
     oracle: createOracle(layout.targets),
     tally: createTally(),
+    stories: createStories(Date.now),
     nowMs,
     giveUpAtMs: nowMs() + durationMs + GRACE_MS,
   };
@@ -108,13 +113,18 @@
   return bringFaults({ layout, processes, durationMs, note, raceEdits, withdraw });
 }
 
-async function finish(
-  options: DemoOptions,
-  fleet: Fleet,
-  context: CallerContext,
-  workload: Workload,
-  events: readonly string[],
-): Promise<DemoResult> {
+/** A run whose callers have all ended. */
+interface PlayedRun {
+  readonly options: DemoOptions;
+  readonly folder: RunFolder;
+  readonly fleet: Fleet;
+  readonly context: CallerContext;
+  readonly workload: Workload;
+  readonly events: readonly string[];
+}
+
+async function finish(run: PlayedRun): Promise<DemoResult> {
+  const { options, folder, fleet, context, workload, events } = run;
   const { tally, oracle } = context;
   await countDoubledCalls(context, workload.calls);
   for (const name of fleet.processes.endedByThemselves()) {
@@ -123,12 +133,16 @@
   const durationMs = options.durationS * MS_PER_S;
   const result = resultOf(tally, durationMs, await oracle.roleChanges());
   const timeline = await readTimeline(fleet.layout);
-  const requestEvents = new Map(
-    [...tally.remarkedKeys].map((key) => [key, eventsOf(timeline, key)]),
+  const stories = new Map(
+    [...tally.remarkedKeys].map((key) => [
+      key,
+      mergeStory(context.stories.of(key), eventsOf(timeline, key)),
+    ]),
   );
-  const reports = join(ROOT, 'reports');
-  writeReport(join(reports, 'demo.html'), { options, result, tally, events, requestEvents });
-  writeFileSync(join(reports, 'demo-timeline.html'), timelinePage(timeline));
+  folder.write('report.html', reportPage({ options, result, tally, events, stories }));
+  folder.write('timeline.html', timelinePage(timeline));
+  folder.write('result.json', `${JSON.stringify({ result, remarks: tally.remarks }, null, 2)}\n`);
+  folder.write('metrics.txt', await readMetrics(fleet.layout));
   return result;
 }
 
--- a/examples/test/demo/tally.test.ts
+++ b/examples/test/demo/tally.test.ts
@@ -45,8 +45,8 @@
     const tally = createTally();
     remark(tally, '<script>');
     const result = resultOf(tally, 1, 0);
-    const requestEvents = new Map([['key', ['<b>event']]]);
-    const page = reportPage({ options, result, tally, events: [], requestEvents });
+    const stories = new Map([['key', ['<b>event']]]);
+    const page = reportPage({ options, result, tally, events: [], stories });
     assert.match(page, /&lt;b&gt;event/);
     assert.match(page, /&lt;script&gt;/);
     assert.doesNotMatch(page, /<script>/);
--- a/packages/coordination/src/core/records/drive-refusals.ts
+++ b/packages/coordination/src/core/records/drive-refusals.ts
@@ -7,7 +7,7 @@
 import type { Failure } from '../failures/failure.js';
 import { RunState } from '../model/outcome.js';
 import { closeStream } from './drive-delivery.js';
-import { beginRound } from './drive-rounds.js';
+import { beginRound, roundFigures } from './drive-rounds.js';
 import { emit, finishDrive } from './drive-support.js';
 import type { Turn } from './drive-support.js';
 import { DriveEffectKind } from './drive-messages.js';
@@ -35,13 +35,16 @@
 export function tellRefusal(turn: Turn, runState: RunState): void {
   const { drive } = turn;
   const failure = drive.pendingFailure;
+  const round = roundFigures(turn);
   if (failure !== null && drive.callerPresent) {
     const retryAfterMs = drive.pendingRetryAfterMs;
     turn.out.push({ kind: DriveEffectKind.TellRefusal, failure, runState, retryAfterMs });
   }
   const wasAccepted = drive.known.attempts.length > 0;
   const kind = wasAccepted ? EventKind.RequestFailed : EventKind.RequestRefused;
-  emit(turn, kind, failure?.message ?? 'given up', { figures: { runState } });
+  emit(turn, kind, failure?.message ?? 'given up', {
+    figures: { runState, ...round },
+  });
   closeStream(turn);
   finishDrive(turn);
 }
--- a/packages/coordination/src/core/records/drive-rounds.ts
+++ b/packages/coordination/src/core/records/drive-rounds.ts
@@ -74,6 +74,20 @@
   return round !== null && holders.length > 0 && holders.every((id) => round.replies.has(id));
 }
 
+/**
+ * What a refusal's event says of the round that was under way: its step, how often it was put, and
+ * the holders whose reply is missing. They tell a holder that is silent from one that is slow.
+ */
+export function roundFigures(turn: Turn): Readonly<Record<string, number | string>> {
+  const { drive, context } = turn;
+  const { round, phase, roundsAsked } = drive;
+  if (round === null) return { phase };
+  const missing = roundTargets(turn).filter((id) => !round.replies.has(id));
+  const dead = missing.filter((id) => !context.isLive(id));
+  if (missing.length === 0) return { phase };
+  return { phase, roundsAsked, missing: missing.join(' '), missingDead: dead.length };
+}
+
 /** Whether some reply of the round is of this kind. */
 export function someReply(turn: Turn, kind: HolderReplyKind): boolean {
   const replies = turn.drive.round?.replies.values() ?? [];
--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -17,6 +17,7 @@
   REQUEST_TOO_LARGE,
   UNAUTHENTICATED,
 } from './failures.js';
+import { readIdempotencyKey } from './headers.js';
 import { parseModelRequest } from './model-request.js';
 import { parsePlainCall, type PlainCall, PLAIN_PATH_PREFIX } from './plain-call.js';
 import { sendProblem } from './problem.js';
@@ -46,6 +47,8 @@
   /** Whether the balancer should send callers elsewhere, although what comes is still taken. */
   readonly isLeaving: () => boolean;
   readonly makeKey: () => string;
+  /** Told of a request that is refused before it is read, with its key where it brings one. */
+  readonly onTurnedAway: (idempotencyKey: string | null, reason: string) => void;
   readonly onModelRequest: (request: ModelRequest, response: ServerResponse) => void;
   readonly onPlainCall: (call: PlainCall, response: ServerResponse) => void;
 }
@@ -127,6 +130,7 @@
   if (configuration === null || reason !== null) {
     const failure = ENTRY_NOT_SERVING.of({ reason: reason ?? '' });
     const isKeyed = request.headers['idempotency-key'] !== undefined;
+    options.onTurnedAway(readIdempotencyKey(request.headers) ?? null, failure.message);
     sendProblem(response, refuseUnseen(failure, 503, OTHER_ENTRY_RETRY_MS, isKeyed));
     return null;
   }
--- a/packages/daemon/src/node/holder-driver.ts
+++ b/packages/daemon/src/node/holder-driver.ts
@@ -69,7 +69,19 @@
 
   const callHolder: CallHolder = (to, call) => {
     if (to === options.selfId) return okAsync(answer(call));
-    return options.rpc.call<HolderReply>(to, call.kind, call, { timeoutMs: CALL_TIMEOUT_MS });
+    const { telemetry, nowMs } = options;
+    const askedAtMs = nowMs();
+    telemetry.count('holder_calls_total');
+    return options.rpc
+      .call<HolderReply>(to, call.kind, call, { timeoutMs: CALL_TIMEOUT_MS })
+      .map((reply) => {
+        telemetry.record('holder_call_ms', nowMs() - askedAtMs);
+        return reply;
+      })
+      .mapErr((failure) => {
+        telemetry.count('holder_calls_failed_total');
+        return failure;
+      });
   };
 
   async function sendRepair(to: string, call: HolderCall): Promise<void> {
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -5,6 +5,7 @@
   DEFAULT_DRIVE_OPTIONS,
   type DriveContext,
   type DriveRequest,
+  EventKind,
   MemberKind,
   type RetryBudget,
   type RetryOptions,
@@ -328,6 +329,12 @@
         notServingReason,
         isLeaving: () => isLeaving,
         makeKey: randomUUID,
+        onTurnedAway: (idempotencyKey, reason) => {
+          telemetry.count('requests_turned_away_total');
+          // The workspace is not known yet, so the event names the key as the caller wrote it.
+          const request = idempotencyKey === null ? {} : { request: idempotencyKey };
+          telemetry.emit({ kind: EventKind.RequestRefused, reason, ...request });
+        },
         onModelRequest: requests.model,
         onPlainCall: requests.plain,
       }),
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -172,8 +172,22 @@
     },
   });
 
+  let gaugesDueAtMs = Infinity;
+  let timerLateMaxMs = 0;
+
+  /** How late this process's timers fire: a process without processor time misses its timeouts. */
+  function takeLateness(): void {
+    const nowMs = clocks.monotonicMs();
+    const lateMs = Math.max(0, nowMs - gaugesDueAtMs);
+    gaugesDueAtMs = nowMs + GAUGES_MS;
+    timerLateMaxMs = Math.max(timerLateMaxMs, lateMs);
+    telemetry.gauge('timer_late_ms', lateMs);
+    telemetry.gauge('timer_late_max_ms', timerLateMaxMs);
+  }
+
   /** What the process costs, for the operators and for docs/CAPACITY.md. */
   function takeGauges(): void {
+    takeLateness();
     const tcp = context.traffic.read();
     const { user, system } = process.cpuUsage();
     telemetry.gauge('tcp_received_bytes', tcp.receivedBytes);
