Wait for a taken address, and reserve the ports of rigs

The rigs drew ports from one range and only looked whether a port was free, so a demo took the port of a dead gateway. The product took a taken address for a broken part: five tries in half a second, then the process ends, although a predecessor in the same place may take 8 s to stop. Ruled out: a port left in TIME_WAIT (listeners take it) and a child that outlived its kill (the place waits for its end). Change: the supervisor waits up to 10 s for an address, says so when it begins and when it is over, and ends the process when it stays taken; a datagram socket that could not bind is closed. Conclusion: mended for gateways, entries and sidecars alike; they share the supervisor.

--- a/examples/src/demo/fleet.ts
+++ b/examples/src/demo/fleet.ts
@@ -4,11 +4,11 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import { seededRandom } from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/ports';
+import { reservePortBlock } from '@cassiamast/stand-ins';
 import { readDeploymentText, writeLayout } from '../deployment/files.js';
 import type { DeploymentLayout } from '../deployment/layout.js';
 import { layOutDeployment, ProcessKind } from '../deployment/layout.js';
 import type { DemoOptions } from './options.js';
-import { findFreeBlock } from './ports.js';
 import type { Processes } from './processes.js';
 import { createProcesses } from './processes.js';
 import type { TextEditor } from './text-editor.js';
@@ -32,7 +32,8 @@
   note: (event: string) => void,
   onProcesses: (processes: Processes) => void,
 ): Promise<Fleet> {
-  const basePort = options.basePort ?? (await findFreeBlock(process.pid));
+  const block = options.basePort === null ? await reservePortBlock() : null;
+  const basePort = options.basePort ?? block?.first ?? 0;
   const layout = layOutDeployment(readDeploymentText(options.deployment), basePort);
   writeLayout(layout, folder);
   const processes = createProcesses(layout.processes, folder);
@@ -42,6 +43,7 @@
   const stop = async (): Promise<void> => {
     await client.close();
     await processes.stopAll();
+    await block?.release();
   };
   const start = (kind: ProcessKind): void => {
     for (const one of layout.processes) if (one.kind === kind) processes.start(one.name);
--- a/packages/daemon/src/node/datagrams.ts
+++ b/packages/daemon/src/node/datagrams.ts
@@ -85,6 +85,7 @@
               ADDRESS_TAKEN.of({ address: formatAddress(address), cause: error.message }),
             );
           opened.once('error', (error) => {
+            opened.close();
             reject(failure(error));
           });
           opened.on('message', receive);
--- a/packages/daemon/src/supervisor/supervisor.ts
+++ b/packages/daemon/src/supervisor/supervisor.ts
@@ -6,6 +6,7 @@
  */
 import type { ConsolaInstance } from 'consola';
 import { type Failure, FailureError, defineFailure } from '@cassiamast/coordination';
+import { ADDRESS_TAKEN } from '../node/failures.js';
 
 /** Part of the process: started, stopped, and able to report that it has failed meanwhile. */
 export interface Child {
@@ -21,13 +22,22 @@
   readonly maxRestarts: number;
   readonly withinMs: number;
   readonly backoffMs: number;
+  /** Whether what kept a child from starting passes by itself; it is waited for and not counted. */
+  readonly passes: (failure: Failure) => boolean;
+  /** How long such a failure is waited for. */
+  readonly patienceMs: number;
 }
 
-/** Enough for a passing fault, few enough that a lasting one shows within seconds. */
+/**
+ * Enough for a passing fault, few enough that a lasting one shows within seconds. An address is waited
+ * for longer than a predecessor in the same place may take to stop, 8 s on the platforms so far.
+ */
 export const DEFAULT_RESTART_LIMIT: RestartLimit = {
   maxRestarts: 5,
   withinMs: 10_000,
   backoffMs: 100,
+  passes: (failure) => failure.name === ADDRESS_TAKEN.name,
+  patienceMs: 10_000,
 };
 
 /** What a supervisor needs from its surroundings. */
@@ -77,13 +87,48 @@
     await startChild(child);
   }
 
-  async function startChild(child: Child): Promise<void> {
+  /** Starts a child; gives what kept it from starting, or null. */
+  async function tryStart(child: Child): Promise<Failure | null> {
     try {
       await child.start((failure) => void restart(child, failure));
+      return null;
     } catch (error) {
       if (!(error instanceof FailureError)) throw error;
-      await restart(child, error.failure);
+      return error.failure;
+    }
+  }
+
+  async function startChild(child: Child): Promise<void> {
+    const failure = await tryStart(child);
+    if (failure === null) return;
+    if (options.limit.passes(failure)) await waitAndStart(child, failure);
+    else await restart(child, failure);
+  }
+
+  /**
+   * Waits for what passes by itself. Failure guarded against: a process starts while its predecessor
+   * still holds an address, or another process holds it for some seconds, and ends at once; it shows
+   * as a place that stays empty after a restart. The guard holds because the address is asked for
+   * until a predecessor must have stopped.
+   */
+  async function waitAndStart(child: Child, first: Failure): Promise<void> {
+    const { log, nowMs, limit } = options;
+    const sinceMs = nowMs();
+    log.warn(`${options.name}: ${child.name} waits: ${first.message}`);
+    let failure: Failure | null = first;
+    while (failure !== null && limit.passes(failure)) {
+      await child.stop();
+      if (nowMs() - sinceMs >= limit.patienceMs) {
+        reportUp(CHILD_KEEPS_FAILING.of({ child: child.name, last: failure.message }));
+        return;
+      }
+      await options.sleep(limit.backoffMs);
+      if (stopping) return;
+      failure = await tryStart(child);
     }
+    if (failure !== null) return restart(child, failure);
+    const waitedMs = Math.round(nowMs() - sinceMs);
+    log.warn(`${options.name}: ${child.name} starts after ${String(waitedMs)} ms`);
   }
 
   return {
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -16,4 +16,4 @@
 export { promptFingerprint } from './core/runs/run-counts.js';
 export * from './core/vm-list/vm-list.js';
 export * from './core/weight-store/weight-store.js';
-export { freePort } from './core/http/free-port.js';
+export { type PortBlock, freePort, reservePortBlock } from './core/http/free-port.js';
