Let the demo's callers come back when an entry could not look for their call

Change: only request-outcome-unknown, the word of a fleet that looked, is the last one. Stricter for the product: a call that is sent again must still run at most once.

--- a/examples/src/demo/plain-caller.ts
+++ b/examples/src/demo/plain-caller.ts
@@ -35,9 +35,18 @@
   judge(context, plan, last, startMs);
 }
 
-/** "Unknown" of a call that may not be repeated does not change by asking again and again. */
+/** The refusal of a call that was handed to a target whose answer is lost. */
+const OUTCOME_UNKNOWN = 'request-outcome-unknown';
+
+/**
+ * "Unknown" is the last word only of a fleet that looked for the call. An entry that takes no work, or
+ * whose holders are slow, says it of calls that it could not look for, and asks the caller to come back
+ * with the key; a caller who takes that for the last word never learns of an answer that is there.
+ */
 function isLastWord(plan: PlannedCall, attempt: Attempt): boolean {
-  return !plan.call.repeatable && attempt.problem?.runState === 'unknown';
+  const { problem } = attempt;
+  const isUnknown = !plan.call.repeatable && problem?.runState === 'unknown';
+  return isUnknown && problem.type.endsWith(OUTCOME_UNKNOWN);
 }
 
 function callerRequest(context: CallerContext, plan: PlannedCall, tries: number): CallerRequest {
