Keep acknowledgements with the record they are of; split the tick of a repair

Change: a held record names who acknowledged it, and a new version starts anew; a tick is told in three short functions.

--- a/packages/coordination/src/core/records/holder.ts
+++ b/packages/coordination/src/core/records/holder.ts
@@ -51,6 +51,8 @@
   deadlineAtMs: number;
   expiresAtMs: number;
   sizeBytes: number;
+  /** Other holders that acknowledged a copy of `record`; null for none. A new record starts anew. */
+  acknowledgedBy: Set<string> | null;
 }
 
 /** The table. */
@@ -300,6 +302,7 @@
     deadlineAtMs,
     expiresAtMs,
     sizeBytes: sizeOf(record),
+    acknowledgedBy: null,
   };
   state.totalBytes += held.sizeBytes - (before?.sizeBytes ?? 0);
   state.records.set(record.keyText, held);
--- a/packages/coordination/src/core/records/repair.ts
+++ b/packages/coordination/src/core/records/repair.ts
@@ -6,7 +6,7 @@
 import { HolderCallKind, HolderReplyKind } from './messages.js';
 import type { HolderCall, HolderReply } from './messages.js';
 import { dropRecord, handleHolderCall, recordAt } from './holder.js';
-import type { HolderOptions, HolderState } from './holder.js';
+import type { HeldRecord, HolderOptions, HolderState } from './holder.js';
 import { coversRecord } from './record.js';
 import type { RequestRecord } from './record.js';
 
@@ -31,17 +31,10 @@
   readonly sent: RequestRecord;
 }
 
-/** Who has acknowledged a record as it stands here. */
-interface AcknowledgedRecord {
-  readonly record: RequestRecord;
-  readonly by: Set<string>;
-}
-
 /** What is still to be restored. Bounded by the number of records held. */
 export interface RepairState {
   queue: string[];
   readonly pending: Map<string, PendingRepair>;
-  readonly acknowledged: Map<string, AcknowledgedRecord>;
   /** Wait before the next copy of a record whose copies were not acknowledged. */
   readonly waitsMs: Map<string, number>;
   /** Keys that the present holders have acknowledged and whose copy here is kept for the grace. */
@@ -82,7 +75,6 @@
   return {
     queue: [],
     pending: new Map(),
-    acknowledged: new Map(),
     waitsMs: new Map(),
     handedOver: new Set(),
     changedAtMs: 0,
@@ -106,20 +98,24 @@
   repair.changedAtMs = nowMs;
   repair.handedOver.clear();
   repair.waitsMs.clear();
-  if (renewed === null) {
-    repair.acknowledged.clear();
-    repair.pending.clear();
-  } else forgetRenewed(repair, renewed);
+  forgetAcknowledgements(holder, renewed);
+  forgetUnderWay(repair, renewed);
   repair.queue = [...holder.records.keys()];
 }
 
-/** Acknowledgements of a member's earlier incarnation mean nothing, those still to come as well. */
-function forgetRenewed(repair: RepairState, renewed: ReadonlySet<string>): void {
-  for (const { by } of repair.acknowledged.values()) {
-    for (const id of renewed) by.delete(id);
+/** Acknowledgements of a member's earlier incarnation mean nothing. */
+function forgetAcknowledgements(holder: HolderState, renewed: ReadonlySet<string> | null): void {
+  for (const held of holder.records.values()) {
+    if (renewed === null) held.acknowledgedBy = null;
+    else for (const id of renewed) held.acknowledgedBy?.delete(id);
   }
+}
+
+/** Nor do those that are still to come. */
+function forgetUnderWay(repair: RepairState, renewed: ReadonlySet<string> | null): void {
   for (const [keyText, { missing }] of repair.pending) {
-    if ([...missing].some((id) => renewed.has(id))) repair.pending.delete(keyText);
+    const isToRenewed = renewed === null || [...missing].some((id) => renewed.has(id));
+    if (isToRenewed) repair.pending.delete(keyText);
   }
 }
 
@@ -148,6 +144,17 @@
   return reply;
 }
 
+/** One tick's inputs and what it sends. */
+interface RepairTurn {
+  readonly repair: RepairState;
+  readonly holder: HolderState;
+  readonly options: RepairOptions;
+  readonly nowMs: number;
+  /** Copies under way to each member: one that is silent must not take the places of the others. */
+  readonly underWay: Map<string, number>;
+  readonly sends: RepairSend[];
+}
+
 /** Sends the next copies, and again those that were not acknowledged in time. */
 export function tickRepair(
   repair: RepairState,
@@ -158,45 +165,56 @@
   nowMs: number,
 ): readonly RepairSend[] {
   requeueUnanswered(repair, nowMs);
-  if (isCalm(repair, options, nowMs)) verifyHandedOver(repair);
-  const underWay = countUnderWay(repair);
-  const sends: RepairSend[] = [];
+  if (isCalm(repair, options, nowMs)) verifyHandedOver(repair, holder);
+  const turn: RepairTurn = {
+    repair,
+    holder,
+    options,
+    nowMs,
+    underWay: countUnderWay(repair),
+    sends: [],
+  };
   for (const keyText of repair.queue.splice(0, options.repairsPerTick)) {
     const held = holder.records.get(keyText);
-    if (held === undefined) {
-      forgetRecord(repair, keyText);
-      continue;
-    }
-    if (repair.pending.has(keyText)) continue;
-    const others = holdersOfKey(keyText).filter((member) => member !== selfId);
-    if (others.length === 0) continue;
-    forgetOthers(repair, keyText, others);
-    const missing = others.filter((member) => !hasAcknowledged(repair, held.record, member));
-    if (missing.length === 0) {
-      settle(repair, holder, selfId, holdersOfKey, { keyText, options, nowMs });
-      continue;
-    }
-    const open = missing.filter((member) => (underWay.get(member) ?? 0) < options.maxUnderWay);
-    if (open.length === 0) {
-      repair.queue.push(keyText);
-      continue;
-    }
-    for (const member of open) underWay.set(member, (underWay.get(member) ?? 0) + 1);
-    const waitMs = repair.waitsMs.get(keyText) ?? options.resendAfterMs;
-    repair.waitsMs.set(keyText, waitMs * 2);
-    repair.pending.set(keyText, {
-      missing: new Set(open),
-      sentAtMs: nowMs,
-      waitMs,
-      sent: held.record,
-    });
-    const call: HolderCall = { kind: HolderCallKind.Restore, record: recordAt(held, nowMs) };
-    sends.push(...open.map((to) => ({ to, call })));
+    if (held === undefined) repair.waitsMs.delete(keyText);
+    if (held === undefined || repair.pending.has(keyText)) continue;
+    const holders = holdersOfKey(keyText);
+    const others = holders.filter((member) => member !== selfId);
+    const missing = missingAt(held, others);
+    if (missing.length > 0) sendCopies(turn, held, missing);
+    else if (others.length > 0 && !holders.includes(selfId)) settle(turn, keyText);
+  }
+  return turn.sends;
+}
+
+/** Holders that may lack the record. Who holds the key no longer may drop its copy, and is forgotten. */
+function missingAt(held: HeldRecord, holders: readonly string[]): readonly string[] {
+  const acknowledgedBy = held.acknowledgedBy ?? new Set();
+  for (const id of [...acknowledgedBy]) if (!holders.includes(id)) acknowledgedBy.delete(id);
+  return holders.filter((member) => !acknowledgedBy.has(member));
+}
+
+function sendCopies(turn: RepairTurn, held: HeldRecord, missing: readonly string[]): void {
+  const { repair, options, nowMs, underWay, sends } = turn;
+  const { record } = held;
+  const open = missing.filter((member) => (underWay.get(member) ?? 0) < options.maxUnderWay);
+  if (open.length === 0) {
+    repair.queue.push(record.keyText);
+    return;
   }
-  return sends;
+  for (const member of open) underWay.set(member, (underWay.get(member) ?? 0) + 1);
+  const waitMs = repair.waitsMs.get(record.keyText) ?? options.resendAfterMs;
+  repair.waitsMs.set(record.keyText, waitMs * 2);
+  repair.pending.set(record.keyText, {
+    missing: new Set(open),
+    sentAtMs: nowMs,
+    waitMs,
+    sent: record,
+  });
+  const call: HolderCall = { kind: HolderCallKind.Restore, record: recordAt(held, nowMs) };
+  sends.push(...open.map((to) => ({ to, call })));
 }
 
-/** Copies under way to each member: one that is silent must not take the places of the others. */
 function countUnderWay(repair: RepairState): Map<string, number> {
   const counts = new Map<string, number>();
   for (const { missing } of repair.pending.values()) {
@@ -206,34 +224,15 @@
 }
 
 /** What was handed over is asked for once more before it is dropped here. */
-function verifyHandedOver(repair: RepairState): void {
-  for (const keyText of repair.handedOver) repair.acknowledged.delete(keyText);
+function verifyHandedOver(repair: RepairState, holder: HolderState): void {
+  for (const keyText of repair.handedOver) {
+    const held = holder.records.get(keyText);
+    if (held !== undefined) held.acknowledgedBy = null;
+  }
   repair.queue.push(...repair.handedOver);
   repair.handedOver.clear();
 }
 
-function hasAcknowledged(repair: RepairState, record: RequestRecord, member: string): boolean {
-  const acknowledged = repair.acknowledged.get(record.keyText);
-  return acknowledged?.record === record && acknowledged.by.has(member);
-}
-
-/** A member that holds the key no longer may drop its copy, and needs another when it holds it again. */
-function forgetOthers(repair: RepairState, keyText: string, holders: readonly string[]): void {
-  const by = repair.acknowledged.get(keyText)?.by ?? new Set();
-  for (const id of [...by]) if (!holders.includes(id)) by.delete(id);
-}
-
-function noteAcknowledged(repair: RepairState, record: RequestRecord, member: string): void {
-  const known = repair.acknowledged.get(record.keyText);
-  if (known?.record === record) known.by.add(member);
-  else repair.acknowledged.set(record.keyText, { record, by: new Set([member]) });
-}
-
-function forgetRecord(repair: RepairState, keyText: string): void {
-  repair.acknowledged.delete(keyText);
-  repair.waitsMs.delete(keyText);
-}
-
 /**
  * Takes a holder's acknowledgement; drops the copy here when its place is elsewhere now. Failure: an
  * acknowledgement of an older copy comes late and is taken for the newer one's; it shows as an
@@ -255,37 +254,29 @@
     answer.restore(copy);
     return;
   }
+  const held = holder.records.get(answer.keyText);
+  const isSame = held?.record === pending.sent;
+  if (isSame) (held.acknowledgedBy ??= new Set()).add(answer.from);
   pending.missing.delete(answer.from);
-  noteAcknowledged(repair, pending.sent, answer.from);
   if (pending.missing.size > 0) return;
   repair.pending.delete(answer.keyText);
   repair.waitsMs.delete(answer.keyText);
-  if (holder.records.get(answer.keyText)?.record !== pending.sent) {
-    repair.queue.push(answer.keyText);
-    return;
+  const holders = holdersOfKey(answer.keyText);
+  const others = holders.filter((member) => member !== selfId);
+  if (!isSame || missingAt(held, others).length > 0) repair.queue.push(answer.keyText);
+  else if (others.length > 0 && !holders.includes(selfId)) {
+    settle({ repair, holder, options: answer.options, nowMs: answer.nowMs }, answer.keyText);
   }
-  const others = holdersOfKey(answer.keyText).filter((member) => member !== selfId);
-  const isWhole = others.every((member) => hasAcknowledged(repair, pending.sent, member));
-  if (isWhole) settle(repair, holder, selfId, holdersOfKey, answer);
-  else repair.queue.push(answer.keyText);
 }
 
-/** Every other holder has the record: the copy here goes when its place is elsewhere. */
+/** Every holder has the record, and this member is none: its copy goes after the grace. */
 function settle(
-  repair: RepairState,
-  holder: HolderState,
-  selfId: string,
-  holdersOfKey: HoldersOfKey,
-  { keyText, options, nowMs }: Pick<RepairAnswer, 'keyText' | 'options' | 'nowMs'>,
+  turn: Pick<RepairTurn, 'repair' | 'holder' | 'options' | 'nowMs'>,
+  keyText: string,
 ): void {
-  const holders = holdersOfKey(keyText);
-  if (holders.length === 0 || holders.includes(selfId)) return;
-  if (!isCalm(repair, options, nowMs)) {
-    repair.handedOver.add(keyText);
-    return;
-  }
-  dropRecord(holder, keyText);
-  forgetRecord(repair, keyText);
+  const { repair, holder, options, nowMs } = turn;
+  if (isCalm(repair, options, nowMs)) dropRecord(holder, keyText);
+  else repair.handedOver.add(keyText);
 }
 
 /**
