--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -10,7 +10,6 @@
   type RetryBudget,
   type RetryOptions,
   type StatusQuery,
-  type TargetSpec,
   createRetryBudget,
 } from '@cassiamast/coordination';
 import { createVmListClient, createWeightStoreClient } from '@cassiamast/ports';
@@ -20,6 +19,7 @@
 import { createContacts } from '../entry/contacts.js';
 import { createEntryFigures } from '../entry/entry-figures.js';
 import { readServices } from '../entry/entry-status.js';
+import { createLoadSubscriptions } from '../entry/load-subscriptions.js';
 import { createPolicies } from '../entry/policies.js';
 import { MAX_RUNS, createRequests } from '../entry/requests.js';
 import type { RunServices } from '../entry/run-services.js';
@@ -39,13 +39,6 @@
 import type { ProcessContext } from './process.js';
 import { wireMember } from './wire-member.js';
 
-const SUBSCRIBE_MS = 5_000;
-/** A sealed report with its headers, about. */
-const LOAD_REPORT_BYTES = 180;
-/** Of the 4 KB a second that control may cost an entry; membership and the rest need under 2. */
-const LOAD_BYTES_PER_S = 1_500;
-const MIN_REPORT_INTERVAL_MS = 500;
-const MS_PER_S = 1_000;
 const PUMP_MS = 10;
 const SHED_MS = 250;
 /** A fleet that has lost half of its targets must still be served once an entry restarts. */
@@ -224,29 +217,6 @@
     planning.noteLoad(load);
   }
 
-  /** Targets whose reports this entry wants: its subsets, and all of the services that it plans. */
-  function followedTargets(): readonly TargetSpec[] {
-    const planned = new Set(planning.plannedServices());
-    return [...policies.models()].flatMap(([name, policy]) => {
-      const wanted = new Set(policy.subset());
-      const targets = directory.service(name)?.targets ?? [];
-      return targets.filter((target) => planned.has(name) || wanted.has(target.name));
-    });
-  }
-
-  function subscribe(): void {
-    const followed = followedTargets();
-    const reportsBytes = followed.length * LOAD_REPORT_BYTES;
-    const intervalMs = Math.max(
-      MIN_REPORT_INTERVAL_MS,
-      Math.round((reportsBytes / LOAD_BYTES_PER_S) * MS_PER_S),
-    );
-    for (const target of followed) {
-      const sidecar = formatAddress(target.sidecar);
-      member.datagrams.send(sidecar, RpcMethod.LoadSubscribe, [intervalMs]);
-    }
-  }
-
   /** An entry that has not met its targets yet would refuse what another entry can serve. */
   function hasJoined(): boolean {
     const targets = (configuration?.services ?? []).flatMap((service) => service.targets);
@@ -306,7 +276,13 @@
       ...member.children,
       ...(vmList === null ? [] : [vmList.child]),
       claims.child,
-      createPeriodic('subscriptions', () => SUBSCRIBE_MS * (0.5 + random() / 2), subscribe),
+      createLoadSubscriptions({
+        random,
+        directory,
+        policies,
+        plannedServices: planning.plannedServices,
+        send: member.datagrams.send,
+      }),
       createPeriodic(
         'poison-ledger-reader',
         () => (member.poison.isRead() ? LEDGER_MS : LEDGER_RETRY_MS) * (0.5 + random()),
