--- a/packages/coordination/src/core/membership/index.ts
+++ b/packages/coordination/src/core/membership/index.ts
@@ -17,5 +17,5 @@
 export type { MembershipState, SelfDescription } from './state.js';
 export { MEMBERSHIP_GUARDS, MEMBERSHIP_OPTIONS, createMembership, parseMemberId } from './state.js';
 export { answerSync, receiveSyncAnswer, syncFailed } from './syncing.js';
-export { findMember, membersIn, presentMembers } from './view.js';
+export { findMember, mayBeAlive, membersIn, presentMembers } from './view.js';
 export * from './wire.js';
--- a/packages/coordination/src/core/membership/view.ts
+++ b/packages/coordination/src/core/membership/view.ts
@@ -217,6 +217,21 @@
   return id === state.self.id ? state.self : state.records.get(id)?.member;
 }
 
+/** Longer than a member of the target size needs to hear of all others: 36 pages, two a second. */
+const LEARNING_MS = 20_000;
+
+/**
+ * Whether a member may be alive, as far as a process can tell that has been up for `upForMs`. Failure
+ * guarded against: a process that has just started takes whom it has not met for dead; it shows as a
+ * caller who is told that the outcome of a call is lost while the call runs. The guard holds because a
+ * member that died is remembered by the others and heard of like any other.
+ */
+export function mayBeAlive(state: MembershipState, id: string, upForMs: number): boolean {
+  const member = findMember(state, id);
+  if (member === undefined) return false && upForMs < LEARNING_MS;
+  return member.state !== MemberState.Dead;
+}
+
 /** All members in a given state, this process included. */
 export function membersIn(state: MembershipState, ...states: readonly MemberState[]): Member[] {
   const found = states.includes(state.self.state) ? [state.self] : [];
