Take a member that was not met yet for one that may be alive

Cause: an entry that has just started took a member that it had never heard of for dead, so an attempt there counted as over, and a call that may have run is not run again. Ruled out: a sidecar that was really lost (each answered); a record that was missing (all entries had it). The same fault in the poison ledger, which freed a lone run for a stranger, is mended too.

--- a/packages/coordination/src/core/membership/view.ts
+++ b/packages/coordination/src/core/membership/view.ts
@@ -228,7 +228,7 @@
  */
 export function mayBeAlive(state: MembershipState, id: string, upForMs: number): boolean {
   const member = findMember(state, id);
-  if (member === undefined) return false && upForMs < LEARNING_MS;
+  if (member === undefined) return upForMs < LEARNING_MS;
   return member.state !== MemberState.Dead;
 }
 
--- a/packages/coordination/src/core/records/drive-types.ts
+++ b/packages/coordination/src/core/records/drive-types.ts
@@ -165,7 +165,7 @@
   readonly budget: RetryBudget;
   /** Present holders of this machine's key, as if the members in `without` were not there. */
   readonly holders: (without?: ReadonlySet<string>) => readonly string[];
-  /** Whether membership holds a member alive or suspect, and not dead. */
+  /** Whether a member may be alive: it is not known to be dead, or this entry is too young to know. */
   readonly isLive: (memberId: string) => boolean;
   readonly suspicion: () => Suspicion;
   /** Whether these members' ignorance proves that the request never ran before. */
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -58,7 +58,7 @@
   readonly rpc: RpcClient;
   readonly telemetry: Telemetry;
   readonly present: () => readonly Member[];
-  readonly isLive: (memberId: string) => boolean;
+  readonly mayBeAlive: (memberId: string) => boolean;
   readonly sendDatagram: (member: string, method: RpcMethod, params: unknown) => void;
   readonly onLoneRunReply: (reply: LoneRunReply) => void;
   /** Called when a content becomes suspect or is cleared. */
@@ -143,7 +143,7 @@
       timeoutMs: PROBE_TIMEOUT_MS,
     });
     // A silent sidecar that membership still believes alive may be paused with the run in it.
-    const silent = options.isLive(place.sidecar) ? LoneProbe.Running : LoneProbe.Gone;
+    const silent = options.mayBeAlive(place.sidecar) ? LoneProbe.Running : LoneProbe.Gone;
     handle({ kind: PoisonEventKind.Probed, id, probe: answer.unwrapOr(silent) });
   }
 
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -178,7 +178,7 @@
       options: { ...DEFAULT_DRIVE_OPTIONS, retry: options },
       budget,
       holders: (without) => member.placement.holdersOf(request.keyText, without),
-      isLive: member.isLive,
+      isLive: member.mayBeAlive,
       suspicion: () => member.poison.suspicionOf(request.bodyHash),
       provesAbsence: (absentAt) => keyIsFresh || contacts.provesAbsence(request.keyText, absentAt),
     };
--- a/packages/daemon/src/wiring/wire-member.ts
+++ b/packages/daemon/src/wiring/wire-member.ts
@@ -17,6 +17,7 @@
   type MemberKind,
   MemberState,
   answeredRatio,
+  mayBeAlive,
   type SyncRequest,
   type UnstampedEvent,
   randomBelow,
@@ -56,7 +57,10 @@
   readonly holder: HolderDriver;
   readonly takeClaim: TakeClaim;
   readonly poison: PoisonDriver;
+  /** Whether the member was met and is not dead. */
   readonly isLive: (memberId: string) => boolean;
+  /** The same, or this process is too young to have met it. */
+  readonly mayBeAlive: (memberId: string) => boolean;
   readonly configurationSinceWallMs: () => number;
 }
 
@@ -120,6 +124,9 @@
     const state = membership.find(memberId)?.state;
     return state !== undefined && state !== MemberState.Dead;
   };
+  const startedAtMs = clocks.monotonicMs();
+  const memberMayBeAlive = (memberId: string): boolean =>
+    mayBeAlive(membership.state, memberId, clocks.monotonicMs() - startedAtMs);
 
   const holder = createHolderDriver({
     selfId: context.memberId,
@@ -145,7 +152,7 @@
     rpc,
     telemetry,
     present: membership.present,
-    isLive,
+    mayBeAlive: memberMayBeAlive,
     sendDatagram: datagrams.send,
     onLoneRunReply: hooks.onLoneRunReply,
     onSuspicion: hooks.onSuspicion,
@@ -237,6 +244,7 @@
     takeClaim,
     poison,
     isLive,
+    mayBeAlive: memberMayBeAlive,
     configurationSinceWallMs: () => inForceSinceWallMs,
   };
 }
