--- a/packages/fuzz/src/worlds/authority/commands.ts
+++ b/packages/fuzz/src/worlds/authority/commands.ts
@@ -52,6 +52,56 @@
 const replaceOne = onNode('replace', anyId, replace);
 const pauseOne = onNode('pause', anyId, pause);
 const pausePlanner = onNode('pause', entryId, pause);
+/** Shorter than the gap after which a process no longer trusts its own contact with the others. */
+const SHORT_PAUSE_MS = 3_800;
+/** Longer than the lateness that a process takes for a pause. */
+const LONG_ENOUGH_MS = 600;
+
+/** Time until a process's public suspicion of another one is over; null where it has none. */
+function suspicionLeftMs(
+  simulation: Simulation,
+  observer: SimulatedNode,
+  suspect: string,
+): number | null {
+  const { membership } = observer.memory;
+  const record = membership.records.get(suspect);
+  if (!membership.suspects.has(suspect) || record === undefined) return null;
+  if (record.stateBeforeSilence !== null) return null;
+  return record.suspectDeadlineMs - simulation.scheduler.nowMs;
+}
+
+/**
+ * A process is suspected while it stands still. It goes on and contradicts; whoever suspects it
+ * stands still meanwhile, and wakes up with the contradiction unread and the time of the suspicion over.
+ */
+const pauseInTurn = fc
+  .tuple(anyId, fc.constantFrom(2_000, 3_000, 4_500), fc.constantFrom(0, 100, 300), stepMs)
+  .map(([suspectId, suspectMs, gapMs, afterMs]) =>
+    act(
+      `pause ${suspectId} for ${String(suspectMs)} ms, then who suspects it until its time is over`,
+      afterMs,
+      (simulation) => {
+        const suspect = simulation.byId.get(suspectId);
+        if (suspect === undefined) return;
+        pause(simulation, suspect);
+        advance(simulation.scheduler, suspectMs);
+        goOn(simulation, suspect);
+        advance(simulation.scheduler, gapMs);
+        const observers = simulation.nodes.flatMap((node) => {
+          const leftMs = suspicionLeftMs(simulation, node, suspectId) ?? 0;
+          const isFit = leftMs > LONG_ENOUGH_MS && leftMs < SHORT_PAUSE_MS;
+          return isFit && node.slot.status === ProcessStatus.Running ? [{ node, leftMs }] : [];
+        });
+        const last = observers.sort((left, right) => right.leftMs - left.leftMs)[0];
+        if (last === undefined) return;
+        countFault(simulation.network.counts, 'paused-while-suspecting');
+        pause(simulation, last.node);
+        advance(simulation.scheduler, last.leftMs + 1);
+        goOn(simulation, last.node);
+      },
+    ),
+  );
+
 const goOnOne = onNode('let go on', anyId, (simulation, node) => {
   goOn(simulation, node);
 });
@@ -266,6 +316,7 @@
   restartSidecar,
   pauseOne,
   pausePlanner,
+  pauseInTurn,
   goOnOne,
   goOnOne,
   goOnAll,
--- a/packages/fuzz/src/worlds/authority/nodes.ts
+++ b/packages/fuzz/src/worlds/authority/nodes.ts
@@ -21,7 +21,7 @@
 import { tickConfiguration } from './configuration-node.js';
 import { createEngine } from './engine.js';
 import { sayLeaving, tickMembers } from './membership-node.js';
-import { noteStanding } from './oracle.js';
+import { noteAllRead, noteStanding } from './oracle.js';
 import type { NodeMemory, Simulation, SimulatedNode } from './simulation.js';
 import { ENTRY_IDS, FAILURE_DOMAINS, SIDECAR_IDS } from './simulation.js';
 import { later } from './transport.js';
@@ -113,6 +113,7 @@
 /** Lets a paused process go on. */
 export function goOn(simulation: Simulation, node: SimulatedNode): void {
   resumeProcess(node.slot);
+  noteAllRead(simulation.oracle, node.id);
   noteStanding(simulation);
 }
 
--- a/packages/fuzz/src/worlds/authority/oracle.ts
+++ b/packages/fuzz/src/worlds/authority/oracle.ts
@@ -43,6 +43,8 @@
   readonly wellSinceMs: Map<string, number>;
   /** Since when each process has had no way to anybody. */
   readonly aloneSinceMs: Map<string, number>;
+  /** Incarnations that members told a process which stands still and has not read it, by member. */
+  readonly unread: Map<string, Map<string, number>>;
 }
 
 /** An empty memory. */
@@ -56,6 +58,7 @@
     inForce: new Map(),
     wellSinceMs: new Map(),
     aloneSinceMs: new Map(),
+    unread: new Map(),
   };
 }
 
@@ -214,11 +217,42 @@
 /** Longer than suspicion, refutation and their spreading. */
 const WELL_MS = 20_000;
 
+/** Longer than both last calls to a suspect and their answers. */
+const ANSWERED_MS = 2_000;
+
+/** A member's own word reaches a process that stands still: it is read when that one goes on. */
+export function noteUnread(
+  oracle: Oracle,
+  observer: string,
+  about: string,
+  incarnation: number,
+): void {
+  const told = oracle.unread.get(observer) ?? new Map<string, number>();
+  told.set(about, Math.max(incarnation, told.get(about) ?? 0));
+  oracle.unread.set(observer, told);
+}
+
+/** A process that stood still has read everything that came meanwhile. */
+export function noteAllRead(oracle: Oracle, observer: string): void {
+  oracle.unread.delete(observer);
+}
+
 /** A process concludes that another one is dead: it must not be one that is well. */
-export function noteVerdict(simulation: Simulation, observer: SimulatedNode, about: string): void {
+export function noteVerdict(
+  simulation: Simulation,
+  observer: SimulatedNode,
+  about: string,
+  incarnation: number,
+): void {
   const { oracle, scheduler } = simulation;
   const sinceMs = oracle.wellSinceMs.get(about);
-  const isWellLong = sinceMs !== undefined && scheduler.nowMs - sinceMs > WELL_MS;
+  const wellForMs = sinceMs === undefined ? 0 : scheduler.nowMs - sinceMs;
+  const told = oracle.unread.get(observer.id)?.get(about) ?? 0;
+  const isUnheard = told > incarnation && wellForMs > ANSWERED_MS;
+  holds(!isUnheard, 'nobody-is-condemned-unheard', () => {
+    return `${observer.id} took ${about} for dead with its contradiction unread`;
+  });
+  const isWellLong = wellForMs > WELL_MS;
   holds(!isWellLong, 'the-well-are-not-declared-dead', () => {
     return `${observer.id} took ${about} for dead at ${String(scheduler.nowMs)} ms`;
   });
--- a/packages/fuzz/src/worlds/authority/transport.ts
+++ b/packages/fuzz/src/worlds/authority/transport.ts
@@ -1,6 +1,6 @@
 /** Time, datagrams and calls between processes. */
 import { sendMessage } from '../../kit/network.js';
-import { runIn } from '../../kit/processes.js';
+import { ProcessStatus, runIn } from '../../kit/processes.js';
 import { schedule } from '../../kit/scheduler.js';
 import type { Simulation, SimulatedNode } from './simulation.js';
 
@@ -19,16 +19,21 @@
   });
 }
 
-/** Sends a datagram; whoever is at the address when it arrives gets it. */
+/**
+ * Sends a datagram; whoever is at the address when it arrives gets it. `onWaiting` is told of one that
+ * reaches a process which stands still.
+ */
 export function sendDatagram(
   simulation: Simulation,
   from: SimulatedNode,
   to: string,
   receive: (target: SimulatedNode) => void,
+  onWaiting: (target: SimulatedNode) => void = () => undefined,
 ): void {
   const target = simulation.byId.get(to);
   if (target === undefined) return;
   sendMessage(simulation.network, from.id, to, () => {
+    if (target.slot.status === ProcessStatus.Paused) onWaiting(target);
     runIn(target.slot, target.slot.incarnation, () => {
       receive(target);
     });
