--- a/packages/coordination/src/core/config/keeper.ts
+++ b/packages/coordination/src/core/config/keeper.ts
@@ -5,6 +5,7 @@
  */
 import type { ConfigurationDocument } from '../model/configuration.js';
 import { EventKind } from '../events/event.js';
+import { waitAfterFailuresMs } from '../retries/retries.js';
 import { adopt, noteFresh, noteVersion, takeAnswer, versionInForce } from './adopting.js';
 import { judgeNewWork, seesEnough } from './cut-off.js';
 import { withoutText } from './document.js';
@@ -16,11 +17,9 @@
 /** Stands in the hints for "no freshness known". */
 const UNKNOWN_AGE = -1;
 
-/** Jittered exponential wait: a random part, at least half, of the doubled time. */
 function backOffMs(state: ConfigState, failures: number, context: ConfigContext): number {
-  const { backOffMs: first, maxBackOffMs } = state.options;
-  const boundMs = Math.min(maxBackOffMs, first * 2 ** Math.min(failures, 16));
-  return boundMs * (0.5 + context.random() / 2);
+  const { backOffMs: firstMs, maxBackOffMs: mostMs } = state.options;
+  return waitAfterFailuresMs(failures + 1, { firstMs, mostMs }, context.random);
 }
 
 /**
--- /dev/null
+++ b/packages/coordination/src/core/forwarding/news-pace.ts
@@ -0,0 +1,64 @@
+/**
+ * How often a gateway asks the platform's store for news of the fleet. The load patterns: hundreds of
+ * gateways that each ask, while targets write about once a second, so that an answer never has to be
+ * waited for; gateways that have just started together and look for each other; and a store that is
+ * away while all of them go on asking.
+ */
+import type { Random } from '../random/random.js';
+import { waitAfterFailuresMs } from '../retries/retries.js';
+
+/** Bounds of the pace. */
+export interface NewsPaceOptions {
+  /** A change in the store must be in force here within so long. */
+  readonly inForceWithinMs: number;
+  /** Pause between two questions while gateways that started together find each other. */
+  readonly startPauseMs: number;
+  /** How long that takes: some renewals of an announcement. */
+  readonly startMs: number;
+  /** First pause after a question that failed. */
+  readonly failurePauseMs: number;
+}
+
+/** Defaults for a platform that wants changes in force within this time. */
+export function newsPaceOptions(inForceWithinMs: number): NewsPaceOptions {
+  return { inForceWithinMs, startPauseMs: 600, startMs: 5000, failurePauseMs: 200 };
+}
+
+/** Pause in that part of the time: what is left takes a slow answer and one question that fails. */
+const PAUSE_SHARE = 0.3;
+/** The longest pause after failures, in that part: news come at once when the store is back. */
+const FAILURE_PAUSE_SHARE = 0.25;
+
+/** Where a gateway stands. */
+export interface NewsPace {
+  readonly options: NewsPaceOptions;
+  /** Since when news come without a gap, null while they don't. */
+  newsSinceMs: number | null;
+  failuresInARow: number;
+}
+
+/** The pace of a gateway that has not asked yet. */
+export function createNewsPace(options: NewsPaceOptions): NewsPace {
+  return { options, newsSinceMs: null, failuresInARow: 0 };
+}
+
+/**
+ * Pause after an answer, in which changes gather. Guards against a cost that grows with gateways
+ * alone: each question is answered at once, since some target has always written meanwhile.
+ */
+export function pauseAfterNewsMs(pace: NewsPace, nowMs: number): number {
+  const { inForceWithinMs, startPauseMs, startMs } = pace.options;
+  pace.failuresInARow = 0;
+  pace.newsSinceMs ??= nowMs;
+  const pauseMs = inForceWithinMs * PAUSE_SHARE;
+  return nowMs - pace.newsSinceMs < startMs ? Math.min(startPauseMs, pauseMs) : pauseMs;
+}
+
+/** Pause after a question that failed; longer with each one, and never in step with others. */
+export function pauseAfterFailureMs(pace: NewsPace, random: Random): number {
+  const { inForceWithinMs, failurePauseMs: firstMs } = pace.options;
+  pace.failuresInARow += 1;
+  pace.newsSinceMs = null;
+  const mostMs = Math.max(firstMs, inForceWithinMs * FAILURE_PAUSE_SHARE);
+  return waitAfterFailuresMs(pace.failuresInARow, { firstMs, mostMs }, random);
+}
--- a/packages/coordination/src/core/retries/retries.ts
+++ b/packages/coordination/src/core/retries/retries.ts
@@ -64,6 +64,29 @@
   return Math.ceil(random() * bound);
 }
 
+/** Bounds of a wait that doubles with each failure. */
+export interface BackOffBounds {
+  readonly firstMs: number;
+  readonly mostMs: number;
+}
+
+/** Doublings after which any sensible bound is reached. */
+const MOST_DOUBLINGS = 16;
+
+/**
+ * Time to wait after a number of failures in a row: a random part, at least half, of a doubling
+ * bound. For one who goes on until it succeeds, where {@link backOffMs} could ask again at once.
+ */
+export function waitAfterFailuresMs(
+  failures: number,
+  { firstMs, mostMs }: BackOffBounds,
+  random: Random,
+): number {
+  const doublings = Math.min(MOST_DOUBLINGS, Math.max(0, failures - 1));
+  const boundMs = Math.min(mostMs, firstMs * 2 ** doublings);
+  return boundMs * (0.5 + random() / 2);
+}
+
 /** What decides whether a second copy of a slow request may run beside the first. */
 export interface HedgeQuestion {
   readonly repeatable: boolean;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -79,6 +79,7 @@
 export * from './core/forwarding/event-framing.js';
 export * from './core/forwarding/fleet.js';
 export * from './core/forwarding/fleet-view.js';
+export * from './core/forwarding/news-pace.js';
 export * from './core/forwarding/retry-window.js';
 export * from './core/forwarding/route-table.js';
 export * from './core/scheduling/job.js';
--- /dev/null
+++ b/packages/daemon/src/gateway/counted-fleet.ts
@@ -0,0 +1,48 @@
+/**
+ * Counts this gateway's calls to the platform's store, by kind: the store answers for all gateways
+ * together, and each call has a price, so an operator must see which calls grow with the fleet.
+ */
+import type { Failure } from '@cassiamast/coordination';
+import type { FleetPort } from '@cassiamast/ports';
+import type { ResultAsync } from 'neverthrow';
+
+/** Kinds of call as the counters name them. */
+export enum StoreCall {
+  List = 'list',
+  Changes = 'changes',
+  Read = 'read',
+  Write = 'write',
+  GrantLease = 'grant_lease',
+  KeepLease = 'keep_lease',
+  EndLease = 'end_lease',
+}
+
+/** The same store, with its calls and their failures counted. */
+export function countCalls(fleet: FleetPort, count: (name: string) => void): FleetPort {
+  function counted<Answer>(
+    call: StoreCall,
+    answer: ResultAsync<Answer, Failure>,
+  ): ResultAsync<Answer, Failure> {
+    count(`store_${call}_calls_total`);
+    return answer.mapErr((failure) => {
+      count('store_failures_total');
+      return failure;
+    });
+  }
+
+  return {
+    list: () => counted(StoreCall.List, fleet.list()),
+    changesAfter: (revision, waitMs) =>
+      counted(StoreCall.Changes, fleet.changesAfter(revision, waitMs)),
+    get: (key) => counted(StoreCall.Read, fleet.get(key)),
+    transact: (compares, writes) => counted(StoreCall.Write, fleet.transact(compares, writes)),
+    announce: (gateway, leaseId) => counted(StoreCall.Write, fleet.announce(gateway, leaseId)),
+    recordCrashes: (crashes, leaseId) =>
+      counted(StoreCall.Write, fleet.recordCrashes(crashes, leaseId)),
+    forgetCrashes: (crashes) => counted(StoreCall.Write, fleet.forgetCrashes(crashes)),
+    grantLease: (ttlMs) => counted(StoreCall.GrantLease, fleet.grantLease(ttlMs)),
+    keepLeaseAlive: (leaseId) => counted(StoreCall.KeepLease, fleet.keepLeaseAlive(leaseId)),
+    revokeLease: (leaseId) => counted(StoreCall.EndLease, fleet.revokeLease(leaseId)),
+    close: () => fleet.close(),
+  };
+}
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -9,9 +9,14 @@
   type FleetChange,
   FleetChangeKind,
   type FleetView,
+  type NewsPaceOptions,
+  type Random,
   applyChanges,
   applyListing,
+  createNewsPace,
   noteStoreAnswer,
+  pauseAfterFailureMs,
+  pauseAfterNewsMs,
   settleDoubts,
 } from '@cassiamast/coordination';
 import {
@@ -26,14 +31,6 @@
 
 /** Longest wait of one question for changes: short, so that a silent connection is noticed. */
 const WATCH_WAIT_MS = 1500;
-/**
- * Pause between two questions, in which changes gather: each question is paid for, and each target
- * writes about once a second. Short against the two seconds in which a change must be in force.
- */
-const GATHER_MS = 600;
-/** Pause after a failed question. */
-const RETRY_MS = 200;
-
 /** Entries of other writers that are remembered as logged; more of them are logged again. */
 const MAX_LOGGED_FAULTS = 256;
 
@@ -41,6 +38,8 @@
 export interface FleetFollowerOptions {
   readonly fleet: FleetPort;
   readonly view: FleetView;
+  readonly pace: NewsPaceOptions;
+  readonly random: Random;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
@@ -49,7 +48,8 @@
 
 /** Makes the follower. */
 export function createFleetFollower(options: FleetFollowerOptions): Child {
-  const { fleet, view, nowMs, log } = options;
+  const { fleet, view, nowMs, log, random } = options;
+  const pace = createNewsPace(options.pace);
   let stopped = true;
   let isAway = false;
   const loggedFaults = new Set<string>();
@@ -108,7 +108,8 @@
       : take(await fleet.changesAfter(view.revision, WATCH_WAIT_MS), applyChanges);
     settleDoubts(view, nowMs());
     if (failure === null) {
-      await sleep(isListing ? 0 : GATHER_MS);
+      const pauseMs = pauseAfterNewsMs(pace, nowMs());
+      await sleep(isListing ? 0 : pauseMs);
       return;
     }
     if (FLEET_HISTORY_GONE.is(failure)) {
@@ -117,7 +118,7 @@
       if (listed === null) return;
     }
     noteAway(failure);
-    await sleep(RETRY_MS);
+    await sleep(pauseAfterFailureMs(pace, random));
   }
 
   return {
--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -3,21 +3,27 @@
  * under a lease. The others choose from these entries who schedules a service.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
-import type { GatewayEntry } from '@cassiamast/coordination';
+import {
+  type BackOffBounds,
+  type GatewayEntry,
+  type Random,
+  waitAfterFailuresMs,
+} from '@cassiamast/coordination';
 import { type FleetPort, KEY_VALUE_LEASE_GONE } from '@cassiamast/ports';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
 
 /** A lease is renewed so many times in its time to live: two renewals may be lost. */
 const RENEWALS_PER_TTL = 3;
-/** Pause after a failed call. */
-const RETRY_MS = 300;
+/** Pauses after calls that failed. */
+const RETRIES: BackOffBounds = { firstMs: 300, mostMs: 1200 };
 
 /** What the presence needs. */
 export interface PresenceOptions {
   readonly fleet: FleetPort;
   readonly self: GatewayEntry;
   readonly ttlMs: number;
+  readonly random: Random;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
 }
@@ -32,10 +38,11 @@
 
 /** Makes the presence. */
 export function createPresence(options: PresenceOptions): Presence {
-  const { fleet, self, ttlMs, nowMs, log } = options;
+  const { fleet, self, ttlMs, random, nowMs, log } = options;
   let confirmedAtMs = -Infinity;
   let leaseId: string | null = null;
   let stopped = true;
+  let failuresInARow = 0;
 
   async function announce(): Promise<void> {
     const granted = await fleet.grantLease(ttlMs);
@@ -59,7 +66,10 @@
         leaseId = null;
       }
     }
-    await sleep(leaseId === null ? RETRY_MS : ttlMs / RENEWALS_PER_TTL);
+    failuresInARow = leaseId === null ? failuresInARow + 1 : 0;
+    const isAnnounced = leaseId !== null;
+    const retryMs = waitAfterFailuresMs(failuresInARow, RETRIES, random);
+    await sleep(isAnnounced ? ttlMs / RENEWALS_PER_TTL : retryMs);
   }
 
   async function withdraw(): Promise<void> {
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -23,4 +23,6 @@
   readonly retryWindow: RetryWindowOptions;
   /** Time to live of its entry among the gateways. */
   readonly leaseTtlMs: number;
+  /** A change in the platform's store must be in force within so long. */
+  readonly newsWithinMs: number;
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -14,6 +14,7 @@
   createElapsedClock,
   createFleetView,
   createHashing,
+  newsPaceOptions,
   seededRandom,
   startDrain,
   tickDrain,
@@ -36,6 +37,7 @@
 import { createTimeline } from '../node/timeline.js';
 import { RpcMethod } from '../protocol/methods.js';
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
+import { countCalls } from './counted-fleet.js';
 import { createCrashReports } from './crash-reports.js';
 import { createFleetFollower } from './fleet-follower.js';
 import type { ForwardingServices } from './forwarding-services.js';
@@ -104,6 +106,7 @@
   const telemetry = createTelemetry(timeline.put, (highestTrackableValue) =>
     build({ highestTrackableValue, numberOfSignificantValueDigits: SIGNIFICANT_DIGITS }),
   );
+  const fleet = countCalls(platform.fleet, telemetry.count);
   const random = seededRandom(randomInt(MAX_SEED));
   const { hash32 } = await createHashing();
   const view = createFleetView();
@@ -121,13 +124,14 @@
     log,
   });
   const presence = createPresence({
-    fleet: platform.fleet,
+    fleet,
     self: {
       id: selfId,
       failureDomain: settings.failureDomain,
       coreShare: settings.coreShare,
     },
     ttlMs: settings.leaseTtlMs,
+    random,
     nowMs: monotonicMs,
     log,
   });
@@ -143,7 +147,7 @@
   });
   const pulse = createTargetPulse(monotonicMs);
   const crashes = createCrashReports({
-    fleet: platform.fleet,
+    fleet,
     view,
     pulse,
     nowMs: monotonicMs,
@@ -173,8 +177,10 @@
     name: 'root',
     children: [
       createFleetFollower({
-        fleet: platform.fleet,
+        fleet,
         view,
+        pace: newsPaceOptions(settings.newsWithinMs),
+        random,
         nowMs: monotonicMs,
         log,
         count: telemetry.count,
@@ -218,7 +224,7 @@
       createPhasePlanner({
         selfId,
         view,
-        store: platform.fleet,
+        store: fleet,
         control: platform.control,
         schedulers,
         random,
@@ -284,7 +290,7 @@
       schedulers.stop();
       crashes.stop();
       await root.stop();
-      await Promise.all([rpc.close(), transport.close(), platform.fleet.close()]);
+      await Promise.all([rpc.close(), transport.close(), fleet.close()]);
       await writer.flush();
     },
     reload: (next) => {
--- /dev/null
+++ b/packages/daemon/test/gateway/counted-fleet.test.ts
@@ -0,0 +1,46 @@
+/** Counters of a gateway's calls to the platform's store. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import type { Failure } from '@cassiamast/coordination';
+import { type FleetPort, KEY_VALUE_UNREACHABLE } from '@cassiamast/ports';
+import { errAsync, okAsync } from 'neverthrow';
+import { countCalls } from '../../src/gateway/counted-fleet.js';
+
+const UNREACHABLE: Failure = KEY_VALUE_UNREACHABLE.of({
+  call: 'list',
+  endpoint: 'store',
+  mayHaveRun: false,
+  detail: 'cut off',
+});
+
+/** A store that lists and grants leases, and cannot be asked for changes. */
+const STORE = {
+  list: () => okAsync({ changes: [], faults: [], revision: 1 }),
+  changesAfter: () => errAsync(UNREACHABLE),
+  grantLease: () => okAsync({ leaseId: '7', ttlMs: 3000 }),
+} as unknown as FleetPort;
+
+describe('the counters of store calls', () => {
+  it('count each kind, and what failed', async () => {
+    const counts: Record<string, number> = {};
+    const fleet = countCalls(STORE, (name) => {
+      counts[name] = (counts[name] ?? 0) + 1;
+    });
+    await fleet.list();
+    await fleet.changesAfter(1, 1500);
+    await fleet.changesAfter(1, 1500);
+    await fleet.grantLease(3000);
+    assert.deepEqual(counts, {
+      store_list_calls_total: 1,
+      store_changes_calls_total: 2,
+      store_failures_total: 2,
+      store_grant_lease_calls_total: 1,
+    });
+  });
+
+  it('leave answers and failures as they are', async () => {
+    const fleet = countCalls(STORE, () => undefined);
+    const failed = await fleet.changesAfter(1, 1500);
+    assert.equal(failed._unsafeUnwrapErr(), UNREACHABLE);
+  });
+});
