--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -169,6 +169,7 @@
     let headers: Readonly<Record<string, string>> = {};
     let sent = false;
     const finish = (outcome: HttpAnswer | Trouble): void => {
+      isOver = true;
       clearTimeout(timer);
       resolve(outcome);
     };
@@ -176,8 +177,15 @@
       finish({ kind, mayHaveRun: sent, detail });
       running.stop();
     };
+    let isOver = false;
+    // Guards against taking an own standstill for the other side's: a process that had no processor
+    // runs its late timers before it reads what has come in. It shows as calls that time out by the
+    // dozen at the height of a burst, though their answers lie there.
     const timer = setTimeout(() => {
-      giveUp(TroubleKind.TimedOut, `no whole answer within ${String(limits.timeoutMs)} ms`);
+      setImmediate(() => {
+        if (isOver) return;
+        giveUp(TroubleKind.TimedOut, `no whole answer within ${String(limits.timeoutMs)} ms`);
+      });
     }, limits.timeoutMs);
     const running = dispatch(agent, resets, request, {
       onSent: () => {
--- a/packages/ports/test/http/transport.test.ts
+++ b/packages/ports/test/http/transport.test.ts
@@ -1,5 +1,7 @@
 /** Whether a request may have run, against servers that misbehave at each point. */
 import assert from 'node:assert/strict';
+import { spawn } from 'node:child_process';
+import { once } from 'node:events';
 import type { AddressInfo, Server, Socket } from 'node:net';
 import { createServer } from 'node:net';
 import { afterEach, beforeEach, describe, it } from 'node:test';
@@ -48,6 +50,39 @@
     return [outcome.kind, outcome.mayHaveRun];
   };
 
+  // At the height of a burst a process has no processor for a while. Its timers are late, and those
+  // of its calls went off before the answers were read that had long come in: the other side was
+  // taken for dead, by dozens of calls at once.
+  describe('a process that stood still', () => {
+    const whole = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+    const STANDSTILL_MS = 300;
+
+    /** Another process answers, since this one stands still. */
+    async function startServer(): Promise<{ readonly port: number; readonly end: () => void }> {
+      const program = `require('node:net').createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', () => socket.write(${JSON.stringify(whole)}));
+      }).listen(0, '127.0.0.1', function () { console.log(this.address().port); });`;
+      const child = spawn(process.execPath, ['-e', program], {
+        stdio: ['ignore', 'pipe', 'inherit'],
+      });
+      const [port] = (await once(child.stdout, 'data')) as [Buffer];
+      return { port: Number(port.toString()), end: () => void child.kill('SIGKILL') };
+    }
+
+    it('takes an answer that came meanwhile', async () => {
+      const { port, end } = await startServer();
+      const asked = { ...request(), origin: `http://127.0.0.1:${String(port)}` };
+      await transport.exchange(asked, LIMITS);
+      const answer = transport.exchange(asked, { ...LIMITS, timeoutMs: STANDSTILL_MS / 3 });
+      await new Promise(setImmediate);
+      Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, STANDSTILL_MS);
+      const outcome = await answer;
+      end();
+      assert.ok(!isTrouble(outcome));
+    });
+  });
+
   describe('an answer without a length', () => {
     const head = 'HTTP/1.1 200 OK\r\nconnection: close\r\n\r\n';
 
