--- a/packages/coordination/src/core/scheduling/dispatching.ts
+++ b/packages/coordination/src/core/scheduling/dispatching.ts
@@ -28,12 +28,15 @@
   const decisions: Decision[] = [];
   moveFromUnusable(scheduler, nowMs);
   if (scheduler.waiting.size === 0) return decisions;
-  const forDecode = jobsForDecode(scheduler, nowMs);
+  const steals = maySteal(scheduler, nowMs);
+  const forDecode = steals ? jobsForDecode(scheduler, nowMs) : [];
   for (const load of scheduler.targets.values()) {
     const isDecode = load.entry.phase === EnginePhase.Decode;
     while (hasRoom(load, scheduler.options, nowMs)) {
       const others = isDecode ? forDecode : scheduler.waiting.values();
-      const next = nextOf(scheduler, load, nowMs) ?? stealFor(scheduler, load, others, nowMs);
+      const next =
+        nextOf(scheduler, load, nowMs) ??
+        (steals ? stealFor(scheduler, load, others, nowMs) : null);
       if (next === null) break;
       const decision = grant(scheduler, load, next, nowMs);
       if (decision === null) break;
@@ -43,6 +46,17 @@
   return decisions;
 }
 
+/**
+ * Whether idle engines look at the other lines now. Guards against looking at each event, of which a
+ * request brings three or more: every idle engine weighs every waiting job. While code is cold it
+ * shows as a scheduler that takes several milliseconds for a decision and falls behind its callers.
+ */
+function maySteal(scheduler: Scheduler, nowMs: number): boolean {
+  if (nowMs - scheduler.stoleAtMs < scheduler.options.stealEveryMs) return false;
+  scheduler.stoleAtMs = nowMs;
+  return true;
+}
+
 /**
  * Jobs that engines which make tokens may read at all: most are too long for them. Looked up once
  * and not for each of these engines, of which most have room all the time: that took a third of the
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -52,6 +52,8 @@
    * slots of an engine: a request more makes each of its tokens a few hundredths slower.
    */
   readonly connectedAdvantage: number;
+  /** How often idle engines look at the lines of others; little against the reading of a prompt. */
+  readonly stealEveryMs: number;
   /** Time from the read prompt to the first event at the caller. */
   readonly firstEventMs: number;
   /** Time that a handle of a read prompt takes to the engine that goes on. */
@@ -84,7 +86,8 @@
   copyMsPerThousand: 10,
   maxLateBacklogMs: 0,
   maxLateWaitMs: 50,
-  connectionKeptMs: 4000,
+  stealEveryMs: 10,
+  connectionKeptMs: 30_000,
   connectMs: 4,
   connectedAdvantage: 4,
   firstEventMs: 15,
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -59,6 +59,8 @@
   readonly connections: Connections;
   /** When it was last asked about a job. */
   askedAtMs: number;
+  /** When idle engines last looked at the lines of others. */
+  stoleAtMs: number;
 }
 
 /** A scheduler without targets. */
@@ -74,6 +76,7 @@
     returners: createReturners(),
     connections: createConnections(),
     askedAtMs: -Infinity,
+    stoleAtMs: -Infinity,
   };
 }
 
--- a/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
@@ -34,6 +34,20 @@
       noteEngines(scheduler, single, SPEC);
     });
 
+    // All gateways are back after a loss of power, and a scheduler with cold code gets a second's
+    // work at once. Half of its time went into idle engines that looked at all waiting jobs again at
+    // each question and each report; it fell behind, and callers waited while engines were idle.
+    it('lets idle engines look at other lines at intervals, not at each event', () => {
+      submitJob(scheduler, job('a', 9000), 0);
+      const looks = new Set<number>();
+      for (let nowMs = 0; nowMs < 100; nowMs += 1) {
+        submitJob(scheduler, job('b', 9000, { aimAtMs: 3000 }), nowMs);
+        looks.add(scheduler.stoleAtMs);
+      }
+      assert.ok(scheduler.waiting.size > 1, 'jobs wait');
+      assert.ok(looks.size <= 100 / SCHEDULER_OPTIONS.stealEveryMs + 1);
+    });
+
     it('takes what is worth most for the time of the engine first', () => {
       const first = job('a', 9000);
       submitJob(scheduler, first, 0);
