--- a/scripts/start-program.cjs
+++ b/scripts/start-program.cjs
@@ -8,8 +8,16 @@
 
 const { readFileSync } = require('node:fs');
 const { join } = require('node:path');
+const { setFlagsFromString } = require('node:v8');
 const { Script } = require('node:vm');
+// Loaded when a port is first listened on; here, its compiled code is still taken.
+require('node:cluster');
 
+/**
+ * The optimizing compiler waits for so long. It runs on threads of its own, which on a share of one
+ * core take the time of the first requests: those of callers who waited for this process to start.
+ */
+const OPTIMIZE_AFTER_MS = 700;
 const PROGRAM = join(__dirname, 'cassiamast-program.cjs');
 const CACHE = join(__dirname, 'cassiamast-program.cache');
 
@@ -33,4 +41,8 @@
   const message = 'compiled code not taken: it is of another runtime, or flags differ';
   process.stdout.write(`${JSON.stringify({ level: 'warn', message })}\n`);
 }
+setFlagsFromString('--no-opt');
+setTimeout(() => {
+  setFlagsFromString('--opt');
+}, OPTIMIZE_AFTER_MS).unref();
 script.runInThisContext()(exports, require, module);
