--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -43,6 +43,11 @@
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
+  /**
+   * Waited for before the first listing. Guards against gateways that start together and each see
+   * the others' announcements of before: it shows as several schedulers for the same engines.
+   */
+  readonly beforeFirstListing: () => Promise<unknown>;
   readonly onChanged: () => void;
 }
 
@@ -126,6 +131,7 @@
     start: () => {
       stopped = false;
       void (async () => {
+        await options.beforeFirstListing();
         while (!stopped) await turn();
       })();
       return Promise.resolve();
--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -31,6 +31,8 @@
 /** A presence that can be withdrawn before the process ends. */
 export interface Presence {
   readonly child: Child;
+  /** Resolves when it was first tried to announce this gateway, whatever came of it. */
+  readonly tried: Promise<void>;
   /** Whether the announcement stands, as far as the store has said lately. */
   readonly isConfirmed: () => boolean;
   readonly withdraw: () => Promise<void>;
@@ -43,6 +45,10 @@
   let leaseId: string | null = null;
   let stopped = true;
   let failuresInARow = 0;
+  let noteTried: () => void = () => undefined;
+  const tried = new Promise<void>((resolve) => {
+    noteTried = resolve;
+  });
 
   async function announce(): Promise<void> {
     const granted = await fleet.grantLease(ttlMs);
@@ -56,8 +62,10 @@
   }
 
   async function turn(): Promise<void> {
-    if (leaseId === null) await announce();
-    else {
+    if (leaseId === null) {
+      await announce();
+      noteTried();
+    } else {
       const sentAtMs = nowMs();
       const kept = await fleet.keepLeaseAlive(leaseId);
       if (kept.isOk()) confirmedAtMs = sentAtMs;
@@ -93,6 +101,7 @@
       },
       stop: withdraw,
     },
+    tried,
     isConfirmed: () => leaseId !== null && nowMs() - confirmedAtMs < ttlMs,
     withdraw,
   };
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -1,7 +1,7 @@
 /**
  * Asks for engines. All gateways ask the same one, the longest announced of those that live; where
- * it does not answer in time, the next one, at last this process itself. So the loss of the one
- * that schedules costs each waiting request a single short timeout.
+ * it is gone, the next one, at last this process itself. So the loss of the one that schedules costs
+ * each waiting request a single short timeout, and one that is busy keeps its part.
  */
 import {
   type Decision,
@@ -10,7 +10,9 @@
   JobEventKind,
   chooseScheduler,
 } from '@cassiamast/coordination';
+import { type Result, err } from 'neverthrow';
 import { RpcMethod } from '../protocol/methods.js';
+import type { IsReachable } from '../node/reachable.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { GatewayLog } from './gateway-log.js';
 import { createReportQueue } from './report-queue.js';
@@ -18,13 +20,15 @@
 
 /** One question waits so long for a decision before it is asked again. */
 const QUESTION_MS = 150;
+/** A gateway that does not answer so long after that may be gone: it is looked at. */
+const ANSWER_SLACK_MS = 300;
+/** How long a VM that is there may take to let a connection in. */
+const REACHED_WITHIN_MS = 300;
 /**
- * A gateway that does not answer so long after that is passed over. As long as one that has just
- * started, or is at the height of a burst, lets calls wait on a share of a core; to pass it over
- * leaves its engines to two schedulers that don't know of each other. With 120 ms in its place,
- * callers got 0.44 in place of 0.46 of what was due (mean over five days on which gateways restart).
+ * How long one that is there may be busy. As long as a small VM takes for what came while all
+ * gateways were away, with code that runs for the first time.
  */
-const ANSWER_SLACK_MS = 300;
+const BUSY_MS = 1000;
 /** How long it is passed over. */
 const SUSPECT_MS = 2000;
 /** Others ask a scheduler many times in this time if they take it for the one. */
@@ -41,10 +45,21 @@
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
+  /** Whether a VM is there, though its process does not answer. */
+  readonly isReachable: IsReachable;
   /** Whether the others can still see this gateway's announcement. */
   readonly isConfirmed: () => boolean;
 }
 
+/**
+ * What a gateway answers that was asked because of an announcement of its life before, or of one
+ * that had lapsed since: it is younger than the asker believes, so another one may decide.
+ */
+export const ANNOUNCED_SINCE = 'announced-since';
+
+/** The answer to a question for an engine: null while there is no decision. */
+export type ScheduleAnswer = Decision | typeof ANNOUNCED_SINCE | null;
+
 /** A decision and who made it. */
 export interface SchedulingAnswer {
   readonly decision: Decision;
@@ -53,8 +68,13 @@
 
 /** Asks for engines. */
 export interface SchedulingClient {
-  /** Another gateway asked this one for an engine. */
-  readonly noteAsked: () => void;
+  /**
+   * Another gateway asked this one for an engine, because of an announcement at a revision. Gives
+   * whether that announcement still stands. Guards against several schedulers after all gateways have
+   * started again: the store still has the announcements of their lives before, each gateway sees
+   * others of them, and each asks another one.
+   */
+  readonly noteAsked: (announcedAtRevision: number) => boolean;
   /** The gateway that schedules a service, as far as this one knows. */
   readonly schedulerOf: (service: string) => string;
   /** Resolves with the decision, or null when the signal ended the wait. */
@@ -72,6 +92,13 @@
   ) => void;
 }
 
+/** Looks at a scheduler whose answer is late. */
+interface AnswerWatch {
+  /** Resolves when it is found to be gone; never, while it is there. */
+  readonly gone: Promise<Result<never, string>>;
+  readonly stop: () => void;
+}
+
 /** Services that need a scheduler. */
 function engineServices({ table }: FleetView): readonly string[] {
   const services = [...(table?.servicesByName.values() ?? [])];
@@ -80,8 +107,10 @@
 
 /** Makes the client. */
 export function createSchedulingClient(options: SchedulingClientOptions): SchedulingClient {
-  const { selfId, view, rpc, local, nowMs, log, count } = options;
+  const { selfId, view, rpc, local, nowMs, log, count, isReachable } = options;
   const suspectUntilMs = new Map<string, number>();
+  /** Announcements that no longer hold, by gateway: the revision of each. */
+  const voidRevisions = new Map<string, number>();
   let askedAtMs = -Infinity;
 
   /**
@@ -96,7 +125,10 @@
   function schedulerOf(service: string): string {
     const now = nowMs();
     const live = [...view.gateways.values()].filter(
-      ({ id }) => (suspectUntilMs.get(id) ?? 0) <= now && (id !== selfId || mayScheduleHere()),
+      ({ id, announcedAtRevision }) =>
+        (suspectUntilMs.get(id) ?? 0) <= now &&
+        voidRevisions.get(id) !== announcedAtRevision &&
+        (id !== selfId || mayScheduleHere()),
     );
     return chooseScheduler(live, service, engineServices(view)) ?? selfId;
   }
@@ -124,17 +156,54 @@
     job: JobRequest,
   ): Promise<Decision | null | undefined> {
     if (gateway === selfId) return local.take(service, job, QUESTION_MS);
-    const answer = await rpc.call<Decision | null>(
-      gateway,
-      RpcMethod.ScheduleTake,
-      [service, job, QUESTION_MS, reports.take(gateway, service)],
-      { timeoutMs: QUESTION_MS + ANSWER_SLACK_MS },
-    );
-    if (answer.isOk()) return answer.value;
-    suspect(gateway, service, answer.error.message);
+    const revision = announcedAt(gateway);
+    const answer = rpc
+      .call<ScheduleAnswer>(
+        gateway,
+        RpcMethod.ScheduleTake,
+        [service, job, QUESTION_MS, reports.take(gateway, service), revision],
+        { timeoutMs: QUESTION_MS + BUSY_MS },
+      )
+      .mapErr(({ message }) => message);
+    const watch = watchAnswer(gateway);
+    const outcome = await Promise.race([answer, watch.gone]);
+    watch.stop();
+    if (outcome.isOk() && outcome.value !== ANNOUNCED_SINCE) return outcome.value;
+    if (outcome.isOk()) {
+      voidRevisions.set(gateway, revision);
+      return undefined;
+    }
+    suspect(gateway, service, outcome.error);
     return undefined;
   }
 
+  function announcedAt(gateway: string): number {
+    return view.gateways.get(gateway)?.announcedAtRevision ?? 0;
+  }
+
+  /**
+   * Guards against a scheduler that is passed over while it is only busy: after all gateways lost
+   * power, it shows as several that decide for the same engines without knowing of each other, each
+   * of them cold. A VM that lets a connection in lives, and its answer is waited for.
+   */
+  function watchAnswer(gateway: string): AnswerWatch {
+    let timer: NodeJS.Timeout;
+    const gone = new Promise<Result<never, string>>((resolve) => {
+      timer = setTimeout(() => {
+        void isReachable(gateway, REACHED_WITHIN_MS).then((reached) => {
+          if (reached) count('scheduler_busy_total');
+          else resolve(err('neither an answer nor a connection'));
+        });
+      }, QUESTION_MS + ANSWER_SLACK_MS);
+    });
+    return {
+      gone,
+      stop: () => {
+        clearTimeout(timer);
+      },
+    };
+  }
+
   function report(
     service: string,
     schedulerId: string,
@@ -148,8 +217,10 @@
   }
 
   return {
-    noteAsked: () => {
-      askedAtMs = nowMs();
+    noteAsked: (announcedAtRevision) => {
+      const stands = announcedAt(selfId) <= announcedAtRevision;
+      if (stands) askedAtMs = nowMs();
+      return stands;
     },
     schedulerOf,
     take: async (service, job, signal) => {
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -3,6 +3,7 @@
  * callers' jobs included. Whether it is the one that all gateways ask is their decision; a
  * scheduler that is asked decides.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type Decision,
   type FleetView,
@@ -21,7 +22,6 @@
   suspendEngine,
   tickScheduler,
 } from '@cassiamast/coordination';
-
 import type { EngineControlPort } from '@cassiamast/ports';
 import type { GatewayLog } from './gateway-log.js';
 
@@ -116,12 +116,22 @@
     if (waits) keepTicking();
   }
 
+  /**
+   * Guards against refusals by a gateway that was found as a scheduler before it has listed the
+   * fleet: it shows as callers sent away since no target takes work, seconds after a start.
+   */
+  async function noDecision(waitMs: number): Promise<null> {
+    await sleep(waitMs);
+    return null;
+  }
+
   function keepTicking(): void {
     timer ??= setTimeout(tick, TICK_MS);
   }
 
   return {
     take: (service, request, waitMs) => {
+      if (view.table === null) return noDecision(waitMs);
       const now = nowMs();
       const { aimInMs, deadlineInMs, ...rest } = request;
       const job: Job = { ...rest, aimAtMs: now + aimInMs, deadlineAtMs: now + deadlineInMs };
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -31,6 +31,7 @@
 import { createControlServer } from '../node/control-server.js';
 import { createLog } from '../node/logging.js';
 import { allowNetworks } from '../node/networks.js';
+import { isReachable } from '../node/reachable.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
 import { createTelemetry } from '../node/telemetry.js';
@@ -49,7 +50,7 @@
 import { createPresence } from './presence.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudgets } from './retry-budgets.js';
-import { createSchedulingClient } from './scheduling-client.js';
+import { ANNOUNCED_SINCE, createSchedulingClient } from './scheduling-client.js';
 import { type JobRequest, createSchedulingService } from './scheduling-service.js';
 import type { GatewaySettings } from './settings.js';
 import { createTargetHealth } from './target-health.js';
@@ -73,6 +74,9 @@
 /** Left of the grace at the end of a drain, for closing down. */
 const CLOSING_MS = 700;
 
+/** The fleet is listed when this gateway is announced, and at the latest after so long. */
+const ANNOUNCE_FIRST_MS = 150;
+
 /** What an adapter hands in. */
 export interface GatewayPlatform {
   readonly fleet: FleetPort;
@@ -143,6 +147,7 @@
     nowMs: monotonicMs,
     log,
     count: telemetry.count,
+    isReachable,
     isConfirmed: () => presence.isConfirmed(),
   });
   const pulse = createTargetPulse(monotonicMs);
@@ -185,6 +190,7 @@
         nowMs: monotonicMs,
         log,
         count: telemetry.count,
+        beforeFirstListing: () => Promise.race([presence.tried, sleep(ANNOUNCE_FIRST_MS)]),
         onChanged: () => {
           schedulers.refresh();
           front.follow();
@@ -197,14 +203,15 @@
         clock: timeline.clock,
         handlers: {
           [RpcMethod.ScheduleTake]: (params) => {
-            const [service, job, waitMs, events = []] = params as [
+            const [service, job, waitMs, events, announcedAtRevision] = params as [
               service: string,
               job: JobRequest,
               waitMs: number,
-              events?: readonly JobEvent[],
+              events: readonly JobEvent[],
+              announcedAtRevision: number,
             ];
-            scheduling.noteAsked();
             schedulers.report(service, events);
+            if (!scheduling.noteAsked(announcedAtRevision)) return ANNOUNCED_SINCE;
             return schedulers.take(service, job, waitMs);
           },
           [RpcMethod.ScheduleReport]: (params) => {
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -97,6 +97,7 @@
       nowMs: () => 0,
       log: { info: () => undefined, warn: () => undefined },
       count: () => undefined,
+      isReachable: () => Promise.resolve(true),
       isConfirmed: () => true,
     });
     assert.equal(await client.take('s', () => JOB, left.signal), null);
--- a/packages/daemon/test/gateway/scheduling-client.test.ts
+++ b/packages/daemon/test/gateway/scheduling-client.test.ts
@@ -15,6 +15,7 @@
 import type { RpcClient } from '../../src/node/rpc-client.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
 import {
+  ANNOUNCED_SINCE,
   type SchedulingClient,
   createSchedulingClient,
 } from '../../src/gateway/scheduling-client.js';
@@ -23,6 +24,8 @@
 const SELF = '10.0.0.9:7380';
 const OLDEST = '10.0.0.1:7380';
 const NEXT = '10.0.0.2:7380';
+/** SELF is announced third. */
+const SELF_REVISION = 3;
 
 const JOB: JobRequest = {
   id: 'j-1',
@@ -57,8 +60,15 @@
   return view;
 }
 
-/** A client of gateways that each take so long to answer beyond the question's wait. */
-function clientOf(answersAfterMs: Readonly<Record<string, number>>): {
+/**
+ * A client of gateways that each take so long to answer beyond the question's wait; `unreachable`
+ * are those whose VMs let no connection in, `announcedSince` those that have started again since.
+ */
+function clientOf(
+  answersAfterMs: Readonly<Record<string, number>>,
+  unreachable: readonly string[] = [],
+  announcedSince: readonly string[] = [],
+): {
   readonly client: SchedulingClient;
   readonly calls: SentCall[];
 } {
@@ -75,6 +85,7 @@
       const tookMs = Number(waitMs) + (answersAfterMs[member] ?? 0);
       const isLate = tookMs > options.timeoutMs;
       const cause = { member, method, cause: 'late', mayHaveRun: true };
+      if (announcedSince.includes(member)) return okAsync(ANNOUNCED_SINCE);
       return isLate ? errAsync(MEMBER_UNREACHABLE.of(cause)) : okAsync(REFUSED);
     },
   } as unknown as RpcClient;
@@ -86,6 +97,7 @@
     nowMs: () => 0,
     log: { info: () => undefined, warn: () => undefined },
     count: () => undefined,
+    isReachable: (gateway) => Promise.resolve(!unreachable.includes(gateway)),
     isConfirmed: () => true,
   });
   return { client, calls };
@@ -102,15 +114,41 @@
     assert.equal(client.schedulerOf('s'), OLDEST);
   });
 
+  // All gateways lost power and are back. The one that schedules is busy for a second with those who
+  // waited; it was passed over after 450 ms, by one gateway after the other, and two decided for the
+  // same engines for as long as the load lasted.
+  it('goes on asking one that is busy for longer, while its VM lets connections in', async () => {
+    const { client } = clientOf({ [OLDEST]: 900 });
+    const answer = await client.take('s', () => JOB, new AbortController().signal);
+    assert.equal(answer?.schedulerId, OLDEST);
+  });
+
+  // The same return. The store still has the announcements of the gateways' lives before: each
+  // gateway takes another one for the oldest, and several decide for the same engines.
+  describe('an announcement that no longer stands', () => {
+    it('is not asked again, and the next one is', async () => {
+      const { client } = clientOf({}, [], [OLDEST]);
+      const answer = await client.take('s', () => JOB, new AbortController().signal);
+      assert.equal(answer?.schedulerId, NEXT);
+    });
+
+    it('is told to whoever asks because of it', () => {
+      const { client } = clientOf({});
+      assert.equal(client.noteAsked(SELF_REVISION - 1), false);
+      assert.equal(client.noteAsked(SELF_REVISION), true);
+      assert.equal(client.noteAsked(SELF_REVISION + 1), true);
+    });
+  });
+
   it('passes over one that does not answer, and asks the next one', async () => {
-    const { client } = clientOf({ [OLDEST]: Infinity });
+    const { client } = clientOf({ [OLDEST]: Infinity }, [OLDEST]);
     const answer = await client.take('s', () => JOB, new AbortController().signal);
     assert.equal(answer?.schedulerId, NEXT);
   });
 
   describe('reports', () => {
-    const eventsOf = ({ params }: SentCall): readonly JobEvent[] =>
-      params.at(-1) as readonly JobEvent[];
+    const eventsOf = ({ method, params }: SentCall): readonly JobEvent[] =>
+      (method === RpcMethod.ScheduleTake ? params[3] : params[1]) as readonly JobEvent[];
 
     it('gathers them for a moment', () => {
       mock.timers.enable({ apis: ['setTimeout'] });
