--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -8,7 +8,7 @@
  * - `cassiamast.cjs`: what is started; it runs the bundle from its compiled code
  */
 import { spawnSync } from 'node:child_process';
-import { copyFileSync, mkdirSync } from 'node:fs';
+import { copyFileSync, mkdirSync, readFileSync } from 'node:fs';
 import { dirname, join } from 'node:path';
 import { fileURLToPath } from 'node:url';
 import { build } from 'esbuild';
@@ -43,6 +43,13 @@
   },
 };
 
+/** Flags of the runtime that the deploy file starts the program with. */
+function deployFlags() {
+  const deployFile = readFileSync(join(ROOT, 'deploy', 'system.toml'), 'utf8');
+  const command = /^run = "node (.*)"$/m.exec(deployFile)?.[1] ?? '';
+  return command.split(' ').filter((word) => word.startsWith('--max-'));
+}
+
 await build({
   entryPoints: [join(ROOT, 'platform', 'src', 'main.ts')],
   outfile: PROGRAM,
@@ -67,10 +74,10 @@
 
 mkdirSync(TARGET, { recursive: true });
 copyFileSync(join(SCRIPTS, 'start-program.cjs'), join(TARGET, 'cassiamast.cjs'));
-// In a process of its own: the code is kept for one that is started without flags.
+// Under the flags of the deploy file: compiled code is taken only under those it was written under.
 const written = spawnSync(
   process.execPath,
-  [join(SCRIPTS, 'write-code-cache.cjs'), PROGRAM, CACHE],
+  [...deployFlags(), join(SCRIPTS, 'write-code-cache.cjs'), PROGRAM, CACHE],
   { stdio: ['ignore', 'inherit', 'inherit'] },
 );
 if (written.status !== 0) throw new Error('the compiled code of the bundle was not written');
