--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -2,9 +2,7 @@
 export interface SchedulerOptions {
   /**
    * Reading that an engine is given ahead. An engine reads several short prompts in one step; given
-   * them one by one, it starts up for each. As long as a step of 1,000 to 2,000 tokens takes. With
-   * 10 ms and 3 prompts in place of 40 ms and 8, callers got 0.43 in place of 0.50 of what was due
-   * to them (mean over five days of bursts and failing engines).
+   * them one by one, it starts up for each. As long as a step of 1,000 to 2,000 tokens takes.
    */
   readonly lookaheadMs: number;
   /**
@@ -24,15 +22,14 @@
   readonly copyMsPerThousand: number;
   /**
    * Longest prompt that an engine which makes tokens reads itself while others read for it. Guards
-   * streams against long readings beside them: they show as first events that come 200 to 1500 ms
-   * after the prompt was handed over, in place of 20 ms.
+   * streams against long readings beside them: they show as first events that come much later than
+   * the prompt was handed over.
    */
   readonly maxDecodeReadTokens: number;
   /**
    * Work on jobs that are late already which an engine keeps waiting. None: whoever would be late is
    * told so at once, unless an engine is idle. Late jobs that waited were served late or sent away
-   * after a wait, and those behind them were late in turn. With 300 ms of backlog and 400 ms of
-   * waiting, callers got 0.47 in place of 0.50 of what was due (mean over the same five days).
+   * after a wait, and those behind them were late in turn.
    */
   readonly maxLateBacklogMs: number;
   /**
@@ -77,7 +74,7 @@
   readonly maxRunningShare: number;
 }
 
-/** Defaults; their reasons stand with the fields, their figures come from docs/MEASUREMENTS.md. */
+/** Defaults; their reasons stand with the fields. */
 export const SCHEDULER_OPTIONS: SchedulerOptions = {
   lookaheadMs: 40,
   maxReading: 8,
--- a/packages/coordination/src/core/scheduling/placing.ts
+++ b/packages/coordination/src/core/scheduling/placing.ts
@@ -140,8 +140,7 @@
 /**
  * How long what was found out about a job counts. In that time an engine reads a prompt or two,
  * which changes what others cost by less than the fit of its speed is off. Finding it out for each
- * question took 1950 microseconds of processor time for a request at 31 engines and 115 waiting
- * jobs (`npm run bench -- scheduling`), more than a small VM has; now it takes 110.
+ * question takes more processor time than a small VM has.
  */
 const ESTIMATE_FRESH_MS = 50;
 
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -35,7 +35,7 @@
 const STOPPING_RETRY_MS = 50;
 /**
  * Why an exchange ended. One object for all: the reason that a signal makes by itself carries a
- * stack, which took 2 in 100 of a gateway's processor time (sampled at 40 requests a second).
+ * stack, which costs processor time with each request.
  */
 const EXCHANGE_OVER = new Error('the caller left, was answered, or its time is over');
 const CRASHES_TARGETS = 'each target that ran this request broke off';
--- a/packages/daemon/src/gateway/gateway-log.ts
+++ b/packages/daemon/src/gateway/gateway-log.ts
@@ -21,8 +21,8 @@
 
 /**
  * Makes the log of one process; `wallMs` stamps its lines. Lines are made here and not by the logging
- * library that the rest of the process uses: a gateway writes some six for each request, which took
- * 4 in 100 of its processor time, half of it in the library (sampled at 40 requests a second).
+ * library that the rest of the process uses: a gateway writes some six for each request, and the
+ * library would double what they cost.
  */
 export function createGatewayLog(
   process: string,
--- a/packages/daemon/src/memory-flags.ts
+++ b/packages/daemon/src/memory-flags.ts
@@ -1,7 +1,7 @@
 /**
- * Keeps the heap of a daemon small: new objects live in a young generation of 1 MB in place of 16,
- * which the collector empties more often. Measured on a sidecar at rest: 10 MB less resident, see
- * docs/CAPACITY.md. Imported before everything else, since the flags count from then on.
+ * Keeps the heap of a daemon small, since its slot beside a target is: new objects live in a young
+ * generation of 1 MB, which the collector empties more often. Imported before everything else, since
+ * the flags count from then on.
  */
 import { setFlagsFromString } from 'node:v8';
 
