Log the end of a gateway, and write the last lines before the exit

On call nobody could tell how a stopped gateway ended: the last lines were lost when a write of the log was under way, as a flush then returned at once, or dropped with the other lines under load. So the hypotheses on the request that was lost 4.5 s after a stop could not be told apart.

A flush now waits for the write under way and writes what gathered since. Lines on the process itself pass the rate limit. 'gateway drained' says how long it took; the new last line 'gateway ends' says how many requests were received since and are open. No decision on a request changes.

--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -47,6 +47,8 @@
   readonly child: Child;
   /** Requests that have no whole answer yet. */
   readonly open: () => number;
+  /** Requests whose head was read since the start. */
+  readonly received: () => number;
   /** Follows the limits of the configuration in force. */
   readonly follow: () => void;
   /** From now on each answer asks its caller to connect anew, which leads to another gateway. */
@@ -59,11 +61,13 @@
 export function createFrontServer(address: Address, services: ForwardingServices): FrontServer {
   let server: Server | null = null;
   let open = 0;
+  let received = 0;
   let turnsAway = false;
   let takenUntilMs = Infinity;
 
   function serve(request: IncomingMessage, response: ServerResponse): void {
     open += 1;
+    received += 1;
     if (turnsAway) response.shouldKeepAlive = false;
     response.once('close', () => {
       open -= 1;
@@ -103,6 +107,7 @@
       },
     },
     open: () => open,
+    received: () => received,
     follow: () => {
       const idleMs = services.view.table?.configuration.limits.idleTimeoutMs ?? 0;
       // Answers tell callers of it, who close before it is over.
--- a/packages/daemon/src/gateway/gateway-log.ts
+++ b/packages/daemon/src/gateway/gateway-log.ts
@@ -11,6 +11,8 @@
 export interface GatewayLog {
   readonly info: (message: string, fields: LogFields) => void;
   readonly warn: (message: string, fields: LogFields) => void;
+  /** For the few lines on the process itself, which no rate limit drops. */
+  readonly lifecycle: (message: string, fields: LogFields) => void;
 }
 
 /** Levels of lines. */
@@ -29,11 +31,13 @@
   writer: LogWriter,
   wallMs: () => number,
 ): GatewayLog {
+  function makeLine(level: LineLevel, message: string, fields: LogFields): string {
+    const at = new Date(wallMs()).toISOString();
+    return `${JSON.stringify({ at, level, process, message, ...fields })}\n`;
+  }
+
   function write(level: LineLevel, message: string, fields: LogFields): void {
-    writer.writeMade(() => {
-      const at = new Date(wallMs()).toISOString();
-      return `${JSON.stringify({ at, level, process, message, ...fields })}\n`;
-    });
+    writer.writeMade(() => makeLine(level, message, fields));
   }
 
   return {
@@ -43,5 +47,8 @@
     warn: (message, fields) => {
       write(LineLevel.Warn, message, fields);
     },
+    lifecycle: (message, fields) => {
+      writer.writeUnlimited(makeLine(LineLevel.Info, message, fields));
+    },
   };
 }
--- a/packages/daemon/src/gateway/log-writer.ts
+++ b/packages/daemon/src/gateway/log-writer.ts
@@ -3,6 +3,7 @@
  * call a few times a second, and dropped, counted, where the reader is slow or too many come.
  */
 import { write } from 'node:fs';
+import { withResolvers } from '../node/http-body.js';
 
 /** Bounds of the log's volume. */
 export interface LogBounds {
@@ -28,9 +29,11 @@
   readonly write: (line: string) => void;
   /** The same for a line that is made only where there is room for it. */
   readonly writeMade: (make: () => string) => void;
+  /** The same for a line that no rate limit drops; for lines that are few by their kind. */
+  readonly writeUnlimited: (line: string) => void;
   /** Lines dropped so far. */
   readonly dropped: () => number;
-  /** Writes what waits; resolves when it is out or can't be written. */
+  /** Writes what waits, after a write under way; resolves when all is out or can't be written. */
   readonly flush: () => Promise<void>;
 }
 
@@ -57,7 +60,7 @@
   let tokens = bounds.burstLines;
   let refilledAtMs = nowMs();
   let dropped = 0;
-  let isWriting = false;
+  let writing: Promise<void> | null = null;
   let timer: NodeJS.Timeout | null = null;
 
   function refill(): void {
@@ -67,28 +70,39 @@
     refilledAtMs = now;
   }
 
-  function flush(): Promise<void> {
+  function beginWrite(): Promise<void> {
     if (timer !== null) clearTimeout(timer);
     timer = null;
-    if (isWriting || waiting.length === 0) return Promise.resolve();
     const text = waiting.join('');
     const lines = waiting.length;
     waiting = [];
     waitingChars = 0;
-    isWriting = true;
-    return new Promise((resolve) => {
-      writeText(text, (error) => {
-        isWriting = false;
-        // There is nowhere to report that the log itself can't be written; the count tells.
-        if (error !== null) dropped += lines;
-        if (waiting.length > 0) schedule();
-        resolve();
-      });
+    const { promise, resolve } = withResolvers<Error | null>();
+    const ended = promise.then((error) => {
+      writing = null;
+      // There is nowhere to report that the log itself can't be written; the count tells.
+      if (error !== null) dropped += lines;
+      if (waiting.length > 0) schedule();
     });
+    writing = ended;
+    writeText(text, resolve);
+    return ended;
+  }
+
+  async function flush(): Promise<void> {
+    while (writing !== null || waiting.length > 0) await (writing ?? beginWrite());
   }
 
   function schedule(): void {
-    timer ??= setTimeout(() => void flush(), bounds.flushEveryMs);
+    // A write under way schedules the next one at its end.
+    if (writing !== null) return;
+    timer ??= setTimeout(() => void beginWrite(), bounds.flushEveryMs);
+  }
+
+  function put(line: string): void {
+    waiting.push(line);
+    waitingChars += line.length;
+    schedule();
   }
 
   function writeMade(make: () => string): void {
@@ -98,10 +112,7 @@
       return;
     }
     tokens -= 1;
-    const line = make();
-    waiting.push(line);
-    waitingChars += line.length;
-    schedule();
+    put(make());
   }
 
   return {
@@ -109,6 +120,10 @@
       writeMade(() => line);
     },
     writeMade,
+    writeUnlimited: (line) => {
+      if (waitingChars < bounds.maxWaitingChars) put(line);
+      else dropped += 1;
+    },
     dropped: () => dropped,
     flush,
   };
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -257,7 +257,7 @@
     },
   });
   await root.start(onFailure);
-  log.info('gateway started', { selfId, failureDomain: settings.failureDomain });
+  log.lifecycle('gateway started', { selfId, failureDomain: settings.failureDomain });
 
   async function drain(): Promise<void> {
     const state = createDrain({
@@ -274,7 +274,10 @@
         }
         if (effect.kind === DrainEffectKind.Drained) {
           isOver = true;
-          log.info('gateway drained', { leftRunning: effect.leftRunning });
+          log.lifecycle('gateway drained', {
+            leftRunning: effect.leftRunning,
+            tookMs: Math.round(monotonicMs() - state.startedAtMs),
+          });
         }
       }
     };
@@ -288,10 +291,16 @@
   return {
     stop: async () => {
       leaving = true;
-      log.info('gateway stops', { openRequests: front.open(), graceMs: settings.graceMs });
+      log.lifecycle('gateway stops', { openRequests: front.open(), graceMs: settings.graceMs });
       front.turnAway();
       void presence.withdraw();
       await drain();
+      const receivedBefore = front.received();
+      await writer.flush();
+      log.lifecycle('gateway ends', {
+        openRequests: front.open(),
+        receivedSinceDrained: front.received() - receivedBefore,
+      });
       await writer.flush();
     },
     close: async () => {
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -95,7 +95,7 @@
       rpc: {} as never,
       local,
       nowMs: () => 0,
-      log: { info: () => undefined, warn: () => undefined },
+      log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
       count: () => undefined,
       isReachable: () => Promise.resolve(true),
       isConfirmed: () => true,
--- a/packages/daemon/test/gateway/gateway-log.test.ts
+++ b/packages/daemon/test/gateway/gateway-log.test.ts
@@ -1,6 +1,7 @@
 /** Log lines of a gateway: what they hold, and what becomes of them where there is no room. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { createGatewayLog } from '../../src/gateway/gateway-log.js';
 import { createLogWriter } from '../../src/gateway/log-writer.js';
 
@@ -47,4 +48,47 @@
     assert.equal(made, BOUNDS.burstLines);
     assert.equal(writer.dropped(), 3);
   });
+
+  // Guards against the last lines of a process that are lost at its end.
+  it('writes what waits after a write under way', async () => {
+    const texts: string[] = [];
+    const finishes: (() => void)[] = [];
+    const writer = createLogWriter(
+      BOUNDS,
+      (text, done) => {
+        texts.push(text);
+        finishes.push(() => {
+          done(null);
+        });
+      },
+      () => 0,
+    );
+    writer.write('first\n');
+    const flushed = [writer.flush()];
+    writer.write('second\n');
+    flushed.push(writer.flush());
+    while (finishes.length > 0) {
+      finishes.shift()?.();
+      await nextTurn();
+    }
+    await Promise.all(flushed);
+    assert.deepEqual(texts, ['first\n', 'second\n']);
+  });
+
+  it('drops no line on the process itself', async () => {
+    let text = '';
+    const writer = createLogWriter(
+      BOUNDS,
+      (lines, done) => {
+        text += lines;
+        done(null);
+      },
+      () => 0,
+    );
+    const log = createGatewayLog('edge-1', writer, () => 0);
+    for (let line = 0; line < BOUNDS.burstLines; line += 1) log.info('engine granted', {});
+    log.lifecycle('gateway ends', {});
+    await writer.flush();
+    assert.ok(text.includes('gateway ends'));
+  });
 });
--- a/packages/daemon/test/gateway/scheduling-client.test.ts
+++ b/packages/daemon/test/gateway/scheduling-client.test.ts
@@ -95,7 +95,7 @@
     rpc,
     local: {} as SchedulingService,
     nowMs: () => 0,
-    log: { info: () => undefined, warn: () => undefined },
+    log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
     count: () => undefined,
     isReachable: (gateway) => Promise.resolve(!unreachable.includes(gateway)),
     isConfirmed: () => true,
