Add an HTTP server that closes without cutting what it has read

Callers of a process that stops can be cut by its way of closing a port. Node's own methods do it: closeAllConnections destroys connections with requests under way; close and closeIdleConnections destroy connections whose answer was ended and is not yet sent, go on taking requests from kept connections that were busy, and wait for ever for a peer that says nothing.

createClosingServer stops listening, has each answer ask for a new connection, closes a connection once it is quiet, and cuts and counts what is open when the patience is over.

--- /dev/null
+++ b/packages/daemon/src/node/closing-server.ts
@@ -0,0 +1,116 @@
+/**
+ * An HTTP server that ends without cutting what it has read. Node's own `close` is not enough: it
+ * destroys connections whose answer has been ended but not sent, goes on taking requests from kept
+ * connections that were busy at the time, and never ends while a connected peer says nothing.
+ */
+import {
+  type RequestListener,
+  type Server,
+  type ServerOptions,
+  type ServerResponse,
+  createServer,
+} from 'node:http';
+import { type Socket, Server as NetServer } from 'node:net';
+
+/** How a server is closed. */
+export interface CloseOptions {
+  /** Connections that ask nothing stay open for so long: a request may be on its way to them. */
+  readonly quietMs: number;
+  /** How long all of it may take; what is open then is cut. */
+  readonly patienceMs: number;
+}
+
+/** A server that can be closed without a cut. */
+export interface ClosingServer {
+  readonly server: Server;
+  /** Requests whose answer is not yet with the operating system as a whole. */
+  readonly open: () => number;
+  /** From now on each answer asks its caller to connect anew. */
+  readonly turnAway: () => void;
+  /**
+   * Stops listening, answers what was sent on open connections and closes each of them once it is
+   * quiet. Resolves, when no connection is left, with the number of requests that were cut.
+   */
+  readonly close: (options: CloseOptions) => Promise<number>;
+}
+
+/** What is known of one connection. */
+interface Connection {
+  readonly open: Set<ServerResponse>;
+  /** Bytes read of it when its last answer was whole. */
+  readBytes: number;
+}
+
+/** Makes a server that does not listen yet. */
+export function createClosingServer(options: ServerOptions, serve: RequestListener): ClosingServer {
+  const connections = new Map<Socket, Connection>();
+  let turnsAway = false;
+  let quietMs: number | null = null;
+
+  const server = createServer(options, (request, response) => {
+    const { socket } = request;
+    const connection = connections.get(socket);
+    connection?.open.add(response);
+    if (turnsAway) response.shouldKeepAlive = false;
+    response.once('close', () => {
+      if (connection === undefined) return;
+      connection.open.delete(response);
+      connection.readBytes = socket.bytesRead;
+      letGo(socket, connection);
+    });
+    serve(request, response);
+  });
+  server.on('connection', (socket: Socket) => {
+    const connection: Connection = { open: new Set(), readBytes: 0 };
+    connections.set(socket, connection);
+    socket.once('close', () => connections.delete(socket));
+    // Accepted by the system before the server stopped to listen.
+    letGo(socket, connection);
+  });
+
+  function openAnswers(): readonly ServerResponse[] {
+    return [...connections.values()].flatMap(({ open }) => [...open]);
+  }
+
+  /** Closes a connection of a server that closes, unless it asks something in the meantime. */
+  function letGo(socket: Socket, connection: Connection): void {
+    if (quietMs === null) return;
+    setTimeout(() => {
+      // What has arrived by now is read first.
+      setImmediate(() => {
+        const isQuiet = connection.open.size === 0 && socket.bytesRead === connection.readBytes;
+        if (isQuiet) socket.destroy();
+      });
+    }, quietMs).unref();
+  }
+
+  function turnAway(): void {
+    turnsAway = true;
+    for (const response of openAnswers()) {
+      if (!response.headersSent) response.shouldKeepAlive = false;
+    }
+  }
+
+  async function close(how: CloseOptions): Promise<number> {
+    turnAway();
+    quietMs = how.quietMs;
+    let cut = 0;
+    await new Promise<void>((resolve) => {
+      const timer = setTimeout(() => {
+        cut = openAnswers().length;
+        for (const socket of connections.keys()) socket.destroy();
+      }, how.patienceMs);
+      // The HTTP server's own method would destroy connections that look idle.
+      NetServer.prototype.close.call(server, () => {
+        clearTimeout(timer);
+        resolve();
+      });
+      for (const [socket, connection] of connections) letGo(socket, connection);
+    });
+    // Ends the server's own timer.
+    server.close();
+    return cut;
+  }
+
+  return { server, open: () => openAnswers().length, turnAway, close };
+}
