End a gateway only after it refuses what it would cut at its stop

Callers lost requests that a target had run: seconds after their gateway was told to stop, the connection closed without an answer. In the users' record SIGTERM came at 50.294 s, the request at 54.798 s, the close at 54.806 s.

Cause: a check and an act with an open door between them. The drain was over as soon as a look found no open request; then the log was written, and the process exited. Until then the port took every request that would end in time and passed it on to a target, and the exit cut it. A slow reader of the log made the gap as long as it liked.

Change: the drain refuses new work in the very step that counts none, before it is over (the library's drain, for whoever takes work while it drains). The gateway then closes its port without cutting what it has read, refuses what comes meanwhile as not run, stops its other parts, and writes the log last, each for a bounded time. Where the grace ends first, requests under way are answered with what is known of them. Answers whose head is not out when the stop begins ask their callers to connect anew as well.

--- a/packages/coordination/src/core/drain/drain.ts
+++ b/packages/coordination/src/core/drain/drain.ts
@@ -1,7 +1,8 @@
 /**
  * One drain: of an entry or sidecar that shuts down, or of a target whose role changes. New work
  * goes on being taken until everybody who sends it has had time to notice, then the running work is
- * waited for, and what is left near the deadline is handed over to where it goes on. Nothing is cut.
+ * waited for, and what is left near the deadline is handed over to where it goes on. Nothing is cut:
+ * a drain is over only after new work is refused, so that none is taken by what is about to end.
  */
 
 /** Where a drain stands. */
@@ -9,7 +10,7 @@
   Serving = 'serving',
   /** Announced; work that was already on its way is still taken. */
   Noticed = 'noticed',
-  /** No new work; running work goes on. */
+  /** No new work, or only work that ends in time; running work goes on. */
   Draining = 'draining',
   /** Running work is being moved to where it goes on. */
   HandingOver = 'handing-over',
@@ -20,6 +21,8 @@
 export enum DrainEffectKind {
   /** Tell members and the platform's balancer that no new work is wanted. */
   AnnounceLeaving = 'announce-leaving',
+  /** Take only work that ends within `drainMs` of the begin. */
+  LimitAccepting = 'limit-accepting',
   /** Refuse new work from now on, truthfully as not run. */
   StopAccepting = 'stop-accepting',
   /** Move the running work: streams are taken up elsewhere from the tokens already sent. */
@@ -32,7 +35,10 @@
 export type DrainEffect =
   | {
       readonly kind:
-        DrainEffectKind.AnnounceLeaving | DrainEffectKind.StopAccepting | DrainEffectKind.HandOver;
+        | DrainEffectKind.AnnounceLeaving
+        | DrainEffectKind.LimitAccepting
+        | DrainEffectKind.StopAccepting
+        | DrainEffectKind.HandOver;
     }
   | {
       readonly kind: DrainEffectKind.Drained;
@@ -56,6 +62,11 @@
   readonly drainMs: number;
   /** Time for moving what is left. */
   readonly handOverMs: number;
+  /**
+   * Whether work that ends in time is taken while running work is waited for: for a process that
+   * balancers go on sending to where they have no other one.
+   */
+  readonly acceptsWhileDraining: boolean;
   readonly guards: DrainGuards;
 }
 
@@ -64,6 +75,7 @@
   noticeMs: 5_000,
   drainMs: 30_000,
   handOverMs: 5_000,
+  acceptsWhileDraining: false,
   guards: { waitsForNotice: true, waitsForWork: true },
 };
 
@@ -102,12 +114,18 @@
   return [{ kind: DrainEffectKind.Drained, leftRunning }];
 }
 
+/** Ends the acceptance of new work where the notice has not ended it. */
+function stopAccepting({ options }: DrainState): DrainEffect[] {
+  return options.acceptsWhileDraining ? [{ kind: DrainEffectKind.StopAccepting }] : [];
+}
+
 function tickDraining(state: DrainState, runningWork: number, elapsedMs: number): DrainEffect[] {
   const { drainMs, guards } = state.options;
-  if (runningWork === 0 || !guards.waitsForWork) return drained(state, runningWork);
+  const isIdle = runningWork === 0 || !guards.waitsForWork;
+  if (isIdle) return [...stopAccepting(state), ...drained(state, runningWork)];
   if (elapsedMs < drainMs) return [];
   state.phase = DrainPhase.HandingOver;
-  return [{ kind: DrainEffectKind.HandOver }];
+  return [...stopAccepting(state), { kind: DrainEffectKind.HandOver }];
 }
 
 /** Moves the drain on; call it about ten times a second and whenever running work ends. */
@@ -121,8 +139,10 @@
     case DrainPhase.Noticed: {
       if (elapsedMs < noticeMs && guards.waitsForNotice) return [];
       state.phase = DrainPhase.Draining;
-      const stop: DrainEffect = { kind: DrainEffectKind.StopAccepting };
-      return [stop, ...tickDraining(state, runningWork, elapsedMs)];
+      const kind = state.options.acceptsWhileDraining
+        ? DrainEffectKind.LimitAccepting
+        : DrainEffectKind.StopAccepting;
+      return [{ kind }, ...tickDraining(state, runningWork, elapsedMs)];
     }
     case DrainPhase.Draining:
       return tickDraining(state, runningWork, elapsedMs);
--- a/packages/coordination/test/core/drain/drain.test.ts
+++ b/packages/coordination/test/core/drain/drain.test.ts
@@ -1,6 +1,7 @@
 /** One drain, step by step. */
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
+import fc from 'fast-check';
 import type { DrainEffect, DrainState } from '../../../src/index.js';
 import {
   DRAIN_OPTIONS,
@@ -67,4 +68,48 @@
     assert.equal(state.phase, DrainPhase.Serving);
     assert.equal(acceptsWork(state), true);
   });
+
+  describe('that takes work while it drains', () => {
+    const options = { ...DRAIN_OPTIONS, acceptsWhileDraining: true };
+
+    // Guards against work that is taken by a process that has counted none and is about to end.
+    it('refuses new work in the step in which it counts none', () => {
+      const state = createDrain(options);
+      startDrain(state, 0);
+      const noticed = tickDrain(state, 1, options.noticeMs);
+      assert.deepEqual(kinds(noticed), [DrainEffectKind.LimitAccepting]);
+      assert.deepEqual(tickDrain(state, 1, 6_000), []);
+      const ended = tickDrain(state, 0, 6_100);
+      assert.deepEqual(kinds(ended), [DrainEffectKind.StopAccepting, DrainEffectKind.Drained]);
+    });
+
+    it('refuses new work before it hands over what is left', () => {
+      const state = createDrain(options);
+      startDrain(state, 0);
+      tickDrain(state, 1, options.noticeMs);
+      const late = tickDrain(state, 1, options.drainMs);
+      assert.deepEqual(kinds(late), [DrainEffectKind.StopAccepting, DrainEffectKind.HandOver]);
+    });
+
+    it('never ends before new work is refused, whatever runs and whenever it is looked at', () => {
+      const ticks = fc.array(
+        fc.record({ runningWork: fc.nat(2), afterMs: fc.nat(options.drainMs) }),
+      );
+      fc.assert(
+        fc.property(ticks, fc.boolean(), (steps, acceptsWhileDraining) => {
+          const state = createDrain({ ...options, acceptsWhileDraining });
+          let nowMs = 0;
+          const seen = kinds(startDrain(state, nowMs));
+          for (const { runningWork, afterMs } of steps) {
+            nowMs += afterMs;
+            seen.push(...kinds(tickDrain(state, runningWork, nowMs)));
+          }
+          const endedAt = seen.indexOf(DrainEffectKind.Drained);
+          const stoppedAt = seen.indexOf(DrainEffectKind.StopAccepting);
+          if (endedAt >= 0) assert.ok(stoppedAt >= 0 && stoppedAt < endedAt);
+        }),
+        { seed: 1 },
+      );
+    });
+  });
 });
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -3,7 +3,7 @@
  * way. Requests are read by Node's strict parser, so that nothing can hide inside another request.
  */
 import { randomUUID } from 'node:crypto';
-import { type IncomingMessage, type Server, type ServerResponse, createServer } from 'node:http';
+import type { IncomingMessage, ServerOptions, ServerResponse } from 'node:http';
 import {
   DeliveryKind,
   type RouteTable,
@@ -11,6 +11,11 @@
   findRoute,
   type Address,
 } from '@cassiamast/coordination';
+import {
+  type CloseOptions,
+  type ClosingServer,
+  createClosingServer,
+} from '../node/closing-server.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
@@ -41,6 +46,14 @@
 const CRASHES_TARGETS = 'each target that ran this request broke off';
 /** Sockets that are looked at for slow requests so often. */
 const CONNECTION_CHECK_MS = 1000;
+const SERVER_OPTIONS: ServerOptions = {
+  maxHeaderSize: MAX_HEADER_BYTES,
+  keepAliveTimeout: DEFAULT_IDLE_MS,
+  connectionsCheckingInterval: CONNECTION_CHECK_MS,
+  noDelay: true,
+};
+/** Closes the port as the end of the process would. */
+const AT_ONCE: CloseOptions = { quietMs: 0, patienceMs: 0 };
 
 /** The callers' port. */
 export interface FrontServer {
@@ -55,70 +68,74 @@
   readonly turnAway: () => void;
   /** From now on only requests are taken that end by then, whatever happens to them. */
   readonly takeOnlyUntil: (endsAtMs: number) => void;
+  /** From now on every request is refused; none reaches a target any more. */
+  readonly refuseAll: () => void;
+  /** Ends the exchanges under way as if their time were over: each gets the answer that is true. */
+  readonly endAll: () => void;
+  /** Closes the port; resolves with the number of requests that were cut. */
+  readonly close: (options: CloseOptions) => Promise<number>;
+}
+
+/** Which requests the port takes, and those that it has taken. */
+interface Admission {
+  /** Requests are taken that end by then; none, where it is in the past. */
+  takenUntilMs: number;
+  /** One for each exchange under way; ends it. */
+  readonly running: Set<AbortController>;
 }
 
 /** Makes the port. */
 export function createFrontServer(address: Address, services: ForwardingServices): FrontServer {
-  let server: Server | null = null;
-  let open = 0;
+  const admission: Admission = { takenUntilMs: Infinity, running: new Set() };
   let received = 0;
-  let turnsAway = false;
-  let takenUntilMs = Infinity;
+  let server: ClosingServer | null = null;
 
   function serve(request: IncomingMessage, response: ServerResponse): void {
-    open += 1;
     received += 1;
-    if (turnsAway) response.shouldKeepAlive = false;
-    response.once('close', () => {
-      open -= 1;
-    });
-    handle(request, response, services, () => takenUntilMs).catch((error: unknown) => {
+    handle(request, response, services, admission).catch((error: unknown) => {
       services.count('request_faults_total');
       services.log.warn('request handling failed', { cause: String(error) });
       response.destroy();
     });
   }
 
+  async function close(options: CloseOptions): Promise<number> {
+    const closing = server;
+    server = null;
+    return closing === null ? 0 : closing.close(options);
+  }
+
   return {
     child: {
       name: 'front-server',
       start: async () => {
-        server = createServer(
-          {
-            maxHeaderSize: MAX_HEADER_BYTES,
-            keepAliveTimeout: DEFAULT_IDLE_MS,
-            connectionsCheckingInterval: CONNECTION_CHECK_MS,
-            noDelay: true,
-          },
-          serve,
-        );
-        await listenExclusively(server, address);
+        server = createClosingServer(SERVER_OPTIONS, serve);
+        await listenExclusively(server.server, address);
       },
       stop: async () => {
-        const closing = server;
-        server = null;
-        if (closing === null) return;
-        await new Promise<void>((resolve) => {
-          closing.close(() => {
-            resolve();
-          });
-          closing.closeAllConnections();
-        });
+        await close(AT_ONCE);
       },
     },
-    open: () => open,
+    open: () => server?.open() ?? 0,
     received: () => received,
     follow: () => {
       const idleMs = services.view.table?.configuration.limits.idleTimeoutMs ?? 0;
       // Answers tell callers of it, who close before it is over.
-      if (server !== null && idleMs > 0) server.keepAliveTimeout = idleMs;
+      if (server !== null && idleMs > 0) server.server.keepAliveTimeout = idleMs;
     },
     turnAway: () => {
-      turnsAway = true;
+      server?.turnAway();
     },
     takeOnlyUntil: (endsAtMs) => {
-      takenUntilMs = endsAtMs;
+      admission.takenUntilMs = endsAtMs;
+    },
+    refuseAll: () => {
+      admission.takenUntilMs = -Infinity;
+    },
+    endAll: () => {
+      for (const over of [...admission.running]) over.abort(EXCHANGE_OVER);
     },
+    close,
   };
 }
 
@@ -126,7 +143,7 @@
   request: IncomingMessage,
   response: ServerResponse,
   services: ForwardingServices,
-  takenUntilMs: () => number,
+  admission: Admission,
 ): Promise<void> {
   const receivedAtMs = services.nowMs();
   const { table } = services.view;
@@ -143,7 +160,7 @@
     refuse(response, services, OwnStatus.Refused, 'no configuration yet', STARTING_RETRY_MS);
     return;
   }
-  const exchange = open(request, response, table, body.value, receivedAtMs, services);
+  const exchange = open(request, response, table, body.value, receivedAtMs, services, admission);
   if (exchange === null) {
     services.log.info('no route', {
       host: request.headers.host,
@@ -154,9 +171,8 @@
     refuse(response, services, OwnStatus.NoRoute, 'no route', null);
     return;
   }
-  // Guards against a request that is taken shortly before the process ends: it shows as an answer
-  // that is cut. Callers may still be sent here long after the balancer was told to stop.
-  if (exchange.endsAtMs > takenUntilMs()) {
+  // Callers may still be sent here long after the balancer was told to stop.
+  if (exchange.endsAtMs > admission.takenUntilMs) {
     services.log.info('not taken, the gateway stops', { request: exchange.id });
     refuse(response, services, OwnStatus.Refused, 'the gateway stops', STOPPING_RETRY_MS);
     return;
@@ -187,6 +203,7 @@
   body: Buffer,
   receivedAtMs: number,
   services: ForwardingServices,
+  { running }: Admission,
 ): Exchange | null {
   const path = request.url ?? '/';
   const route = findRoute(table, request.headers.host ?? '', path);
@@ -196,11 +213,13 @@
   const patienceMs = Math.min(head.patienceMs ?? DEFAULT_PATIENCE_MS, route.timeoutMs);
   const endsAtMs = receivedAtMs + patienceMs;
   const over = new AbortController();
+  running.add(over);
   const timer = setTimeout(() => {
     over.abort(EXCHANGE_OVER);
   }, endsAtMs - services.nowMs());
   response.once('close', () => {
     clearTimeout(timer);
+    running.delete(over);
     over.abort(EXCHANGE_OVER);
   });
   return {
--- /dev/null
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -0,0 +1,114 @@
+/**
+ * The graceful stop of a gateway. Running requests end first, then the callers' port is closed, then
+ * the parts that requests need, and the log is written last. From the step in which no request is
+ * open, none is passed on to a target: what still comes is refused as not run.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  DRAIN_OPTIONS,
+  type DrainEffect,
+  DrainEffectKind,
+  DrainPhase,
+  createDrain,
+  startDrain,
+  tickDrain,
+} from '@cassiamast/coordination';
+import type { StopReason } from '../node/process-life.js';
+import type { FrontServer } from './front-server.js';
+import type { GatewayLog } from './gateway-log.js';
+
+const DRAIN_POLL_MS = 50;
+/** The balancer takes a gateway out after two questions without a 200, a second apart. */
+const NOTICE_MS = 2500;
+/** Kept connections stay open for so long: a request may be on its way to them. */
+const QUIET_MS = 50;
+/** The end of the grace, in the order of its use. */
+const HAND_OVER_MS = 250;
+const CLOSE_PORT_MS = 200;
+const STOP_PARTS_MS = 100;
+const WRITE_LOG_MS = 100;
+/** Left to the system for the exit itself. */
+const EXIT_MS = 50;
+
+/** What a stop needs. */
+export interface GracefulStopOptions {
+  readonly front: FrontServer;
+  /** From the signal to the kill. */
+  readonly graceMs: () => number;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  /** Tells the balancer and the other gateways. */
+  readonly announceLeaving: () => void;
+  /** Stops what requests need. */
+  readonly stopParts: () => Promise<void>;
+  readonly writeLog: () => Promise<void>;
+}
+
+/** Stops a gateway; resolves when the process may exit. */
+export async function stopGracefully(
+  options: GracefulStopOptions,
+  reason: StopReason,
+): Promise<void> {
+  const { front, log } = options;
+  log.lifecycle('gateway stops', {
+    reason,
+    openRequests: front.open(),
+    graceMs: options.graceMs(),
+  });
+  front.turnAway();
+  options.announceLeaving();
+  await drain(options);
+  const receivedBefore = front.received();
+  const cutRequests = await front.close({ quietMs: QUIET_MS, patienceMs: CLOSE_PORT_MS });
+  const receivedSinceDrained = front.received() - receivedBefore;
+  log.lifecycle('gateway ends', { receivedSinceDrained, cutRequests });
+  await atMost(STOP_PARTS_MS, options.stopParts());
+  await atMost(WRITE_LOG_MS, options.writeLog());
+}
+
+async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
+  const afterDrainMs = HAND_OVER_MS + CLOSE_PORT_MS + STOP_PARTS_MS + WRITE_LOG_MS + EXIT_MS;
+  const state = createDrain({
+    ...DRAIN_OPTIONS,
+    noticeMs: NOTICE_MS,
+    drainMs: graceMs() - afterDrainMs,
+    handOverMs: HAND_OVER_MS,
+    acceptsWhileDraining: true,
+  });
+  const perform = (effect: DrainEffect): void => {
+    switch (effect.kind) {
+      case DrainEffectKind.AnnounceLeaving:
+        return;
+      case DrainEffectKind.LimitAccepting:
+        front.takeOnlyUntil(state.startedAtMs + state.options.drainMs);
+        return;
+      case DrainEffectKind.StopAccepting:
+        front.refuseAll();
+        return;
+      // A gateway has nowhere to move a request to: its caller is told what is known of it.
+      case DrainEffectKind.HandOver:
+        log.lifecycle('grace is over', { openRequests: front.open() });
+        front.endAll();
+        return;
+      case DrainEffectKind.Drained:
+        log.lifecycle('gateway drained', {
+          leftRunning: effect.leftRunning,
+          tookMs: Math.round(nowMs() - state.startedAtMs),
+        });
+    }
+  };
+  let effects = startDrain(state, nowMs());
+  while (state.phase !== DrainPhase.Drained) {
+    effects.forEach(perform);
+    await sleep(DRAIN_POLL_MS);
+    effects = tickDrain(state, front.open(), nowMs());
+  }
+  effects.forEach(perform);
+}
+
+/** Waits for work that may not end, such as a write that nobody reads. */
+async function atMost(patienceMs: number, work: Promise<void>): Promise<void> {
+  const timer = new AbortController();
+  await Promise.race([work, sleep(patienceMs, undefined, { signal: timer.signal, ref: false })]);
+  timer.abort();
+}
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -5,19 +5,13 @@
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
-  DRAIN_OPTIONS,
-  type DrainEffect,
-  DrainEffectKind,
   type Failure,
   type JobEvent,
-  createDrain,
   createElapsedClock,
   createFleetView,
   createHashing,
   newsPaceOptions,
   seededRandom,
-  startDrain,
-  tickDrain,
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
@@ -31,6 +25,7 @@
 import { createControlServer } from '../node/control-server.js';
 import { createLog } from '../node/logging.js';
 import { allowNetworks } from '../node/networks.js';
+import type { StopReason } from '../node/process-life.js';
 import { isReachable } from '../node/reachable.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
@@ -44,6 +39,7 @@
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
 import { createGatewayLog } from './gateway-log.js';
+import { stopGracefully } from './graceful-stop.js';
 import { LOG_BOUNDS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMetricsServer } from './metrics-server.js';
 import { createPhasePlanner } from './phase-planner.js';
@@ -57,7 +53,6 @@
 import { createTargetPulse } from './target-pulse.js';
 
 const MAX_SEED = 0x7fff_ffff;
-const DRAIN_POLL_MS = 50;
 const SIGNIFICANT_DIGITS = 2;
 /** Events on the time line of one gateway: some seconds of its state changes. */
 const TIMELINE_EVENTS = 256;
@@ -69,11 +64,6 @@
 const TARGET_KEEP_ALIVE_MS = 4000;
 /** Gateways are given no secret here: the networks that may connect are what protects. */
 const MEMBER_PROOF = 'gateway';
-/** The balancer takes a gateway out after two questions without a 200, a second apart. */
-const NOTICE_MS = 2500;
-/** Left of the grace at the end of a drain, for closing down. */
-const CLOSING_MS = 700;
-
 /** The fleet is listed when this gateway is announced, and at the latest after so long. */
 const ANNOUNCE_FIRST_MS = 150;
 
@@ -89,7 +79,7 @@
 /** A gateway that runs. */
 export interface RunningGateway {
   /** Stops without cutting a request; resolves when nothing is left or the grace is over. */
-  readonly stop: () => Promise<void>;
+  readonly stop: (reason: StopReason) => Promise<void>;
   /** Ends at once, as a killed process does; for tests and for what can't be drained. */
   readonly close: () => Promise<void>;
   /** The settings were read anew. */
@@ -178,7 +168,9 @@
     selfId,
   };
   const front = createFrontServer(settings.front, services);
+  let serves = false;
   let leaving = false;
+  let stopped: Promise<void> | null = null;
   const root = createSupervisor({
     name: 'root',
     children: [
@@ -242,12 +234,13 @@
         log,
         count: telemetry.count,
       }),
-      front.child,
       createReadinessServer(
         settings.readiness,
         platform.wire.readinessPath,
-        () => !leaving && view.table !== null && view.targets.size > 0,
+        () => serves && !leaving && view.table !== null && view.targets.size > 0,
       ),
+      // Last, so that no request is taken by a process that still waits for another of its ports.
+      front.child,
     ],
     limit: DEFAULT_RESTART_LIMIT,
     log: createLog('warn', settings.name, writer.write),
@@ -257,61 +250,41 @@
     },
   });
   await root.start(onFailure);
+  serves = true;
   log.lifecycle('gateway started', { selfId, failureDomain: settings.failureDomain });
 
-  async function drain(): Promise<void> {
-    const state = createDrain({
-      ...DRAIN_OPTIONS,
-      noticeMs: NOTICE_MS,
-      drainMs: settings.graceMs - CLOSING_MS,
-      handOverMs: 0,
-    });
-    let isOver = false;
-    const perform = (effects: readonly DrainEffect[]): void => {
-      for (const effect of effects) {
-        if (effect.kind === DrainEffectKind.StopAccepting) {
-          front.takeOnlyUntil(state.startedAtMs + state.options.drainMs);
-        }
-        if (effect.kind === DrainEffectKind.Drained) {
-          isOver = true;
-          log.lifecycle('gateway drained', {
-            leftRunning: effect.leftRunning,
-            tookMs: Math.round(monotonicMs() - state.startedAtMs),
-          });
-        }
-      }
-    };
-    perform(startDrain(state, monotonicMs()));
-    while (!isOver) {
-      perform(tickDrain(state, front.open(), monotonicMs()));
-      if (!isOver) await sleep(DRAIN_POLL_MS);
-    }
+  async function close(): Promise<void> {
+    schedulers.stop();
+    crashes.stop();
+    await root.stop();
+    await Promise.all([rpc.close(), transport.close(), fleet.close()]);
   }
 
   return {
-    stop: async () => {
-      leaving = true;
-      log.lifecycle('gateway stops', { openRequests: front.open(), graceMs: settings.graceMs });
-      front.turnAway();
-      void presence.withdraw();
-      await drain();
-      const receivedBefore = front.received();
-      await writer.flush();
-      log.lifecycle('gateway ends', {
-        openRequests: front.open(),
-        receivedSinceDrained: front.received() - receivedBefore,
-      });
-      await writer.flush();
+    stop: (reason) => {
+      stopped ??= stopGracefully(
+        {
+          front,
+          graceMs: () => settings.graceMs,
+          nowMs: monotonicMs,
+          log,
+          announceLeaving: () => {
+            leaving = true;
+            void presence.withdraw();
+          },
+          stopParts: close,
+          writeLog: writer.flush,
+        },
+        reason,
+      );
+      return stopped;
     },
     close: async () => {
-      schedulers.stop();
-      crashes.stop();
-      await root.stop();
-      await Promise.all([rpc.close(), transport.close(), fleet.close()]);
+      await close();
       await writer.flush();
     },
     reload: (next) => {
-      log.info('settings read anew', { name: next.name, graceMs: next.graceMs });
+      log.lifecycle('settings read anew', { name: next.name, graceMs: next.graceMs });
     },
   };
 }
