Let no signal end a gateway in the middle of its answers

Callers lost all requests that were open at a gateway when it was told to stop a second time, or told of a change of its settings while it started or while the file could not be read: the connections closed without an answer.

Cause, of the same class as the gap at the end of a stop: a handler that is not there when its signal comes. The one for SIGTERM was installed for a single signal, so that the second one's default action ended the process; both were installed only after the start, while the callers' port already took requests and the start could wait ten seconds for another port; the one for SIGHUP threw where the file was missing. An error that nothing caught, and a part that kept failing, ended the process at once as well.

Settings that can't be read are logged and change nothing; the grace is read anew when the stop begins, as the file may change without a signal.

--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -20,6 +20,7 @@
   createHttpTransport,
 } from '@cassiamast/ports';
 import { build } from 'hdr-histogram-js';
+import type { Result } from 'neverthrow';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
 import { createControlServer } from '../node/control-server.js';
@@ -82,8 +83,8 @@
   readonly stop: (reason: StopReason) => Promise<void>;
   /** Ends at once, as a killed process does; for tests and for what can't be drained. */
   readonly close: () => Promise<void>;
-  /** The settings were read anew. */
-  readonly reload: (settings: GatewaySettings) => void;
+  /** The settings were read anew, or could not be read for the reason given. */
+  readonly reload: (settings: Result<GatewaySettings, string>) => void;
 }
 
 /** Starts a gateway; `onFailure` is told when a part keeps failing. */
@@ -168,6 +169,7 @@
     selfId,
   };
   const front = createFrontServer(settings.front, services);
+  let graceMs = settings.graceMs;
   let serves = false;
   let leaving = false;
   let stopped: Promise<void> | null = null;
@@ -265,7 +267,7 @@
       stopped ??= stopGracefully(
         {
           front,
-          graceMs: () => settings.graceMs,
+          graceMs: () => graceMs,
           nowMs: monotonicMs,
           log,
           announceLeaving: () => {
@@ -283,8 +285,16 @@
       await close();
       await writer.flush();
     },
-    reload: (next) => {
-      log.lifecycle('settings read anew', { name: next.name, graceMs: next.graceMs });
+    reload: (read) => {
+      read.match(
+        (next) => {
+          graceMs = next.graceMs;
+          log.lifecycle('settings read anew', { name: next.name, graceMs });
+        },
+        (cause) => {
+          log.warn('settings not read', { cause });
+        },
+      );
     },
   };
 }
