Count an answer as open in a sidecar that stops until it was told

Cause: the drain of a sidecar counted the attempts that the engine works on. An attempt whose answer was being brought to the holders, or whose reader was slow and had not had the end, counted as nothing, so the drain ended and the control port destroyed the connections.

Change: the drain counts both. An order to the engine still waits only for what the engine works on.

Evidence: the two new tests of the attempt machine with the count that the drain had: 0 open in each, where 1 is expected (two tests of 23 fail). With the change all pass.

--- a/packages/coordination/src/core/records/host-dispatch.ts
+++ b/packages/coordination/src/core/records/host-dispatch.ts
@@ -208,6 +208,18 @@
   state.attempts.delete(hosted.attempt.id);
 }
 
+/**
+ * Attempts that a process which stops must not leave: those that run, those whose answer the holders
+ * are being told, and those of which a reader has not had the end.
+ */
+export function openAttempts(state: HostState): readonly HostedAttempt[] {
+  const running = new Set(runningAttempts(state));
+  return [...state.attempts.values()].filter(
+    (hosted) =>
+      running.has(hosted) || hosted.phase === HostedPhase.Committing || hosted.attachments.size > 0,
+  );
+}
+
 /** Attempts that the engine works on, or will when its turn comes. */
 export function runningAttempts(state: HostState): readonly HostedAttempt[] {
   const active = [HostedPhase.Waiting, HostedPhase.Resuming, HostedPhase.Running];
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -65,7 +65,7 @@
 export * from './core/records/entry-sessions.js';
 export * from './core/records/failures.js';
 export * from './core/records/holder.js';
-export { runningAttempts } from './core/records/host-dispatch.js';
+export { openAttempts, runningAttempts } from './core/records/host-dispatch.js';
 export * from './core/records/host-types.js';
 export * from './core/records/host.js';
 export * from './core/records/messages.js';
--- a/packages/coordination/test/core/records/host.test.ts
+++ b/packages/coordination/test/core/records/host.test.ts
@@ -7,6 +7,7 @@
   handleHostEvent,
   probeLoneRun,
 } from '../../../src/core/records/host.js';
+import { openAttempts } from '../../../src/core/records/host-dispatch.js';
 import { HostEffectKind, HostEventKind } from '../../../src/core/records/host-types.js';
 import type {
   HostContext,
@@ -197,6 +198,34 @@
       assert.deepEqual(['a', 'b', 'a', 'b'].map(ends), [0, 0, 0, 0]);
     });
 
+    // Guards against a sidecar that stops between the end of an answer and its being told.
+    it('is open until the holders have it', () => {
+      const host = bench();
+      finishAt(host, 0);
+      const open = ['a', 'b', 'a', 'b'].map((from) => {
+        const before = openAttempts(host.state).length;
+        const event = { kind: HostEventKind.HolderReplied, attemptId: 'a1', from } as const;
+        host.feed({ ...event, reply: replyOf(null) });
+        return before;
+      });
+      assert.deepEqual([...open, openAttempts(host.state).length], [1, 1, 1, 1, 0]);
+    });
+
+    // Guards against a sidecar that stops before a slow reader has had the end of its answer.
+    it('is open until its readers have had it', () => {
+      const host = bench();
+      const reader = { attachId: 'to-a1' };
+      finishAt(host, 0);
+      host.feed({ kind: HostEventKind.ReaderPaused, ...reader });
+      for (const from of ['a', 'b', 'a', 'b']) {
+        const event = { kind: HostEventKind.HolderReplied, attemptId: 'a1', from } as const;
+        host.feed({ ...event, reply: replyOf(null) });
+      }
+      assert.equal(openAttempts(host.state).length, 1);
+      host.feed({ kind: HostEventKind.ReaderResumed, ...reader });
+      assert.equal(openAttempts(host.state).length, 0);
+    });
+
     it('that another one preceded is not told; the reader learns what stands', () => {
       const host = bench();
       finishAt(host, 0);
--- a/packages/daemon/src/sidecar/host-driver.ts
+++ b/packages/daemon/src/sidecar/host-driver.ts
@@ -24,6 +24,7 @@
   createHost,
   handleHostEvent,
   loneRunKeyOf,
+  openAttempts,
   openSession,
   parseLoneRun,
   probeLoneRun,
@@ -70,7 +71,10 @@
   readonly handlers: Readonly<Record<string, RpcHandler>>;
   readonly streams: Readonly<Record<string, StreamHandler>>;
   readonly handle: (event: HostEvent) => void;
+  /** Attempts that the engine works on. */
   readonly runningCount: () => number;
+  /** Attempts that a process which stops must not leave. */
+  readonly openCount: () => number;
 }
 
 /** One entry's connection. */
@@ -222,6 +226,7 @@
     state,
     handle,
     runningCount: () => runningAttempts(state).length,
+    openCount: () => openAttempts(state).length,
     handlers: {
       [RpcMethod.SessionOpen]: (params) =>
         openSession(
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -119,7 +119,7 @@
     return { ...entry, running: entry.openAnswers };
   }
   const sidecar = wireSidecar(context, settings);
-  return { ...sidecar, running: sidecar.runningAttempts };
+  return { ...sidecar, running: sidecar.openAttempts };
 }
 
 /**
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -30,7 +30,7 @@
 /** A sidecar with what its shutdown needs. */
 export interface WiredSidecar {
   readonly children: readonly Child[];
-  readonly runningAttempts: () => number;
+  readonly openAttempts: () => number;
   readonly announceLeaving: () => void;
   readonly stopAccepting: () => void;
   readonly drainMs: () => number;
@@ -211,7 +211,7 @@
       gate.child,
       reporter.child,
     ],
-    runningAttempts: host.runningCount,
+    openAttempts: host.openCount,
     announceLeaving: () => {
       isLeaving = true;
       member.membership.announceLeaving();
