Let an entry that stops send what it has answered

What callers saw: an answer that was cut where its caller reads slowly, when the entry stopped; and entries that did not end at all, so that the platform killed them.

Cause: the drain counted deliveries, and a delivery is over when its answer is handed to the connection, not when it is sent. The port was then closed by Node's own methods, which destroy a connection whose answer was ended, whatever of it still waits. The same methods keep connections that were busy and wait for ever for a peer that says nothing.

Change: the drain counts requests at the port, from the head to the last byte that the system takes, and the port is a closing server.

--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -3,8 +3,13 @@
  * path, the list of models and the balancer's health check. Every input is bounded in size and
  * time; a slow reader is held by back-pressure, a slow sender by the request timeout.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Address, Configuration, WorkspaceSpec } from '@cassiamast/coordination';
+import {
+  type ClosingServer,
+  type CloseOptions,
+  createClosingServer,
+} from '../node/closing-server.js';
 import { listenExclusively } from '../node/control-server.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import type { Child } from '../supervisor/supervisor.js';
@@ -31,6 +36,9 @@
 /** A caller that is told that the entry leaves finds another at once through the balancer. */
 const OTHER_ENTRY_RETRY_MS = 1_000;
 
+/** After the drain: answers that are left go on elsewhere, for the callers that come back. */
+const CLOSE: CloseOptions = { quietMs: 100, patienceMs: 5_000 };
+
 const MODEL_PATHS: ReadonlyMap<string, AnswerFormat> = new Map([
   ['/v1/completions', AnswerFormat.Completion],
   ['/v1/chat/completions', AnswerFormat.Chat],
@@ -60,37 +68,40 @@
   readonly path: string;
 }
 
-/** Makes the callers' port a child of the supervisor tree. */
-export function createCallerServer(options: CallerServerOptions): Child {
-  let server: Server | null = null;
-  return {
-    name: 'caller-server',
-    start: async () => {
-      server = createServer(
-        {
-          requestTimeout: REQUEST_TIMEOUT_MS,
-          headersTimeout: HEADERS_TIMEOUT_MS,
-          maxHeaderSize: MAX_HEADER_BYTES,
-        },
-        (request, response) => void serve(options, request, response),
-      );
-      server.maxConnections = options.maxConnections;
-      await listenExclusively(server, options.address);
-    },
-    // Connections that carry answers end by themselves; only idle ones are closed at once.
-    stop: () =>
-      new Promise((resolve) => {
-        if (server === null) {
-          resolve();
-          return;
-        }
-        server.close(() => {
-          resolve();
-        });
-        server.closeIdleConnections();
-        server = null;
-      }),
-  };
+/** The callers' port. */
+export interface CallerServer {
+  readonly child: Child;
+  /** Requests, those that are still being read among them, whose answer was not sent as a whole. */
+  readonly open: () => number;
+}
+
+/** Makes the callers' port. */
+export function createCallerServer(options: CallerServerOptions): CallerServer {
+  let port: ClosingServer | null = null;
+
+  function start(): Promise<void> {
+    const made = createClosingServer(
+      {
+        requestTimeout: REQUEST_TIMEOUT_MS,
+        headersTimeout: HEADERS_TIMEOUT_MS,
+        maxHeaderSize: MAX_HEADER_BYTES,
+      },
+      (request, response) => {
+        void serve(options, request, response);
+      },
+    );
+    made.server.maxConnections = options.maxConnections;
+    port = made;
+    return listenExclusively(made.server, options.address);
+  }
+
+  async function stop(): Promise<void> {
+    const closing = port;
+    port = null;
+    await closing?.close(CLOSE);
+  }
+
+  return { child: { name: 'caller-server', start, stop }, open: () => port?.open() ?? 0 };
 }
 
 async function serve(
--- a/packages/daemon/src/entry/requests.ts
+++ b/packages/daemon/src/entry/requests.ts
@@ -44,8 +44,6 @@
   readonly loneRunReplied: (reply: LoneRunReply) => void;
   readonly membersChanged: () => void;
   readonly count: () => number;
-  /** Deliveries whose caller is still connected. */
-  readonly openCount: () => number;
 }
 
 type NewRun = Omit<RunOptions, 'id' | 'services' | 'onDone'>;
@@ -103,7 +101,6 @@
       broadcast({ kind: DriveEventKind.MembersChanged });
     },
     count: () => runs.size,
-    openCount: () => [...runs.values()].filter((run) => run.drive.callerPresent).length,
   };
 }
 
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -52,7 +52,7 @@
 /** An entry with what its shutdown needs. */
 export interface WiredEntry {
   readonly children: readonly Child[];
-  /** Answers still being told to connected callers. */
+  /** Requests of connected callers that have no whole answer yet. */
   readonly openAnswers: () => number;
   readonly announceLeaving: () => void;
   readonly stopAccepting: () => void;
@@ -259,6 +259,24 @@
   const serviceNames = (): readonly string[] =>
     (configuration?.services ?? []).map((service) => service.name);
 
+  const callers = createCallerServer({
+    address: settings.callers,
+    maxConnections: settings.maxCallerConnections,
+    configuration: () => configuration,
+    authenticate: () => authenticate,
+    notServingReason,
+    isLeaving: () => isLeaving,
+    makeKey: randomUUID,
+    onTurnedAway: (idempotencyKey, reason) => {
+      telemetry.count('requests_turned_away_total');
+      // The workspace is not known yet, so the event names the key as the caller wrote it.
+      const request = idempotencyKey === null ? {} : { request: idempotencyKey };
+      telemetry.emit({ kind: EventKind.RequestRefused, reason, ...request });
+    },
+    onModelRequest: requests.model,
+    onPlainCall: requests.plain,
+  });
+
   return {
     children: [
       createControlServer({
@@ -297,25 +315,9 @@
           policies.shed(requests.count() / MAX_RUNS);
         },
       ),
-      createCallerServer({
-        address: settings.callers,
-        maxConnections: settings.maxCallerConnections,
-        configuration: () => configuration,
-        authenticate: () => authenticate,
-        notServingReason,
-        isLeaving: () => isLeaving,
-        makeKey: randomUUID,
-        onTurnedAway: (idempotencyKey, reason) => {
-          telemetry.count('requests_turned_away_total');
-          // The workspace is not known yet, so the event names the key as the caller wrote it.
-          const request = idempotencyKey === null ? {} : { request: idempotencyKey };
-          telemetry.emit({ kind: EventKind.RequestRefused, reason, ...request });
-        },
-        onModelRequest: requests.model,
-        onPlainCall: requests.plain,
-      }),
+      callers.child,
     ],
-    openAnswers: requests.openCount,
+    openAnswers: callers.open,
     announceLeaving: () => {
       isLeaving = true;
       planning.giveUp();
--- /dev/null
+++ b/packages/daemon/test/entry/caller-server.test.ts
@@ -0,0 +1,125 @@
+/** The callers' port of an entry that stops, with callers on connections that are kept. */
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { type Configuration, TargetKind, type WorkspaceSpec } from '@cassiamast/coordination';
+import { freePort } from '@cassiamast/stand-ins';
+import { type CallerServer, createCallerServer } from '../../src/entry/caller-server.js';
+import { callRaw } from '../fixtures/raw-caller.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const HOST = '127.0.0.1';
+/** More than the buffers of both ends of a connection hold. */
+const LARGE_ANSWER = Buffer.alloc(32 * 1024 * 1024, 'x');
+const WORKSPACE: WorkspaceSpec = {
+  name: 'inspectors',
+  share: 1,
+  apiKeySha256: [],
+  maxTokensPerS: null,
+};
+const CONFIGURATION: Configuration = {
+  services: [
+    {
+      name: 'portal',
+      kind: TargetKind.PlainService,
+      dependsOn: [],
+      models: [],
+      calls: [{ pathPrefix: '/', repeatable: true }],
+      targets: [],
+      goals: { firstTokenMs: 360, interTokenMs: 80 },
+      floorTargets: 1,
+      rolesMayChange: false,
+      priority: 1,
+      deadlineMs: 30_000,
+      retryBudgetRatio: 0.2,
+    },
+  ],
+  workspaces: [WORKSPACE],
+  limits: {
+    answerRetentionMs: 60_000,
+    maxPromptTokens: 32_768,
+    maxOutputTokens: 4_096,
+    maxBodyBytes: 1_048_576,
+    drainMs: 10_000,
+  },
+};
+
+function head(method: string, length: number): string {
+  const fields = ['host: entry', `content-length: ${String(length)}`];
+  return `${method} /services/portal/ HTTP/1.1\r\n${fields.join('\r\n')}\r\n\r\n`;
+}
+
+describe("an entry's port for callers", () => {
+  let port: number;
+  let callers: CallerServer;
+  let waiting: ServerResponse[];
+
+  beforeEach(async () => {
+    port = await freePort();
+    waiting = [];
+    callers = createCallerServer({
+      address: { host: HOST, port },
+      maxConnections: 100,
+      configuration: () => CONFIGURATION,
+      authenticate: () => () => WORKSPACE,
+      notServingReason: () => null,
+      isLeaving: () => false,
+      makeKey: () => 'key',
+      onTurnedAway: () => undefined,
+      onModelRequest: () => undefined,
+      onPlainCall: (_call, response) => {
+        waiting.push(response);
+      },
+    });
+    await callers.child.start(() => undefined);
+  });
+  afterEach(() => callers.child.stop());
+
+  it('counts a request as open from its head to the end of its answer', async () => {
+    const caller = callRaw(port);
+    caller.socket.write(head('POST', 4));
+    await waitFor(() => callers.open() === 1);
+    caller.socket.write('body');
+    await waitFor(() => waiting.length === 1);
+    assert.equal(callers.open(), 1);
+    waiting[0]?.end('done');
+    await waitFor(() => callers.open() === 0);
+    caller.socket.destroy();
+  });
+
+  it('answers a request whose body comes while it stops', async () => {
+    const caller = callRaw(port);
+    caller.socket.write(head('POST', 4));
+    await waitFor(() => callers.open() === 1);
+    const stopped = callers.child.stop();
+    caller.socket.write('body');
+    await waitFor(() => waiting.length === 1);
+    waiting[0]?.end('done');
+    await stopped;
+    await waitFor(caller.isClosed);
+    assert.match(caller.text(), /connection: close[^]*done$/i);
+  });
+
+  // Guards against an answer that is cut by a stop since its caller reads it slowly.
+  it('sends all of an answer that was ended before it stops', async () => {
+    const caller = callRaw(port);
+    caller.socket.pause();
+    caller.socket.write(head('GET', 0));
+    await waitFor(() => waiting.length === 1);
+    waiting[0]?.end(LARGE_ANSWER);
+    assert.equal(callers.open(), 1);
+    const stopped = callers.child.stop();
+    caller.socket.resume();
+    await stopped;
+    await waitFor(caller.isClosed);
+    assert.equal(caller.text().split('\r\n\r\n')[1]?.length, LARGE_ANSWER.length);
+  });
+
+  // Guards against a stop that waits for ever for a peer that connects and says nothing.
+  it('stops though a peer says nothing', async () => {
+    const caller = callRaw(port);
+    await new Promise((resolve) => caller.socket.once('connect', resolve));
+    await callers.child.stop();
+    await waitFor(caller.isClosed);
+  });
+});
--- a/packages/daemon/test/node/closing-server.test.ts
+++ b/packages/daemon/test/node/closing-server.test.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, type Socket, connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { type ClosingServer, createClosingServer } from '../../src/node/closing-server.js';
+import { type RawCaller, callRaw } from '../fixtures/raw-caller.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
 const HOST = '127.0.0.1';
@@ -13,39 +14,19 @@
 /** More than the buffers of both ends of a connection hold. */
 const LARGE_ANSWER = Buffer.alloc(32 * 1024 * 1024, 'x');
 
-/** One caller's connection, as bytes. */
-interface Caller {
-  readonly socket: Socket;
-  /** The server's end of it. */
-  readonly peer: Socket;
-  readonly text: () => string;
-  readonly isClosed: () => boolean;
-}
-
 async function listen(serve: RequestListener): Promise<ClosingServer> {
   const made = createClosingServer({}, serve);
   await new Promise<void>((resolve) => made.server.listen(0, HOST, resolve));
   return made;
 }
 
-async function call(made: ClosingServer): Promise<Caller> {
-  const { port } = made.server.address() as AddressInfo;
-  const socket = connect(port, HOST);
-  let text = '';
-  let closed = false;
-  socket.on('data', (part: Buffer) => {
-    text += part.toString('latin1');
-  });
-  socket.on('close', () => {
-    closed = true;
-  });
-  socket.on('error', () => undefined);
+/** A caller that the server has let in, with the server's end of the connection. */
+async function call(made: ClosingServer): Promise<RawCaller & { readonly peer: Socket }> {
+  const caller = callRaw((made.server.address() as AddressInfo).port);
   const peer = await new Promise<Socket>((resolve) => made.server.once('connection', resolve));
-  return { socket, peer, text: () => text, isClosed: () => closed };
+  return { ...caller, peer };
 }
 
-const answers = (text: string): number => text.split('HTTP/1.1 200').length - 1;
-
 /** Keeps each answer until the test gives it. */
 function held(): { readonly serve: RequestListener; readonly waiting: ServerResponse[] } {
   const waiting: ServerResponse[] = [];
@@ -83,7 +64,7 @@
     caller.socket.write('body');
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
-    assert.equal(answers(caller.text()), 1);
+    assert.equal(caller.answers(), 1);
   });
 
   // Guards against a kept connection that is closed while the next request is on its way to it.
@@ -91,12 +72,12 @@
     const made = await listen((_request, response) => response.end('done'));
     const caller = await call(made);
     caller.socket.write(REQUEST);
-    await waitFor(() => answers(caller.text()) === 1);
+    await waitFor(() => caller.answers() === 1);
     const closed = made.close({ quietMs: PATIENCE_MS / 2, patienceMs: PATIENCE_MS });
     caller.socket.write(REQUEST);
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
-    assert.equal(answers(caller.text()), 2);
+    assert.equal(caller.answers(), 2);
     assert.match(caller.text(), /connection: close/i);
   });
 
@@ -150,6 +131,11 @@
     assert.equal(caller.text(), '');
   });
 
+  it('ends where it has never listened', async () => {
+    const made = createClosingServer({}, () => undefined);
+    assert.equal(await made.close({ quietMs: 0, patienceMs: PATIENCE_MS }), 0);
+  });
+
   it('listens no more', async () => {
     const made = await listen((_request, response) => response.end('done'));
     const { port } = made.server.address() as AddressInfo;
