Have an entry that leaves ask its callers to connect anew

What callers saw: on a kept connection they stayed with an entry that was told to stop, through the whole of its drain. It refused each of their requests with the advice to come back through the balancer, and their next request came over the same connection.

Cause: nothing in its answers told them that the connection ends.

Change: from the time that the entry is leaving each answer says "Connection: close".

Evidence: the new test fails without it: the second answer on a kept connection does not ask for a new one.

--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -87,6 +87,9 @@
         maxHeaderSize: MAX_HEADER_BYTES,
       },
       (request, response) => {
+        // Guards against callers who are held to this entry by a kept connection while it leaves: it
+        // shows as callers who come back as they are told and are refused again.
+        if (options.isLeaving()) made.turnAway();
         void serve(options, request, response);
       },
     );
--- a/packages/daemon/test/entry/caller-server.test.ts
+++ b/packages/daemon/test/entry/caller-server.test.ts
@@ -52,10 +52,12 @@
 describe("an entry's port for callers", () => {
   let port: number;
   let callers: CallerServer;
+  let isLeaving: boolean;
   let waiting: ServerResponse[];
 
   beforeEach(async () => {
     port = await freePort();
+    isLeaving = false;
     waiting = [];
     callers = createCallerServer({
       address: { host: HOST, port },
@@ -63,7 +65,7 @@
       configuration: () => CONFIGURATION,
       authenticate: () => () => WORKSPACE,
       notServingReason: () => null,
-      isLeaving: () => false,
+      isLeaving: () => isLeaving,
       makeKey: () => 'key',
       onTurnedAway: () => undefined,
       onModelRequest: () => undefined,
@@ -115,6 +117,22 @@
     assert.equal(caller.text().split('\r\n\r\n')[1]?.length, LARGE_ANSWER.length);
   });
 
+  // Guards against callers who are held by a kept connection to an entry that refuses them.
+  it('asks callers to connect anew from the time that the entry leaves', async () => {
+    const caller = callRaw(port);
+    caller.socket.write(head('GET', 0));
+    await waitFor(() => waiting.length === 1);
+    waiting[0]?.end('done');
+    await waitFor(() => caller.answers() === 1);
+    assert.match(caller.text(), /connection: keep-alive/i);
+    isLeaving = true;
+    caller.socket.write(head('GET', 0));
+    await waitFor(() => waiting.length === 2);
+    waiting[1]?.end('done');
+    await waitFor(caller.isClosed);
+    assert.match(caller.text(), /connection: close/i);
+  });
+
   // Guards against a stop that waits for ever for a peer that connects and says nothing.
   it('stops though a peer says nothing', async () => {
     const caller = callRaw(port);
