Let a daemon that drains end though a second signal comes

What callers saw: answers of an entry, or streams of a sidecar, that were cut where whoever stops the process sends its signal twice, or one of each kind.

Cause: the handlers were installed for one signal each. The next signal of the kind had its default action, which ends the process at once; one of the other kind ran the stop a second time, which found no parts left to stop, closed the connections of the first one and exited.

Change: handlers stay, and the first signal stops the process.

Evidence: two new tests send a real daemon its second signal while it stops.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -15,3 +15,4 @@
   startGateway,
 } from './gateway/start-gateway.js';
 export { type RunningProcess, startProcess } from './wiring/start-process.js';
+export { stopOnSignals } from './wiring/stop-signals.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -9,6 +9,7 @@
 import { consola } from 'consola';
 import { loadSettings } from './settings/settings.js';
 import { startProcess } from './wiring/start-process.js';
+import { stopOnSignals } from './wiring/stop-signals.js';
 
 /** Exit codes, as documented in docs/RUNNING.md. */
 enum ExitCode {
@@ -33,14 +34,9 @@
   const running = await startProcess(loaded.value, (failure) => {
     fail(failure, ExitCode.Failed);
   });
-  const stop = (): void => {
-    running.stop().then(
-      () => process.exit(ExitCode.Stopped),
-      () => process.exit(ExitCode.Failed),
-    );
-  };
-  process.once('SIGTERM', stop);
-  process.once('SIGINT', stop);
+  stopOnSignals(process, running.stop, (wentWell) => {
+    process.exit(wentWell ? ExitCode.Stopped : ExitCode.Failed);
+  });
 }
 
 main().catch((error: unknown) => {
--- /dev/null
+++ b/packages/daemon/test/wiring/stop-signals.test.ts
@@ -0,0 +1,115 @@
+/** What a daemon does with the signals that stop it, as a process of its own. */
+import assert from 'node:assert/strict';
+import { type ChildProcess, spawn } from 'node:child_process';
+import { EventEmitter, once } from 'node:events';
+import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { tmpdir } from 'node:os';
+import { join } from 'node:path';
+import { after, before, describe, it } from 'node:test';
+import { type KeyValueStandIn, freePort, startKeyValue } from '@cassiamast/stand-ins';
+import { withResolvers } from '../../src/node/http-body.js';
+import { stopOnSignals } from '../../src/wiring/stop-signals.js';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const MAIN = new URL('../../src/main.js', import.meta.url).pathname;
+const HOST = '127.0.0.1';
+/** Long enough for a signal to reach the process while it stops. */
+const NOTICE_MS = 500;
+
+/** A daemon as a process of its own. */
+interface Daemon {
+  readonly kill: (signal: NodeJS.Signals) => void;
+  /** Exit code and signal. */
+  readonly exit: Promise<unknown[]>;
+  /** Resolves when its log has this text. */
+  readonly says: (what: string) => Promise<void>;
+}
+
+describe('signals that stop', () => {
+  it('stop once, whichever come', async () => {
+    const source = new EventEmitter();
+    const stopped = withResolvers<undefined>();
+    let stops = 0;
+    const ends: boolean[] = [];
+    const stop = (): Promise<void> => {
+      stops += 1;
+      return stopped.promise;
+    };
+    stopOnSignals(source, stop, (wentWell) => {
+      ends.push(wentWell);
+    });
+    for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM']) source.emit(signal);
+    assert.deepEqual([stops, ends], [1, []]);
+    stopped.resolve(undefined);
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual([stops, ends], [1, [true]]);
+  });
+
+  it('tell that stopping failed', async () => {
+    const source = new EventEmitter();
+    const ends: boolean[] = [];
+    stopOnSignals(
+      source,
+      () => Promise.reject(new Error('a part does not stop')),
+      (wentWell) => {
+        ends.push(wentWell);
+      },
+    );
+    source.emit('SIGTERM');
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual(ends, [false]);
+  });
+});
+
+describe('a daemon', () => {
+  let keyValue: KeyValueStandIn;
+  let directory: string;
+  const children: ChildProcess[] = [];
+
+  before(async () => {
+    keyValue = await startKeyValue();
+    directory = await mkdtemp(join(tmpdir(), 'stop-signals-'));
+  });
+  after(async () => {
+    for (const child of children) child.kill('SIGKILL');
+    await keyValue.stop();
+    await rm(directory, { recursive: true });
+  });
+
+  async function startEntry(control: number): Promise<Daemon> {
+    const file = join(directory, `${String(control)}.yaml`);
+    const settings = {
+      kind: 'entry',
+      control: { host: HOST, port: control },
+      callers: { host: HOST, port: await freePort() },
+      failureDomain: 'here',
+      keyValue: { endpoints: [keyValue.address] },
+      noticeMs: NOTICE_MS,
+    };
+    await writeFile(file, JSON.stringify(settings));
+    const env = { ...process.env, CASSIAMAST_SECRET: 'a-secret-of-the-signal-test' };
+    const child = spawn(process.execPath, [MAIN, '--settings', file], { env });
+    children.push(child);
+    let log = '';
+    child.stderr.on('data', (part: Buffer) => {
+      log += part.toString();
+    });
+    const says = (what: string): Promise<void> => waitFor(() => log.includes(what));
+    return { kill: (signal) => child.kill(signal), exit: once(child, 'exit'), says };
+  }
+
+  // Guards against a second signal that kills a process while it drains.
+  for (const [first, second] of [
+    ['SIGTERM', 'SIGTERM'],
+    ['SIGINT', 'SIGINT'],
+  ] as const) {
+    it(`that stops for ${first} is not ended by a further ${second}`, async () => {
+      const daemon = await startEntry(await freePort());
+      await daemon.says('entry serves');
+      daemon.kill(first);
+      await daemon.says('entry stops');
+      daemon.kill(second);
+      assert.deepEqual(await daemon.exit, [0, null]);
+    });
+  }
+});
