Stop a daemon gracefully that gets its signal while it starts

What others could see: a sidecar takes streams before its last part is started; told to stop in that time it ended at once, by the signal, with them, and without a word to the members that it had joined.

Cause: the handlers were installed when the start was over.

Change: they are installed before; a signal that comes earlier stops the process when it has started.

Evidence: the new test holds a daemon's address until it was told to stop. Before, it ended by the signal (exit null, SIGTERM); with the change it ends with 0.

--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -31,12 +31,15 @@
   }
   const loaded = await loadSettings(values.settings, process.env);
   if (loaded.isErr()) fail(loaded.error, ExitCode.BadUsage);
-  const running = await startProcess(loaded.value, (failure) => {
+  const starting = startProcess(loaded.value, (failure) => {
     fail(failure, ExitCode.Failed);
   });
-  stopOnSignals(process, running.stop, (wentWell) => {
+  // Parts that are started first may have work before the last one serves.
+  const stop = async (): Promise<void> => (await starting).stop();
+  stopOnSignals(process, stop, (wentWell) => {
     process.exit(wentWell ? ExitCode.Stopped : ExitCode.Failed);
   });
+  await starting;
 }
 
 main().catch((error: unknown) => {
--- a/packages/daemon/test/wiring/stop-signals.test.ts
+++ b/packages/daemon/test/wiring/stop-signals.test.ts
@@ -3,6 +3,7 @@
 import { type ChildProcess, spawn } from 'node:child_process';
 import { EventEmitter, once } from 'node:events';
 import { mkdtemp, rm, writeFile } from 'node:fs/promises';
+import { createServer } from 'node:net';
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, describe, it } from 'node:test';
@@ -112,4 +113,16 @@
       assert.deepEqual(await daemon.exit, [0, null]);
     });
   }
+
+  // Guards against a signal that kills a process while some of its parts work already.
+  it('that is told to stop while it starts stops gracefully', async () => {
+    const port = await freePort();
+    const holder = createServer();
+    await new Promise<void>((resolve) => holder.listen(port, HOST, resolve));
+    const daemon = await startEntry(port);
+    await daemon.says('control-server waits');
+    daemon.kill('SIGTERM');
+    await new Promise((resolve) => holder.close(resolve));
+    assert.deepEqual(await daemon.exit, [0, null]);
+  });
 });
