Take back an announcement that is under way when a gateway stops

Cause: withdrawing revoked the lease that was held. A gateway that was told to stop while the store had not yet granted or answered held none; it announced itself afterwards, and nobody took that back.

Change: each step of announcing looks again whether the gateway stops, and then gives the lease back, also where the answer to the announcement was lost.

--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -53,10 +53,15 @@
   async function announce(): Promise<void> {
     const granted = await fleet.grantLease(ttlMs);
     if (granted.isErr()) return;
-    const announced = await fleet.announce(self, granted.value.leaseId);
+    const { leaseId: granting } = granted.value;
+    if (stopped) return revoke(granting);
+    const announced = await fleet.announce(self, granting);
+    // Guards against an announcement that outlives its gateway: it shows as gateways that ask one
+    // that has stopped to schedule, until the lease lapses.
+    if (stopped) return revoke(granting);
     // An announcement whose answer was lost may stand; its lease then lapses by itself.
     if (announced.isErr()) return;
-    leaseId = granted.value.leaseId;
+    leaseId = granting;
     confirmedAtMs = nowMs();
     log.info('announced to the other gateways', { leaseId, ttlMs });
   }
@@ -84,7 +89,10 @@
     stopped = true;
     const held = leaseId;
     leaseId = null;
-    if (held === null) return;
+    if (held !== null) await revoke(held);
+  }
+
+  async function revoke(held: string): Promise<void> {
     const revoked = await fleet.revokeLease(held);
     if (revoked.isErr()) log.warn('announcement left to lapse', { cause: revoked.error.message });
   }
