Answer members' calls that were read before the control port closes

What other members saw: calls to a process that stops were cut with their outcome unknown (member-unreachable, may have run): records, claims and sessions are asked for again, orders waited out.

Cause: the port destroyed all its connections, those with a call under way among them.

Change: the control port is a closing server. What has been read is answered within a second.

Evidence: the new test fails before ('cut' where 'done' is expected) and passes with the change.

--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -3,7 +3,7 @@
  * the command line only. Listening on it is also the slot's lock: the operating system lets one
  * process hold the address, a paused process keeps it and a dead one loses it.
  */
-import { createServer, type IncomingMessage, type Server, type ServerResponse } from 'node:http';
+import type { IncomingMessage, Server, ServerResponse } from 'node:http';
 import { type Address, FailureError } from '@cassiamast/coordination';
 import {
   JSONRPCErrorException,
@@ -14,6 +14,7 @@
 import type { Child } from '../supervisor/supervisor.js';
 import { METRICS_PATH, RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { formatAddress } from './address.js';
+import { type ClosingServer, type CloseOptions, createClosingServer } from './closing-server.js';
 import { ADDRESS_TAKEN, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
 import { readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
@@ -24,6 +25,8 @@
 const MAX_CALL_BYTES = 8 * 1024 * 1024;
 const MAX_CONNECTIONS = 4_096;
 const REQUEST_TIMEOUT_MS = 10_000;
+/** Calls are answered within that; a stream that is still open has nobody left who feeds it. */
+const CLOSE: CloseOptions = { quietMs: 50, patienceMs: 1_000 };
 /** JSON-RPC leaves this range to servers. */
 export const RPC_FAILURE_CODE = -32_000;
 
@@ -64,13 +67,14 @@
       }
     });
   }
-  let server: Server | null = null;
+  let port: ClosingServer | null = null;
   return {
     name: 'control-server',
     start: async () => {
-      server = createServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
+      port = createClosingServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
         void serve(options, rpc, request, response);
       });
+      const { server } = port;
       server.maxConnections = MAX_CONNECTIONS;
       server.on('connection', (socket) => {
         if (!options.allows(socket.remoteAddress)) socket.destroy();
@@ -78,15 +82,9 @@
       await listenExclusively(server, options.address);
     },
     stop: async () => {
-      const closing = server;
-      server = null;
-      if (closing === null) return;
-      await new Promise<void>((resolve) => {
-        closing.close(() => {
-          resolve();
-        });
-        closing.closeAllConnections();
-      });
+      const closing = port;
+      port = null;
+      await closing?.close(CLOSE);
     },
   };
 }
--- /dev/null
+++ b/packages/daemon/test/node/control-server.test.ts
@@ -0,0 +1,62 @@
+/** The control port of a member that stops, with calls of other members under way. */
+import assert from 'node:assert/strict';
+import { afterEach, beforeEach, describe, it } from 'node:test';
+import { createMemberProof } from '../../src/node/secret.js';
+import { createControlServer } from '../../src/node/control-server.js';
+import { withResolvers } from '../../src/node/http-body.js';
+import { type RpcClient, createRpcClient } from '../../src/node/rpc-client.js';
+import type { Child } from '../../src/supervisor/supervisor.js';
+import { freePort } from '@cassiamast/stand-ins';
+import { waitFor } from '../fixtures/wait-for.js';
+
+const HOST = '127.0.0.1';
+const NO_CLOCK = { now: () => '', hear: () => undefined };
+/** Longer than any of these tests. */
+const TIMEOUT_MS = 60_000;
+
+describe('the control port of a member', () => {
+  const proof = createMemberProof('a-secret-of-the-test');
+  let member: string;
+  let server: Child;
+  let rpc: RpcClient;
+  let calls: number;
+  let answer: ReturnType<typeof withResolvers<string>>;
+
+  beforeEach(async () => {
+    const port = await freePort();
+    member = `${HOST}:${String(port)}`;
+    calls = 0;
+    answer = withResolvers<string>();
+    rpc = createRpcClient(proof, NO_CLOCK);
+    server = createControlServer({
+      address: { host: HOST, port },
+      allows: () => true,
+      proof,
+      clock: NO_CLOCK,
+      handlers: {
+        wait: () => {
+          calls += 1;
+          return answer.promise;
+        },
+      },
+      streams: {},
+      metricsText: () => Promise.resolve(''),
+    });
+    await server.start(() => undefined);
+  });
+  afterEach(async () => {
+    await server.stop();
+    await rpc.close();
+  });
+
+  // Guards against calls whose outcome another member never learns since this one stops.
+  it('answers what it has read before it closes', async () => {
+    const called = rpc.call<string>(member, 'wait', null, { timeoutMs: TIMEOUT_MS });
+    await waitFor(() => calls === 1);
+    const stopped = server.stop();
+    answer.resolve('done');
+    const outcome = await called;
+    assert.equal(outcome.unwrapOr('cut'), 'done');
+    await stopped;
+  });
+});
