Have a gateway that stops give its orders and its calls up in order

Engines could be given orders by a gateway that was told to stop: it renewed the planner's lease until its exit, though its own scheduler no longer sees what engines are asked for, and left the lease to lapse. Calls of other gateways that it had read were cut by the exit; who asked took it for gone and passed it over for two seconds.

Cause: what is stopped came after what it depends on, or not at all: the exit was the stop of everything but the callers' port.

Change: the planner stops with the signal and gives its lease back; after the callers' port the other parts stop, in the opposite order of their start, for half a second at most within the grace.

Also fits a stand-in of the log in presence.test.ts to the log's interface.

--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -26,6 +26,8 @@
 const HAND_OVER_MS = 250;
 const CLOSE_PORT_MS = 200;
 const STOP_PARTS_MS = 100;
+/** Where the grace has more left: other gateways still get answers to what they asked. */
+const STOP_PARTS_MOST_MS = 500;
 const WRITE_LOG_MS = 100;
 /** Left to the system for the exit itself. */
 const EXIT_MS = 50;
@@ -55,6 +57,7 @@
     openRequests: front.open(),
     graceMs: options.graceMs(),
   });
+  const graceEndsAtMs = options.nowMs() + options.graceMs();
   front.turnAway();
   options.announceLeaving();
   await drain(options);
@@ -62,7 +65,8 @@
   const cutRequests = await front.close({ quietMs: QUIET_MS, patienceMs: CLOSE_PORT_MS });
   const receivedSinceDrained = front.received() - receivedBefore;
   log.lifecycle('gateway ends', { receivedSinceDrained, cutRequests });
-  await atMost(STOP_PARTS_MS, options.stopParts());
+  const leftMs = graceEndsAtMs - options.nowMs() - WRITE_LOG_MS - EXIT_MS;
+  await atMost(Math.min(Math.max(leftMs, 0), STOP_PARTS_MOST_MS), options.stopParts());
   await atMost(WRITE_LOG_MS, options.writeLog());
 }
 
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -173,6 +173,19 @@
   let serves = false;
   let leaving = false;
   let stopped: Promise<void> | null = null;
+  const planner = createPhasePlanner({
+    selfId,
+    view,
+    store: fleet,
+    control: platform.control,
+    schedulers,
+    random,
+    elapsedMs: createElapsedClock(SYSTEM_CLOCKS),
+    nowMs: monotonicMs,
+    isScheduler: (service) => !leaving && scheduling.schedulerOf(service) === selfId,
+    log,
+    count: telemetry.count,
+  });
   const root = createSupervisor({
     name: 'root',
     children: [
@@ -223,19 +236,7 @@
         return telemetry.metricsText();
       }),
       presence.child,
-      createPhasePlanner({
-        selfId,
-        view,
-        store: fleet,
-        control: platform.control,
-        schedulers,
-        random,
-        elapsedMs: createElapsedClock(SYSTEM_CLOCKS),
-        nowMs: monotonicMs,
-        isScheduler: (service) => !leaving && scheduling.schedulerOf(service) === selfId,
-        log,
-        count: telemetry.count,
-      }),
+      planner,
       createReadinessServer(
         settings.readiness,
         platform.wire.readinessPath,
@@ -273,6 +274,8 @@
           announceLeaving: () => {
             leaving = true;
             void presence.withdraw();
+            // It no longer sees what engines are asked for, so it must give them no orders.
+            void planner.stop();
           },
           stopParts: close,
           writeLog: writer.flush,
--- a/packages/daemon/test/gateway/presence.test.ts
+++ b/packages/daemon/test/gateway/presence.test.ts
@@ -47,7 +47,7 @@
       ttlMs: LEASE.ttlMs,
       random: seededRandom(1),
       nowMs: () => 0,
-      log: { info: () => undefined, warn: () => undefined },
+      log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
     });
     await presence.child.start(() => undefined);
   });
