Name the new effect of a drain in the fuzzer's world of changes

The linter found a switch over the effects of a drain that did not know of the limited acceptance. Targets of that world never use it; it is handled as the end of acceptance, which the admission of each target decides there.

Evidence: eslint of the whole tree is clean again; it failed on this file.

--- a/packages/fuzz/src/worlds/changes/targets.ts
+++ b/packages/fuzz/src/worlds/changes/targets.ts
@@ -83,6 +83,7 @@
       case DrainEffectKind.AnnounceLeaving:
         tellSenders(simulation, target, false);
         break;
+      case DrainEffectKind.LimitAccepting:
       case DrainEffectKind.StopAccepting:
         break;
       case DrainEffectKind.HandOver:
