Keep a change of the settings from ending a gateway that loads

Cause: the handler comes with the program, which takes some 100 ms to load on a busy machine. The starter now takes the signal before anything is loaded; the settings are read after that anyway. What is left is the runtime's own start, before any code of ours runs.

Tests of the start and of signals pass.

--- a/scripts/start-program.cjs
+++ b/scripts/start-program.cjs
@@ -6,6 +6,10 @@
  */
 'use strict';
 
+// The program reads its settings once it is loaded; until then the signal's default action would end
+// the process.
+process.on('SIGHUP', () => undefined);
+
 const { readFileSync } = require('node:fs');
 const { join } = require('node:path');
 const { setFlagsFromString } = require('node:v8');
