Write log lines whole where a pipe takes a part of them

On-call engineers found torn lines, and lines missing that no count told of: the system may take a part of a write, and the rest was dropped without being counted. A full pipe counted as an error that lost the whole write.

Cause: the count of bytes taken was not looked at. A text is now written until it is taken whole, and a full pipe is tried again; meanwhile lines gather up to their bound and are counted where they are dropped, as before.

Evidence: found while stops were reproduced with a log that nobody reads. Test: 'writes a text whole that is taken in parts'.

--- a/packages/daemon/src/gateway/log-writer.ts
+++ b/packages/daemon/src/gateway/log-writer.ts
@@ -40,14 +40,34 @@
 /** Hands a text to the operating system; calls back when it is taken, with an error if it is not. */
 export type WriteText = (text: string, done: (error: Error | null) => void) => void;
 
+/** Hands bytes to the operating system, which may take a part of them only. */
+export type WriteBytes = (
+  bytes: Buffer,
+  done: (error: NodeJS.ErrnoException | null, takenBytes: number) => void,
+) => void;
+
 const STANDARD_OUTPUT = 1;
+/** A pipe that is full is tried again after so long. */
+const FULL_PIPE_MS = 50;
 
 /** Writes to standard output off the loop: a pipe whose reader stalls blocks a plain write. */
-export const writeStandardOutput: WriteText = (text, done) => {
-  write(STANDARD_OUTPUT, text, (error) => {
-    done(error);
-  });
-};
+export const writeStandardOutput: WriteText = createWholeWrite((bytes, done) => {
+  write(STANDARD_OUTPUT, bytes, done);
+});
+
+/** Writes texts whole, however little of them is taken at once, so that no line is torn. */
+export function createWholeWrite(writeBytes: WriteBytes): WriteText {
+  function writeAll(bytes: Buffer, done: (error: Error | null) => void): void {
+    writeBytes(bytes, (error, takenBytes) => {
+      if (error?.code === 'EAGAIN') setTimeout(writeAll, FULL_PIPE_MS, bytes, done);
+      else if (error !== null || takenBytes >= bytes.length) done(error);
+      else writeAll(bytes.subarray(takenBytes), done);
+    });
+  }
+  return (text, done) => {
+    writeAll(Buffer.from(text), done);
+  };
+}
 
 /** Makes a writer; `nowMs` is a monotonic clock. */
 export function createLogWriter(
--- a/packages/daemon/test/gateway/gateway-log.test.ts
+++ b/packages/daemon/test/gateway/gateway-log.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { createGatewayLog } from '../../src/gateway/gateway-log.js';
-import { createLogWriter } from '../../src/gateway/log-writer.js';
+import { createLogWriter, createWholeWrite } from '../../src/gateway/log-writer.js';
 
 const BOUNDS = { linesPerS: 1, burstLines: 2, maxWaitingChars: 1000, flushEveryMs: 1 };
 
@@ -91,4 +91,24 @@
     await writer.flush();
     assert.ok(text.includes('gateway ends'));
   });
+
+  // Guards against torn lines where the reader of a pipe is slow.
+  it('writes a text whole that is taken in parts, with a full pipe in between', async () => {
+    let taken = '';
+    let isFull = false;
+    const writeText = createWholeWrite((bytes, done) => {
+      isFull = !isFull;
+      if (!isFull) {
+        done(Object.assign(new Error('full'), { code: 'EAGAIN' }), 0);
+        return;
+      }
+      taken += bytes.subarray(0, 3).toString();
+      done(null, Math.min(3, bytes.length));
+    });
+    const error = await new Promise((resolve) => {
+      writeText('a whole line\n', resolve);
+    });
+    assert.equal(error, null);
+    assert.equal(taken, 'a whole line\n');
+  });
 });
