Answer a caller whose time is over though the scheduler is busy

A caller whose time was over, or whose gateway was at the end of its grace, waited up to 1.15 s more for the answer of a busy scheduler; at the end of a stop the connection was closed before that, without an answer, though the request ran nowhere and could be refused.

Cause: the wait for a decision looked at the exchange's signal between questions only. It ends with the signal now; the scheduler is told that the job has ended, as before.

Tests: 'ends as soon as the time of its asker is over' failed before, and 'refuses a request whose scheduler is slow when the grace is over' (status 0 in place of 503).

--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -11,6 +11,7 @@
   chooseScheduler,
 } from '@cassiamast/coordination';
 import { type Result, err } from 'neverthrow';
+import { withResolvers } from '../node/http-body.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { IsReachable } from '../node/reachable.js';
 import type { RpcClient } from '../node/rpc-client.js';
@@ -228,10 +229,14 @@
     schedulerOf,
     take: async (service, job, signal) => {
       let gateway = '';
+      // A busy scheduler may answer long after nobody waits for it any more.
+      const over = whenAborted(signal);
       while (!signal.aborted) {
         gateway = schedulerOf(service);
-        const decision = await ask(gateway, service, job());
-        if (decision && !signal.aborted) return { decision, schedulerId: gateway };
+        const decision = await Promise.race([ask(gateway, service, job()), over.aborted]);
+        if (!decision || signal.aborted) continue;
+        over.stop();
+        return { decision, schedulerId: gateway };
       }
       // Guards against an engine that is kept for a caller who left: it shows as engines that read
       // nothing while others wait, until the caller's deadline has passed.
@@ -241,3 +246,21 @@
     report,
   };
 }
+
+/** Resolves when a signal is aborted; `stop` lets go of it. */
+function whenAborted(signal: AbortSignal): {
+  readonly aborted: Promise<undefined>;
+  readonly stop: () => void;
+} {
+  const { promise, resolve } = withResolvers<undefined>();
+  const onAbort = (): void => {
+    resolve(undefined);
+  };
+  signal.addEventListener('abort', onAbort, { once: true });
+  return {
+    aborted: promise,
+    stop: () => {
+      signal.removeEventListener('abort', onAbort);
+    },
+  };
+}
