Refuse a request whose body still comes when the grace is over

A caller whose body was still on its way when its gateway ended got no answer, though its request had certainly not run. It held up the end for all others, too.

Cause: only exchanges, which begin with the last byte of a body, were ended at the end of the grace. A request that is being read is now refused there.

Test: 'refuses a request whose body is still coming when the grace is over' (status 0 in place of 503 before).

--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -43,6 +43,7 @@
  * stack, which costs processor time with each request.
  */
 const EXCHANGE_OVER = new Error('the caller left, was answered, or its time is over');
+const STOPS = 'the gateway stops';
 const CRASHES_TARGETS = 'each target that ran this request broke off';
 /** Sockets that are looked at for slow requests so often. */
 const CONNECTION_CHECK_MS = 1000;
@@ -80,8 +81,8 @@
 interface Admission {
   /** Requests are taken that end by then; none, where it is in the past. */
   takenUntilMs: number;
-  /** One for each exchange under way; ends it. */
-  readonly running: Set<AbortController>;
+  /** One for each request under way; ends it with the answer that is true. */
+  readonly running: Set<() => void>;
 }
 
 /** Makes the port. */
@@ -133,7 +134,7 @@
       admission.takenUntilMs = -Infinity;
     },
     endAll: () => {
-      for (const over of [...admission.running]) over.abort(EXCHANGE_OVER);
+      for (const end of [...admission.running]) end();
     },
     close,
   };
@@ -148,7 +149,9 @@
   const receivedAtMs = services.nowMs();
   const { table } = services.view;
   const maxBytes = table?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-  const body = await readBody(request, maxBytes);
+  const body = await readWhole(request, response, services, admission, maxBytes);
+  // It was refused meanwhile.
+  if (response.headersSent) return;
   if (body.isErr()) {
     if (body.error === BodyFault.Broken) return;
     response.shouldKeepAlive = false;
@@ -174,7 +177,7 @@
   // Callers may still be sent here long after the balancer was told to stop.
   if (exchange.endsAtMs > admission.takenUntilMs) {
     services.log.info('not taken, the gateway stops', { request: exchange.id });
-    refuse(response, services, OwnStatus.Refused, 'the gateway stops', STOPPING_RETRY_MS);
+    refuse(response, services, OwnStatus.Refused, STOPS, STOPPING_RETRY_MS);
     return;
   }
   if (services.crashes.isConvicted(exchange)) {
@@ -185,6 +188,23 @@
   await forward(exchange, services);
 }
 
+/** Reads a body; a request whose body still comes when the gateway ends has run nowhere. */
+async function readWhole(
+  request: IncomingMessage,
+  response: ServerResponse,
+  services: ForwardingServices,
+  { running }: Admission,
+  maxBytes: number,
+): ReturnType<typeof readBody> {
+  const end = (): void => {
+    refuse(response, services, OwnStatus.Refused, STOPS, STOPPING_RETRY_MS);
+  };
+  running.add(end);
+  const body = await readBody(request, maxBytes);
+  running.delete(end);
+  return body;
+}
+
 function refuse(
   response: ServerResponse,
   services: ForwardingServices,
@@ -213,14 +233,15 @@
   const patienceMs = Math.min(head.patienceMs ?? DEFAULT_PATIENCE_MS, route.timeoutMs);
   const endsAtMs = receivedAtMs + patienceMs;
   const over = new AbortController();
-  running.add(over);
-  const timer = setTimeout(() => {
+  const end = (): void => {
     over.abort(EXCHANGE_OVER);
-  }, endsAtMs - services.nowMs());
+  };
+  running.add(end);
+  const timer = setTimeout(end, endsAtMs - services.nowMs());
   response.once('close', () => {
     clearTimeout(timer);
-    running.delete(over);
-    over.abort(EXCHANGE_OVER);
+    running.delete(end);
+    end();
   });
   return {
     id,
