Keep a stop within a short grace, and a grace that the settings no longer name

With a grace of 2 s a gateway took requests as usual until 2.5 s after its signal, when the platform had killed it already. Settings that name no grace, read anew at the stop, made it 0, and ended what would have been answered.

Cause: the notice was a fixed time; a missing figure counted as zero. The notice is now no longer than the drain, and a file without a grace leaves the one in force.

Tests: 'ends within a grace that is shorter than the notice' (2,536 ms of 2,000 before), 'goes on with the grace that it knew when the settings name none' (504 in place of 200 before).

--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -72,10 +72,11 @@
 
 async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
   const afterDrainMs = HAND_OVER_MS + CLOSE_PORT_MS + STOP_PARTS_MS + WRITE_LOG_MS + EXIT_MS;
+  const drainMs = Math.max(0, graceMs() - afterDrainMs);
   const state = createDrain({
     ...DRAIN_OPTIONS,
-    noticeMs: NOTICE_MS,
-    drainMs: graceMs() - afterDrainMs,
+    noticeMs: Math.min(NOTICE_MS, drainMs),
+    drainMs,
     handOverMs: HAND_OVER_MS,
     acceptsWhileDraining: true,
   });
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -291,7 +291,8 @@
     reload: (read) => {
       read.match(
         (next) => {
-          graceMs = next.graceMs;
+          // A file that names no grace does not shorten the one in force.
+          if (next.graceMs > 0) graceMs = next.graceMs;
           log.lifecycle('settings read anew', { name: next.name, graceMs });
         },
         (cause) => {
