Answer pipelined requests when their server turns its callers away

Of two requests sent on one connection without waiting, the second one ran at a target and was never answered when its gateway was told to stop in between.

Cause: all answers under way were to end their connection, the first one of them did. Now the newest answer of a connection ends it; where the head of an ending answer is out already, a request behind it is not passed on.

Test: 'answers both of two requests that were pipelined' failed before.

--- a/packages/daemon/src/node/closing-server.ts
+++ b/packages/daemon/src/node/closing-server.ts
@@ -36,11 +36,21 @@
 
 /** What is known of one connection. */
 interface Connection {
+  /** In the order of their requests, which a caller may send without waiting for answers. */
   readonly open: Set<ServerResponse>;
+  /** The answer that ends the connection. */
+  last: ServerResponse | null;
   /** Bytes read of it when its last answer was whole. */
   readBytes: number;
 }
 
+/** Ends a connection with this answer, in place of an earlier one that is not out yet. */
+function endWith(connection: Connection, response: ServerResponse): void {
+  if (connection.last !== null) connection.last.shouldKeepAlive = true;
+  connection.last = response;
+  response.shouldKeepAlive = false;
+}
+
 /** Makes a server that does not listen yet. */
 export function createClosingServer(options: ServerOptions, serve: RequestListener): ClosingServer {
   const connections = new Map<Socket, Connection>();
@@ -50,10 +60,12 @@
   const server = createServer(options, (request, response) => {
     const { socket } = request;
     const connection = connections.get(socket);
-    connection?.open.add(response);
-    if (turnsAway) response.shouldKeepAlive = false;
+    if (connection === undefined) return;
+    // The connection ends with an answer before this one, so nobody would hear of it.
+    if (connection.last?.headersSent === true) return;
+    connection.open.add(response);
+    if (turnsAway) endWith(connection, response);
     response.once('close', () => {
-      if (connection === undefined) return;
       connection.open.delete(response);
       connection.readBytes = socket.bytesRead;
       letGo(socket, connection);
@@ -61,7 +73,7 @@
     serve(request, response);
   });
   server.on('connection', (socket: Socket) => {
-    const connection: Connection = { open: new Set(), readBytes: 0 };
+    const connection: Connection = { open: new Set(), last: null, readBytes: 0 };
     connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
     // Accepted by the system before the server stopped to listen.
@@ -86,8 +98,9 @@
 
   function turnAway(): void {
     turnsAway = true;
-    for (const response of openAnswers()) {
-      if (!response.headersSent) response.shouldKeepAlive = false;
+    for (const connection of connections.values()) {
+      const newest = [...connection.open].at(-1);
+      if (newest !== undefined && !newest.headersSent) endWith(connection, newest);
     }
   }
 
