Let a gateway that ends hand over the reports that it has gathered

What callers could see (from the code; no run has shown it): a wait for an engine that stands idle, for as long as a request whose answer is over might have lasted, right after a gateway ended.

The last answer of a gateway that stops gives its report at about the time at which nothing is open any more, and the process ends with the report.

Change: the client of the scheduler can settle: it sends what waits and tells when it has arrived or is lost. Who stops a gateway has to call it.

Evidence: the new test fails without it (no call where two are expected) and passes with it.

--- a/packages/daemon/src/gateway/report-queue.ts
+++ b/packages/daemon/src/gateway/report-queue.ts
@@ -28,13 +28,20 @@
   readonly put: (schedulerId: string, service: string, event: JobEvent) => void;
   /** Takes what waits for a scheduler, to be sent along with something else. */
   readonly take: (schedulerId: string, service: string) => readonly JobEvent[];
+  /** Sends all that waits. */
+  readonly flushAll: () => void;
 }
 
 /** Makes an empty queue. */
 export function createReportQueue(send: SendReports): ReportQueue {
   const waiting = new Map<
     string,
-    { readonly events: JobEvent[]; readonly timer: NodeJS.Timeout }
+    {
+      readonly schedulerId: string;
+      readonly service: string;
+      readonly events: JobEvent[];
+      readonly timer: NodeJS.Timeout;
+    }
   >();
 
   function take(schedulerId: string, service: string): readonly JobEvent[] {
@@ -53,9 +60,14 @@
 
   return {
     take,
+    flushAll: () => {
+      for (const { schedulerId, service } of [...waiting.values()]) flush(schedulerId, service);
+    },
     put: (schedulerId, service, event) => {
       const key = keyOf(schedulerId, service);
       const batch = waiting.get(key) ?? {
+        schedulerId,
+        service,
         events: [],
         timer: setTimeout(() => {
           flush(schedulerId, service);
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -16,7 +16,7 @@
 import type { IsReachable } from '../node/reachable.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { GatewayLog } from './gateway-log.js';
-import { createReportQueue } from './report-queue.js';
+import { type SendReports, createReportQueue } from './report-queue.js';
 import type { JobRequest, SchedulingService } from './scheduling-service.js';
 
 /** One question waits so long for a decision before it is asked again. */
@@ -94,6 +94,8 @@
     jobId: string,
     target: string,
   ) => void;
+  /** Sends the reports that wait; resolves when all of them have arrived or are lost. */
+  readonly settle: () => Promise<void>;
 }
 
 /** Looks at a scheduler whose answer is late. */
@@ -144,16 +146,30 @@
     if (known <= nowMs()) log.warn('scheduler passed over', { gateway, service, cause });
   }
 
-  const reports = createReportQueue((schedulerId, service, events) => {
-    void rpc
-      .call(schedulerId, RpcMethod.ScheduleReport, [service, events], {
-        timeoutMs: REPORT_TIMEOUT_MS,
-      })
-      .mapErr(() => {
-        count('scheduler_reports_lost_total');
-      });
+  const reporting = new Set<Promise<void>>();
+
+  async function sendReports(...[schedulerId, service, events]: Parameters<SendReports>) {
+    const sent = await rpc.call(schedulerId, RpcMethod.ScheduleReport, [service, events], {
+      timeoutMs: REPORT_TIMEOUT_MS,
+    });
+    if (sent.isErr()) count('scheduler_reports_lost_total');
+  }
+
+  const reports = createReportQueue((...batch) => {
+    const sending = sendReports(...batch);
+    reporting.add(sending);
+    void sending.finally(() => reporting.delete(sending));
   });
 
+  /**
+   * Guards against reports that are lost with a process that ends: they show as an engine that stands
+   * idle while others wait, since its scheduler believes that it still runs what has ended.
+   */
+  async function settle(): Promise<void> {
+    reports.flushAll();
+    await Promise.all(reporting);
+  }
+
   async function ask(
     gateway: string,
     service: string,
@@ -244,6 +260,7 @@
       return null;
     },
     report,
+    settle,
   };
 }
 
--- a/packages/daemon/test/gateway/scheduling-client.test.ts
+++ b/packages/daemon/test/gateway/scheduling-client.test.ts
@@ -10,8 +10,9 @@
   applyChanges,
   createFleetView,
 } from '@cassiamast/coordination';
-import { errAsync, okAsync } from 'neverthrow';
+import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
+import { withResolvers } from '../../src/node/http-body.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
 import {
@@ -71,8 +72,11 @@
 ): {
   readonly client: SchedulingClient;
   readonly calls: SentCall[];
+  /** Lets later calls wait for their answer until the returned function is called. */
+  readonly hold: () => () => void;
 } {
   const calls: SentCall[] = [];
+  let held: Promise<undefined> | null = null;
   const rpc = {
     call: (
       member: string,
@@ -81,6 +85,7 @@
       options: { timeoutMs: number },
     ) => {
       calls.push({ member, method, params });
+      if (held !== null) return ResultAsync.fromSafePromise(held);
       const [, , waitMs] = params as [string, JobRequest, number];
       const tookMs = Number(waitMs) + (answersAfterMs[member] ?? 0);
       const isLate = tookMs > options.timeoutMs;
@@ -100,7 +105,14 @@
     isReachable: (gateway) => Promise.resolve(!unreachable.includes(gateway)),
     isConfirmed: () => true,
   });
-  return { client, calls };
+  const hold = (): (() => void) => {
+    const { promise, resolve } = withResolvers<undefined>();
+    held = promise;
+    return () => {
+      resolve(undefined);
+    };
+  };
+  return { client, calls, hold };
 }
 
 describe('the client of a scheduler', () => {
@@ -176,6 +188,26 @@
       );
     });
 
+    // Guards against reports that are lost with a gateway that ends right after its last answer.
+    it('sends what waits when it settles, and waits until that has arrived', async () => {
+      const { client, calls, hold } = clientOf({});
+      const arrived = hold();
+      client.report('s', OLDEST, JobEventKind.Served, 'j-1', 'i-1');
+      client.report('t', NEXT, JobEventKind.Ended, 'j-2', 'i-2');
+      let settled = false;
+      const settling = client.settle().then(() => {
+        settled = true;
+      });
+      assert.deepEqual(
+        calls.map(({ member }) => member),
+        [OLDEST, NEXT],
+      );
+      await new Promise((resolve) => setImmediate(resolve));
+      assert.equal(settled, false);
+      arrived();
+      await settling;
+    });
+
     // An engine crashed, and for a moment more is sent there: its failure waited for other reports.
     it('sends the failure of a target at once', () => {
       const { client, calls } = clientOf({});
