--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -257,6 +257,7 @@
   log.lifecycle('gateway started', { selfId, failureDomain: settings.failureDomain });
 
   async function close(): Promise<void> {
+    await scheduling.settle();
     schedulers.stop();
     crashes.stop();
     await root.stop();
