Run the gateway and the daemon by one module, and name its parts as the field does

Two modules handled signals and failures, and differed: a part that failed for good, or an error that nothing caught, drained a gateway and ended a daemon at once, cutting its answers; SIGINT ended a gateway by its default action; a stop that threw at once left a gateway that never ended.

Change: runProcess serves both; whether a stop waits for the start is theirs to say. Renamed without other changes: graceful-server (was closing-server), disableKeepAlive (turnAway), idleMs and timeoutMs of a close, StopReason's Requested; acceptsWork of a drain says so while it takes what ends in time.

--- a/packages/coordination/src/core/drain/drain.ts
+++ b/packages/coordination/src/core/drain/drain.ts
@@ -91,9 +91,10 @@
   return { options, phase: DrainPhase.Serving, startedAtMs: 0 };
 }
 
-/** Whether new work is taken. */
-export function acceptsWork(state: DrainState): boolean {
-  return state.phase === DrainPhase.Serving || state.phase === DrainPhase.Noticed;
+/** Whether new work is taken, be it only what ends in time. */
+export function acceptsWork({ phase, options }: DrainState): boolean {
+  if (phase === DrainPhase.Draining) return options.acceptsWhileDraining;
+  return phase === DrainPhase.Serving || phase === DrainPhase.Noticed;
 }
 
 /** Begins the drain; a second call changes nothing. */
--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -6,10 +6,10 @@
 import type { IncomingMessage, ServerResponse } from 'node:http';
 import type { Address, Configuration, WorkspaceSpec } from '@cassiamast/coordination';
 import {
-  type ClosingServer,
+  type GracefulServer,
   type CloseOptions,
-  createClosingServer,
-} from '../node/closing-server.js';
+  createGracefulServer,
+} from '../node/graceful-server.js';
 import { listenExclusively } from '../node/control-server.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import type { Child } from '../supervisor/supervisor.js';
@@ -37,7 +37,7 @@
 const OTHER_ENTRY_RETRY_MS = 1_000;
 
 /** After the drain: answers that are left go on elsewhere, for the callers that come back. */
-const CLOSE: CloseOptions = { quietMs: 100, patienceMs: 5_000 };
+const CLOSE: CloseOptions = { idleMs: 100, timeoutMs: 5_000 };
 
 const MODEL_PATHS: ReadonlyMap<string, AnswerFormat> = new Map([
   ['/v1/completions', AnswerFormat.Completion],
@@ -77,10 +77,10 @@
 
 /** Makes the callers' port. */
 export function createCallerServer(options: CallerServerOptions): CallerServer {
-  let port: ClosingServer | null = null;
+  let port: GracefulServer | null = null;
 
   function start(): Promise<void> {
-    const made = createClosingServer(
+    const made = createGracefulServer(
       {
         requestTimeout: REQUEST_TIMEOUT_MS,
         headersTimeout: HEADERS_TIMEOUT_MS,
@@ -89,7 +89,7 @@
       (request, response) => {
         // Guards against callers who are held to this entry by a kept connection while it leaves: it
         // shows as callers who come back as they are told and are refused again.
-        if (options.isLeaving()) made.turnAway();
+        if (options.isLeaving()) made.disableKeepAlive();
         void serve(options, request, response);
       },
     );
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -13,9 +13,9 @@
 } from '@cassiamast/coordination';
 import {
   type CloseOptions,
-  type ClosingServer,
-  createClosingServer,
-} from '../node/closing-server.js';
+  type GracefulServer,
+  createGracefulServer,
+} from '../node/graceful-server.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
@@ -54,7 +54,7 @@
   noDelay: true,
 };
 /** Closes the port as the end of the process would. */
-const AT_ONCE: CloseOptions = { quietMs: 0, patienceMs: 0 };
+const AT_ONCE: CloseOptions = { idleMs: 0, timeoutMs: 0 };
 
 /** The callers' port. */
 export interface FrontServer {
@@ -66,7 +66,7 @@
   /** Follows the limits of the configuration in force. */
   readonly follow: () => void;
   /** From now on each answer asks its caller to connect anew, which leads to another gateway. */
-  readonly turnAway: () => void;
+  readonly disableKeepAlive: () => void;
   /** From now on only requests are taken that end by then, whatever happens to them. */
   readonly takeOnlyUntil: (endsAtMs: number) => void;
   /** From now on every request is refused; none reaches a target any more. */
@@ -89,7 +89,7 @@
 export function createFrontServer(address: Address, services: ForwardingServices): FrontServer {
   const admission: Admission = { takenUntilMs: Infinity, running: new Set() };
   let received = 0;
-  let server: ClosingServer | null = null;
+  let server: GracefulServer | null = null;
 
   function serve(request: IncomingMessage, response: ServerResponse): void {
     received += 1;
@@ -110,7 +110,7 @@
     child: {
       name: 'front-server',
       start: async () => {
-        server = createClosingServer(SERVER_OPTIONS, serve);
+        server = createGracefulServer(SERVER_OPTIONS, serve);
         await listenExclusively(server.server, address);
       },
       stop: async () => {
@@ -124,8 +124,8 @@
       // Answers tell callers of it, who close before it is over.
       if (server !== null && idleMs > 0) server.server.keepAliveTimeout = idleMs;
     },
-    turnAway: () => {
-      server?.turnAway();
+    disableKeepAlive: () => {
+      server?.disableKeepAlive();
     },
     takeOnlyUntil: (endsAtMs) => {
       admission.takenUntilMs = endsAtMs;
--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -13,7 +13,7 @@
   startDrain,
   tickDrain,
 } from '@cassiamast/coordination';
-import type { StopReason } from '../node/process-life.js';
+import type { StopReason } from '../node/run-process.js';
 import type { FrontServer } from './front-server.js';
 import type { GatewayLog } from './gateway-log.js';
 
@@ -21,13 +21,13 @@
 /** The balancer takes a gateway out after two questions without a 200, a second apart. */
 const NOTICE_MS = 2500;
 /** Kept connections stay open for so long: a request may be on its way to them. */
-const QUIET_MS = 50;
+const IDLE_MS = 50;
 /** The end of the grace, in the order of its use. */
 const HAND_OVER_MS = 250;
 const CLOSE_PORT_MS = 200;
-const STOP_PARTS_MS = 100;
+const STOP_CHILDREN_MS = 100;
 /** Where the grace has more left: other gateways still get answers to what they asked. */
-const STOP_PARTS_MOST_MS = 500;
+const STOP_CHILDREN_MOST_MS = 500;
 const WRITE_LOG_MS = 100;
 /** Left to the system for the exit itself. */
 const EXIT_MS = 50;
@@ -42,7 +42,7 @@
   /** Tells the balancer and the other gateways. */
   readonly announceLeaving: () => void;
   /** Stops what requests need. */
-  readonly stopParts: () => Promise<void>;
+  readonly stopChildren: () => Promise<void>;
   readonly writeLog: () => Promise<void>;
 }
 
@@ -58,20 +58,20 @@
     graceMs: options.graceMs(),
   });
   const graceEndsAtMs = options.nowMs() + options.graceMs();
-  front.turnAway();
+  front.disableKeepAlive();
   options.announceLeaving();
   await drain(options);
   const receivedBefore = front.received();
-  const cutRequests = await front.close({ quietMs: QUIET_MS, patienceMs: CLOSE_PORT_MS });
+  const abortedRequests = await front.close({ idleMs: IDLE_MS, timeoutMs: CLOSE_PORT_MS });
   const receivedSinceDrained = front.received() - receivedBefore;
-  log.lifecycle('gateway ends', { receivedSinceDrained, cutRequests });
+  log.lifecycle('gateway ends', { receivedSinceDrained, abortedRequests });
   const leftMs = graceEndsAtMs - options.nowMs() - WRITE_LOG_MS - EXIT_MS;
-  await atMost(Math.min(Math.max(leftMs, 0), STOP_PARTS_MOST_MS), options.stopParts());
+  await atMost(Math.min(Math.max(leftMs, 0), STOP_CHILDREN_MOST_MS), options.stopChildren());
   await atMost(WRITE_LOG_MS, options.writeLog());
 }
 
 async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
-  const afterDrainMs = HAND_OVER_MS + CLOSE_PORT_MS + STOP_PARTS_MS + WRITE_LOG_MS + EXIT_MS;
+  const afterDrainMs = HAND_OVER_MS + CLOSE_PORT_MS + STOP_CHILDREN_MS + WRITE_LOG_MS + EXIT_MS;
   const drainMs = Math.max(0, graceMs() - afterDrainMs);
   const state = createDrain({
     ...DRAIN_OPTIONS,
@@ -112,8 +112,8 @@
 }
 
 /** Waits for work that may not end, such as a write that nobody reads. */
-async function atMost(patienceMs: number, work: Promise<void>): Promise<void> {
+async function atMost(timeoutMs: number, work: Promise<void>): Promise<void> {
   const timer = new AbortController();
-  await Promise.race([work, sleep(patienceMs, undefined, { signal: timer.signal, ref: false })]);
+  await Promise.race([work, sleep(timeoutMs, undefined, { signal: timer.signal, ref: false })]);
   timer.abort();
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -26,7 +26,7 @@
 import { createControlServer } from '../node/control-server.js';
 import { createLog } from '../node/logging.js';
 import { allowNetworks } from '../node/networks.js';
-import type { StopReason } from '../node/process-life.js';
+import type { StopReason } from '../node/run-process.js';
 import { isReachable } from '../node/reachable.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
@@ -278,7 +278,7 @@
             // It no longer sees what engines are asked for, so it must give them no orders.
             void planner.stop();
           },
-          stopParts: close,
+          stopChildren: close,
           writeLog: writer.flush,
         },
         reason,
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,7 +6,7 @@
 export { type MemberProof, createMemberProof } from './node/secret.js';
 export { RpcMethod } from './protocol/methods.js';
 export type { EntrySettings, LoadedSettings, SidecarSettings } from './settings/settings.js';
-export { ExitCode, type OnFailure, StopReason, runProcess } from './node/process-life.js';
+export { ExitCode, type OnFailure, StopReason, runProcess } from './node/run-process.js';
 export { type WriteText, writeStandardOutput } from './gateway/log-writer.js';
 export type { GatewaySettings } from './gateway/settings.js';
 export {
@@ -15,4 +15,3 @@
   startGateway,
 } from './gateway/start-gateway.js';
 export { type RunningProcess, startProcess } from './wiring/start-process.js';
-export { stopOnSignals } from './wiring/stop-signals.js';
--- a/packages/daemon/src/main.ts
+++ b/packages/daemon/src/main.ts
@@ -5,44 +5,33 @@
  */
 import './memory-flags.js';
 import { parseArgs } from 'node:util';
-import { type Failure, FailureError } from '@cassiamast/coordination';
 import { consola } from 'consola';
-import { loadSettings } from './settings/settings.js';
+import { ExitCode, describeFailure, runProcess } from './node/run-process.js';
+import { type LoadedSettings, loadSettings } from './settings/settings.js';
 import { startProcess } from './wiring/start-process.js';
-import { stopOnSignals } from './wiring/stop-signals.js';
 
-/** Exit codes, as documented in docs/RUNNING.md. */
-enum ExitCode {
-  Stopped = 0,
-  Failed = 1,
-  BadUsage = 2,
+function report(message: string, done: () => void): void {
+  consola.error(message);
+  done();
 }
 
-function fail(failure: Failure, code: ExitCode): never {
-  consola.error(`${failure.title}: ${failure.message}\n${failure.hint}`);
-  process.exit(code);
+function fail(message: string): never {
+  consola.error(message);
+  process.exit(ExitCode.BadUsage);
 }
 
-async function main(): Promise<void> {
+async function readSettings(): Promise<LoadedSettings> {
   const { values } = parseArgs({ options: { settings: { type: 'string', short: 's' } } });
-  if (values.settings === undefined) {
-    consola.error('Usage: cassiamastd --settings FILE');
-    process.exit(ExitCode.BadUsage);
-  }
+  if (values.settings === undefined) fail('Usage: cassiamastd --settings FILE');
   const loaded = await loadSettings(values.settings, process.env);
-  if (loaded.isErr()) fail(loaded.error, ExitCode.BadUsage);
-  const starting = startProcess(loaded.value, (failure) => {
-    fail(failure, ExitCode.Failed);
-  });
-  // Parts that are started first may have work before the last one serves.
-  const stop = async (): Promise<void> => (await starting).stop();
-  stopOnSignals(process, stop, (wentWell) => {
-    process.exit(wentWell ? ExitCode.Stopped : ExitCode.Failed);
-  });
-  await starting;
+  if (loaded.isErr()) fail(describeFailure(loaded.error));
+  return loaded.value;
 }
 
-main().catch((error: unknown) => {
-  if (error instanceof FailureError) fail(error.failure, ExitCode.Failed);
-  throw error;
+runProcess(process, {
+  start: async (onFailure) => startProcess(await readSettings(), onFailure),
+  worksWhileStarting: true,
+  stopSignals: ['SIGTERM', 'SIGINT'],
+  report,
+  exit: (code) => process.exit(code),
 });
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -14,7 +14,7 @@
 import type { Child } from '../supervisor/supervisor.js';
 import { METRICS_PATH, RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { formatAddress } from './address.js';
-import { type ClosingServer, type CloseOptions, createClosingServer } from './closing-server.js';
+import { type GracefulServer, type CloseOptions, createGracefulServer } from './graceful-server.js';
 import { ADDRESS_TAKEN, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
 import { readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
@@ -26,7 +26,7 @@
 const MAX_CONNECTIONS = 4_096;
 const REQUEST_TIMEOUT_MS = 10_000;
 /** Calls are answered within that; a stream that is still open has nobody left who feeds it. */
-const CLOSE: CloseOptions = { quietMs: 50, patienceMs: 1_000 };
+const CLOSE: CloseOptions = { idleMs: 50, timeoutMs: 1_000 };
 /** JSON-RPC leaves this range to servers. */
 export const RPC_FAILURE_CODE = -32_000;
 
@@ -67,11 +67,11 @@
       }
     });
   }
-  let port: ClosingServer | null = null;
+  let port: GracefulServer | null = null;
   return {
     name: 'control-server',
     start: async () => {
-      port = createClosingServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
+      port = createGracefulServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
         void serve(options, rpc, request, response);
       });
       const { server } = port;
--- a/packages/daemon/src/node/closing-server.ts
+++ b/packages/daemon/src/node/graceful-server.ts
@@ -15,21 +15,21 @@
 /** How a server is closed. */
 export interface CloseOptions {
   /** Connections that ask nothing stay open for so long: a request may be on its way to them. */
-  readonly quietMs: number;
+  readonly idleMs: number;
   /** How long all of it may take; what is open then is cut. */
-  readonly patienceMs: number;
+  readonly timeoutMs: number;
 }
 
 /** A server that can be closed without a cut. */
-export interface ClosingServer {
+export interface GracefulServer {
   readonly server: Server;
   /** Requests whose answer is not yet with the operating system as a whole. */
   readonly open: () => number;
   /** From now on each answer asks its caller to connect anew. */
-  readonly turnAway: () => void;
+  readonly disableKeepAlive: () => void;
   /**
    * Stops listening, answers what was sent on open connections and closes each of them once it is
-   * quiet. Resolves, when no connection is left, with the number of requests that were cut.
+   * idle. Resolves, when no connection is left, with the number of requests that were cut.
    */
   readonly close: (options: CloseOptions) => Promise<number>;
 }
@@ -52,10 +52,13 @@
 }
 
 /** Makes a server that does not listen yet. */
-export function createClosingServer(options: ServerOptions, serve: RequestListener): ClosingServer {
+export function createGracefulServer(
+  options: ServerOptions,
+  serve: RequestListener,
+): GracefulServer {
   const connections = new Map<Socket, Connection>();
-  let turnsAway = false;
-  let quietMs: number | null = null;
+  let endsKeepAlive = false;
+  let idleMs: number | null = null;
 
   const server = createServer(options, (request, response) => {
     const { socket } = request;
@@ -64,11 +67,11 @@
     // The connection ends with an answer before this one, so nobody would hear of it.
     if (connection.last?.headersSent === true) return;
     connection.open.add(response);
-    if (turnsAway) endWith(connection, response);
+    if (endsKeepAlive) endWith(connection, response);
     response.once('close', () => {
       connection.open.delete(response);
       connection.readBytes = socket.bytesRead;
-      letGo(socket, connection);
+      closeWhenIdle(socket, connection);
     });
     serve(request, response);
   });
@@ -77,7 +80,7 @@
     connections.set(socket, connection);
     socket.once('close', () => connections.delete(socket));
     // Accepted by the system before the server stopped to listen.
-    letGo(socket, connection);
+    closeWhenIdle(socket, connection);
   });
 
   function openAnswers(): readonly ServerResponse[] {
@@ -85,19 +88,19 @@
   }
 
   /** Closes a connection of a server that closes, unless it asks something in the meantime. */
-  function letGo(socket: Socket, connection: Connection): void {
-    if (quietMs === null) return;
+  function closeWhenIdle(socket: Socket, connection: Connection): void {
+    if (idleMs === null) return;
     setTimeout(() => {
       // What has arrived by now is read first.
       setImmediate(() => {
-        const isQuiet = connection.open.size === 0 && socket.bytesRead === connection.readBytes;
-        if (isQuiet) socket.destroy();
+        const isIdle = connection.open.size === 0 && socket.bytesRead === connection.readBytes;
+        if (isIdle) socket.destroy();
       });
-    }, quietMs).unref();
+    }, idleMs).unref();
   }
 
-  function turnAway(): void {
-    turnsAway = true;
+  function disableKeepAlive(): void {
+    endsKeepAlive = true;
     for (const connection of connections.values()) {
       const newest = [...connection.open].at(-1);
       if (newest !== undefined && !newest.headersSent) endWith(connection, newest);
@@ -105,25 +108,25 @@
   }
 
   async function close(how: CloseOptions): Promise<number> {
-    turnAway();
-    quietMs = how.quietMs;
+    disableKeepAlive();
+    idleMs = how.idleMs;
     let cut = 0;
     await new Promise<void>((resolve) => {
       const timer = setTimeout(() => {
         cut = openAnswers().length;
         for (const socket of connections.keys()) socket.destroy();
-      }, how.patienceMs);
+      }, how.timeoutMs);
       // The HTTP server's own method would destroy connections that look idle.
       NetServer.prototype.close.call(server, () => {
         clearTimeout(timer);
         resolve();
       });
-      for (const [socket, connection] of connections) letGo(socket, connection);
+      for (const [socket, connection] of connections) closeWhenIdle(socket, connection);
     });
     // Ends the server's own timer.
     server.close();
     return cut;
   }
 
-  return { server, open: () => openAnswers().length, turnAway, close };
+  return { server, open: () => openAnswers().length, disableKeepAlive, close };
 }
--- a/packages/daemon/test/gateway/graceful-stop.test.ts
+++ b/packages/daemon/test/gateway/graceful-stop.test.ts
@@ -3,7 +3,7 @@
 import { describe, it } from 'node:test';
 import type { FrontServer } from '../../src/gateway/front-server.js';
 import { stopGracefully } from '../../src/gateway/graceful-stop.js';
-import { StopReason } from '../../src/node/process-life.js';
+import { StopReason } from '../../src/node/run-process.js';
 
 const GRACE_MS = 8000;
 /** All of it is needed for the end, so that the drain is over at once. */
@@ -33,7 +33,7 @@
     },
     received: () => 0,
     follow: () => undefined,
-    turnAway: () => steps.push('turn away'),
+    disableKeepAlive: () => steps.push('disable keep-alive'),
     takeOnlyUntil: () => steps.push('limit'),
     refuseAll: () => {
       refuses = true;
@@ -59,10 +59,10 @@
       nowMs: () => performance.now(),
       log: { info: note, warn: note, lifecycle: note },
       announceLeaving: () => steps.push('announce'),
-      stopParts: () => Promise.resolve(note('stop parts')),
+      stopChildren: () => Promise.resolve(note('stop parts')),
       writeLog: () => Promise.resolve(note('write log')),
     },
-    StopReason.Told,
+    StopReason.Requested,
   );
 }
 
@@ -75,7 +75,14 @@
     const { front, tookAfterDrain } = fakeFront(LOOKS_BUSY, steps);
     await stop(front, GRACE_MS, steps);
     assert.equal(tookAfterDrain(), false);
-    assert.deepEqual(steps, ['gateway stops', 'turn away', 'announce', 'limit', 'refuse', ...END]);
+    assert.deepEqual(steps, [
+      'gateway stops',
+      'disable keep-alive',
+      'announce',
+      'limit',
+      'refuse',
+      ...END,
+    ]);
   });
 
   it('tells what is still open before it closes the port', async () => {
@@ -83,6 +90,13 @@
     const { front } = fakeFront(Infinity, steps);
     await stop(front, SHORT_GRACE_MS, steps);
     const over = ['refuse', 'grace is over', 'end all'];
-    assert.deepEqual(steps, ['gateway stops', 'turn away', 'announce', 'limit', ...over, ...END]);
+    assert.deepEqual(steps, [
+      'gateway stops',
+      'disable keep-alive',
+      'announce',
+      'limit',
+      ...over,
+      ...END,
+    ]);
   });
 });
--- a/packages/daemon/test/node/closing-server.test.ts
+++ b/packages/daemon/test/node/graceful-server.test.ts
@@ -3,25 +3,25 @@
 import type { RequestListener, ServerResponse } from 'node:http';
 import { type AddressInfo, type Socket, connect } from 'node:net';
 import { describe, it } from 'node:test';
-import { type ClosingServer, createClosingServer } from '../../src/node/closing-server.js';
+import { type GracefulServer, createGracefulServer } from '../../src/node/graceful-server.js';
 import { type RawCaller, callRaw } from '../fixtures/raw-caller.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
 const HOST = '127.0.0.1';
 /** Longer than any of these tests: what ends, ends by itself. */
-const PATIENCE_MS = 60_000;
+const TIMEOUT_MS = 60_000;
 const REQUEST = 'GET / HTTP/1.1\r\nhost: here\r\n\r\n';
 /** More than the buffers of both ends of a connection hold. */
 const LARGE_ANSWER = Buffer.alloc(32 * 1024 * 1024, 'x');
 
-async function listen(serve: RequestListener): Promise<ClosingServer> {
-  const made = createClosingServer({}, serve);
+async function listen(serve: RequestListener): Promise<GracefulServer> {
+  const made = createGracefulServer({}, serve);
   await new Promise<void>((resolve) => made.server.listen(0, HOST, resolve));
   return made;
 }
 
 /** A caller that the server has let in, with the server's end of the connection. */
-async function call(made: ClosingServer): Promise<RawCaller & { readonly peer: Socket }> {
+async function call(made: GracefulServer): Promise<RawCaller & { readonly peer: Socket }> {
   const caller = callRaw((made.server.address() as AddressInfo).port);
   const peer = await new Promise<Socket>((resolve) => made.server.once('connection', resolve));
   return { ...caller, peer };
@@ -44,7 +44,7 @@
     const caller = await call(made);
     caller.socket.write(REQUEST);
     await waitFor(() => waiting.length === 1);
-    const closed = made.close({ quietMs: 0, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
     waiting[0]?.end('done');
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
@@ -59,7 +59,7 @@
     const caller = await call(made);
     caller.socket.write('POST / HTTP/1.1\r\nhost: here\r\ncontent-');
     await waitFor(() => caller.peer.bytesRead > 0);
-    const closed = made.close({ quietMs: 0, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
     caller.socket.write('length: 4\r\n\r\n');
     caller.socket.write('body');
     assert.equal(await closed, 0);
@@ -68,12 +68,12 @@
   });
 
   // Guards against a kept connection that is closed while the next request is on its way to it.
-  it('answers a request that comes on a kept connection before that is quiet', async () => {
+  it('answers a request that comes on a kept connection before that is idle', async () => {
     const made = await listen((_request, response) => response.end('done'));
     const caller = await call(made);
     caller.socket.write(REQUEST);
     await waitFor(() => caller.answers() === 1);
-    const closed = made.close({ quietMs: PATIENCE_MS / 2, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: TIMEOUT_MS / 2, timeoutMs: TIMEOUT_MS });
     caller.socket.write(REQUEST);
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
@@ -90,7 +90,7 @@
     await waitFor(() => waiting.length === 1);
     waiting[0]?.write('begun');
     await waitFor(() => caller.text().includes('begun'));
-    const closed = made.close({ quietMs: 0, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
     waiting[0]?.end('done');
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
@@ -104,7 +104,7 @@
     caller.socket.pause();
     caller.socket.write(REQUEST);
     await waitFor(() => made.open() === 1);
-    const closed = made.close({ quietMs: 0, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
     caller.socket.resume();
     assert.equal(await closed, 0);
     await waitFor(caller.isClosed);
@@ -116,30 +116,30 @@
   it('does not wait for a connection that never asked anything', async () => {
     const made = await listen((_request, response) => response.end('done'));
     const caller = await call(made);
-    assert.equal(await made.close({ quietMs: 0, patienceMs: PATIENCE_MS }), 0);
+    assert.equal(await made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS }), 0);
     await waitFor(caller.isClosed);
   });
 
-  it('cuts what is open when its patience is over, and counts it', async () => {
+  it('cuts what is open when its time is over, and counts it', async () => {
     const { serve, waiting } = held();
     const made = await listen(serve);
     const caller = await call(made);
     caller.socket.write(REQUEST);
     await waitFor(() => waiting.length === 1);
-    assert.equal(await made.close({ quietMs: 0, patienceMs: 0 }), 1);
+    assert.equal(await made.close({ idleMs: 0, timeoutMs: 0 }), 1);
     await waitFor(caller.isClosed);
     assert.equal(caller.text(), '');
   });
 
   it('ends where it has never listened', async () => {
-    const made = createClosingServer({}, () => undefined);
-    assert.equal(await made.close({ quietMs: 0, patienceMs: PATIENCE_MS }), 0);
+    const made = createGracefulServer({}, () => undefined);
+    assert.equal(await made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS }), 0);
   });
 
   it('listens no more', async () => {
     const made = await listen((_request, response) => response.end('done'));
     const { port } = made.server.address() as AddressInfo;
-    const closed = made.close({ quietMs: 0, patienceMs: PATIENCE_MS });
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
     const refused = await new Promise((resolve) => {
       connect(port, HOST).on('error', resolve);
     });
--- a/packages/daemon/test/wiring/stop-signals.test.ts
+++ b/packages/daemon/test/wiring/stop-signals.test.ts
@@ -7,9 +7,10 @@
 import { tmpdir } from 'node:os';
 import { join } from 'node:path';
 import { after, before, describe, it } from 'node:test';
+import { setImmediate as nextTurn } from 'node:timers/promises';
 import { type KeyValueStandIn, freePort, startKeyValue } from '@cassiamast/stand-ins';
 import { withResolvers } from '../../src/node/http-body.js';
-import { stopOnSignals } from '../../src/wiring/stop-signals.js';
+import { ExitCode, type ProcessOptions, runProcess } from '../../src/node/run-process.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
 const MAIN = new URL('../../src/main.js', import.meta.url).pathname;
@@ -26,39 +27,86 @@
   readonly says: (what: string) => Promise<void>;
 }
 
+/** Runs a process within the test; `ends` takes its exit codes. */
+function run(
+  source: EventEmitter,
+  stop: () => Promise<void>,
+  ends: ExitCode[],
+  reported: string[] = [],
+): Promise<void> {
+  const options: ProcessOptions = {
+    start: () => Promise.resolve({ stop }),
+    worksWhileStarting: false,
+    stopSignals: ['SIGTERM', 'SIGINT'],
+    report: (message, done) => {
+      reported.push(message);
+      done();
+    },
+    exit: (code) => ends.push(code),
+  };
+  runProcess(source, options);
+  return nextTurn();
+}
+
 describe('signals that stop', () => {
   it('stop once, whichever come', async () => {
     const source = new EventEmitter();
     const stopped = withResolvers<undefined>();
     let stops = 0;
-    const ends: boolean[] = [];
+    const ends: ExitCode[] = [];
     const stop = (): Promise<void> => {
       stops += 1;
       return stopped.promise;
     };
-    stopOnSignals(source, stop, (wentWell) => {
-      ends.push(wentWell);
-    });
+    await run(source, stop, ends);
     for (const signal of ['SIGTERM', 'SIGINT', 'SIGTERM']) source.emit(signal);
     assert.deepEqual([stops, ends], [1, []]);
     stopped.resolve(undefined);
     await waitFor(() => ends.length > 0);
-    assert.deepEqual([stops, ends], [1, [true]]);
+    assert.deepEqual([stops, ends], [1, [ExitCode.Stopped]]);
   });
 
   it('tell that stopping failed', async () => {
     const source = new EventEmitter();
-    const ends: boolean[] = [];
-    stopOnSignals(
-      source,
-      () => Promise.reject(new Error('a part does not stop')),
-      (wentWell) => {
-        ends.push(wentWell);
-      },
-    );
+    const ends: ExitCode[] = [];
+    const reported: string[] = [];
+    const cause = 'a part does not stop';
+    await run(source, () => Promise.reject(new Error(cause)), ends, reported);
+    source.emit('SIGTERM');
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual(ends, [ExitCode.Failed]);
+    assert.ok(reported[0]?.includes(cause));
+  });
+
+  // Guards against a stop that throws at once, after which the process would never end.
+  it('end a process whose stop throws', async () => {
+    const source = new EventEmitter();
+    const ends: ExitCode[] = [];
+    const stop = (): never => {
+      throw new Error('thrown');
+    };
+    await run(source, stop, ends);
     source.emit('SIGTERM');
     await waitFor(() => ends.length > 0);
-    assert.deepEqual(ends, [false]);
+    assert.deepEqual(ends, [ExitCode.Failed]);
+  });
+});
+
+describe('an error that nothing caught', () => {
+  // Guards against a fault in one request that cuts all others.
+  it('stops the process gracefully, with its own exit code', async () => {
+    const source = new EventEmitter();
+    const stopped = withResolvers<undefined>();
+    const ends: ExitCode[] = [];
+    const reported: string[] = [];
+    await run(source, () => stopped.promise, ends, reported);
+    source.emit('uncaughtException', new Error('thrown'));
+    await nextTurn();
+    assert.deepEqual(ends, []);
+    stopped.resolve(undefined);
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual(ends, [ExitCode.Failed]);
+    assert.ok(reported[0]?.includes('thrown'));
   });
 });
 
