Let what runs at a target end that is edited out of the text

What callers saw: a call of a plain service that was cut, with its outcome unknown, when operators took its target out of the text or gave it another address; a stream went on at another engine, which ran it a second time. Its content was noted as one that crashes engines.

Cause: the sidecar closed its connections to the former backend at once, with what ran on them; the streams that broke looked like a crash.

Change: a backend that is no longer in the text retires: it closes its connections when the last of what runs has ended.

--- a/packages/daemon/src/sidecar/backend.ts
+++ b/packages/daemon/src/sidecar/backend.ts
@@ -10,8 +10,8 @@
   /** Takes up a stream that a former sidecar started. */
   readonly resume: (attemptId: string, fromIndex: number) => void;
   readonly cancel: (attemptId: string) => void;
-  /** Releases every connection. */
-  readonly close: () => Promise<void>;
+  /** Starts nothing more; releases its connections when what runs has ended. */
+  readonly retire: () => void;
 }
 
 /** Takes what a backend reports. */
--- a/packages/daemon/src/sidecar/engine-backend.ts
+++ b/packages/daemon/src/sidecar/engine-backend.ts
@@ -50,6 +50,16 @@
   const { engine, onEvent } = options;
   const running = new Map<string, Running>();
   let epoch = '';
+  let isRetired = false;
+
+  function letGo(): void {
+    if (isRetired && running.size === 0) void engine.close();
+  }
+
+  function end(attemptId: string): void {
+    running.delete(attemptId);
+    letGo();
+  }
 
   function begin(attemptId: string, nextIndex: number): Running {
     const entry: Running = { stream: null, epoch, nextIndex, resumes: 0, cancelled: false };
@@ -69,7 +79,7 @@
         if (!finished && !entry.cancelled) void takeUp(attemptId, entry);
       },
       onFailure: (failure) => {
-        if (!entry.cancelled) fail(attemptId, entry, failure);
+        if (!finished && !entry.cancelled) fail(attemptId, entry, failure);
       },
     };
   }
@@ -81,7 +91,7 @@
       onEvent({ kind: HostEventKind.EngineTokens, attemptId, index, tokens });
       return;
     }
-    running.delete(attemptId);
+    end(attemptId);
     const { reason, promptTokens, cachedTokens, outputTokens } = chunk;
     const ending = { reason, promptTokens, cachedTokens, outputTokens, plain: null };
     onEvent({ kind: HostEventKind.EngineEnded, attemptId, ending });
@@ -92,7 +102,7 @@
       void takeUp(attemptId, entry);
       return;
     }
-    running.delete(attemptId);
+    end(attemptId);
     if (ENGINE_STREAM_UNKNOWN.is(failure)) {
       onEvent({ kind: HostEventKind.EngineStreamMissing, attemptId });
       return;
@@ -114,7 +124,7 @@
       return;
     }
     if (entry.resumes >= MAX_RESUMES) {
-      running.delete(attemptId);
+      end(attemptId);
       onEvent({ kind: HostEventKind.EngineStreamFailed, attemptId, mayHaveRun: true });
       return;
     }
@@ -134,6 +144,7 @@
 
   function crashed(): void {
     running.clear();
+    letGo();
     epoch = '';
     onEvent({ kind: HostEventKind.EngineCrashed });
   }
@@ -164,9 +175,12 @@
         entry.cancelled = true;
         entry.stream?.cancel();
       }
-      void engine.cancel(attemptId);
+      void engine.cancel(attemptId).then(letGo);
+    },
+    retire: () => {
+      isRetired = true;
+      letGo();
     },
-    close: () => engine.close(),
   };
 }
 
--- a/packages/daemon/src/sidecar/plain-backend.ts
+++ b/packages/daemon/src/sidecar/plain-backend.ts
@@ -12,18 +12,30 @@
 
 /** Makes the backend of one plain service. */
 export function createPlainBackend(service: PlainServiceClient, onEvent: OnBackendEvent): Backend {
+  let running = 0;
+  let isRetired = false;
+
+  function letGo(): void {
+    if (isRetired && running === 0) void service.close();
+  }
+
   return {
     start: (attempt, payload) => {
       const { method, path, headers, bodyBase64, timeoutMs } = payload as PlainPayload;
       const request = { requestId: attempt.id, method, path, headers, bodyBase64, timeoutMs };
       const attemptId = attempt.id;
+      running += 1;
       void service.call(request).match(
         (plain) => {
+          running -= 1;
+          letGo();
           const counts = { promptTokens: 0, cachedTokens: 0, outputTokens: 0 };
           const ending = { reason: PLAIN_REASON, ...counts, plain };
           onEvent({ kind: HostEventKind.EngineEnded, attemptId, ending });
         },
         (failure) => {
+          running -= 1;
+          letGo();
           const data = (failure.data ?? {}) as { readonly mayHaveRun?: boolean };
           const mayHaveRun = data.mayHaveRun ?? true;
           onEvent({ kind: HostEventKind.EngineStreamFailed, attemptId, mayHaveRun });
@@ -35,6 +47,9 @@
       onEvent({ kind: HostEventKind.EngineStreamMissing, attemptId });
     },
     cancel: () => undefined,
-    close: () => service.close(),
+    retire: () => {
+      isRetired = true;
+      letGo();
+    },
   };
 }
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -132,7 +132,7 @@
     const after = found === null ? '' : formatAddress(found.spec.backend);
     beside = found;
     if (before === after) return;
-    void backend?.close();
+    backend?.retire();
     engine = null;
     engineBackend = null;
     backend = found === null ? null : makeBackend(found);
--- a/packages/daemon/test/outcomes/planned-change.test.ts
+++ b/packages/daemon/test/outcomes/planned-change.test.ts
@@ -20,6 +20,14 @@
   return { ...configuration, services };
 }
 
+function remove(configuration: Configuration, name: string): Configuration {
+  const services = configuration.services.map((service) => ({
+    ...service,
+    targets: service.targets.filter((target) => target.name !== name),
+  }));
+  return { ...configuration, services };
+}
+
 describe('planned change', () => {
   let fleet: Fleet;
 
@@ -78,4 +86,20 @@
     }
     await fleet.apply(before);
   });
+
+  // Guards against an edit that cuts what runs at a target, and takes the cut for a crash.
+  it('lets what runs at a target end that is taken out of the text', async () => {
+    const prompt = 'Finding while its target is taken out of the text';
+    const answer = askStream({ url: fleet.url(0), prompt, maxTokens: LONG });
+    await waitFor(() => answer.text.length > 50);
+    const index = fleet.engines.findIndex((engine) => engine.runsOf(prompt) > 0);
+    const before = fleet.configuration();
+    await fleet.apply(remove(before, `inspect-${String(index)}`));
+    await answer.closed;
+    assert.equal(answer.done, true, JSON.stringify(answer.problem));
+    assert.equal(checkAnswer(prompt, LONG, answer.text), AnswerVerdict.Whole);
+    const runs = fleet.engines.reduce((sum, engine) => sum + engine.runsOf(prompt), 0);
+    assert.equal(runs, 1);
+    await fleet.apply(before);
+  });
 });
