Answer a member's call that can not be served

What callers could see (from the code; no run has shown it): all that was open in a process is cut, since one member's call did not have the form that its handler expects, as between versions.

Cause: nothing caught what a stream's handler or the text of the metrics threw; in a daemon an unhandled rejection ends the process.

Change: the control port answers such a call as malformed, or cuts it where its answer has begun, and goes on.

Evidence: the new test has a handler that throws.

--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -72,7 +72,9 @@
     name: 'control-server',
     start: async () => {
       port = createGracefulServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
-        void serve(options, rpc, request, response);
+        serve(options, rpc, request, response).catch((error: unknown) => {
+          refuse(response, error);
+        });
       });
       const { server } = port;
       server.maxConnections = MAX_CONNECTIONS;
@@ -130,6 +132,12 @@
   else answerJson(response, 404, MALFORMED_CALL.of({ fault: 'unknown path' }));
 }
 
+/** Answers a call that could not be served, as far as nothing of an answer is out. */
+function refuse(response: ServerResponse, error: unknown): void {
+  if (response.headersSent) response.destroy();
+  else answerJson(response, 500, MALFORMED_CALL.of({ fault: String(error) }));
+}
+
 async function readCall(request: IncomingMessage): Promise<JSONRPCRequest | null> {
   const body = await readBody(request, MAX_CALL_BYTES);
   if (body.isErr()) return null;
--- a/packages/daemon/test/node/control-server.test.ts
+++ b/packages/daemon/test/node/control-server.test.ts
@@ -1,6 +1,8 @@
 /** The control port of a member that stops, with calls of other members under way. */
 import assert from 'node:assert/strict';
 import { afterEach, beforeEach, describe, it } from 'node:test';
+import type { Failure } from '@cassiamast/coordination';
+import { MALFORMED_CALL } from '../../src/node/failures.js';
 import { createMemberProof } from '../../src/node/secret.js';
 import { createControlServer } from '../../src/node/control-server.js';
 import { withResolvers } from '../../src/node/http-body.js';
@@ -39,7 +41,11 @@
           return answer.promise;
         },
       },
-      streams: {},
+      streams: {
+        broken: () => {
+          throw new TypeError('params is undefined');
+        },
+      },
       metricsText: () => Promise.resolve(''),
     });
     await server.start(() => undefined);
@@ -59,4 +65,18 @@
     assert.equal(outcome.unwrapOr('cut'), 'done');
     await stopped;
   });
+
+  // Guards against one member's malformed call that ends the process with all that is open in it.
+  it('answers a call that its handler can not read, and goes on', async () => {
+    const failed = withResolvers<Failure>();
+    rpc.stream(member, 'broken', null, {
+      onNotification: () => undefined,
+      onResult: () => undefined,
+      onFailure: failed.resolve,
+    });
+    assert.equal((await failed.promise).name, MALFORMED_CALL.name);
+    answer.resolve('done');
+    const outcome = await rpc.call<string>(member, 'wait', null, { timeoutMs: TIMEOUT_MS });
+    assert.equal(outcome.unwrapOr('cut'), 'done');
+  });
 });
