--- a/packages/stand-ins/test/core/plain-service/plain-service.test.ts
+++ b/packages/stand-ins/test/core/plain-service/plain-service.test.ts
@@ -8,6 +8,7 @@
   PLAIN_SERVICE_UNREACHABLE,
 } from '@cassiamast/ports';
 import type { PlainServiceStandIn } from '../../../src/core/plain-service/plain-service.js';
+import { until } from '../../fixtures/engines.js';
 import { DeathPoint, startPlainService } from '../../../src/core/plain-service/plain-service.js';
 
 function call(change: Partial<PlainRequest> = {}): PlainRequest {
@@ -88,6 +89,8 @@
       service.setFaults({ slowMs: 60_000 });
       const failed = await client.call(call({ timeoutMs: 30 }));
       assert.ok(failed.isErr() && PLAIN_SERVICE_ANSWER_LOST.is(failed.error));
+      // The call's bytes may be sent and not yet read when its time is over.
+      await until(() => service.runs().has('r1'));
       assert.equal(service.runs().get('r1'), 1);
     });
   });
