--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -65,6 +65,9 @@
 const TARGET_KEEP_ALIVE_MS = 4000;
 /** Gateways are given no secret here: the networks that may connect are what protects. */
 const MEMBER_PROOF = 'gateway';
+/** Where the settings name no grace. */
+const DEFAULT_GRACE_MS = 8000;
+
 /** The fleet is listed when this gateway is announced, and at the latest after so long. */
 const ANNOUNCE_FIRST_MS = 150;
 
@@ -169,7 +172,7 @@
     selfId,
   };
   const front = createFrontServer(settings.front, services);
-  let graceMs = settings.graceMs;
+  let graceMs = settings.graceMs > 0 ? settings.graceMs : DEFAULT_GRACE_MS;
   let serves = false;
   let leaving = false;
   let stopped: Promise<void> | null = null;
