Test pipelined requests and slow heads of a server that closes

The review reverted three guards of the graceful server, and no test failed: giving an earlier answer its keep-alive back, not serving a request behind an answer that ends the connection, and waiting for the rest of a request after its other connections are closed.

--- a/packages/daemon/test/node/graceful-server.test.ts
+++ b/packages/daemon/test/node/graceful-server.test.ts
@@ -120,6 +120,61 @@
     await waitFor(caller.isClosed);
   });
 
+  describe('with requests that are sent without waiting for answers', () => {
+    // Guards against a request that is read behind one that was to end the connection, and is cut.
+    it('answers one that comes after the other callers were told', async () => {
+      const { serve, waiting } = held();
+      const made = await listen(serve);
+      const caller = await call(made);
+      caller.socket.write(REQUEST);
+      await waitFor(() => waiting.length === 1);
+      made.disableKeepAlive();
+      caller.socket.write(REQUEST);
+      await waitFor(() => waiting.length === 2);
+      for (const response of waiting) response.end('done');
+      await waitFor(caller.isClosed);
+      assert.equal(caller.answers(), 2);
+      assert.match(caller.text(), /keep-alive[^]*done[^]*connection: close[^]*done$/i);
+      assert.equal(await made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS }), 0);
+    });
+
+    // Guards against a request that runs though nobody will hear of it.
+    it('does not serve one behind an answer that ends the connection', async () => {
+      const { serve, waiting } = held();
+      const made = await listen(serve);
+      const caller = await call(made);
+      made.disableKeepAlive();
+      caller.socket.write(REQUEST);
+      await waitFor(() => waiting.length === 1);
+      waiting[0]?.write('begun');
+      await waitFor(() => caller.text().includes('begun'));
+      const readBytes = caller.peer.bytesRead;
+      caller.socket.write(REQUEST);
+      await waitFor(() => caller.peer.bytesRead > readBytes);
+      waiting[0]?.end('done');
+      await waitFor(caller.isClosed);
+      assert.equal(waiting.length, 1);
+      assert.equal(await made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS }), 0);
+    });
+  });
+
+  // Guards against a request that is cut since it comes slowly.
+  it('waits for the rest of a request after its other connections are closed', async () => {
+    const made = await listen((request, response) => {
+      request.resume().on('end', () => response.end('done'));
+    });
+    const caller = await call(made);
+    const silent = await call(made);
+    caller.socket.write('GET / HTTP/1.1\r\nhost');
+    await waitFor(() => caller.peer.bytesRead > 0);
+    const closed = made.close({ idleMs: 0, timeoutMs: TIMEOUT_MS });
+    await waitFor(silent.isClosed);
+    caller.socket.write(': here\r\n\r\n');
+    assert.equal(await closed, 0);
+    await waitFor(caller.isClosed);
+    assert.equal(caller.answers(), 1);
+  });
+
   it('cuts what is open when its time is over, and counts it', async () => {
     const { serve, waiting } = held();
     const made = await listen(serve);
