Take the grace of a stop once, and name its last steps by what they do

Nothing callers see changes: the stop read the grace three times, and its time for telling callers at the end was called a hand-over, though a gateway moves nothing. Tests of the stop and the server pass.

--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -22,21 +22,21 @@
 const NOTICE_MS = 2500;
 /** Kept connections stay open for so long: a request may be on its way to them. */
 const IDLE_MS = 50;
-/** The end of the grace, in the order of its use. */
-const HAND_OVER_MS = 250;
+/** The end of the grace, in the order of its use; first, what is left open is answered. */
+const ANSWER_MS = 250;
 const CLOSE_PORT_MS = 200;
 const STOP_CHILDREN_MS = 100;
-/** Where the grace has more left: other gateways still get answers to what they asked. */
-const STOP_CHILDREN_MOST_MS = 500;
 const WRITE_LOG_MS = 100;
 /** Left to the system for the exit itself. */
 const EXIT_MS = 50;
+/** Where the grace has more left than that, other gateways still get answers to what they asked. */
+const STOP_CHILDREN_MOST_MS = 500;
 
 /** What a stop needs. */
 export interface GracefulStopOptions {
   readonly front: FrontServer;
   /** From the signal to the kill. */
-  readonly graceMs: () => number;
+  readonly graceMs: number;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   /** Tells the balancer and the other gateways. */
@@ -51,13 +51,9 @@
   options: GracefulStopOptions,
   reason: StopReason,
 ): Promise<void> {
-  const { front, log } = options;
-  log.lifecycle('gateway stops', {
-    reason,
-    openRequests: front.open(),
-    graceMs: options.graceMs(),
-  });
-  const graceEndsAtMs = options.nowMs() + options.graceMs();
+  const { front, log, graceMs } = options;
+  log.lifecycle('gateway stops', { reason, openRequests: front.open(), graceMs });
+  const graceEndsAtMs = options.nowMs() + graceMs;
   front.disableKeepAlive();
   options.announceLeaving();
   await drain(options);
@@ -71,13 +67,13 @@
 }
 
 async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
-  const afterDrainMs = HAND_OVER_MS + CLOSE_PORT_MS + STOP_CHILDREN_MS + WRITE_LOG_MS + EXIT_MS;
-  const drainMs = Math.max(0, graceMs() - afterDrainMs);
+  const afterDrainMs = ANSWER_MS + CLOSE_PORT_MS + STOP_CHILDREN_MS + WRITE_LOG_MS + EXIT_MS;
+  const drainMs = Math.max(0, graceMs - afterDrainMs);
   const state = createDrain({
     ...DRAIN_OPTIONS,
     noticeMs: Math.min(NOTICE_MS, drainMs),
     drainMs,
-    handOverMs: HAND_OVER_MS,
+    handOverMs: ANSWER_MS,
     acceptsWhileDraining: true,
   });
   const perform = (effect: DrainEffect): void => {
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -272,7 +272,7 @@
       stopped ??= stopGracefully(
         {
           front,
-          graceMs: () => graceMs,
+          graceMs,
           nowMs: monotonicMs,
           log,
           announceLeaving: () => {
--- a/packages/daemon/src/node/graceful-server.ts
+++ b/packages/daemon/src/node/graceful-server.ts
@@ -123,7 +123,7 @@
       });
       for (const [socket, connection] of connections) closeWhenIdle(socket, connection);
     });
-    // Ends the server's own timer.
+    // Ends the HTTP server's periodic check for slow requests.
     server.close();
     return cut;
   }
--- a/packages/daemon/test/gateway/graceful-stop.test.ts
+++ b/packages/daemon/test/gateway/graceful-stop.test.ts
@@ -55,7 +55,7 @@
   await stopGracefully(
     {
       front,
-      graceMs: () => graceMs,
+      graceMs,
       nowMs: () => performance.now(),
       log: { info: note, warn: note, lifecycle: note },
       announceLeaving: () => steps.push('announce'),
