Tell a scheduler of a job's end only after it has answered the question

A scheduler could grant an engine to a caller who had left: it shows as engines that read nothing while others wait.

Test: the case of a slow scheduler asks for it, and fails without the change.

--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -245,18 +245,25 @@
     schedulerOf,
     take: async (service, job, signal) => {
       let gateway = '';
+      let asking: Promise<unknown> = Promise.resolve();
       // A busy scheduler may answer long after nobody waits for it any more.
       const over = whenAborted(signal);
       while (!signal.aborted) {
         gateway = schedulerOf(service);
-        const decision = await Promise.race([ask(gateway, service, job()), over.aborted]);
+        const answer = ask(gateway, service, job());
+        asking = answer;
+        const decision = await Promise.race([answer, over.aborted]);
         if (!decision || signal.aborted) continue;
         over.stop();
         return { decision, schedulerId: gateway };
       }
       // Guards against an engine that is kept for a caller who left: it shows as engines that read
-      // nothing while others wait, until the caller's deadline has passed.
-      if (gateway !== '') report(service, gateway, JobEventKind.Ended, job().id, '');
+      // nothing while others wait, until the caller's deadline has passed. The question is waited for,
+      // since a scheduler that heard of the end before it would still grant an engine.
+      const ended = (): void => {
+        if (gateway !== '') report(service, gateway, JobEventKind.Ended, job().id, '');
+      };
+      void asking.then(ended, ended);
       return null;
     },
     report,
--- a/packages/daemon/test/gateway/scheduling-wait.test.ts
+++ b/packages/daemon/test/gateway/scheduling-wait.test.ts
@@ -4,6 +4,8 @@
 import { FleetChangeKind, applyChanges, createFleetView } from '@cassiamast/coordination';
 import { type Result, ResultAsync, ok } from 'neverthrow';
 import type { RpcClient } from '../../src/node/rpc-client.js';
+import { RpcMethod } from '../../src/protocol/methods.js';
+import { waitFor } from '../fixtures/wait-for.js';
 import { createSchedulingClient } from '../../src/gateway/scheduling-client.js';
 import type { JobRequest, SchedulingService } from '../../src/gateway/scheduling-service.js';
 
@@ -17,9 +19,11 @@
     applyChanges(view, [{ kind: FleetChangeKind.Gateway, revision: 1, gateway }], 1, 0);
     let answerQuestion: () => void = () => undefined;
     let isAsked: () => void = () => undefined;
+    const methods: RpcMethod[] = [];
     const asked = new Promise<void>((resolve) => (isAsked = resolve));
     const rpc = {
-      call: () => {
+      call: (_gateway: string, method: RpcMethod) => {
+        methods.push(method);
         isAsked();
         return new ResultAsync(
           new Promise<Result<null, never>>((resolve) => {
@@ -52,8 +56,16 @@
     over.abort();
     for (let turn = 0; turn < 10; turn += 1) await new Promise((resolve) => setImmediate(resolve));
     const endedInTime = isOver;
+    await client.settle();
+    const toldBefore = methods.includes(RpcMethod.ScheduleReport);
     answerQuestion();
     await taken;
+    await waitFor(() => {
+      void client.settle();
+      return methods.includes(RpcMethod.ScheduleReport);
+    });
     assert.equal(endedInTime, true);
+    // Guards against an engine that is granted to nobody, as the end was told before the question.
+    assert.equal(toldBefore, false);
   });
 });
