Log the limit that an answer names, and headers of answers that nobody reads

What operators saw: engines that named a rate limit got as much as before, and no log line said whether the limit was read, ignored or kept by each gateway for itself.

Cause of that blindness: the adapter decodes four headers of an answer and passes the rest on unseen; log lines hold a status only.

Nothing acts on a limit yet.

--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -32,6 +32,8 @@
   readonly detail: string;
   /** Whether the connection broke while the target may have run the request, as in a crash. */
   readonly brokeOff: boolean;
+  /** The rate limit that the answer named, in requests a second; null where it named none. */
+  readonly limitPerS: number | null;
 }
 
 /** What is sent. */
@@ -59,6 +61,8 @@
   readonly transport: HttpTransport;
   readonly wire: CallerWire;
   readonly pulse: TargetPulse;
+  /** Told of each answer that begins. */
+  readonly onAnswerHead: (target: TargetEntry, head: AnswerHead) => void;
 }
 
 /** Sends a request to a target and hands the answer to the sink. */
@@ -71,16 +75,22 @@
 ): Promise<AskOutcome> {
   // A request that is written and then broken off still reaches its target.
   if (signal.aborted) {
-    const detail = 'not begun';
-    return Promise.resolve({ kind: AskOutcomeKind.Stopped, sent: false, detail, brokeOff: false });
+    return Promise.resolve({
+      kind: AskOutcomeKind.Stopped,
+      sent: false,
+      detail: 'not begun',
+      brokeOff: false,
+      limitPerS: null,
+    });
   }
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
+    let limitPerS: number | null = null;
     const finish = (kind: AskOutcomeKind, detail: string, brokeOff = false): void => {
       signal.removeEventListener('abort', onAbort);
       running.stop();
-      resolve({ kind, sent, detail, brokeOff });
+      resolve({ kind, sent, detail, brokeOff, limitPerS });
     };
     const onAbort = (): void => {
       finish(AskOutcomeKind.Stopped, 'stopped');
@@ -100,6 +110,8 @@
         onStart: (status, headers, rawHeaders) => {
           services.pulse.heard(target.id);
           const received = services.wire.readAnswer(status, headers);
+          limitPerS = received.limitPerS;
+          services.onAnswerHead(target, received);
           const fault = headFault(received, request);
           if (fault !== null) {
             finish(AskOutcomeKind.Broken, fault);
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -1,23 +1,19 @@
 /** What the forwarding paths share. */
 import type { FleetView, Hash32, Random } from '@cassiamast/coordination';
-import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import type { AskServices } from './ask-target.js';
 import type { CrashReports } from './crash-reports.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
 import type { TargetHealth } from './target-health.js';
-import type { TargetPulse } from './target-pulse.js';
 
 /** The surroundings of a request's way through the gateway. */
-export interface ForwardingServices {
+export interface ForwardingServices extends AskServices {
   readonly view: FleetView;
-  readonly wire: CallerWire;
-  readonly transport: HttpTransport;
   readonly budgets: RetryBudgets;
   readonly health: TargetHealth;
   readonly scheduling: SchedulingClient;
   readonly crashes: CrashReports;
-  readonly pulse: TargetPulse;
   readonly random: Random;
   readonly hash32: Hash32;
   readonly nowMs: () => number;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -100,6 +100,7 @@
     send: exchange.sends,
     outcome: outcome.kind,
     detail: outcome.detail,
+    limitPerS: outcome.limitPerS ?? undefined,
     tookMs: Math.round(services.nowMs() - startedAtMs),
     leftMs,
     newsAgeMs: newsAgeMs(services),
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -40,6 +40,7 @@
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
 import { createGatewayLog } from './gateway-log.js';
+import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
 import { LOG_BOUNDS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMetricsServer } from './metrics-server.js';
@@ -153,6 +154,10 @@
     log,
     count: telemetry.count,
   });
+  const headerWatch = createHeaderWatch(log);
+  platform.control.onAnswer(({ id }, { call, status, limitPerS }) => {
+    log.info('engine answered', { target: id, call, status, limitPerS: limitPerS ?? undefined });
+  });
   const services: ForwardingServices = {
     view,
     wire: platform.wire,
@@ -162,6 +167,9 @@
     scheduling,
     crashes,
     pulse,
+    onAnswerHead: (target, head) => {
+      headerWatch.note(target, head);
+    },
     random,
     hash32,
     nowMs: monotonicMs,
--- a/packages/daemon/src/gateway/stream-sending.ts
+++ b/packages/daemon/src/gateway/stream-sending.ts
@@ -191,6 +191,7 @@
     send: exchange.sends,
     outcome: outcome.kind,
     detail: outcome.detail,
+    limitPerS: outcome.limitPerS ?? undefined,
     ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
   });
 }
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -50,6 +50,10 @@
   readonly notRun: boolean;
   /** Whether the body was encoded on the way, so that it is not the target's own. */
   readonly encoded: boolean;
+  /** Requests a second that the target takes from all gateways together; null where it names none. */
+  readonly limitPerS: number | null;
+  /** Names of headers that the adapter does not know, in lower case. */
+  readonly unknownHeaders: readonly string[];
 }
 
 /** An answer of the gateway's own. */
--- a/packages/ports/src/engine-control/port.ts
+++ b/packages/ports/src/engine-control/port.ts
@@ -35,8 +35,18 @@
   Refused = 'refused',
 }
 
+/** What an engine named in its answer to a call. */
+export interface AnsweredCall {
+  readonly call: string;
+  readonly status: number;
+  /** Requests a second that it takes from all gateways together; null where it names none. */
+  readonly limitPerS: number | null;
+}
+
 /** Calls to engines. None retries by itself. */
 export interface EngineControlPort {
+  /** Calls `listener` with each answer; one listener at a time. */
+  readonly onAnswer: (listener: (target: TargetEntry, answered: AnsweredCall) => void) => void;
   readonly readStanding: (target: TargetEntry) => ResultAsync<EngineStanding, Failure>;
   /** The parts in its cache. Slows the engine for a moment: not for regular use. */
   readonly readCache: (target: TargetEntry) => ResultAsync<readonly PromptPart[], Failure>;
