Keep the rate limit that a target names, all gateways together

What callers and operators saw: a target in need that said what it takes got as much as before, 46 requests in 4 s where 23 are allowed.

Cause: no gateway read the limit, and nothing in the design could have kept it: engines are given out by one scheduler a service, plain targets are chosen by each gateway for itself, and any of them may start, stop, freeze or be cut off.

Change: each gateway owns an equal share of each limit and lends it, 1.3 s at a time, to the gateway that decides for the service. A share is in one place at any time, whoever believes to decide, so no server and no key of the store keeps the limit. The holder of shares fills a token bucket for each target: the scheduler takes a permit with each grant, from the engine that reads and the one that streams, and a gateway asks for one before each send to a plain target, first tries and retries alike. Others with room get the rest; where none has any, the caller is refused at once and told when to come back. A limit ends with the first answer to a later request that does not name it, or 30 s after it was last heard of. Log lines and gauges tell the limit, its age and the share here.

--- /dev/null
+++ b/packages/coordination/src/core/rate-limits/named-limits.ts
@@ -0,0 +1,156 @@
+/**
+ * The rate limits that targets name in their answers, as one gateway knows them. A limit holds for
+ * all gateways together, so they tell each other what they heard; the newest answer counts. An
+ * answer without a limit ends it, and so does time: a target that nobody asks names nothing.
+ */
+
+/** A limit is kept for so long without an answer that names it. */
+const KEEP_MS = 30_000;
+/** How long an end is told to gateways that may still know the limit. */
+const TELL_END_MS = 5000;
+/** Targets that are remembered; far more than name a limit at once. */
+const MAX_TARGETS = 4096;
+/** A change of a limit by less is not news. */
+const NEWS_RATIO = 0.1;
+
+/** What the newest answer of a target said. */
+export interface NamedLimit {
+  readonly service: string;
+  /** Requests a second that it takes from all gateways together; null where it names none. */
+  readonly perS: number | null;
+  /** The answer that said so, unlike that of any other; told along, so that no answer counts twice. */
+  readonly origin: string;
+  readonly heardAtMs: number;
+  /** Since when it has named a limit, whatever the number. */
+  readonly sinceMs: number;
+}
+
+/** The same as it is told to another gateway, whose clock differs. */
+export interface LimitReport {
+  readonly target: string;
+  readonly service: string;
+  readonly perS: number | null;
+  readonly origin: string;
+  /** Milliseconds since the answer. */
+  readonly ageMs: number;
+  /** Milliseconds since the first answer that named a limit. */
+  readonly namedForMs: number;
+}
+
+/** Limits by the target's id; a target that starts again has another one. */
+export type NamedLimits = Map<string, NamedLimit>;
+
+/** The target whose answer is looked at. */
+export interface AnsweringTarget {
+  readonly id: string;
+  readonly service: string;
+}
+
+/** An answer named a limit; gives whether that is news. */
+export function noteLimitNamed(
+  limits: NamedLimits,
+  { id, service }: AnsweringTarget,
+  perS: number,
+  origin: string,
+  nowMs: number,
+): boolean {
+  const known = limitOf(limits, id, nowMs);
+  put(limits, id, {
+    service,
+    perS,
+    origin,
+    heardAtMs: nowMs,
+    sinceMs: known?.sinceMs ?? nowMs,
+  });
+  return isNews(known?.perS ?? null, perS);
+}
+
+/**
+ * An answer to a request named no limit; gives whether that ends one. Guards against an answer that
+ * was on its way before the target named its limit: only a request that was sent after that tells.
+ */
+export function noteLimitMissing(
+  limits: NamedLimits,
+  { id, service }: AnsweringTarget,
+  sentAtMs: number,
+  origin: string,
+  nowMs: number,
+): boolean {
+  const known = limitOf(limits, id, nowMs);
+  if (known === null || sentAtMs <= known.heardAtMs) return false;
+  put(limits, id, { service, perS: null, origin, heardAtMs: nowMs, sinceMs: known.sinceMs });
+  return true;
+}
+
+/** Takes in what another gateway heard; gives the targets of which it is news. */
+export function mergeLimits(
+  limits: NamedLimits,
+  reports: readonly LimitReport[],
+  nowMs: number,
+): readonly string[] {
+  return reports.flatMap(({ target, service, perS, origin, ageMs, namedForMs }) => {
+    const known = limits.get(target);
+    const heardAtMs = nowMs - ageMs;
+    if (known !== undefined && (known.origin === origin || known.heardAtMs >= heardAtMs)) return [];
+    const before = limitOf(limits, target, nowMs)?.perS ?? null;
+    put(limits, target, { service, perS, origin, heardAtMs, sinceMs: nowMs - namedForMs });
+    return isNews(before, limitOf(limits, target, nowMs)?.perS ?? null) ? [target] : [];
+  });
+}
+
+/** The limit that a target names now; null where it names none. */
+export function limitOf(
+  limits: NamedLimits,
+  target: string,
+  nowMs: number,
+): (NamedLimit & { readonly perS: number }) | null {
+  const known = limits.get(target);
+  if (known === undefined || known.perS === null) return null;
+  return nowMs - known.heardAtMs < KEEP_MS ? { ...known, perS: known.perS } : null;
+}
+
+/** What other gateways are to know of a service's targets. */
+export function limitReports(
+  limits: NamedLimits,
+  service: string,
+  nowMs: number,
+): readonly LimitReport[] {
+  return [...limits].flatMap(([target, known]) => {
+    if (known.service !== service || !isTold(known, nowMs)) return [];
+    const { perS, origin, heardAtMs, sinceMs } = known;
+    const ageMs = nowMs - heardAtMs;
+    return [{ target, service, perS, origin, ageMs, namedForMs: nowMs - sinceMs }];
+  });
+}
+
+/** Services of which other gateways are to know something. */
+export function servicesWithLimits(limits: NamedLimits, nowMs: number): readonly string[] {
+  const told = [...limits.values()].filter((known) => isTold(known, nowMs));
+  return [...new Set(told.map(({ service }) => service))];
+}
+
+/** Forgets what is no longer told to anybody; gives the targets whose limit lapsed. */
+export function dropOldLimits(limits: NamedLimits, nowMs: number): readonly string[] {
+  return [...limits].flatMap(([target, known]) => {
+    if (isTold(known, nowMs)) return [];
+    limits.delete(target);
+    return known.perS === null ? [] : [target];
+  });
+}
+
+function isTold({ perS, heardAtMs }: NamedLimit, nowMs: number): boolean {
+  return nowMs - heardAtMs < (perS === null ? TELL_END_MS : KEEP_MS);
+}
+
+function isNews(before: number | null, after: number | null): boolean {
+  if (before === null || after === null) return before !== after;
+  return Math.abs(after - before) > before * NEWS_RATIO;
+}
+
+function put(limits: NamedLimits, target: string, limit: NamedLimit): void {
+  // Moved to the end, so that the target that was not heard of for longest stands first.
+  limits.delete(target);
+  limits.set(target, limit);
+  const oldest = limits.keys().next().value;
+  if (limits.size > MAX_TARGETS && oldest !== undefined) limits.delete(oldest);
+}
--- a/packages/coordination/src/core/scheduling/dispatching.ts
+++ b/packages/coordination/src/core/scheduling/dispatching.ts
@@ -10,6 +10,7 @@
 import { heldParts, notePrompt } from './prompt-cache.js';
 import { type Offer, compareOffers } from './ranking.js';
 import { type ReadCost, findHolders, readCost } from './read-cost.js';
+import { rateLimitRefusal } from './rate-limited.js';
 import { remember } from './refusing.js';
 import type { Scheduler, Waiting } from './scheduler-state.js';
 import { noteServedSize } from './size-fairness.js';
@@ -26,7 +27,7 @@
 /** Gives each engine that has room its next job. */
 export function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const decisions: Decision[] = [];
-  moveFromUnusable(scheduler, nowMs);
+  decisions.push(...moveFromUnusable(scheduler, nowMs));
   if (scheduler.waiting.size === 0) return decisions;
   const steals = maySteal(scheduler, nowMs);
   const forDecode = steals ? jobsForDecode(scheduler, nowMs) : [];
@@ -38,7 +39,8 @@
         nextOf(scheduler, load, nowMs) ??
         (steals ? stealFor(scheduler, load, others, nowMs) : null);
       if (next === null) break;
-      const decision = grant(scheduler, load, next, nowMs);
+      const decision =
+        grant(scheduler, load, next, nowMs) ?? rateLimitRefusal(scheduler, next.job, nowMs);
       if (decision === null) break;
       decisions.push(decision);
     }
@@ -70,14 +72,23 @@
   });
 }
 
-/** A job whose engine left or failed joins the line of another one. */
-function moveFromUnusable(scheduler: Scheduler, nowMs: number): void {
+/**
+ * A job whose engine left, failed or takes no more for now joins the line of another one; it is
+ * refused where only rate limits keep it from all of them.
+ */
+function moveFromUnusable(scheduler: Scheduler, nowMs: number): readonly Decision[] {
+  const refusals: Decision[] = [];
   for (const waiting of [...scheduler.waiting.values()]) {
     const load = scheduler.targets.get(waiting.target);
     if (load !== undefined && isUsable(load, nowMs)) continue;
     const place = bestPlace(scheduler, waiting, nowMs);
     if (place !== null) changeLine(scheduler, waiting, place.load.entry.id);
+    else {
+      const refusal = rateLimitRefusal(scheduler, waiting.job, nowMs);
+      if (refusal !== null) refusals.push(refusal);
+    }
   }
+  return refusals;
 }
 
 function nextOf(scheduler: Scheduler, load: TargetLoad, nowMs: number): Waiting | null {
@@ -136,6 +147,7 @@
     predictedMs: cost.serviceMs,
     startedAtMs: nowMs,
   });
+  for (const { entry } of new Set([load, stream])) scheduler.permits.take(entry.id);
   // Noted at once, so that those who share its parts wait for this reading.
   notePrompt(load.cache, job.parts);
   const heldTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
--- a/packages/coordination/src/core/scheduling/job.ts
+++ b/packages/coordination/src/core/scheduling/job.ts
@@ -48,6 +48,8 @@
   TooLate = 'too-late',
   /** Others that can still be on time need all that the engines can do. */
   Overload = 'overload',
+  /** Each engine that could take it names a rate limit that is used up. */
+  RateLimit = 'rate-limit',
 }
 
 /** Kinds of decision. */
--- a/packages/coordination/src/core/scheduling/refusing.ts
+++ b/packages/coordination/src/core/scheduling/refusing.ts
@@ -53,8 +53,9 @@
   reason: RefusalReason,
   aheadMs: number,
   nowMs: number,
+  availableInMs = 0,
 ): Decision {
-  const retryAfterMs = Math.max(scheduler.options.minRetryAfterMs, aheadMs);
+  const retryAfterMs = Math.max(scheduler.options.minRetryAfterMs, aheadMs, availableInMs);
   const decision: Decision = {
     kind: DecisionKind.Refuse,
     jobId: job.id,
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -4,6 +4,7 @@
  */
 import type { EngineSpec, PromptPart, TargetEntry } from '../forwarding/fleet.js';
 import { type Connections, createConnections, forgetConnections } from './connections.js';
+import { type Permits, UNLIMITED } from '../rate-limits/rate-limiter.js';
 import type { Decision, Job } from './job.js';
 import type { SchedulerOptions } from './options.js';
 import { replaceHeld } from './prompt-cache.js';
@@ -47,6 +48,8 @@
 /** The scheduler of one service. */
 export interface Scheduler {
   readonly options: SchedulerOptions;
+  /** Whether engines that name a rate limit may be sent one more request. */
+  readonly permits: Permits;
   readonly targets: Map<string, TargetLoad>;
   readonly waiting: Map<string, Waiting>;
   /** The same jobs by the engine in whose line they stand. */
@@ -64,9 +67,13 @@
 }
 
 /** A scheduler without targets. */
-export function createScheduler(options: SchedulerOptions): Scheduler {
+export function createScheduler(
+  options: SchedulerOptions,
+  permits: Permits = UNLIMITED,
+): Scheduler {
   return {
     options,
+    permits,
     targets: new Map(),
     waiting: new Map(),
     lines: new Map(),
@@ -93,8 +100,9 @@
   forgetConnections(scheduler.connections, (id) => present.has(id));
   for (const entry of entries) {
     const load = scheduler.targets.get(entry.id);
-    if (load === undefined) scheduler.targets.set(entry.id, createTargetLoad(entry, spec));
-    else noteEntry(load, entry);
+    if (load === undefined) {
+      scheduler.targets.set(entry.id, createTargetLoad(entry, spec, scheduler.permits));
+    } else noteEntry(load, entry);
   }
 }
 
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -10,6 +10,7 @@
 import { forgetParts, notePrompt } from './prompt-cache.js';
 import { jobSize, jobValue, noteSize } from './ranking.js';
 import { noteReading } from './read-time.js';
+import { rateLimitRefusal } from './rate-limited.js';
 import { admissionRefusal, refuse, refuseHopeless } from './refusing.js';
 import { isReturner } from './returners.js';
 import type { Scheduler, Waiting } from './scheduler-state.js';
@@ -34,6 +35,8 @@
     return [];
   }
   const waiting = admit(scheduler, job, nowMs);
+  const limited = rateLimitRefusal(scheduler, job, nowMs);
+  if (limited !== null) return [limited];
   const place = bestPlace(scheduler, waiting, nowMs);
   if (place === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
   const refusal = admissionRefusal(scheduler, waiting, place, nowMs);
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -5,6 +5,7 @@
   type PromptPart,
   type TargetEntry,
 } from '../forwarding/fleet.js';
+import type { Permits } from '../rate-limits/rate-limiter.js';
 import { type PromptCache, createPromptCache, heldParts } from './prompt-cache.js';
 import { FULL_TOKENS_PER_MS, type ReadTime, createReadTime } from './read-time.js';
 import type { SchedulerOptions } from './options.js';
@@ -23,6 +24,8 @@
 /** One engine. */
 export interface TargetLoad {
   entry: TargetEntry;
+  /** Of all engines; what is asked of them is whether this one may be sent a request. */
+  readonly permits: Permits;
   readonly cache: PromptCache;
   /** Time that a token's memory takes over the engine's link. */
   readonly transferMsPerToken: number;
@@ -42,9 +45,14 @@
 }
 
 /** An engine that nothing is known of. */
-export function createTargetLoad(entry: TargetEntry, spec: EngineSpec): TargetLoad {
+export function createTargetLoad(
+  entry: TargetEntry,
+  spec: EngineSpec,
+  permits: Permits,
+): TargetLoad {
   return {
     entry,
+    permits,
     cache: createPromptCache(spec.kvCapacityTokens),
     transferMsPerToken: transferMsPerToken(spec),
     readTime: createReadTime(priorTokensPerMs(entry.phase)),
@@ -125,8 +133,13 @@
   return reading.parts.slice(reading.heldParts);
 }
 
-/** Whether an engine may be given work at all. */
+/** Whether an engine may be given work now. */
 export function isUsable(load: TargetLoad, nowMs: number): boolean {
+  return isServing(load, nowMs) && load.permits.has(load.entry.id);
+}
+
+/** Whether an engine may be given work as far as its health goes, whatever rate limit it names. */
+export function isServing(load: TargetLoad, nowMs: number): boolean {
   return !load.entry.draining && load.suspendedUntilMs <= nowMs;
 }
 
--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -61,8 +61,10 @@
   readonly transport: HttpTransport;
   readonly wire: CallerWire;
   readonly pulse: TargetPulse;
-  /** Told of each answer that begins. */
-  readonly onAnswerHead: (target: TargetEntry, head: AnswerHead) => void;
+  /** Told of each answer that begins and is the request's own, and when its request was sent. */
+  readonly onAnswerHead: (target: TargetEntry, head: AnswerHead, sentAtMs: number) => void;
+  /** Time that has passed for everybody else, suspended or not. */
+  readonly elapsedMs: () => number;
 }
 
 /** Sends a request to a target and hands the answer to the sink. */
@@ -83,6 +85,7 @@
       limitPerS: null,
     });
   }
+  const sentAtMs = services.elapsedMs();
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
@@ -111,12 +114,12 @@
           services.pulse.heard(target.id);
           const received = services.wire.readAnswer(status, headers);
           limitPerS = received.limitPerS;
-          services.onAnswerHead(target, received);
           const fault = headFault(received, request);
           if (fault !== null) {
             finish(AskOutcomeKind.Broken, fault);
             return;
           }
+          services.onAnswerHead(target, received, sentAtMs);
           head = received;
           if (!received.notRun) sink.onHead(received, rawHeaders);
         },
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -6,12 +6,14 @@
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
 import type { TargetHealth } from './target-health.js';
+import type { TargetLimits } from './target-limits.js';
 
 /** The surroundings of a request's way through the gateway. */
 export interface ForwardingServices extends AskServices {
   readonly view: FleetView;
   readonly budgets: RetryBudgets;
   readonly health: TargetHealth;
+  readonly limits: TargetLimits;
   readonly scheduling: SchedulingClient;
   readonly crashes: CrashReports;
   readonly random: Random;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -20,34 +20,64 @@
 const SERVER_FAILURE = 500;
 
 /** What is left of an exchange after one sending. */
-enum Next {
+enum NextKind {
   Delivered = 'delivered',
   TryAgain = 'try-again',
   GiveUp = 'give-up',
 }
 
+/** What is done next; a target to try has given its permit. */
+type Next =
+  | { readonly kind: NextKind.Delivered | NextKind.GiveUp }
+  | { readonly kind: NextKind.TryAgain; readonly target: TargetEntry };
+
+const DELIVERED: Next = { kind: NextKind.Delivered };
+const GIVE_UP: Next = { kind: NextKind.GiveUp };
+const NO_TARGET = 'no target takes work';
+const ALL_LIMITED = 'all targets that could take it are at their rate limits';
+
+/** One exchange on its way from target to target. */
+interface Attempt {
+  readonly exchange: Exchange;
+  readonly services: ForwardingServices;
+  /** Milliseconds until a permit, by target, of those that are at their rate limit. */
+  readonly limited: Map<string, number>;
+  /** Targets that could not be reached at all. */
+  unreachable: number;
+}
+
 /** Forwards a request; resolves when its answer is handed over or it was given up. */
 export async function forwardPlain(
   exchange: Exchange,
   services: ForwardingServices,
 ): Promise<void> {
-  const { service } = exchange;
-  let unreachable = 0;
-  let detail = 'no target takes work';
-  services.budgets.noteRequest(service);
-  while (!exchange.signal.aborted) {
-    const target = services.health.choose(service, exchange.failedTargets);
-    if (target === null) break;
+  const attempt: Attempt = { exchange, services, limited: new Map(), unreachable: 0 };
+  services.budgets.noteRequest(exchange.service);
+  let target = await permittedTarget(attempt);
+  let detail = attempt.limited.size > 0 ? ALL_LIMITED : NO_TARGET;
+  while (target !== null && !exchange.signal.aborted) {
     const held = holdAnswer(exchange.response, services.wire);
     const outcome = await send(exchange, services, target, held);
     detail = outcome.detail;
-    const next = judge(exchange, services, target, held, outcome);
-    if (next === Next.Delivered) return;
-    if (next === Next.GiveUp) break;
-    if (outcome.kind === AskOutcomeKind.NotSent) unreachable += 1;
-    if (unreachable > MAX_UNREACHABLE) break;
+    const next = await judge(attempt, target, held, outcome);
+    if (next.kind === NextKind.Delivered) return;
+    target = next.kind === NextKind.TryAgain ? next.target : null;
   }
-  giveUp(exchange, services, detail);
+  giveUp(attempt, detail);
+}
+
+/** The best target that may be sent the request now; its permit is taken. */
+async function permittedTarget(attempt: Attempt): Promise<TargetEntry | null> {
+  const { exchange, services, limited } = attempt;
+  while (!exchange.signal.aborted) {
+    const tried = new Set([...exchange.failedTargets, ...limited.keys()]);
+    const target = services.health.choose(exchange.service, tried);
+    if (target === null) return null;
+    const waitMs = await services.limits.take(target);
+    if (waitMs === 0) return target;
+    limited.set(target.id, waitMs);
+  }
+  return null;
 }
 
 async function send(
@@ -108,53 +138,58 @@
   return outcome;
 }
 
-function judge(
-  exchange: Exchange,
-  services: ForwardingServices,
+async function judge(
+  attempt: Attempt,
   target: TargetEntry,
   held: HeldAnswer,
   outcome: AskOutcome,
-): Next {
+): Promise<Next> {
+  const { exchange, services } = attempt;
   const mayRepeat = exchange.route.kind === DeliveryKind.Idempotent;
+  exchange.failedTargets.add(target.id);
   switch (outcome.kind) {
     case AskOutcomeKind.Complete: {
       services.health.noteGood(target);
       const failed = (held.head()?.status ?? 0) >= SERVER_FAILURE;
-      exchange.failedTargets.add(target.id);
-      if (failed && mayRepeat && !held.hasBegun() && takeRetry(exchange, services)) {
-        return Next.TryAgain;
+      if (failed && mayRepeat && !held.hasBegun()) {
+        const next = await retry(attempt);
+        if (next.kind === NextKind.TryAgain) return next;
       }
       held.deliver();
-      return Next.Delivered;
+      return DELIVERED;
     }
     case AskOutcomeKind.NotSent:
       services.health.noteBad(target);
-      exchange.failedTargets.add(target.id);
-      return Next.TryAgain;
+      attempt.unreachable += 1;
+      return attempt.unreachable > MAX_UNREACHABLE ? GIVE_UP : goOn(attempt);
     case AskOutcomeKind.NotRun:
-      exchange.failedTargets.add(target.id);
-      return takeRetry(exchange, services) ? Next.TryAgain : Next.GiveUp;
+      return retry(attempt);
     // Stopped while the caller still waits: too slow for a request that may be repeated.
     case AskOutcomeKind.Stopped:
     case AskOutcomeKind.Silent:
     case AskOutcomeKind.Broken:
-      if (exchange.signal.aborted) return Next.GiveUp;
+      if (exchange.signal.aborted) return GIVE_UP;
       services.health.noteBad(target);
-      exchange.failedTargets.add(target.id);
-      if (!mayRepeat || held.hasBegun()) return Next.GiveUp;
-      return takeRetry(exchange, services) ? Next.TryAgain : Next.GiveUp;
+      return !mayRepeat || held.hasBegun() ? GIVE_UP : retry(attempt);
   }
 }
 
-/** Takes a retry from the budget if the route allows one and another target is there. */
-function takeRetry(exchange: Exchange, services: ForwardingServices): boolean {
-  const { service, failedTargets, route } = exchange;
-  if (exchange.sends >= route.maxAttempts) return false;
-  if (services.health.choose(service, failedTargets) === null) return false;
-  return services.budgets.take(service);
+/** Goes on at another target if there is one. */
+async function goOn(attempt: Attempt): Promise<Next> {
+  const target = await permittedTarget(attempt);
+  return target === null ? GIVE_UP : { kind: NextKind.TryAgain, target };
 }
 
-function giveUp(exchange: Exchange, services: ForwardingServices, detail: string): void {
+/** The same for a further arrival: one that the route and the retry budget allow. */
+async function retry(attempt: Attempt): Promise<Next> {
+  const { exchange, services } = attempt;
+  if (exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
+  const next = await goOn(attempt);
+  if (next.kind !== NextKind.TryAgain) return GIVE_UP;
+  return services.budgets.take(exchange.service) ? next : GIVE_UP;
+}
+
+function giveUp({ exchange, services, limited }: Attempt, detail: string): void {
   const { response } = exchange;
   if (response.destroyed) return;
   if (response.headersSent) {
@@ -163,6 +198,31 @@
     return;
   }
   const status = failureStatus(exchange, exchange.signal.aborted);
-  const retryAfterMs = exchange.mayHaveRun ? null : RETRY_AFTER_MS;
+  const isRefusal = !exchange.mayHaveRun;
+  const retryAfterMs = isRefusal ? comeBackInMs(services, limited) : null;
+  if (isRefusal && limited.size > 0) logLimited(exchange, services, limited, retryAfterMs);
   sendOwnAnswer(response, services.wire, { status, reason: detail, retryAfterMs });
 }
+
+function comeBackInMs(
+  { limits }: ForwardingServices,
+  limited: ReadonlyMap<string, number>,
+): number {
+  if (limited.size === 0) return RETRY_AFTER_MS;
+  return Math.max(RETRY_AFTER_MS, limits.askBackInMs(limited));
+}
+
+function logLimited(
+  exchange: Exchange,
+  services: ForwardingServices,
+  limited: ReadonlyMap<string, number>,
+  retryAfterMs: number | null,
+): void {
+  services.count('refused_at_rate_limits_total');
+  services.log.info('refused at rate limits', {
+    request: exchange.id,
+    targets: [...limited.keys()],
+    retryAfterMs,
+    ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
+  });
+}
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -9,6 +9,7 @@
   type FleetView,
   type Job,
   type JobEvent,
+  type Permits,
   SCHEDULER_OPTIONS,
   type Scheduler,
   createScheduler,
@@ -55,13 +56,14 @@
 export interface SchedulingServiceOptions {
   readonly view: FleetView;
   readonly control: EngineControlPort;
+  readonly permits: Permits;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
 }
 
 /** Makes the service. */
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
-  const { view, control, nowMs, log } = options;
+  const { view, control, permits, nowMs, log } = options;
   const schedulers = new Map<string, Scheduler>();
   const answers = new Map<string, Answer>();
   let timer: NodeJS.Timeout | null = null;
@@ -69,7 +71,7 @@
   function schedulerOf(service: string): Scheduler {
     const known = schedulers.get(service);
     if (known !== undefined) return known;
-    const made = createScheduler(SCHEDULER_OPTIONS);
+    const made = createScheduler(SCHEDULER_OPTIONS, permits);
     schedulers.set(service, made);
     follow(service, made);
     return made;
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -52,6 +52,7 @@
 import { type JobRequest, createSchedulingService } from './scheduling-service.js';
 import type { GatewaySettings } from './settings.js';
 import { createTargetHealth } from './target-health.js';
+import { createTargetLimits } from './target-limits.js';
 import { createTargetPulse } from './target-pulse.js';
 
 const MAX_SEED = 0x7fff_ffff;
@@ -116,9 +117,31 @@
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     keepAliveMs: TARGET_KEEP_ALIVE_MS,
   });
+  const elapsedMs = createElapsedClock(SYSTEM_CLOCKS);
+  const limits = createTargetLimits({
+    selfId,
+    view,
+    rpc,
+    schedulerOf: (service) => scheduling.schedulerOf(service),
+    elapsedMs,
+    random,
+    log,
+    count: telemetry.count,
+    gauge: telemetry.gaugeByTarget,
+  });
+  platform.control.onAnswer((target, { call, status, limitPerS }) => {
+    log.info('engine answered', {
+      target: target.id,
+      call,
+      status,
+      limitPerS: limitPerS ?? undefined,
+    });
+    if (limitPerS !== null) limits.noteAnswer(target, limitPerS, elapsedMs());
+  });
   const schedulers = createSchedulingService({
     view,
     control: platform.control,
+    permits: limits.permits,
     nowMs: monotonicMs,
     log,
   });
@@ -155,9 +178,6 @@
     count: telemetry.count,
   });
   const headerWatch = createHeaderWatch(log);
-  platform.control.onAnswer(({ id }, { call, status, limitPerS }) => {
-    log.info('engine answered', { target: id, call, status, limitPerS: limitPerS ?? undefined });
-  });
   const services: ForwardingServices = {
     view,
     wire: platform.wire,
@@ -167,9 +187,15 @@
     scheduling,
     crashes,
     pulse,
-    onAnswerHead: (target, head) => {
+    onAnswerHead: (target, head, sentAtMs) => {
       headerWatch.note(target, head);
+      // A target that refuses says nothing of an end: it may be another start at the address.
+      if (head.limitPerS !== null || !head.notRun) {
+        limits.noteAnswer(target, head.limitPerS, sentAtMs);
+      }
     },
+    elapsedMs,
+    limits,
     random,
     hash32,
     nowMs: monotonicMs,
@@ -191,7 +217,7 @@
     control: platform.control,
     schedulers,
     random,
-    elapsedMs: createElapsedClock(SYSTEM_CLOCKS),
+    elapsedMs,
     nowMs: monotonicMs,
     isScheduler: (service) => !leaving && scheduling.schedulerOf(service) === selfId,
     log,
@@ -237,6 +263,19 @@
             schedulers.report(service, events);
             return null;
           },
+          [RpcMethod.LimitsBorrow]: (params) => {
+            const [service, borrower, reports] = params as Parameters<typeof limits.onBorrow>;
+            return limits.onBorrow(service, borrower, reports);
+          },
+          [RpcMethod.LimitsTell]: (params) => {
+            const [reports, from] = params as Parameters<typeof limits.onTold>;
+            limits.onTold(reports, from);
+            return null;
+          },
+          [RpcMethod.LimitsTake]: (params) => {
+            const [target, reports, from] = params as Parameters<typeof limits.onTake>;
+            return limits.onTake(target, reports, from);
+          },
         },
         streams: {},
         metricsText: telemetry.metricsText,
@@ -244,9 +283,11 @@
       createMetricsServer(settings.metrics, () => {
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
+        limits.measure();
         return telemetry.metricsText();
       }),
       presence.child,
+      limits.child,
       planner,
       createReadinessServer(
         settings.readiness,
--- a/packages/daemon/src/node/metrics-text.ts
+++ b/packages/daemon/src/node/metrics-text.ts
@@ -6,12 +6,21 @@
 const QUANTILES = [0.5, 0.95, 0.99] as const;
 const PERCENT = 100;
 
+/** What is written. */
+export interface Metrics {
+  readonly counters: ReadonlyMap<string, number>;
+  readonly gauges: ReadonlyMap<string, number>;
+  readonly gaugesByTarget: ReadonlyMap<string, ReadonlyMap<string, number>>;
+  readonly histograms: ReadonlyMap<string, Histogram>;
+}
+
 /** Built at each scrape, so that recording costs nothing but the map and the histogram. */
-export function writeMetrics(
-  counters: ReadonlyMap<string, number>,
-  gauges: ReadonlyMap<string, number>,
-  histograms: ReadonlyMap<string, Histogram>,
-): Promise<string> {
+export function writeMetrics({
+  counters,
+  gauges,
+  gaugesByTarget,
+  histograms,
+}: Metrics): Promise<string> {
   const registry = new Registry();
   const registers = [registry];
   for (const [name, value] of counters) {
@@ -20,10 +29,21 @@
   for (const [name, value] of gauges) {
     new Gauge({ name: PREFIX + name, help: helpOf(name), registers }).set(value);
   }
+  for (const [name, values] of gaugesByTarget) writeByTarget(name, values, registers);
   for (const [name, histogram] of histograms) writeQuantiles(name, histogram, registers);
   return registry.metrics();
 }
 
+function writeByTarget(
+  name: string,
+  valueByTarget: ReadonlyMap<string, number>,
+  registers: Registry[],
+): void {
+  const labelNames = ['target'];
+  const gauge = new Gauge({ name: PREFIX + name, help: helpOf(name), labelNames, registers });
+  for (const [target, value] of valueByTarget) gauge.set({ target }, value);
+}
+
 function writeQuantiles(name: string, histogram: Histogram, registers: Registry[]): void {
   const labelNames = ['quantile'];
   const quantiles = new Gauge({ name: PREFIX + name, help: helpOf(name), labelNames, registers });
--- a/packages/daemon/src/node/telemetry.ts
+++ b/packages/daemon/src/node/telemetry.ts
@@ -15,6 +15,8 @@
   readonly count: (name: string, by?: number) => void;
   /** Sets a value that goes up and down. */
   readonly gauge: (name: string, value: number) => void;
+  /** Sets a gauge that differs by target; targets that are left out have none any more. */
+  readonly gaugeByTarget: (name: string, valueByTarget: ReadonlyMap<string, number>) => void;
   /** Records a duration; names are snake_case and end in `_ms`. */
   readonly record: (name: string, valueMs: number) => void;
   readonly counters: () => Readonly<Record<string, number>>;
@@ -38,6 +40,7 @@
 ): Telemetry {
   const counters = new Map<string, number>();
   const gauges = new Map<string, number>();
+  const gaugesByTarget = new Map<string, ReadonlyMap<string, number>>();
   const histograms = new Map<string, Histogram>();
 
   return {
@@ -51,6 +54,9 @@
     gauge: (name, value) => {
       gauges.set(name, value);
     },
+    gaugeByTarget: (name, valueByTarget) => {
+      gaugesByTarget.set(name, valueByTarget);
+    },
     record: (name, valueMs) => {
       if (newHistogram === null) return;
       const histogram = histograms.get(name) ?? newHistogram(HIGHEST_TRACKABLE_MS);
@@ -64,7 +70,7 @@
     metricsText: async () => {
       // Loaded at the first scrape: a process that nobody scrapes does not carry the library.
       const { writeMetrics } = await import('./metrics-text.js');
-      return writeMetrics(counters, gauges, histograms);
+      return writeMetrics({ counters, gauges, gaugesByTarget, histograms });
     },
   };
 }
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -33,6 +33,9 @@
   MetricsRead = 'metrics.read',
   ScheduleTake = 'schedule.take',
   ScheduleReport = 'schedule.report',
+  LimitsBorrow = 'limits.borrow',
+  LimitsTell = 'limits.tell',
+  LimitsTake = 'limits.take',
 }
 
 /** Path of calls with one answer. */
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -73,7 +73,8 @@
     const sink = { onHead: () => undefined, onBytes: () => null };
     const pulse = { heard: () => undefined, isSilent: () => false };
     const onAnswerHead = () => undefined;
-    const services = { transport, wire: {} as CallerWire, pulse, onAnswerHead };
+    const elapsedMs = () => 0;
+    const services = { transport, wire: {} as CallerWire, pulse, onAnswerHead, elapsedMs };
     const outcome = await askTarget(services, TARGET, request, sink, AbortSignal.abort());
     assert.deepEqual([outcome.kind, outcome.sent, sends], [AskOutcomeKind.Stopped, false, 0]);
   });
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -128,6 +128,7 @@
       crashes: { noteWhole: () => undefined },
       pulse: { heard: () => undefined, isSilent: () => false },
       onAnswerHead: () => undefined,
+      elapsedMs: () => 0,
       nowMs: () => 0,
       log: { info: () => undefined, warn: () => undefined },
       count: () => undefined,
