Let other engines make tokens where those that do name limits, and test the limits

Cause: the planner of phases counts engines, whatever they take.

Change: an engine whose permits ran out in the last 5 s does not count for the split; where that leaves too few, all that are missing are ordered at once, after half a second, and one engine always goes on reading. A limit ends only by an answer to the kind of work whose answers name it, so that engines whose answers differ can not end it by turns.

--- a/packages/coordination/src/core/rate-limits/named-limits.ts
+++ b/packages/coordination/src/core/rate-limits/named-limits.ts
@@ -13,13 +13,32 @@
 /** A change of a limit by less is not news. */
 const NEWS_RATIO = 0.1;
 
+/** What a target was asked for. */
+export enum AskedWork {
+  /** To read a prompt for another engine. */
+  Read = 'read',
+  /** To answer the request itself. */
+  Run = 'run',
+}
+
+/** An answer of a target, and the request that it is to. */
+export interface TargetAnswer {
+  /** Null where it did not do what it was asked for, and for calls that are no request. */
+  readonly work: AskedWork | null;
+  readonly sentAtMs: number;
+  /** Tells the answer from any other, at all gateways. */
+  readonly origin: string;
+}
+
 /** What the newest answer of a target said. */
 export interface NamedLimit {
   readonly service: string;
   /** Requests a second that it takes from all gateways together; null where it names none. */
   readonly perS: number | null;
-  /** The answer that said so, unlike that of any other; told along, so that no answer counts twice. */
+  /** The answer that said so; told along, so that no answer counts twice. */
   readonly origin: string;
+  /** Answers to such work name it; null where it is not known. */
+  readonly work: AskedWork | null;
   readonly heardAtMs: number;
   /** Since when it has named a limit, whatever the number. */
   readonly sinceMs: number;
@@ -31,6 +50,7 @@
   readonly service: string;
   readonly perS: number | null;
   readonly origin: string;
+  readonly work: AskedWork | null;
   /** Milliseconds since the answer. */
   readonly ageMs: number;
   /** Milliseconds since the first answer that named a limit. */
@@ -51,7 +71,7 @@
   limits: NamedLimits,
   { id, service }: AnsweringTarget,
   perS: number,
-  origin: string,
+  { origin, work }: TargetAnswer,
   nowMs: number,
 ): boolean {
   const known = limitOf(limits, id, nowMs);
@@ -59,6 +79,7 @@
     service,
     perS,
     origin,
+    work: work ?? known?.work ?? null,
     heardAtMs: nowMs,
     sinceMs: known?.sinceMs ?? nowMs,
   });
@@ -66,19 +87,20 @@
 }
 
 /**
- * An answer to a request named no limit; gives whether that ends one. Guards against an answer that
- * was on its way before the target named its limit: only a request that was sent after that tells.
+ * An answer to a request named no limit; gives whether that ends one. Guards against a limit that
+ * ends by an answer which says nothing of it: one that was on its way before the target named its
+ * limit, a refusal, or one to other work than that whose answers name it.
  */
 export function noteLimitMissing(
   limits: NamedLimits,
   { id, service }: AnsweringTarget,
-  sentAtMs: number,
-  origin: string,
+  { work, sentAtMs, origin }: TargetAnswer,
   nowMs: number,
 ): boolean {
   const known = limitOf(limits, id, nowMs);
-  if (known === null || sentAtMs <= known.heardAtMs) return false;
-  put(limits, id, { service, perS: null, origin, heardAtMs: nowMs, sinceMs: known.sinceMs });
+  if (known === null || work === null || sentAtMs <= known.heardAtMs) return false;
+  if (known.work !== null && known.work !== work) return false;
+  put(limits, id, { ...known, service, perS: null, origin, heardAtMs: nowMs });
   return true;
 }
 
@@ -88,12 +110,13 @@
   reports: readonly LimitReport[],
   nowMs: number,
 ): readonly string[] {
-  return reports.flatMap(({ target, service, perS, origin, ageMs, namedForMs }) => {
+  return reports.flatMap(({ target, ageMs, namedForMs, ...said }) => {
+    const { origin } = said;
     const known = limits.get(target);
     const heardAtMs = nowMs - ageMs;
     if (known !== undefined && (known.origin === origin || known.heardAtMs >= heardAtMs)) return [];
     const before = limitOf(limits, target, nowMs)?.perS ?? null;
-    put(limits, target, { service, perS, origin, heardAtMs, sinceMs: nowMs - namedForMs });
+    put(limits, target, { ...said, heardAtMs, sinceMs: nowMs - namedForMs });
     return isNews(before, limitOf(limits, target, nowMs)?.perS ?? null) ? [target] : [];
   });
 }
@@ -117,9 +140,8 @@
 ): readonly LimitReport[] {
   return [...limits].flatMap(([target, known]) => {
     if (known.service !== service || !isTold(known, nowMs)) return [];
-    const { perS, origin, heardAtMs, sinceMs } = known;
-    const ageMs = nowMs - heardAtMs;
-    return [{ target, service, perS, origin, ageMs, namedForMs: nowMs - sinceMs }];
+    const { heardAtMs, sinceMs, ...said } = known;
+    return [{ target, ...said, ageMs: nowMs - heardAtMs, namedForMs: nowMs - sinceMs }];
   });
 }
 
--- a/packages/coordination/src/core/rate-limits/rate-limiter.ts
+++ b/packages/coordination/src/core/rate-limits/rate-limiter.ts
@@ -24,6 +24,8 @@
 const MIN_PER_S = 0.2;
 /** Callers are asked back within this time at the latest. */
 const MAX_ASK_BACK_MS = 10_000;
+/** How long after permits were used up a limit counts as binding. */
+const BINDING_MS = 5000;
 const MS_PER_S = 1000;
 
 /** Gives out permits to send to targets. Permits of targets that name no limit never run out. */
@@ -34,6 +36,8 @@
   readonly take: (target: string) => void;
   /** Milliseconds until a request may be sent, 0 where one may. */
   readonly availableInMs: (target: string) => number;
+  /** Whether requests had to go elsewhere lately since a target's permits were used up. */
+  readonly isBinding: (target: string) => boolean;
   /** When a caller may come back whom none of these targets can take; each call takes a turn. */
   readonly askBackInMs: (targets: readonly string[]) => number;
 }
@@ -43,6 +47,7 @@
   has: () => true,
   take: () => undefined,
   availableInMs: () => 0,
+  isBinding: () => false,
   askBackInMs: () => 0,
 };
 
@@ -89,6 +94,10 @@
       const rate = rateAt(target, now);
       return rate === null || hasToken(bucketOf(limiter, target, now), rate, now);
     },
+    isBinding: (target) => {
+      const bucket = limiter.buckets.get(target);
+      return bucket !== undefined && nowMs() - bucket.emptyAtMs < BINDING_MS;
+    },
     take: (target) => {
       const now = nowMs();
       const rate = rateAt(target, now);
--- a/packages/coordination/src/core/rate-limits/token-bucket.ts
+++ b/packages/coordination/src/core/rate-limits/token-bucket.ts
@@ -7,6 +7,8 @@
 export interface TokenBucket {
   tokens: number;
   refilledAtMs: number;
+  /** When a permit was last asked for and not there. */
+  emptyAtMs: number;
 }
 
 /** How permits come and gather. */
@@ -19,13 +21,15 @@
 
 /** Makes a bucket with some tokens in it. */
 export function createTokenBucket(tokens: number, nowMs: number): TokenBucket {
-  return { tokens, refilledAtMs: nowMs };
+  return { tokens, refilledAtMs: nowMs, emptyAtMs: -Infinity };
 }
 
 /** Whether a permit is there. */
 export function hasToken(bucket: TokenBucket, rate: RefillRate, nowMs: number): boolean {
   refill(bucket, rate, nowMs);
-  return bucket.tokens >= 1;
+  if (bucket.tokens >= 1) return true;
+  bucket.emptyAtMs = nowMs;
+  return false;
 }
 
 /** Takes a permit, also one that is not there yet: then more time passes before the next one. */
--- a/packages/coordination/src/core/scheduling/phase-split.ts
+++ b/packages/coordination/src/core/scheduling/phase-split.ts
@@ -3,6 +3,8 @@
  * pattern: long prompts and short answers, so that reading binds and an engine that makes tokens
  * reads at half speed beside it. As few engines make tokens as the streams need; the rest read. A
  * change takes an engine away for seconds, so one is made only where the split is wrong for long.
+ * Engines that name a rate limit stand beside the split: where those that make tokens are in need,
+ * others have to take what they leave.
  */
 import { EnginePhase } from '../forwarding/fleet.js';
 
@@ -17,6 +19,8 @@
   readonly changing: boolean;
   /** Requests for which it reads or makes tokens. */
   readonly requests: number;
+  /** Whether it names a rate limit that is used up. */
+  readonly limited: boolean;
 }
 
 /** The limits of a split. */
@@ -33,6 +37,8 @@
    * events come 200 ms late on average when a burst begins.
    */
   readonly minDecodeShare: number;
+  /** Engines that go on reading at the least, whatever is wanted. */
+  readonly minPrefill: number;
   /** Services with fewer engines keep the split that they have. */
   readonly minEngines: number;
   /** Engines that may be changing at once while callers are served. */
@@ -44,6 +50,7 @@
   streamsPerEngine: 64,
   minDecode: 2,
   minDecodeShare: 0.2,
+  minPrefill: 1,
   minEngines: 4,
   maxChanging: 1,
 };
@@ -75,15 +82,24 @@
   const split = engines.filter((engine) => engine.phase !== EnginePhase.Both);
   if (split.length < options.minEngines) return [];
   const changing = split.filter((engine) => engine.changing).length;
-  const room = (isIdle ? split.length : options.maxChanging) - changing;
-  const steady = split.filter((engine) => engine.usable && !engine.changing);
+  const steady = split.filter((engine) => engine.usable && !engine.changing && !engine.limited);
   const decode = steady.filter((engine) => engine.phase === EnginePhase.Decode);
   const prefill = steady.filter((engine) => engine.phase === EnginePhase.Prefill);
   const wanted = decodeEnginesWanted(split.length, streams, options);
   const surplus = decode.length - wanted;
+  const most = isIdle ? split.length : Math.max(options.maxChanging, shortByLimits(split, wanted));
+  const room = most - changing;
   if (room <= 0 || surplus === 0) return [];
   if (surplus > 0) return ordersTo(EnginePhase.Prefill, decode, Math.min(room, surplus));
-  return ordersTo(EnginePhase.Decode, prefill, Math.min(room, -surplus));
+  const spare = Math.max(0, prefill.length - options.minPrefill);
+  return ordersTo(EnginePhase.Decode, prefill, Math.min(room, -surplus, spare));
+}
+
+/** Engines that make tokens which are missing since others name rate limits. */
+export function shortByLimits(engines: readonly PhaseEngine[], wanted: number): number {
+  const decode = engines.filter(({ phase }) => phase === EnginePhase.Decode);
+  const limited = decode.filter((engine) => engine.limited).length;
+  return Math.min(limited, Math.max(0, wanted - (decode.length - limited)));
 }
 
 /** Takes engines of the fullest failure domains first, so that the rest stay spread. */
--- a/packages/coordination/test/core/scheduling/phase-split.test.ts
+++ b/packages/coordination/test/core/scheduling/phase-split.test.ts
@@ -17,6 +17,7 @@
     usable: true,
     changing: false,
     requests: 0,
+    limited: false,
     ...change,
   }));
 }
@@ -52,6 +53,30 @@
     assert.equal(order?.phase, EnginePhase.Decode);
   });
 
+  describe('with engines that name rate limits', () => {
+    const limitedDecode = (decode: number, prefill: number): PhaseEngine[] =>
+      fleet(decode, prefill).map((each) => ({
+        ...each,
+        limited: each.phase === EnginePhase.Decode,
+      }));
+
+    // Guards against callers who are refused while engines with room only read prompts.
+    it('has others make tokens in their place, all at once', () => {
+      const orders = choose(limitedDecode(2, 6), 10, false);
+      assert.equal(orders.length, PHASE_SPLIT_OPTIONS.minDecode);
+      assert.ok(orders.every(({ phase }) => phase === EnginePhase.Decode));
+    });
+
+    it('keeps one that reads', () => {
+      assert.equal(choose(limitedDecode(2, 2), 10, false).length, 1);
+    });
+
+    it('gives them no orders', () => {
+      const engines = fleet(2, 6, { limited: true });
+      assert.deepEqual(choose(engines, 10, false), []);
+    });
+  });
+
   it('leaves a right split and a small service as they are', () => {
     assert.deepEqual(choose(fleet(PHASE_SPLIT_OPTIONS.minDecode, 6)), []);
     assert.deepEqual(choose(fleet(2, 1)), []);
--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -3,7 +3,7 @@
  * target may send a late answer to an earlier request, bytes that are no answer, or break off. What
  * it vouches not to have run, what never left this process and what may have run are told apart.
  */
-import type { TargetEntry } from '@cassiamast/coordination';
+import type { AskedWork, TargetEntry } from '@cassiamast/coordination';
 import type { AnswerHead, CallerWire, HttpStream, HttpTransport } from '@cassiamast/ports';
 import type { TargetPulse } from './target-pulse.js';
 
@@ -39,6 +39,8 @@
 /** What is sent. */
 export interface TargetRequest {
   readonly attemptId: string | null;
+  /** What the target is asked for. */
+  readonly work: AskedWork;
   readonly method: string;
   readonly path: string;
   /** Names and values in turn. */
@@ -56,13 +58,19 @@
 /** Holds the target back while the caller is slow. */
 export type FlowControl = Pick<HttpStream, 'pause' | 'resume'>;
 
+/** What a target was asked for, and when by `elapsedMs`. */
+export interface AskedOf {
+  readonly work: AskedWork;
+  readonly sentAtMs: number;
+}
+
 /** What the sending needs. */
 export interface AskServices {
   readonly transport: HttpTransport;
   readonly wire: CallerWire;
   readonly pulse: TargetPulse;
-  /** Told of each answer that begins and is the request's own, and when its request was sent. */
-  readonly onAnswerHead: (target: TargetEntry, head: AnswerHead, sentAtMs: number) => void;
+  /** Told of each answer that begins and is the request's own. */
+  readonly onAnswerHead: (target: TargetEntry, head: AnswerHead, asked: AskedOf) => void;
   /** Time that has passed for everybody else, suspended or not. */
   readonly elapsedMs: () => number;
 }
@@ -119,7 +127,7 @@
             finish(AskOutcomeKind.Broken, fault);
             return;
           }
-          services.onAnswerHead(target, received, sentAtMs);
+          services.onAnswerHead(target, received, { work: request.work, sentAtMs });
           head = received;
           if (!received.notRun) sink.onHead(received, rawHeaders);
         },
--- a/packages/daemon/src/gateway/phase-planner.ts
+++ b/packages/daemon/src/gateway/phase-planner.ts
@@ -14,7 +14,9 @@
   type Random,
   type TargetEntry,
   choosePhaseOrders,
+  decodeEnginesWanted,
   servingTargets,
+  shortByLimits,
 } from '@cassiamast/coordination';
 import { type EngineControlPort, type LeaseStore, OrderAnswer } from '@cassiamast/ports';
 import { type LeaseDriver, createLeaseDriver } from '../planning/lease-driver.js';
@@ -34,6 +36,8 @@
 const UNANSWERED_MS = 13_000;
 /** Where the split is wrong for a moment only, it comes right by itself: a target restarts. */
 const WRONG_FOR_MS = 2500;
+/** Engines that name rate limits say so themselves, and callers are refused meanwhile. */
+const SHORT_FOR_MS = 500;
 /** Times that the peak of streams is remembered: one burst and the lull after it. */
 const PEAK_MEMORY_MS = 10_000;
 
@@ -64,6 +68,8 @@
   readonly elapsedMs: () => number;
   readonly nowMs: () => number;
   readonly isScheduler: (service: string) => boolean;
+  /** Whether an engine names a rate limit that is used up. */
+  readonly isLimited: (target: string) => boolean;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
 }
@@ -134,7 +140,15 @@
     return servingTargets(view, service, nowMs()).flatMap(({ id, failureDomain, phase }) => {
       if (phase === null) return [];
       const changing = (changingUntilMs.get(id) ?? 0) > now;
-      return { id, failureDomain, phase, changing, usable: true, requests: requests.get(id) ?? 0 };
+      return {
+        id,
+        failureDomain,
+        phase,
+        changing,
+        usable: true,
+        requests: requests.get(id) ?? 0,
+        limited: options.isLimited(id),
+      };
     });
   }
 
@@ -155,10 +169,16 @@
     const isIdle = now - busyAtMs > IDLE_MS;
     const wanted = choosePhaseOrders(known, peak.streams, isIdle, PHASE_SPLIT_OPTIONS);
     if (wanted.length === 0) rightAtMs = now;
-    if (now - rightAtMs < WRONG_FOR_MS || !mayOrder()) return;
+    const waitMs = isShortByLimits(known) ? SHORT_FOR_MS : WRONG_FOR_MS;
+    if (now - rightAtMs < waitMs || !mayOrder()) return;
     for (const order of wanted) void give(order);
   }
 
+  function isShortByLimits(known: readonly PhaseEngine[]): boolean {
+    const wanted = decodeEnginesWanted(known.length, peak.streams, PHASE_SPLIT_OPTIONS);
+    return shortByLimits(known, wanted) > 0;
+  }
+
   async function give({ engineId, phase }: PhaseOrder): Promise<void> {
     const target = view.targets.get(engineId)?.entry;
     if (target === undefined) return;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -2,7 +2,7 @@
  * The way of a request to a plain service: one target after another, as far as the request may be
  * repeated, its route allows it and the retry budget has room.
  */
-import { DeliveryKind, type TargetEntry } from '@cassiamast/coordination';
+import { AskedWork, DeliveryKind, type TargetEntry } from '@cassiamast/coordination';
 import { type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
 import { noteForCrashes } from './crash-reports.js';
 import type { Exchange } from './exchange.js';
@@ -110,6 +110,7 @@
     target,
     {
       attemptId: exchange.head.attemptId,
+      work: AskedWork.Run,
       method: exchange.method,
       path: exchange.path,
       headers,
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -136,7 +136,7 @@
       status,
       limitPerS: limitPerS ?? undefined,
     });
-    if (limitPerS !== null) limits.noteAnswer(target, limitPerS, elapsedMs());
+    limits.noteAnswer(target, limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
   const schedulers = createSchedulingService({
     view,
@@ -187,12 +187,9 @@
     scheduling,
     crashes,
     pulse,
-    onAnswerHead: (target, head, sentAtMs) => {
+    onAnswerHead: (target, head, { work, sentAtMs }) => {
       headerWatch.note(target, head);
-      // A target that refuses says nothing of an end: it may be another start at the address.
-      if (head.limitPerS !== null || !head.notRun) {
-        limits.noteAnswer(target, head.limitPerS, sentAtMs);
-      }
+      limits.noteAnswer(target, head.limitPerS, { work: head.notRun ? null : work, sentAtMs });
     },
     elapsedMs,
     limits,
@@ -219,6 +216,7 @@
     random,
     elapsedMs,
     nowMs: monotonicMs,
+    isLimited: limits.permits.isBinding,
     isScheduler: (service) => !leaving && scheduling.schedulerOf(service) === selfId,
     log,
     count: telemetry.count,
--- a/packages/daemon/src/gateway/stream-sending.ts
+++ b/packages/daemon/src/gateway/stream-sending.ts
@@ -2,7 +2,7 @@
  * The sendings of one turn: having a prompt read by one engine, and having its stream made by
  * another or the same one. A target that goes silent is left where the request may go on elsewhere.
  */
-import { JobEventKind, type TargetEntry, servingTarget } from '@cassiamast/coordination';
+import { AskedWork, JobEventKind, type TargetEntry, servingTarget } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type AnswerSink, type AskOutcome, AskOutcomeKind, askTarget } from './ask-target.js';
 import { noteForCrashes } from './crash-reports.js';
@@ -120,7 +120,8 @@
     lastEventId: relay.lastEventId() ?? exchange.head.lastEventId,
   });
   const { method, path, body, head } = exchange;
-  const request = { attemptId: head.attemptId, method, path, headers, body };
+  const work = how.readOnly ? AskedWork.Read : AskedWork.Run;
+  const request = { attemptId: head.attemptId, work, method, path, headers, body };
   // A stream that must not run twice waits on: what is silent may still be at work on it.
   const mayMove = how.readOnly || exchange.route.resumable;
   const stopped = new AbortController();
--- a/packages/daemon/src/gateway/target-limits.ts
+++ b/packages/daemon/src/gateway/target-limits.ts
@@ -10,6 +10,7 @@
   type LimitReport,
   type Permits,
   type Random,
+  type TargetAnswer,
   askBackInMs,
   borrowerOf,
   createRateLimiter,
@@ -71,8 +72,12 @@
   readonly child: Child;
   /** Permits as far as this gateway decides. */
   readonly permits: Permits;
-  /** An answer to a request that was sent at a reading of `elapsedMs`. */
-  readonly noteAnswer: (target: AnsweringTarget, perS: number | null, sentAtMs: number) => void;
+  /** A target answered; `sentAtMs` is a reading of `elapsedMs`. */
+  readonly noteAnswer: (
+    target: AnsweringTarget,
+    perS: number | null,
+    answer: Omit<TargetAnswer, 'origin'>,
+  ) => void;
   /** Takes a permit for a request of this gateway's own; gives 0, or milliseconds until there may be one. */
   readonly take: (target: AnsweringTarget) => Promise<number>;
   /** When a caller may come back, from the waits for permits of all targets that could take it. */
@@ -106,15 +111,15 @@
     return view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
   }
 
-  function noteAnswer(target: AnsweringTarget, perS: number | null, sentAtMs: number): void {
+  function noteAnswer(...[target, perS, said]: Parameters<TargetLimits['noteAnswer']>): void {
     if (perS === null && limits.size === 0) return;
     const now = elapsedMs();
     answers += 1;
-    const origin = `${selfId}/${String(answers)}`;
+    const answer = { ...said, origin: `${selfId}/${String(answers)}` };
     const isNews =
       perS === null
-        ? noteLimitMissing(limits, target, sentAtMs, origin, now)
-        : noteLimitNamed(limits, target, perS, origin, now);
+        ? noteLimitMissing(limits, target, answer, now)
+        : noteLimitNamed(limits, target, perS, answer, now);
     if (isNews) tellNews([target.id], target.service, selfId);
   }
 
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import {
+  AskedWork,
   DecisionKind,
   JobEventKind,
   createFleetView,
@@ -65,6 +66,7 @@
     } as unknown as HttpTransport;
     const request = {
       attemptId: 'a',
+      work: AskedWork.Run,
       method: 'POST',
       path: '/',
       headers: [],
