Take a gateway's announcement back when it is stopped before it serves

What callers saw: gateways asked one that was gone to schedule, until its lease lapsed (3 s), since it had been stopped while it still waited for its port.

Cause: a stop that comes while a process starts exits at once, as it has taken no work; but the announcement is written before the callers' port opens.

Change: what starts hands over how to take back what it has told others; an early stop does that first, for a second at most. A process that has started meanwhile stops gracefully like any other.

Two unit tests guard the exit.

--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -26,7 +26,7 @@
 import { createControlServer } from '../node/control-server.js';
 import { createLog } from '../node/logging.js';
 import { allowNetworks } from '../node/networks.js';
-import type { StopReason } from '../node/run-process.js';
+import type { StopReason, TakeBack } from '../node/run-process.js';
 import { isReachable } from '../node/reachable.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
@@ -92,11 +92,15 @@
   readonly reload: (settings: Result<GatewaySettings, string>) => void;
 }
 
-/** Starts a gateway; `onFailure` is told when a part keeps failing. */
+/**
+ * Starts a gateway; `onFailure` is told when a part keeps failing, `onTold` is given what a stop has
+ * to take back that comes before the gateway has started.
+ */
 export async function startGateway(
   settings: GatewaySettings,
   platform: GatewayPlatform,
   onFailure: (failure: Failure) => void,
+  onTold: (takeBack: TakeBack) => void = () => undefined,
 ): Promise<RunningGateway> {
   const { monotonicMs, wallMs } = SYSTEM_CLOCKS;
   const selfId = formatAddress(settings.members);
@@ -302,6 +306,7 @@
       await sleep(delayMs);
     },
   });
+  onTold(presence.withdraw);
   await root.start(onFailure);
   serves = true;
   log.lifecycle('gateway started', { selfId, failureDomain: settings.failureDomain });
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -6,7 +6,13 @@
 export { type MemberProof, createMemberProof } from './node/secret.js';
 export { RpcMethod } from './protocol/methods.js';
 export type { EntrySettings, LoadedSettings, SidecarSettings } from './settings/settings.js';
-export { ExitCode, type OnFailure, StopReason, runProcess } from './node/run-process.js';
+export {
+  ExitCode,
+  type OnFailure,
+  StopReason,
+  type TakeBack,
+  runProcess,
+} from './node/run-process.js';
 export { type WriteText, writeStandardOutput } from './gateway/log-writer.js';
 export type { GatewaySettings } from './gateway/settings.js';
 export {
--- a/packages/daemon/src/node/run-process.ts
+++ b/packages/daemon/src/node/run-process.ts
@@ -32,9 +32,16 @@
 /** Told when a part of the process keeps failing. */
 export type OnFailure = (failure: Failure) => void;
 
+/** Takes back what a process that has not started yet has told others. */
+export type TakeBack = () => Promise<void>;
+
 /** What a process does. */
 export interface ProcessOptions {
-  readonly start: (onFailure: OnFailure) => Promise<StoppableProcess>;
+  /** `onTold` hands over what a stop has to take back that comes before `start` resolves. */
+  readonly start: (
+    onFailure: OnFailure,
+    onTold: (takeBack: TakeBack) => void,
+  ) => Promise<StoppableProcess>;
   /** Whether it may have work before `start` resolves; a stop then waits for that. */
   readonly worksWhileStarting: boolean;
   readonly stopSignals: readonly NodeJS.Signals[];
@@ -43,18 +50,50 @@
   readonly exit: (code: ExitCode) => void;
 }
 
+/** A stop that has nothing to drain waits so long for what is taken back. */
+const TAKE_BACK_MOST_MS = 1000;
+
 /** Runs a process until it exits; `source` emits its signals and errors that nothing caught. */
 export function runProcess(source: Pick<EventEmitter, 'on'>, options: ProcessOptions): void {
   const { start, worksWhileStarting, stopSignals, report, exit } = options;
   let running: StoppableProcess | null = null;
   let code = ExitCode.Stopped;
   let stopReason: StopReason | null = null;
+  let takeBack: TakeBack = () => Promise.resolve();
 
   function stop(reason: StopReason): void {
     if (stopReason !== null) return;
     stopReason = reason;
     if (running !== null) void stopRunning(running, reason);
-    else if (!worksWhileStarting) exit(code);
+    else if (!worksWhileStarting) exitAfterTakingBack();
+  }
+
+  /**
+   * Guards against an announcement that outlives its process: it shows as others that ask a process
+   * which is gone, until its lease lapses. A process that has started meanwhile stops like any other.
+   */
+  function exitAfterTakingBack(): void {
+    let hasEnded = false;
+    const end = (leave: () => void): void => {
+      clearTimeout(timer);
+      if (hasEnded || running !== null) return;
+      hasEnded = true;
+      leave();
+    };
+    const leave = (): void => {
+      exit(code);
+    };
+    const timer = setTimeout(end, TAKE_BACK_MOST_MS, leave);
+    takeBack().then(
+      () => {
+        end(leave);
+      },
+      (error: unknown) => {
+        end(() => {
+          exitAfter(error);
+        });
+      },
+    );
   }
 
   async function stopRunning(stopping: StoppableProcess, reason: StopReason): Promise<void> {
@@ -95,9 +134,14 @@
     running?.reload?.();
   });
   source.on('uncaughtException', fail);
-  start((failure) => {
-    fail(new FailureError(failure));
-  }).then((started) => {
+  start(
+    (failure) => {
+      fail(new FailureError(failure));
+    },
+    (told) => {
+      takeBack = told;
+    },
+  ).then((started) => {
     running = started;
     if (stopReason !== null) void stopRunning(started, stopReason);
   }, exitAfter);
--- a/packages/daemon/test/wiring/stop-signals.test.ts
+++ b/packages/daemon/test/wiring/stop-signals.test.ts
@@ -92,6 +92,57 @@
   });
 });
 
+describe('a signal that comes before the process has started', () => {
+  const base: Omit<ProcessOptions, 'start' | 'exit'> = {
+    worksWhileStarting: false,
+    stopSignals: ['SIGTERM'],
+    report: (_, done) => {
+      done();
+    },
+  };
+
+  // Guards against an announcement that outlives its process.
+  it('ends it when what it has told others is taken back', async () => {
+    const source = new EventEmitter();
+    const ends: ExitCode[] = [];
+    const taken = withResolvers<undefined>();
+    const start: ProcessOptions['start'] = (_, onTold) => {
+      onTold(() => taken.promise);
+      return new Promise(() => undefined);
+    };
+    runProcess(source, { ...base, start, exit: (code) => ends.push(code) });
+    source.emit('SIGTERM');
+    await nextTurn();
+    assert.deepEqual(ends, []);
+    taken.resolve(undefined);
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual(ends, [ExitCode.Stopped]);
+  });
+
+  // Guards against an exit that cuts what a process took which began to serve meanwhile.
+  it('stops it gracefully when it has started meanwhile', async () => {
+    const source = new EventEmitter();
+    const ends: ExitCode[] = [];
+    const taken = withResolvers<undefined>();
+    const started = withResolvers<{ stop: () => Promise<void> }>();
+    const stopped = withResolvers<undefined>();
+    const start: ProcessOptions['start'] = (_, onTold) => {
+      onTold(() => taken.promise);
+      return started.promise;
+    };
+    runProcess(source, { ...base, start, exit: (code) => ends.push(code) });
+    source.emit('SIGTERM');
+    started.resolve({ stop: () => stopped.promise });
+    await nextTurn();
+    taken.resolve(undefined);
+    await nextTurn();
+    assert.deepEqual(ends, []);
+    stopped.resolve(undefined);
+    await waitFor(() => ends.length > 0);
+    assert.deepEqual(ends, [ExitCode.Stopped]);
+  });
+});
+
 describe('an error that nothing caught', () => {
   // Guards against a fault in one request that cuts all others.
   it('stops the process gracefully, with its own exit code', async () => {
