--- a/packages/coordination/src/core/rate-limits/limit-shares.ts
+++ b/packages/coordination/src/core/rate-limits/limit-shares.ts
@@ -26,15 +26,20 @@
 
 /** The shares of one gateway. */
 export interface LimitShares {
+  /**
+   * Until then the own shares may still be lent by an earlier start of this gateway. Guards against a
+   * share that is used by its borrower and by a gateway that has just started again.
+   */
+  readonly lentBeforeUntilMs: number;
   /** By service. */
   readonly loans: Map<string, Loan>;
   /** By service and the gateway that lends. */
   readonly borrowed: Map<string, Map<string, Borrowed>>;
 }
 
-/** Nothing is lent. */
-export function createLimitShares(): LimitShares {
-  return { loans: new Map(), borrowed: new Map() };
+/** The shares of a gateway that starts now. */
+export function createLimitShares(nowMs: number): LimitShares {
+  return { lentBeforeUntilMs: nowMs + LOAN_MS, loans: new Map(), borrowed: new Map() };
 }
 
 /**
@@ -42,7 +47,7 @@
  * that is lent, 0 while another gateway has it.
  */
 export function lendShare(
-  { loans }: LimitShares,
+  { loans, lentBeforeUntilMs }: LimitShares,
   service: string,
   borrower: string,
   gateways: number,
@@ -50,7 +55,7 @@
 ): number {
   const loan = loans.get(service);
   const isLentElsewhere = loan !== undefined && loan.untilMs > nowMs && loan.borrower !== borrower;
-  if (isLentElsewhere) return 0;
+  if (isLentElsewhere || nowMs < lentBeforeUntilMs) return 0;
   loans.set(service, { borrower, untilMs: nowMs + LOAN_MS });
   return 1 / Math.max(1, gateways);
 }
@@ -82,7 +87,8 @@
   gateways: number,
   nowMs: number,
 ): number {
-  let share = borrowerOf(shares, service, nowMs) === null ? 1 / Math.max(1, gateways) : 0;
+  const isHere = nowMs >= shares.lentBeforeUntilMs && borrowerOf(shares, service, nowMs) === null;
+  let share = isHere ? 1 / Math.max(1, gateways) : 0;
   const lenders = shares.borrowed.get(service);
   for (const [lender, { fraction, untilMs }] of lenders ?? []) {
     if (untilMs > nowMs) share += fraction;
--- a/packages/coordination/src/core/rate-limits/named-limits.ts
+++ b/packages/coordination/src/core/rate-limits/named-limits.ts
@@ -7,7 +7,7 @@
 /** A limit is kept for so long without an answer that names it. */
 const KEEP_MS = 30_000;
 /** How long an end is told to gateways that may still know the limit. */
-const TELL_END_MS = 5000;
+const TELL_END_MS = 10_000;
 /** Targets that are remembered; far more than name a limit at once. */
 const MAX_TARGETS = 4096;
 /** A change of a limit by less is not news. */
@@ -40,7 +40,7 @@
   /** Answers to such work name it; null where it is not known. */
   readonly work: AskedWork | null;
   readonly heardAtMs: number;
-  /** Since when it has named a limit, whatever the number. */
+  /** Since when it has named a limit, whatever the number, or none. */
   readonly sinceMs: number;
 }
 
@@ -53,8 +53,8 @@
   readonly work: AskedWork | null;
   /** Milliseconds since the answer. */
   readonly ageMs: number;
-  /** Milliseconds since the first answer that named a limit. */
-  readonly namedForMs: number;
+  /** Milliseconds since the first answer that named a limit, or none again. */
+  readonly saidForMs: number;
 }
 
 /** Limits by the target's id; a target that starts again has another one. */
@@ -97,11 +97,14 @@
   { work, sentAtMs, origin }: TargetAnswer,
   nowMs: number,
 ): boolean {
-  const known = limitOf(limits, id, nowMs);
-  if (known === null || work === null || sentAtMs <= known.heardAtMs) return false;
+  const known = limits.get(id);
+  if (known === undefined || work === null || sentAtMs <= known.heardAtMs) return false;
   if (known.work !== null && known.work !== work) return false;
-  put(limits, id, { ...known, service, perS: null, origin, heardAtMs: nowMs });
-  return true;
+  // Each further answer makes the end newer, so that it overtakes what others were told late.
+  const isNewEnd = known.perS !== null;
+  const sinceMs = isNewEnd ? nowMs : known.sinceMs;
+  put(limits, id, { ...known, service, perS: null, origin, heardAtMs: nowMs, sinceMs });
+  return isNewEnd;
 }
 
 /** Takes in what another gateway heard; gives the targets of which it is news. */
@@ -110,13 +113,13 @@
   reports: readonly LimitReport[],
   nowMs: number,
 ): readonly string[] {
-  return reports.flatMap(({ target, ageMs, namedForMs, ...said }) => {
+  return reports.flatMap(({ target, ageMs, saidForMs, ...said }) => {
     const { origin } = said;
     const known = limits.get(target);
     const heardAtMs = nowMs - ageMs;
     if (known !== undefined && (known.origin === origin || known.heardAtMs >= heardAtMs)) return [];
     const before = limitOf(limits, target, nowMs)?.perS ?? null;
-    put(limits, target, { ...said, heardAtMs, sinceMs: nowMs - namedForMs });
+    put(limits, target, { ...said, heardAtMs, sinceMs: nowMs - saidForMs });
     return isNews(before, limitOf(limits, target, nowMs)?.perS ?? null) ? [target] : [];
   });
 }
@@ -141,7 +144,7 @@
   return [...limits].flatMap(([target, known]) => {
     if (known.service !== service || !isTold(known, nowMs)) return [];
     const { heardAtMs, sinceMs, ...said } = known;
-    return [{ target, ...said, ageMs: nowMs - heardAtMs, namedForMs: nowMs - sinceMs }];
+    return [{ target, ...said, ageMs: nowMs - heardAtMs, saidForMs: nowMs - sinceMs }];
   });
 }
 
@@ -160,8 +163,8 @@
   });
 }
 
-function isTold({ perS, heardAtMs }: NamedLimit, nowMs: number): boolean {
-  return nowMs - heardAtMs < (perS === null ? TELL_END_MS : KEEP_MS);
+function isTold({ perS, heardAtMs, sinceMs }: NamedLimit, nowMs: number): boolean {
+  return perS === null ? nowMs - sinceMs < TELL_END_MS : nowMs - heardAtMs < KEEP_MS;
 }
 
 function isNews(before: number | null, after: number | null): boolean {
--- a/packages/coordination/src/core/rate-limits/rate-limiter.ts
+++ b/packages/coordination/src/core/rate-limits/rate-limiter.ts
@@ -61,11 +61,11 @@
   readonly random: Random;
 }
 
-/** A limiter that knows of no limit. */
-export function createRateLimiter(random: Random): RateLimiter {
+/** The limiter of a gateway that starts now, and knows of no limit. */
+export function createRateLimiter(random: Random, nowMs: number): RateLimiter {
   return {
     limits: new Map(),
-    shares: createLimitShares(),
+    shares: createLimitShares(nowMs),
     buckets: new Map(),
     askedBackAtMs: new Map(),
     random,
--- a/packages/coordination/test/core/rate-limits/limit-shares.test.ts
+++ b/packages/coordination/test/core/rate-limits/limit-shares.test.ts
@@ -43,7 +43,10 @@
 
 /** The largest sum of shares at any moment while these questions cross. */
 function largestSum(questions: readonly Question[], leadsMs: readonly number[]): number {
-  const gateways = leadsMs.map((clockLeadMs) => ({ shares: createLimitShares(), clockLeadMs }));
+  const gateways = leadsMs.map((clockLeadMs) => ({
+    shares: createLimitShares(clockLeadMs),
+    clockLeadMs,
+  }));
   const due: { readonly atMs: number; readonly run: () => void }[] = [];
   let askedAtMs = 0;
   for (const { borrower, lender, pauseMs, thereMs, backMs, isLost } of questions) {
@@ -98,20 +101,28 @@
 
   // Guards against a limit of which only one gateway's part is used while all demand is there.
   it('are all with the gateway that decides, where all lend', () => {
-    const shares = createLimitShares();
+    const shares = createLimitShares(-LOAN_MS);
     for (const lender of ['b', 'c', 'd']) noteBorrowed(shares, SERVICE, lender, 1 / GATEWAYS, 0);
     assert.equal(usableShare(shares, SERVICE, GATEWAYS, 100), 1);
   });
 
   it('go back to their owners when a loan is not renewed', () => {
-    const shares = createLimitShares();
+    const shares = createLimitShares(-LOAN_MS);
     lendShare(shares, SERVICE, 'b', GATEWAYS, 0);
     assert.equal(usableShare(shares, SERVICE, GATEWAYS, LOAN_MS - 1), 0);
     assert.equal(usableShare(shares, SERVICE, GATEWAYS, LOAN_MS), 1 / GATEWAYS);
   });
 
+  // Guards against a gateway that starts again while its share is still lent.
+  it('are used and lent only when loans of an earlier start have ended', () => {
+    const shares = createLimitShares(0);
+    assert.equal(usableShare(shares, SERVICE, GATEWAYS, LOAN_MS - 1), 0);
+    assert.equal(lendShare(shares, SERVICE, 'b', GATEWAYS, LOAN_MS - 1), 0);
+    assert.equal(usableShare(shares, SERVICE, GATEWAYS, LOAN_MS), 1 / GATEWAYS);
+  });
+
   it('are lent to one gateway at a time', () => {
-    const shares = createLimitShares();
+    const shares = createLimitShares(-LOAN_MS);
     lendShare(shares, SERVICE, 'b', GATEWAYS, 0);
     assert.equal(lendShare(shares, SERVICE, 'c', GATEWAYS, LOAN_MS - 1), 0);
     assert.equal(lendShare(shares, SERVICE, 'c', GATEWAYS, LOAN_MS), 1 / GATEWAYS);
--- a/packages/coordination/test/core/rate-limits/rate-limiter.test.ts
+++ b/packages/coordination/test/core/rate-limits/rate-limiter.test.ts
@@ -3,6 +3,7 @@
 import { beforeEach, describe, it } from 'node:test';
 import {
   AskedWork,
+  LOAN_MS,
   type Permits,
   type RateLimiter,
   createRateLimiter,
@@ -41,7 +42,7 @@
   beforeEach(() => {
     nowMs = 0;
     gateways = 1;
-    limiter = createRateLimiter(seededRandom(1));
+    limiter = createRateLimiter(seededRandom(1), -LOAN_MS);
     permits = permitsOf(
       limiter,
       () => gateways,
--- a/packages/daemon/src/gateway/target-limits.ts
+++ b/packages/daemon/src/gateway/target-limits.ts
@@ -99,7 +99,7 @@
 /** Makes the limits of a gateway that has heard of none. */
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
   const { selfId, view, rpc, schedulerOf, elapsedMs, log, count, gauge } = options;
-  const limiter = createRateLimiter(options.random);
+  const limiter = createRateLimiter(options.random, elapsedMs());
   const { limits, shares } = limiter;
   const permits = permitsOf(limiter, gateways, elapsedMs);
   /** Until when no permit is asked for, by target. */
