Let engines of the emulator name limits

What is guarded: engines in need that get more than they take while others have room, and an overload in which most is asked of those that take the least.

--- a/benchmark/src/scheduling/play.ts
+++ b/benchmark/src/scheduling/play.ts
@@ -4,19 +4,26 @@
  * deciding took of the processor.
  */
 import {
+  AskedWork,
   type Decision,
   DecisionKind,
   EnginePhase,
   type Job,
   JobEventKind,
+  LOAN_MS,
   type Plan,
+  type RateLimiter,
   SCHEDULER_OPTIONS,
   type Scheduler,
   type SchedulerOptions,
   type TargetEntry,
+  createRateLimiter,
   createScheduler,
   noteEngines,
   noteJobEvents,
+  noteLimitNamed,
+  permitsOf,
+  seededRandom,
   submitJob,
   tickScheduler,
 } from '@cassiamast/coordination';
@@ -60,10 +67,26 @@
   readonly mostWaiting: number;
   /** Connections that gateways opened to engines. */
   readonly connections: number;
+  /** Most requests in four seconds at an engine that named a limit, in parts of what it named. */
+  readonly limitUsed: number;
 }
 
+/** Engines that name rate limits for the whole of a play. */
+export interface PlayLimits {
+  /** Part of the engines that make tokens; rounded up. */
+  readonly share: number;
+  readonly perS: number;
+}
+
+const NO_LIMITS: PlayLimits = { share: 0, perS: 0 };
+const LIMIT_WINDOW_MS = 4000;
+const MS_PER_S = 1000;
+
 interface Play {
   readonly scheduler: Scheduler;
+  readonly limiter: RateLimiter;
+  /** When requests were sent to engines that named limits, by engine. */
+  readonly sentAtMs: Map<string, number[]>;
   readonly queue: EventQueue;
   readonly freeAtMs: Map<string, number>;
   readonly jobs: Map<string, Job>;
@@ -82,12 +105,23 @@
 export function playScheduling(
   options: WorkloadOptions,
   schedulerOptions: SchedulerOptions = SCHEDULER_OPTIONS,
+  limits: PlayLimits = NO_LIMITS,
 ): PlayFigures {
-  const scheduler = createScheduler(schedulerOptions);
-  noteEngines(scheduler, makeEngines(options.engines), ENGINE_SPEC);
+  const queue = new EventQueue();
+  const limiter = createRateLimiter(seededRandom(options.seed), -LOAN_MS);
+  const permits = permitsOf(
+    limiter,
+    () => 1,
+    () => queue.nowMs,
+  );
+  const scheduler = createScheduler(schedulerOptions, permits);
+  const engines = makeEngines(options.engines);
+  noteEngines(scheduler, engines, ENGINE_SPEC);
   const play: Play = {
     scheduler,
-    queue: new EventQueue(),
+    limiter,
+    sentAtMs: new Map(),
+    queue,
     freeAtMs: new Map(),
     jobs: new Map(),
     connectionUsedAtMs: new Map(),
@@ -106,6 +140,7 @@
     });
   }
   scheduleTicks(play, options.durationMs);
+  nameLimits(play, engines, limits, options.durationMs);
   play.queue.runUntil(options.durationMs + LINGER_MS);
   return {
     requests: arrivals.length,
@@ -116,9 +151,43 @@
     longestDecisionUs: Math.round(play.longestUs),
     mostWaiting: play.mostWaiting,
     connections: play.connections,
+    limitUsed: limitUsed(play, limits),
   };
 }
 
+/** Has some of the engines that make tokens name a limit again and again, as in their answers. */
+function nameLimits(
+  play: Play,
+  engines: readonly TargetEntry[],
+  { share, perS }: PlayLimits,
+  durationMs: number,
+): void {
+  const decode = engines.filter(({ phase }) => phase === EnginePhase.Decode);
+  for (const engine of decode.slice(0, Math.ceil(decode.length * share))) {
+    play.sentAtMs.set(engine.id, []);
+    for (let atMs = 0; atMs < durationMs; atMs += MS_PER_S) {
+      play.queue.at(atMs, () => {
+        const answer = {
+          work: AskedWork.Run,
+          sentAtMs: atMs,
+          origin: `${engine.id}/${String(atMs)}`,
+        };
+        noteLimitNamed(play.limiter.limits, engine, perS, answer, atMs);
+      });
+    }
+  }
+}
+
+function limitUsed({ sentAtMs }: Play, { perS }: PlayLimits): number {
+  const most = [...sentAtMs.values()].flatMap((times) =>
+    times.map((fromMs, first) => {
+      const inWindow = times.slice(first).filter((atMs) => atMs < fromMs + LIMIT_WINDOW_MS);
+      return inWindow.length;
+    }),
+  );
+  return most.length === 0 ? 0 : (Math.max(...most) * MS_PER_S) / (perS * LIMIT_WINDOW_MS);
+}
+
 /** After the last arrival, until the last caller has left. */
 const LINGER_MS = 8000;
 
@@ -193,6 +262,7 @@
   const { queue } = play;
   connect(play, job, plan.readAt);
   if (plan.streamAt !== null) connect(play, job, plan.streamAt);
+  play.sentAtMs.get(plan.streamAt ?? plan.readAt)?.push(queue.nowMs);
   const startAtMs = Math.max(queue.nowMs + CROSSING_MS, play.freeAtMs.get(plan.readAt) ?? 0);
   const fetchMs = plan.fetchFrom === null ? 0 : FETCH_MS;
   const readAtMs = startAtMs + READ_START_MS + fetchMs + plan.missingTokens / READ_TOKENS_PER_MS;
--- a/benchmark/test/scheduling/play.test.ts
+++ b/benchmark/test/scheduling/play.test.ts
@@ -4,6 +4,7 @@
 import { SCHEDULER_OPTIONS } from '@cassiamast/coordination';
 import { playScheduling } from '../../src/scheduling/play.js';
 
+const LIMIT_PER_S = 5;
 const SEED = 1;
 const GATEWAYS = 4;
 const DURATION_MS = 6000;
@@ -46,6 +47,25 @@
     });
   });
 
+  describe('with engines that name limits', () => {
+    const load = { engines: 31, gateways: GATEWAYS, load: 1, durationMs: DURATION_MS, seed: SEED };
+    const named = (share: number) =>
+      playScheduling(load, SCHEDULER_OPTIONS, { share, perS: LIMIT_PER_S });
+
+    // Guards against engines in need that get more than they take while others have room.
+    it('serves as many by the others where some do', () => {
+      const figures = named(0.3);
+      assert.ok(figures.limitUsed > 0.7 && figures.limitUsed <= 1.2, String(figures.limitUsed));
+      assert.ok(figures.onTime > 0.95 * playScheduling(load).onTime);
+    });
+
+    // Guards against an overload in which the most is asked of those that take the least.
+    it('gives each of them no more, and most of it, where all do', () => {
+      const figures = named(1);
+      assert.ok(figures.limitUsed > 0.7 && figures.limitUsed <= 1.2, String(figures.limitUsed));
+    });
+  });
+
   it('plays the same twice', () => {
     const outcome = (): readonly number[] => {
       const figures = playScheduling({
