--- a/packages/coordination/src/core/scheduling/rate-limited.ts
+++ b/packages/coordination/src/core/scheduling/rate-limited.ts
@@ -16,12 +16,15 @@
   return refuse(scheduler, job, RefusalReason.RateLimit, 0, nowMs, availableInMs);
 }
 
-/** The engines that a job waits for: those that make tokens where none of them has a permit. */
+/** The engines that make tokens and could take a job, where none of them has a permit. */
 function limitedEngines(scheduler: Scheduler, job: Job, nowMs: number): readonly TargetLoad[] {
-  const serving = [...scheduler.targets.values()].filter(
-    (load) => isServing(load, nowMs) && !job.avoid.includes(load.entry.id),
-  );
-  const streamers = serving.filter(makesTokens);
-  // Those read prompts as well where no other engine may.
-  return streamers.some((load) => load.permits.has(load.entry.id)) ? [] : streamers;
+  const limited: TargetLoad[] = [];
+  for (const load of scheduler.targets.values()) {
+    if (!makesTokens(load) || !isServing(load, nowMs)) continue;
+    if (job.avoid.includes(load.entry.id)) continue;
+    // It reads the prompt as well where no other engine may.
+    if (load.permits.has(load.entry.id)) return [];
+    limited.push(load);
+  }
+  return limited;
 }
--- /dev/null
+++ b/packages/daemon/test/gateway/target-limits.test.ts
@@ -0,0 +1,147 @@
+/** Gateways that tell each other the limits that targets name, and lend each other their shares. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import {
+  AskedWork,
+  FleetChangeKind,
+  LOAN_MS,
+  type LimitReport,
+  applyChanges,
+  createFleetView,
+  seededRandom,
+} from '@cassiamast/coordination';
+import { errAsync, okAsync } from 'neverthrow';
+import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
+import type { RpcClient } from '../../src/node/rpc-client.js';
+import { RpcMethod } from '../../src/protocol/methods.js';
+import { type TargetLimits, createTargetLimits } from '../../src/gateway/target-limits.js';
+
+const IDS = ['a', 'b', 'c', 'd'] as const;
+const DECIDER = 'a';
+const TARGET = { id: 't', service: 's' };
+const LIMIT_PER_S = 8;
+
+/** Gateways that call each other in one process, and whose clock is turned by hand. */
+interface Fleet {
+  readonly gateways: Map<string, TargetLimits>;
+  readonly gauges: Map<string, ReadonlyMap<string, number>>;
+  readonly logged: string[];
+  nowMs: number;
+  /** Gateways that can't be reached. */
+  readonly away: Set<string>;
+}
+
+function startFleet(): Fleet {
+  const view = createFleetView();
+  const changes = IDS.map((id, index) => ({
+    kind: FleetChangeKind.Gateway as const,
+    revision: index + 1,
+    gateway: { id, failureDomain: 'eros-hall', coreShare: 0.5 },
+  }));
+  applyChanges(view, changes, IDS.length, 0);
+  const fleet: Fleet = {
+    gateways: new Map(),
+    gauges: new Map(),
+    logged: [],
+    nowMs: 0,
+    away: new Set(),
+  };
+  const call = (member: string, method: string, params: unknown): unknown => {
+    const gateway = fleet.gateways.get(member);
+    if (gateway === undefined || fleet.away.has(member)) {
+      return errAsync(MEMBER_UNREACHABLE.of({ member, method, detail: 'away' } as never));
+    }
+    return okAsync(perform(gateway, method, params as readonly unknown[]));
+  };
+  for (const id of IDS) {
+    const limits = createTargetLimits({
+      selfId: id,
+      view,
+      rpc: { call } as unknown as RpcClient,
+      schedulerOf: () => DECIDER,
+      elapsedMs: () => fleet.nowMs,
+      random: seededRandom(1),
+      log: {
+        info: (message) => fleet.logged.push(`${id}: ${message}`),
+        warn: () => undefined,
+        lifecycle: () => undefined,
+      },
+      count: () => undefined,
+      gauge: (name, values) => fleet.gauges.set(`${id}/${name}`, values),
+    });
+    fleet.gateways.set(id, limits);
+  }
+  fleet.nowMs = LOAN_MS;
+  return fleet;
+}
+
+function perform(gateway: TargetLimits, method: string, params: readonly unknown[]): unknown {
+  const [first, second, third] = params as [never, never, never];
+  if (method === RpcMethod.LimitsBorrow) return gateway.onBorrow(first, second, third);
+  if (method === RpcMethod.LimitsTake) return gateway.onTake(first, second, third);
+  gateway.onTold(first as readonly LimitReport[], second);
+  return null;
+}
+
+function gatewayOf(fleet: Fleet, id: string): TargetLimits {
+  const gateway = fleet.gateways.get(id);
+  if (gateway === undefined) throw new Error(`no gateway ${id}`);
+  return gateway;
+}
+
+/** A gateway hears the limit; resolves when the others have been told. */
+async function hear(fleet: Fleet, id: string, perS: number | null): Promise<void> {
+  const sentAtMs = fleet.nowMs + 1;
+  fleet.nowMs += 2;
+  gatewayOf(fleet, id).noteAnswer(TARGET, perS, { work: AskedWork.Run, sentAtMs });
+  await new Promise((resolve) => setImmediate(resolve));
+}
+
+/** Permits that a gateway gets in two seconds of asking. */
+async function taken(fleet: Fleet, id: string): Promise<number> {
+  let count = 0;
+  for (let turn = 0; turn < 200; turn += 1) {
+    fleet.nowMs += 10;
+    if ((await gatewayOf(fleet, id).take(TARGET)) === 0) count += 1;
+  }
+  return count;
+}
+
+describe('the limits of targets', () => {
+  it('are known to all gateways when one has heard of them', async () => {
+    const fleet = startFleet();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    for (const id of IDS) assert.ok(fleet.logged.includes(`${id}: rate limit named`), id);
+    await hear(fleet, 'c', null);
+    for (const id of IDS) assert.ok(fleet.logged.includes(`${id}: rate limit ended`), id);
+  });
+
+  it('are measured with their age, and the share that is here', async () => {
+    const fleet = startFleet();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    fleet.nowMs += 500;
+    gatewayOf(fleet, DECIDER).measure();
+    assert.equal(fleet.gauges.get('a/target_limit_per_s')?.get(TARGET.id), LIMIT_PER_S);
+    assert.equal(fleet.gauges.get('a/target_limit_age_s')?.get(TARGET.id), 0.5);
+    assert.equal(fleet.gauges.get('a/target_limit_share')?.get(TARGET.id), 1);
+  });
+
+  // Guards against a limit of which one gateway's callers get only that gateway's part.
+  it('are used by one gateway alone where the others have no use for them', async () => {
+    const fleet = startFleet();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    fleet.nowMs += 1;
+    assert.ok((await taken(fleet, 'c')) >= LIMIT_PER_S);
+  });
+
+  // Guards against a gateway that stops, or goes on without bounds, when it loses the one that decides.
+  it('leave a gateway its own share when it can reach no other', async () => {
+    const fleet = startFleet();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    fleet.away.add(DECIDER);
+    fleet.nowMs += LOAN_MS;
+    const count = await taken(fleet, 'c');
+    const ownPart = (2 * LIMIT_PER_S) / IDS.length;
+    assert.ok(count >= ownPart - 1 && count <= ownPart + 1, String(count));
+  });
+});
