--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -18,8 +18,6 @@
 import type { GatewayLog } from './gateway-log.js';
 
 const DRAIN_POLL_MS = 50;
-/** The grace is not shortened by more, however late timers are. */
-const MOST_LATE_MS = 2000;
 /** The balancer takes a gateway out after two questions without a 200, a second apart. */
 const NOTICE_MS = 2500;
 /** Kept connections stay open for so long: a request may be on its way to them. */
@@ -69,9 +67,6 @@
 }
 
 async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
-  // Guards against a held request that the kill cuts on a VM with too little processor time: the last
-  // look would come as late as the looks before it.
-  let lateMs = 0;
   const afterDrainMs = ANSWER_MS + CLOSE_PORT_MS + STOP_CHILDREN_MS + WRITE_LOG_MS + EXIT_MS;
   const drainMs = Math.max(0, graceMs - afterDrainMs);
   const state = createDrain({
@@ -86,7 +81,7 @@
       case DrainEffectKind.AnnounceLeaving:
         return;
       case DrainEffectKind.LimitAccepting:
-        front.takeOnlyUntil(state.startedAtMs + state.options.drainMs - lateMs);
+        front.takeOnlyUntil(state.startedAtMs + state.options.drainMs);
         return;
       case DrainEffectKind.StopAccepting:
         front.refuseAll();
@@ -99,7 +94,6 @@
       case DrainEffectKind.Drained:
         log.lifecycle('gateway drained', {
           leftRunning: effect.leftRunning,
-          timersLateMs: Math.round(lateMs),
           tookMs: Math.round(nowMs() - state.startedAtMs),
         });
     }
@@ -107,11 +101,8 @@
   let effects = startDrain(state, nowMs());
   while (state.phase !== DrainPhase.Drained) {
     effects.forEach(perform);
-    const sleptAtMs = nowMs();
     await sleep(DRAIN_POLL_MS);
-    const late = nowMs() - sleptAtMs - DRAIN_POLL_MS;
-    lateMs = Math.min(MOST_LATE_MS, Math.max(lateMs, late));
-    effects = tickDrain(state, front.open(), nowMs() + lateMs);
+    effects = tickDrain(state, front.open(), nowMs());
   }
   effects.forEach(perform);
 }
