Count gateways that share a limit for a while after their announcements are gone

Cause: each gateway owns one part in N of a limit, N being the announced gateways. All announcements had lapsed when the store came back, so each one took itself for the only one and used all of it, until it was announced again. A gateway that leaves was dropped at once as well, and used its own part on.

Change: a gateway counts for 10 s after its announcement is gone; one that leaves uses none of its own share and asks the one that decides for permits. A limit is kept for 60 s without an answer, as a target beside idle ones may not be asked for that long.

Evidence: 'stay divided among gateways whose announcements have lapsed' fails without the memory.

--- a/packages/coordination/src/core/rate-limits/limit-shares.ts
+++ b/packages/coordination/src/core/rate-limits/limit-shares.ts
@@ -27,10 +27,11 @@
 /** The shares of one gateway. */
 export interface LimitShares {
   /**
-   * Until then the own shares may still be lent by an earlier start of this gateway. Guards against a
-   * share that is used by its borrower and by a gateway that has just started again.
+   * Until then the own shares are neither used nor lent. Guards against shares that are in two places:
+   * those of a gateway that has just started may still be lent by its earlier start, and those of one
+   * that leaves are already divided among the others.
    */
-  readonly lentBeforeUntilMs: number;
+  withheldUntilMs: number;
   /** By service. */
   readonly loans: Map<string, Loan>;
   /** By service and the gateway that lends. */
@@ -39,7 +40,12 @@
 
 /** The shares of a gateway that starts now. */
 export function createLimitShares(nowMs: number): LimitShares {
-  return { lentBeforeUntilMs: nowMs + LOAN_MS, loans: new Map(), borrowed: new Map() };
+  return { withheldUntilMs: nowMs + LOAN_MS, loans: new Map(), borrowed: new Map() };
+}
+
+/** The gateway leaves: the others no longer count it. */
+export function giveUpShares(shares: LimitShares): void {
+  shares.withheldUntilMs = Infinity;
 }
 
 /**
@@ -47,7 +53,7 @@
  * that is lent, 0 while another gateway has it.
  */
 export function lendShare(
-  { loans, lentBeforeUntilMs }: LimitShares,
+  { loans, withheldUntilMs }: LimitShares,
   service: string,
   borrower: string,
   gateways: number,
@@ -55,7 +61,7 @@
 ): number {
   const loan = loans.get(service);
   const isLentElsewhere = loan !== undefined && loan.untilMs > nowMs && loan.borrower !== borrower;
-  if (isLentElsewhere || nowMs < lentBeforeUntilMs) return 0;
+  if (isLentElsewhere || nowMs < withheldUntilMs) return 0;
   loans.set(service, { borrower, untilMs: nowMs + LOAN_MS });
   return 1 / Math.max(1, gateways);
 }
@@ -87,7 +93,7 @@
   gateways: number,
   nowMs: number,
 ): number {
-  const isHere = nowMs >= shares.lentBeforeUntilMs && borrowerOf(shares, service, nowMs) === null;
+  const isHere = nowMs >= shares.withheldUntilMs && borrowerOf(shares, service, nowMs) === null;
   let share = isHere ? 1 / Math.max(1, gateways) : 0;
   const lenders = shares.borrowed.get(service);
   for (const [lender, { fraction, untilMs }] of lenders ?? []) {
--- a/packages/coordination/src/core/rate-limits/named-limits.ts
+++ b/packages/coordination/src/core/rate-limits/named-limits.ts
@@ -5,7 +5,7 @@
  */
 
 /** A limit is kept for so long without an answer that names it. */
-const KEEP_MS = 30_000;
+const KEEP_MS = 60_000;
 /** How long an end is told to gateways that may still know the limit. */
 const TELL_END_MS = 10_000;
 /** Targets that are remembered; far more than name a limit at once. */
--- a/packages/coordination/test/core/rate-limits/limit-shares.test.ts
+++ b/packages/coordination/test/core/rate-limits/limit-shares.test.ts
@@ -6,6 +6,7 @@
   LOAN_MS,
   type LimitShares,
   createLimitShares,
+  giveUpShares,
   lendShare,
   noteBorrowed,
   usableShare,
@@ -121,6 +122,14 @@
     assert.equal(usableShare(shares, SERVICE, GATEWAYS, LOAN_MS), 1 / GATEWAYS);
   });
 
+  // Guards against a gateway that leaves and uses what the others have divided among them.
+  it('are neither used nor lent by a gateway that leaves', () => {
+    const shares = createLimitShares(-LOAN_MS);
+    giveUpShares(shares);
+    assert.equal(usableShare(shares, SERVICE, GATEWAYS, 0), 0);
+    assert.equal(lendShare(shares, SERVICE, 'b', GATEWAYS, 0), 0);
+  });
+
   it('are lent to one gateway at a time', () => {
     const shares = createLimitShares(-LOAN_MS);
     lendShare(shares, SERVICE, 'b', GATEWAYS, 0);
--- a/packages/coordination/test/core/rate-limits/named-limits.test.ts
+++ b/packages/coordination/test/core/rate-limits/named-limits.test.ts
@@ -15,7 +15,7 @@
 
 const TARGET = { id: 't', service: 's' };
 /** Longer than a limit is kept without an answer that names it. */
-const LONG_MS = 60_000;
+const LONG_MS = 120_000;
 
 let answers = 0;
 
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -329,6 +329,7 @@
           log,
           announceLeaving: () => {
             leaving = true;
+            limits.leave();
             void presence.withdraw();
             // It no longer sees what engines are asked for, so it must give them no orders.
             void planner.stop();
--- a/packages/daemon/src/gateway/target-limits.ts
+++ b/packages/daemon/src/gateway/target-limits.ts
@@ -15,6 +15,7 @@
   borrowerOf,
   createRateLimiter,
   dropOldLimits,
+  giveUpShares,
   lendShare,
   limitOf,
   limitReports,
@@ -42,6 +43,11 @@
 const UNREACHED_MS = 300;
 /** Longer than any wait for a permit that is worth telling; also stands for no permit at all. */
 const MAX_WAIT_MS = 10_000;
+/**
+ * A gateway counts for so long after its announcement is gone: it announces itself again a moment
+ * after an outage of the store, and one that leaves goes on for its grace.
+ */
+const REMEMBER_MS = 10_000;
 const MS_PER_S = 1000;
 
 /** A gateway lends its share, and tells what it has heard. */
@@ -80,6 +86,8 @@
   ) => void;
   /** Takes a permit for a request of this gateway's own; gives 0, or milliseconds until there may be one. */
   readonly take: (target: AnsweringTarget) => Promise<number>;
+  /** From now on this gateway counts no more among those that share the limits. */
+  readonly leave: () => void;
   /** When a caller may come back, from the waits for permits of all targets that could take it. */
   readonly askBackInMs: (waitMsByTarget: ReadonlyMap<string, number>) => number;
   /** Sets the gauges. */
@@ -105,10 +113,25 @@
   /** Until when no permit is asked for, by target. */
   const emptyUntilMs = new Map<string, number>();
   let answers = 0;
+  let isLeaving = false;
+
+  /** When each gateway was last announced, as far as this one knew. */
+  const announcedAtMs = new Map<string, number>();
 
-  /** Gateways that share the limits, this one included. */
+  /**
+   * Gateways that share the limits, this one included. Guards against gateways that each take
+   * themselves for the only one, since the announcements of all lapsed with the store.
+   */
   function gateways(): number {
-    return view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
+    const announced = view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
+    return Math.max(announced, announcedAtMs.size);
+  }
+
+  function rememberGateways(nowMs: number): void {
+    for (const id of [...view.gateways.keys(), selfId]) announcedAtMs.set(id, nowMs);
+    for (const [id, atMs] of announcedAtMs) {
+      if (nowMs - atMs > REMEMBER_MS) announcedAtMs.delete(id);
+    }
   }
 
   function noteAnswer(...[target, perS, said]: Parameters<TargetLimits['noteAnswer']>): void {
@@ -193,6 +216,7 @@
 
   function renew(): void {
     const now = elapsedMs();
+    rememberGateways(now);
     for (const target of dropOldLimits(limits, now)) {
       emptyUntilMs.delete(target);
       limiter.buckets.delete(target);
@@ -213,13 +237,18 @@
     if (limitOf(limits, target.id, now) === null) return 0;
     const waitMs = (emptyUntilMs.get(target.id) ?? 0) - now;
     if (waitMs > 0) return waitMs;
-    const borrower = borrowerOf(shares, target.service, now);
-    if (borrower === null || borrower === selfId) return takeHere(target.id);
-    const foundMs = await ask(borrower, target);
+    const holder = holderOf(target.service, now);
+    if (holder === selfId) return takeHere(target.id);
+    const foundMs = await ask(holder, target);
     if (foundMs > 0) emptyUntilMs.set(target.id, elapsedMs() + foundMs);
     return foundMs;
   }
 
+  /** The gateway that gives out this one's permits. */
+  function holderOf(service: string, nowMs: number): string {
+    return borrowerOf(shares, service, nowMs) ?? (isLeaving ? schedulerOf(service) : selfId);
+  }
+
   async function ask(borrower: string, { id, service }: AnsweringTarget): Promise<number> {
     const answer = await rpc.call<number>(
       borrower,
@@ -258,6 +287,10 @@
     child: createPeriodic('target-limits', () => RENEW_MS, renew),
     permits,
     noteAnswer,
+    leave: () => {
+      isLeaving = true;
+      giveUpShares(shares);
+    },
     take,
     askBackInMs: (waitMsByTarget) =>
       askBackInMs(
--- a/packages/daemon/test/gateway/target-limits.test.ts
+++ b/packages/daemon/test/gateway/target-limits.test.ts
@@ -4,6 +4,7 @@
 import {
   AskedWork,
   FleetChangeKind,
+  type FleetView,
   LOAN_MS,
   type LimitReport,
   applyChanges,
@@ -23,6 +24,7 @@
 
 /** Gateways that call each other in one process, and whose clock is turned by hand. */
 interface Fleet {
+  readonly view: FleetView;
   readonly gateways: Map<string, TargetLimits>;
   readonly gauges: Map<string, ReadonlyMap<string, number>>;
   readonly logged: string[];
@@ -40,6 +42,7 @@
   }));
   applyChanges(view, changes, IDS.length, 0);
   const fleet: Fleet = {
+    view,
     gateways: new Map(),
     gauges: new Map(),
     logged: [],
@@ -134,6 +137,30 @@
     assert.ok((await taken(fleet, 'c')) >= LIMIT_PER_S);
   });
 
+  // Guards against gateways that each use all of a limit when the announcements of all have lapsed.
+  it('stay divided among gateways whose announcements have lapsed', async () => {
+    const fleet = startFleet();
+    await gatewayOf(fleet, 'c').child.start(() => undefined);
+    await gatewayOf(fleet, 'c').child.stop();
+    for (const id of IDS) fleet.away.add(id);
+    fleet.view.gateways.clear();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    fleet.nowMs += LOAN_MS;
+    const ownPart = (2 * LIMIT_PER_S) / IDS.length;
+    assert.ok((await taken(fleet, 'c')) <= ownPart + 1);
+  });
+
+  it('give a gateway that leaves permits of the one that decides', async () => {
+    const fleet = startFleet();
+    await hear(fleet, 'c', LIMIT_PER_S);
+    gatewayOf(fleet, 'c').leave();
+    fleet.nowMs += LOAN_MS;
+    await hear(fleet, 'b', LIMIT_PER_S);
+    assert.ok((await taken(fleet, 'c')) > 0);
+    gatewayOf(fleet, 'c').measure();
+    assert.equal(fleet.gauges.get('c/target_limit_share')?.get(TARGET.id), 0);
+  });
+
   // Guards against a gateway that stops, or goes on without bounds, when it loses the one that decides.
   it('leave a gateway its own share when it can reach no other', async () => {
     const fleet = startFleet();
