--- /dev/null
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -0,0 +1,47 @@
+/** What other gateways call on this one, by method; their parameters become typed values here. */
+import type { JobEvent } from '@cassiamast/coordination';
+import type { ControlServerOptions } from '../node/control-server.js';
+import { RpcMethod } from '../protocol/methods.js';
+import { ANNOUNCED_SINCE, type SchedulingClient } from './scheduling-client.js';
+import type { JobRequest, SchedulingService } from './scheduling-service.js';
+import type { TargetLimits } from './target-limits.js';
+
+/** Makes the handlers. */
+export function createMemberHandlers(
+  schedulers: SchedulingService,
+  scheduling: SchedulingClient,
+  limits: TargetLimits,
+): ControlServerOptions['handlers'] {
+  return {
+    [RpcMethod.ScheduleTake]: (params) => {
+      const [service, job, waitMs, events, announcedAtRevision] = params as [
+        service: string,
+        job: JobRequest,
+        waitMs: number,
+        events: readonly JobEvent[],
+        announcedAtRevision: number,
+      ];
+      schedulers.report(service, events);
+      if (!scheduling.noteAsked(announcedAtRevision)) return ANNOUNCED_SINCE;
+      return schedulers.take(service, job, waitMs);
+    },
+    [RpcMethod.ScheduleReport]: (params) => {
+      const [service, events] = params as [string, readonly JobEvent[]];
+      schedulers.report(service, events);
+      return null;
+    },
+    [RpcMethod.LimitsBorrow]: (params) => {
+      const [service, borrower, reports] = params as Parameters<TargetLimits['onBorrow']>;
+      return limits.onBorrow(service, borrower, reports);
+    },
+    [RpcMethod.LimitsTell]: (params) => {
+      const [reports, from] = params as Parameters<TargetLimits['onTold']>;
+      limits.onTold(reports, from);
+      return null;
+    },
+    [RpcMethod.LimitsTake]: (params) => {
+      const [target, reports, from] = params as Parameters<TargetLimits['onTake']>;
+      return limits.onTake(target, reports, from);
+    },
+  };
+}
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -6,7 +6,6 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type Failure,
-  type JobEvent,
   createElapsedClock,
   createFleetView,
   createHashing,
@@ -32,7 +31,6 @@
 import { createMemberProof } from '../node/secret.js';
 import { createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
-import { RpcMethod } from '../protocol/methods.js';
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
 import { countCalls } from './counted-fleet.js';
 import { createCrashReports } from './crash-reports.js';
@@ -43,13 +41,14 @@
 import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
 import { LOG_BOUNDS, type WriteText, createLogWriter } from './log-writer.js';
+import { createMemberHandlers } from './member-handlers.js';
 import { createMetricsServer } from './metrics-server.js';
 import { createPhasePlanner } from './phase-planner.js';
 import { createPresence } from './presence.js';
 import { createReadinessServer } from './readiness-server.js';
 import { createRetryBudgets } from './retry-budgets.js';
-import { ANNOUNCED_SINCE, createSchedulingClient } from './scheduling-client.js';
-import { type JobRequest, createSchedulingService } from './scheduling-service.js';
+import { createSchedulingClient } from './scheduling-client.js';
+import { createSchedulingService } from './scheduling-service.js';
 import type { GatewaySettings } from './settings.js';
 import { createTargetHealth } from './target-health.js';
 import { createTargetLimits } from './target-limits.js';
@@ -247,38 +246,7 @@
         allows: allowNetworks(settings.memberNetworks),
         proof,
         clock: timeline.clock,
-        handlers: {
-          [RpcMethod.ScheduleTake]: (params) => {
-            const [service, job, waitMs, events, announcedAtRevision] = params as [
-              service: string,
-              job: JobRequest,
-              waitMs: number,
-              events: readonly JobEvent[],
-              announcedAtRevision: number,
-            ];
-            schedulers.report(service, events);
-            if (!scheduling.noteAsked(announcedAtRevision)) return ANNOUNCED_SINCE;
-            return schedulers.take(service, job, waitMs);
-          },
-          [RpcMethod.ScheduleReport]: (params) => {
-            const [service, events] = params as [string, readonly JobEvent[]];
-            schedulers.report(service, events);
-            return null;
-          },
-          [RpcMethod.LimitsBorrow]: (params) => {
-            const [service, borrower, reports] = params as Parameters<typeof limits.onBorrow>;
-            return limits.onBorrow(service, borrower, reports);
-          },
-          [RpcMethod.LimitsTell]: (params) => {
-            const [reports, from] = params as Parameters<typeof limits.onTold>;
-            limits.onTold(reports, from);
-            return null;
-          },
-          [RpcMethod.LimitsTake]: (params) => {
-            const [target, reports, from] = params as Parameters<typeof limits.onTake>;
-            return limits.onTake(target, reports, from);
-          },
-        },
+        handlers: createMemberHandlers(schedulers, scheduling, limits),
         streams: {},
         metricsText: telemetry.metricsText,
       }),
