Give no port twice to the tests of one process

Cause: freePort draws at random and looks whether anybody listens; a port that was given and is not bound yet looks free and can be drawn again. The listing of that process's own sockets had 23706 among them.

Change: a process is given no port twice.

--- a/packages/stand-ins/src/core/http/free-port.ts
+++ b/packages/stand-ins/src/core/http/free-port.ts
@@ -18,11 +18,16 @@
 const BLOCK_PORTS = 128;
 const BLOCKS = (FIRST_SINGLE_PORT - FIRST_BLOCK_PORT) / BLOCK_PORTS;
 
-/** A port that nothing listens on at this moment. */
+/** Ports that this process was given; one that nobody listens on yet is still free to look at. */
+const given = new Set<number>();
+
+/** A port that nothing listens on at this moment, and that this process was not given before. */
 export async function freePort(): Promise<number> {
   for (;;) {
     const port = randomInt(FIRST_SINGLE_PORT, END_PORT);
-    if (await isFree(port)) return port;
+    if (given.has(port) || !(await isFree(port))) continue;
+    given.add(port);
+    return port;
   }
 }
 
