Tell of a version in force also where the patch after it does not fit

What operators could see: a member that has put a version in force and acts on the one before, until the next edit.

Cause: takeAnswer adopted the patches one by one and returned a failure at the first that did not fit, which dropped the effects of those before. The whole document that is asked for then is no news where its holder has the same version.

Change: the effects are returned beside the mismatch.

--- a/packages/coordination/src/core/config/adopting.ts
+++ b/packages/coordination/src/core/config/adopting.ts
@@ -104,21 +104,30 @@
   return ok({ patches: null, whole: inForce });
 }
 
-/** Applies a peer's answer; the failure says that the whole document has to be fetched. */
+/** What came of a peer's answer. The effects are to be performed whether or not all of it fitted. */
+export interface TakenAnswer {
+  readonly effects: readonly ConfigEffect[];
+  /** A patch did not fit: the whole document has to be fetched. */
+  readonly isMismatch: boolean;
+}
+
+/** Applies a peer's answer, as far as its patches fit. */
 export function takeAnswer(
   state: ConfigState,
   answer: FetchAnswer,
   context: ConfigContext,
-): Result<ConfigEffect[], Failure> {
-  if (answer.whole !== null) return ok(adopt(state, answer.whole, null, context));
+): TakenAnswer {
+  if (answer.whole !== null) {
+    return { effects: adopt(state, answer.whole, null, context), isMismatch: false };
+  }
   const effects: ConfigEffect[] = [];
   for (const patch of answer.patches ?? []) {
     const { inForce } = state;
     if (inForce === null) break;
     if (patch.fromVersion < inForce.version) continue;
     const patched = applyPatch(inForce, patch, context.hash32);
-    if (patched.isErr()) return err(patched.error);
+    if (patched.isErr()) return { effects, isMismatch: true };
     effects.push(...adopt(state, patched.value, patch, context));
   }
-  return ok(effects);
+  return { effects, isMismatch: false };
 }
--- a/packages/coordination/src/core/config/keeper.ts
+++ b/packages/coordination/src/core/config/keeper.ts
@@ -123,12 +123,12 @@
 ): ConfigEffect[] {
   const from = state.fetch?.from;
   state.fetch = null;
-  const taken = takeAnswer(state, answer, context);
-  if (taken.isOk()) return [...taken.value, ...tickConfig(state, context)];
-  if (from === undefined) return [];
-  // The patches did not fit: asking as if nothing were held brings the whole document.
+  const { effects, isMismatch } = takeAnswer(state, answer, context);
+  if (!isMismatch) return [...effects, ...tickConfig(state, context)];
+  if (from === undefined) return [...effects];
+  // Asking as if nothing were held brings the whole document.
   state.fetch = { from, startedAtMs: context.nowMs };
-  return [{ kind: ConfigEffectKind.Fetch, to: from, request: { haveVersion: 0 } }];
+  return [...effects, { kind: ConfigEffectKind.Fetch, to: from, request: { haveVersion: 0 } }];
 }
 
 /** A fetch that failed; another holder is tried. */
--- a/packages/coordination/test/core/config/keeper.test.ts
+++ b/packages/coordination/test/core/config/keeper.test.ts
@@ -16,6 +16,7 @@
   configHintsHeard,
   configWatchEnded,
   createConfigState,
+  diffConfigurations,
   headAfter,
   serveConfigFetch,
   tickConfig,
@@ -101,6 +102,22 @@
       assert.equal(versionInForce(other), 3);
     });
 
+    /** Guards against a version that is in force while the process still acts on the one before. */
+    it('is told of when it is in force and the patch after it does not fit', () => {
+      const other = holding(1, 0);
+      configAnnounced(other, 'holder:1', 3, context(1_100));
+      const fitting = diffConfigurations(held(1), held(2), testHash32);
+      const foreign = { ...diffConfigurations(held(2), held(3), testHash32), resultHash: 0 };
+      const answer = { patches: [fitting, foreign], whole: null };
+      const effects = configFetchAnswered(other, answer, context(1_200));
+      assert.equal(versionInForce(other), 2);
+      const told = effects.filter((effect) => effect.kind === ConfigEffectKind.PutInForce);
+      assert.deepEqual(
+        told.map(({ configuration }) => configuration.version),
+        [2],
+      );
+    });
+
     it('is fetched from another holder when the first does not answer', () => {
       const state = holding(1, 0);
       configAnnounced(state, 'first:1', 2, context(1_000));
