Take answers of the store that come after a gateway has asked anew

Cause: a listing was thrown away after 1500 ms, a question for changes after 2500 ms, whatever became of it, and the same was asked anew. A gateway without a view then never gets one, and the listings that are thrown away feed the load.

A late answer is taken unless something newer has come.

--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -3,7 +3,7 @@
  * outages, dropped history and a store that turns this VM away. Whatever it last knew stays in
  * force meanwhile.
  */
-import { setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as turnLoop, setTimeout as sleep } from 'node:timers/promises';
 import {
   type Failure,
   type FleetChange,
@@ -31,6 +31,10 @@
 
 /** Longest wait of one question for changes: short, so that a silent connection is noticed. */
 const WATCH_WAIT_MS = 1500;
+/** A question that is not answered so long after it could be is asked anew. */
+const PATIENCE_MS = 1000;
+/** A listing is a page or more. */
+const LISTING_PATIENCE_MS = 1500;
 /** Entries of other writers that are remembered as logged; more of them are logged again. */
 const MAX_LOGGED_FAULTS = 256;
 
@@ -51,18 +55,26 @@
   readonly onChanged: () => void;
 }
 
+/** A question to the store whose answer may come after it was asked anew. */
+interface Question {
+  readonly isListing: boolean;
+  /** The revision that was known when it was asked. */
+  readonly afterRevision: number;
+  readonly patienceMs: number;
+  readonly reading: PromiseLike<Result<FleetReading, Failure>>;
+}
+
 /** Makes the follower. */
 export function createFleetFollower(options: FleetFollowerOptions): Child {
   const { fleet, view, nowMs, log, random } = options;
   const pace = createNewsPace(options.pace);
   let stopped = true;
   let isAway = false;
+  let needsListing = true;
   const loggedFaults = new Set<string>();
 
-  function noteAway(failure: Failure): void {
-    if (!isAway) {
-      log.warn('store lost', { cause: failure.message, revision: view.revision });
-    }
+  function noteAway(cause: string): void {
+    if (!isAway) log.warn('store lost', { cause, revision: view.revision });
     isAway = true;
   }
 
@@ -89,41 +101,80 @@
     log.info('target started again', { target: id, before, revision: change.revision });
   }
 
-  function take(
-    reading: Result<FleetReading, Failure>,
-    apply: typeof applyChanges,
-  ): Failure | null {
-    if (reading.isErr()) return reading.error;
+  function take({ changes, faults, revision }: FleetReading, isListing: boolean): void {
     noteBack();
-    const { changes, faults, revision } = reading.value;
     for (const fault of faults) noteFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
     for (const change of changes) noteNewStart(change);
-    apply(view, changes, revision, nowMs());
+    if (isListing) applyListing(view, changes, revision, nowMs());
+    else applyChanges(view, changes, revision, nowMs());
+    if (isListing) needsListing = false;
     const version = view.table?.configuration.version ?? 0;
     if (version !== versionBefore) log.info('configuration in force', { version, revision });
     options.onChanged();
-    return null;
   }
 
-  async function turn(): Promise<void> {
-    const isListing = view.revision === 0;
-    const failure = isListing
-      ? take(await fleet.list(), applyListing)
-      : take(await fleet.changesAfter(view.revision, WATCH_WAIT_MS), applyChanges);
-    settleDoubts(view, nowMs());
-    if (failure === null) {
-      const pauseMs = pauseAfterNewsMs(pace, nowMs());
-      await sleep(isListing ? 0 : pauseMs);
+  function ask(): Question {
+    const afterRevision = view.revision;
+    return needsListing
+      ? { isListing: true, afterRevision, patienceMs: LISTING_PATIENCE_MS, reading: fleet.list() }
+      : {
+          isListing: false,
+          afterRevision,
+          patienceMs: WATCH_WAIT_MS + PATIENCE_MS,
+          reading: fleet.changesAfter(afterRevision, WATCH_WAIT_MS),
+        };
+  }
+
+  /**
+   * Takes an answer that comes after its question was asked anew. Guards against a store that answers
+   * each question later than a gateway waits: it shows as gateways that start and never serve, and
+   * feed the store's load with listings that are all thrown away. An answer that is older than what
+   * has come since is of no use.
+   */
+  async function takeLate({ isListing, afterRevision, reading }: Question): Promise<void> {
+    const late = await reading;
+    if (stopped) return;
+    if (late.isErr()) {
+      if (afterRevision === view.revision) noteIfHistoryGone(late.error);
       return;
     }
-    if (FLEET_HISTORY_GONE.is(failure)) {
-      log.warn('fleet listed anew', { cause: failure.message, revision: view.revision });
-      const listed = take(await fleet.list(), applyListing);
-      if (listed === null) return;
+    if (late.value.revision < view.revision) return;
+    options.count('store_late_answers_total');
+    take(late.value, isListing);
+  }
+
+  /** What is missing then can only be listed. */
+  function noteIfHistoryGone(failure: Failure): boolean {
+    if (!FLEET_HISTORY_GONE.is(failure)) return false;
+    log.warn('fleet listed anew', { cause: failure.message, revision: view.revision });
+    needsListing = true;
+    return true;
+  }
+
+  /** Asks once; gives the pause before the next question. */
+  async function askOnce(): Promise<number> {
+    const question = ask();
+    const answer = await within(question.reading, question.patienceMs);
+    if (answer === null) {
+      noteAway(`no answer within ${String(question.patienceMs)} ms`);
+      void takeLate(question);
+      return pauseAfterFailureMs(pace, random);
+    }
+    if (answer.isErr()) {
+      if (noteIfHistoryGone(answer.error)) return 0;
+      noteAway(answer.error.message);
+      return pauseAfterFailureMs(pace, random);
     }
-    noteAway(failure);
-    await sleep(pauseAfterFailureMs(pace, random));
+    take(answer.value, question.isListing);
+    const pauseMs = pauseAfterNewsMs(pace, nowMs());
+    return question.isListing ? 0 : pauseMs;
+  }
+
+  async function turn(): Promise<void> {
+    const pauseMs = await askOnce();
+    settleDoubts(view, nowMs());
+    await sleep(pauseMs);
   }
 
   return {
@@ -142,3 +193,18 @@
     },
   };
 }
+
+/** The answer, or null where it does not come in time; what has come in by then is read first. */
+async function within<Answer>(
+  answer: PromiseLike<Answer>,
+  timeoutMs: number,
+): Promise<Answer | null> {
+  const timer = new AbortController();
+  const over = sleep(timeoutMs, null, { signal: timer.signal }).then(
+    () => turnLoop(null),
+    () => null,
+  );
+  const first = await Promise.race([answer, over]);
+  timer.abort();
+  return first;
+}
