Let daemons read the configuration and the ledger of crashes from a slow service

What callers saw: nothing served by a fleet that starts while the key-value service takes longer than 1.5 s for an answer; found by looking for the fault of the gateway's listings in the daemon.

Cause: each read was given up after 1500 ms and asked anew. Without a configuration, or the ledger read once, nothing is dispatched.

Change: readers to whom a late answer is of use wait up to 6 s for it. Reads of leases, by which somebody judges what holds now, keep their short time-out.

--- a/packages/daemon/src/node/configuration-driver.ts
+++ b/packages/daemon/src/node/configuration-driver.ts
@@ -143,7 +143,7 @@
 
   async function readHead(): Promise<void> {
     options.telemetry.count('key_value_reads_total');
-    const entry = await keyValue.get(CONFIGURATION_HEAD_KEY);
+    const entry = await keyValue.getLate(CONFIGURATION_HEAD_KEY);
     perform(
       entry.match(
         (found) => configHeadRead(state, found === null ? null : parseHead(found.value), context()),
@@ -154,7 +154,7 @@
 
   async function readDocument(): Promise<void> {
     options.telemetry.count('key_value_reads_total');
-    const entry = await keyValue.get(CONFIGURATION_CURRENT_KEY);
+    const entry = await keyValue.getLate(CONFIGURATION_CURRENT_KEY);
     perform(
       entry.match(
         (found) =>
--- a/packages/daemon/src/node/poison-driver.ts
+++ b/packages/daemon/src/node/poison-driver.ts
@@ -167,7 +167,7 @@
     for (const service of services) {
       telemetry.count('key_value_reads_total');
       const prefix = ledgerPrefixOf(service);
-      const entries = await keyValue.list(prefix, MAX_SUSPICIONS);
+      const entries = await keyValue.listLate(prefix, MAX_SUSPICIONS);
       if (entries.isErr()) return null;
       for (const entry of entries.value) {
         ledger.set(entry.key.slice(prefix.length), parseLedgerEntry(entry).crashedAttemptIds);
--- a/packages/ports/src/key-value/client.ts
+++ b/packages/ports/src/key-value/client.ts
@@ -24,6 +24,8 @@
 /** Values hold up to a megabyte; base64 and a list of them need room above that. */
 const MAX_ANSWER_BYTES = 16 * 1024 * 1024;
 const DEFAULT_CALL_TIMEOUT_MS = 1_500;
+/** A slow service answers within that; a silent connection is given up after it. */
+const LATE_CALL_TIMEOUT_MS = 6_000;
 const DEFAULT_MAX_CONNECTIONS = 16;
 const MS_PER_S = 1_000;
 const NOT_FOUND = 404;
@@ -43,6 +45,12 @@
   readonly close: () => Promise<void>;
 }
 
+type Call = (
+  path: string,
+  body: JsonObject,
+  timeoutMs?: number,
+) => ResultAsync<JsonObject, Failure>;
+
 /** Makes a client of the key-value service. */
 export function createKeyValueClient(options: KeyValueClientOptions): KeyValueClient {
   const callTimeoutMs = options.callTimeoutMs ?? DEFAULT_CALL_TIMEOUT_MS;
@@ -55,13 +63,17 @@
   const useNextEndpoint = (): void => {
     turn += 1;
   };
-  const call = (path: string, body: JsonObject): ResultAsync<JsonObject, Failure> =>
-    new ResultAsync(post(path, body));
+  const call: Call = (path, body, timeoutMs = callTimeoutMs) =>
+    new ResultAsync(post(path, body, timeoutMs));
 
-  async function post(path: string, body: JsonObject): Promise<Result<JsonObject, Failure>> {
+  async function post(
+    path: string,
+    body: JsonObject,
+    timeoutMs: number,
+  ): Promise<Result<JsonObject, Failure>> {
     const origin = endpoint();
     const outcome = await transport.exchange(jsonPost(origin, path, body), {
-      timeoutMs: callTimeoutMs,
+      timeoutMs,
       maxAnswerBytes: MAX_ANSWER_BYTES,
     });
     if (isTrouble(outcome)) {
@@ -71,17 +83,26 @@
     return readAnswer(path, origin, outcome.status, outcome.body.toString('utf8'));
   }
 
-  return {
-    get: (key) =>
-      call('/v3/kv/range', { key: wire.encode(key) }).map(
+  const getWithin =
+    (timeoutMs: number): KeyValueClient['get'] =>
+    (key) =>
+      call('/v3/kv/range', { key: wire.encode(key) }, timeoutMs).map(
         (answer) => wire.readEntries(answer)[0] ?? null,
-      ),
-    list: (prefix, limit) =>
-      call('/v3/kv/range', {
-        key: wire.encode(prefix),
-        range_end: wire.rangeEnd(prefix),
-        limit: String(limit),
-      }).map(wire.readEntries),
+      );
+  const listWithin =
+    (timeoutMs: number): KeyValueClient['list'] =>
+    (prefix, limit) => {
+      const range = { key: wire.encode(prefix), range_end: wire.rangeEnd(prefix) };
+      const body = { ...range, limit: String(limit) };
+      return call('/v3/kv/range', body, timeoutMs).map(wire.readEntries);
+    };
+  const lateTimeoutMs = Math.max(callTimeoutMs, LATE_CALL_TIMEOUT_MS);
+
+  return {
+    get: getWithin(callTimeoutMs),
+    list: listWithin(callTimeoutMs),
+    getLate: getWithin(lateTimeoutMs),
+    listLate: listWithin(lateTimeoutMs),
     transact: (compares, writes) =>
       call('/v3/kv/txn', wire.transactionBody(compares, writes)).map((answer) => ({
         succeeded: answer.succeeded === true,
--- a/packages/ports/src/key-value/port.ts
+++ b/packages/ports/src/key-value/port.ts
@@ -60,6 +60,12 @@
 export interface KeyValuePort {
   readonly get: (key: string) => ResultAsync<KeyValueEntry | null, Failure>;
   readonly list: (prefix: string, limit: number) => ResultAsync<readonly KeyValueEntry[], Failure>;
+  /**
+   * The same for readers to whom an answer is of use however late, up to some seconds. Not for
+   * whoever judges by it what holds now, such as a lease.
+   */
+  readonly getLate: KeyValuePort['get'];
+  readonly listLate: KeyValuePort['list'];
   readonly transact: (
     compares: readonly KeyValueCompare[],
     writes: readonly KeyValueWrite[],
