Divide the retries among gateways whose announcements have lapsed, too

What operators could see: more retries at a service, after an outage of the store, than all gateways together may add. Each gateway took the slack of the gateways that it saw announced; when all announcements had lapsed, each took that of all (10 gateways: 290 retries where 58 are allowed).

Change: the memory that rate limits had already, 10 s, counts gateways for both.

Evidence: retry-budgets.test.ts fails without the memory (290) and passes now.

--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -1,12 +1,12 @@
 /** The retry windows of all services at this gateway. */
 import {
-  type FleetView,
   type RetryWindow,
   type RetryWindowOptions,
   createRetryWindow,
   noteWindowRequest,
   takeWindowRetries,
 } from '@cassiamast/coordination';
+import type { GatewayCount } from './gateway-count.js';
 
 /** Counts requests and takes retries, by service. */
 export interface RetryBudgets {
@@ -18,7 +18,7 @@
 /** Makes empty windows. */
 export function createRetryBudgets(
   options: RetryWindowOptions,
-  view: FleetView,
+  gateways: Pick<GatewayCount, 'count'>,
   nowMs: () => number,
 ): RetryBudgets {
   const windows = new Map<string, RetryWindow>();
@@ -34,6 +34,6 @@
       noteWindowRequest(windowOf(service), nowMs());
     },
     take: (service, arrivals = 1) =>
-      takeWindowRetries(windowOf(service), arrivals, view.gateways.size, nowMs()),
+      takeWindowRetries(windowOf(service), arrivals, gateways.count(), nowMs()),
   };
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -37,6 +37,7 @@
 import { createFleetFollower } from './fleet-follower.js';
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
+import { createGatewayCount } from './gateway-count.js';
 import { createGatewayLog } from './gateway-log.js';
 import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
@@ -121,9 +122,11 @@
     keepAliveMs: TARGET_KEEP_ALIVE_MS,
   });
   const elapsedMs = createElapsedClock(SYSTEM_CLOCKS);
+  const gateways = createGatewayCount(selfId, view, elapsedMs);
   const limits = createTargetLimits({
     selfId,
     view,
+    gateways,
     rpc,
     schedulerOf: (service) => scheduling.schedulerOf(service),
     elapsedMs,
@@ -185,7 +188,7 @@
     view,
     wire: platform.wire,
     transport,
-    budgets: createRetryBudgets(settings.retryWindow, view, monotonicMs),
+    budgets: createRetryBudgets(settings.retryWindow, gateways, monotonicMs),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
     scheduling,
     crashes,
--- a/packages/daemon/src/gateway/target-limits.ts
+++ b/packages/daemon/src/gateway/target-limits.ts
@@ -31,6 +31,7 @@
 import { createPeriodic } from '../node/timers.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Child } from '../supervisor/supervisor.js';
+import type { GatewayCount } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
 /** How often shares are borrowed anew: some times within a loan. */
@@ -43,11 +44,6 @@
 const UNREACHED_MS = 300;
 /** Longer than any wait for a permit that is worth telling; also stands for no permit at all. */
 const MAX_WAIT_MS = 10_000;
-/**
- * A gateway counts for so long after its announcement is gone: it announces itself again a moment
- * after an outage of the store, and one that leaves goes on for its grace.
- */
-const REMEMBER_MS = 10_000;
 const MS_PER_S = 1000;
 
 /** A gateway lends its share, and tells what it has heard. */
@@ -61,6 +57,7 @@
 export interface TargetLimitsOptions {
   readonly selfId: string;
   readonly view: FleetView;
+  readonly gateways: GatewayCount;
   readonly rpc: RpcClient;
   /** The gateway that decides for a service, as far as this one knows. */
   readonly schedulerOf: (service: string) => string;
@@ -106,34 +103,15 @@
 
 /** Makes the limits of a gateway that has heard of none. */
 export function createTargetLimits(options: TargetLimitsOptions): TargetLimits {
-  const { selfId, view, rpc, schedulerOf, elapsedMs, log, count, gauge } = options;
+  const { selfId, view, gateways, rpc, schedulerOf, elapsedMs, log, count, gauge } = options;
   const limiter = createRateLimiter(options.random, elapsedMs());
   const { limits, shares } = limiter;
-  const permits = permitsOf(limiter, gateways, elapsedMs);
+  const permits = permitsOf(limiter, gateways.count, elapsedMs);
   /** Until when no permit is asked for, by target. */
   const emptyUntilMs = new Map<string, number>();
   let answers = 0;
   let isLeaving = false;
 
-  /** When each gateway was last announced, as far as this one knew. */
-  const announcedAtMs = new Map<string, number>();
-
-  /**
-   * Gateways that share the limits, this one included. Guards against gateways that each take
-   * themselves for the only one, since the announcements of all lapsed with the store.
-   */
-  function gateways(): number {
-    const announced = view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
-    return Math.max(announced, announcedAtMs.size);
-  }
-
-  function rememberGateways(nowMs: number): void {
-    for (const id of [...view.gateways.keys(), selfId]) announcedAtMs.set(id, nowMs);
-    for (const [id, atMs] of announcedAtMs) {
-      if (nowMs - atMs > REMEMBER_MS) announcedAtMs.delete(id);
-    }
-  }
-
   function noteAnswer(...[target, perS, said]: Parameters<TargetLimits['noteAnswer']>): void {
     if (perS === null && limits.size === 0) return;
     const now = elapsedMs();
@@ -184,7 +162,7 @@
     await Promise.all(others.map((id) => borrowFrom(id, service)));
     const now = shareHere(service);
     if (Math.round(before * others.length) === Math.round(now * others.length)) return;
-    log.info('share of rate limits', { service, share: now, gateways: gateways() });
+    log.info('share of rate limits', { service, share: now, gateways: gateways.count() });
   }
 
   async function borrowFrom(gateway: string, service: string): Promise<void> {
@@ -207,7 +185,7 @@
   }
 
   function shareHere(service: string): number {
-    return usableShare(shares, service, gateways(), elapsedMs());
+    return usableShare(shares, service, gateways.count(), elapsedMs());
   }
 
   function reportsOf(service: string): readonly LimitReport[] {
@@ -216,7 +194,7 @@
 
   function renew(): void {
     const now = elapsedMs();
-    rememberGateways(now);
+    gateways.refresh();
     for (const target of dropOldLimits(limits, now)) {
       emptyUntilMs.delete(target);
       limiter.buckets.delete(target);
@@ -304,7 +282,7 @@
       merge(reports, borrower);
       const now = elapsedMs();
       const isDecider = schedulerOf(service) === borrower;
-      const fraction = isDecider ? lendShare(shares, service, borrower, gateways(), now) : 0;
+      const fraction = isDecider ? lendShare(shares, service, borrower, gateways.count(), now) : 0;
       return { fraction, reports: reportsOf(service) };
     },
     onTold: (reports, from) => {
--- /dev/null
+++ b/packages/daemon/test/gateway/retry-budgets.test.ts
@@ -0,0 +1,34 @@
+/** The retries that each gateway takes of what all of them may add together. */
+import assert from 'node:assert/strict';
+import { describe, it } from 'node:test';
+import { FleetChangeKind, applyChanges, createFleetView } from '@cassiamast/coordination';
+import { createGatewayCount } from '../../src/gateway/gateway-count.js';
+import { createRetryBudgets } from '../../src/gateway/retry-budgets.js';
+
+const OPTIONS = { windowMs: 10_000, ratio: 0.2, slack: 58 };
+const GATEWAYS = 10;
+const SERVICE = 'ramp-portal';
+const OUTAGE_MS = 4_000;
+
+describe('retry budgets', () => {
+  // Guards against gateways that each use the retries of all, since all announcements have lapsed.
+  it('stay divided among gateways whose announcements have lapsed', () => {
+    const view = createFleetView();
+    const ids = Array.from({ length: GATEWAYS }, (_, index) => `10.0.0.${String(index)}:7760`);
+    const announced = ids.map((id, index) => ({
+      kind: FleetChangeKind.Gateway as const,
+      revision: index + 1,
+      gateway: { id, failureDomain: 'eros-hall', coreShare: 0.5 },
+    }));
+    applyChanges(view, announced, GATEWAYS, 0);
+    let nowMs = 0;
+    const counts = ids.map((id) => createGatewayCount(id, view, () => nowMs));
+    for (const count of counts) count.refresh();
+    const budgets = counts.map((count) => createRetryBudgets(OPTIONS, count, () => nowMs));
+    nowMs = OUTAGE_MS;
+    view.gateways.clear();
+    let taken = 0;
+    for (const budget of budgets) while (budget.take(SERVICE)) taken += 1;
+    assert.ok(taken > 0 && taken <= OPTIONS.slack, String(taken));
+  });
+});
--- a/packages/daemon/test/gateway/target-limits.test.ts
+++ b/packages/daemon/test/gateway/target-limits.test.ts
@@ -15,6 +15,7 @@
 import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
+import { createGatewayCount } from '../../src/gateway/gateway-count.js';
 import { type TargetLimits, createTargetLimits } from '../../src/gateway/target-limits.js';
 
 const IDS = ['a', 'b', 'c', 'd'] as const;
@@ -60,6 +61,7 @@
     const limits = createTargetLimits({
       selfId: id,
       view,
+      gateways: createGatewayCount(id, view, () => fleet.nowMs),
       rpc: { call } as unknown as RpcClient,
       schedulerOf: () => DECIDER,
       elapsedMs: () => fleet.nowMs,
