Send nothing on for callers who left while the process stood still

Cause: a process that goes on reads a request first and the end of its connection a turn of the event loop later; the request is sent on in between.

Evidence: SIGSTOP while 48 callers send and leave: 48 of 48 requests reached targets after SIGCONT, plain and streams, on new and on kept connections.

Change: a watch notes standstills of 150 ms or more; for 0.2 s after one, each sending and each new connection waits for the turns in which a close is read. Log line, counter and histogram for it.

--- a/packages/daemon/src/gateway/ask-target.ts
+++ b/packages/daemon/src/gateway/ask-target.ts
@@ -5,6 +5,7 @@
  */
 import type { AskedWork, TargetEntry } from '@cassiamast/coordination';
 import type { AnswerHead, CallerWire, HttpStream, HttpTransport } from '@cassiamast/ports';
+import type { StandstillWatch } from '../node/standstill.js';
 import type { TargetPulse } from './target-pulse.js';
 
 /** How a sending ended. */
@@ -73,10 +74,25 @@
   readonly onAnswerHead: (target: TargetEntry, head: AnswerHead, asked: AskedOf) => void;
   /** Time that has passed for everybody else, suspended or not. */
   readonly elapsedMs: () => number;
+  readonly standstill: Pick<StandstillWatch, 'catchUp'>;
 }
 
 /** Sends a request to a target and hands the answer to the sink. */
-export function askTarget(
+export async function askTarget(
+  services: AskServices,
+  target: TargetEntry,
+  request: TargetRequest,
+  sink: AnswerSink,
+  signal: AbortSignal,
+): Promise<AskOutcome> {
+  // Guards against work for callers who left while this process stood still: it shows as requests
+  // that reach targets after a standstill and whose callers are gone.
+  const caughtUp = services.standstill.catchUp();
+  if (caughtUp !== null) await caughtUp;
+  return send(services, target, request, sink, signal);
+}
+
+function send(
   services: AskServices,
   target: TargetEntry,
   request: TargetRequest,
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -29,6 +29,7 @@
 import { isReachable } from '../node/reachable.js';
 import { createRpcClient } from '../node/rpc-client.js';
 import { createMemberProof } from '../node/secret.js';
+import { createStandstillWatch } from '../node/standstill.js';
 import { createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
@@ -116,10 +117,16 @@
   const view = createFleetView();
   const proof = createMemberProof(MEMBER_PROOF);
   const rpc = createRpcClient(proof, timeline.clock);
+  const standstill = createStandstillWatch(monotonicMs, (forMs) => {
+    telemetry.count('standstills_total');
+    telemetry.record('standstill_ms', forMs);
+    log.warn('process stood still', { forMs: Math.round(forMs) });
+  });
   const transport = createHttpTransport({
     connectTimeoutMs: CONNECT_TIMEOUT_MS,
     maxConnections: MAX_CONNECTIONS_PER_TARGET,
     keepAliveMs: TARGET_KEEP_ALIVE_MS,
+    beforeUse: standstill.catchUp,
   });
   const elapsedMs = createElapsedClock(SYSTEM_CLOCKS);
   const gateways = createGatewayCount(selfId, view, elapsedMs);
@@ -198,6 +205,7 @@
       limits.noteAnswer(target, head.limitPerS, { work: head.notRun ? null : work, sentAtMs });
     },
     elapsedMs,
+    standstill,
     limits,
     random,
     hash32,
@@ -230,6 +238,7 @@
   const root = createSupervisor({
     name: 'root',
     children: [
+      standstill.child,
       createFleetFollower({
         fleet,
         view,
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -76,7 +76,9 @@
     const pulse = { heard: () => undefined, isSilent: () => false };
     const onAnswerHead = () => undefined;
     const elapsedMs = () => 0;
-    const services = { transport, wire: {} as CallerWire, pulse, onAnswerHead, elapsedMs };
+    const standstill = { catchUp: () => null };
+    const wire = {} as CallerWire;
+    const services = { transport, wire, pulse, onAnswerHead, elapsedMs, standstill };
     const outcome = await askTarget(services, TARGET, request, sink, AbortSignal.abort());
     assert.deepEqual([outcome.kind, outcome.sent, sends], [AskOutcomeKind.Stopped, false, 0]);
   });
--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -94,11 +94,13 @@
   readonly maxConnections: number;
   /** How long an idle connection is kept where the other side does not say; 30 s if left out. */
   readonly keepAliveMs?: number;
+  /** What is waited for before a new connection is used; null where nothing is. */
+  readonly beforeUse?: () => Promise<void> | null;
 }
 
 /** Makes a transport with its own connections. */
 export function createHttpTransport(options: HttpTransportOptions): HttpTransport {
-  const resets = createResetWatch();
+  const resets = createResetWatch(options.beforeUse ?? (() => null));
   const agent = new Agent({
     connections: options.maxConnections,
     connect: resets.watched(buildConnector({ timeout: options.connectTimeoutMs })),
@@ -129,7 +131,7 @@
  * A reset that arrives together with the last bytes is reported as an ordinary end; only the
  * address of the other side, which a reset connection no longer has, tells it then.
  */
-function createResetWatch(): ResetWatch {
+function createResetWatch(beforeUse: () => Promise<void> | null): ResetWatch {
   let resetting = false;
   const noteReset = (): void => {
     resetting = true;
@@ -149,7 +151,12 @@
         const [, socket] = result;
         // Left out, against its type, where the connection failed.
         if (socket) watch(socket);
-        callback(...result);
+        const waiting = socket ? beforeUse() : null;
+        if (waiting === null) callback(...result);
+        else
+          void waiting.then(() => {
+            callback(...result);
+          });
       });
     },
     isResetting: () => resetting,
