Count the grace of a stop from the signal, not from when it was read

What callers saw: no answer from a gateway that was killed at the end of its grace ('a held request without an answer', SIGKILL; stop-signals.test.ts on starved cores).

Cause: a process that stands still reads SIGTERM late and counts its grace from then, so it takes requests that end after the kill.

The balancer's notice counts from the signal as well: a stopped process gave it no answer.

--- a/packages/daemon/src/gateway/graceful-stop.ts
+++ b/packages/daemon/src/gateway/graceful-stop.ts
@@ -38,6 +38,8 @@
   /** From the signal to the kill. */
   readonly graceMs: number;
   readonly nowMs: () => number;
+  /** When the signal was sent at the earliest: a process that stood still reads it late. */
+  readonly signalledSinceMs: number;
   readonly log: GatewayLog;
   /** Tells the balancer and the other gateways. */
   readonly announceLeaving: () => void;
@@ -46,17 +48,25 @@
   readonly writeLog: () => Promise<void>;
 }
 
-/** Stops a gateway; resolves when the process may exit. */
+/**
+ * Stops a gateway; resolves when the process may exit. The grace counts from the signal, not from when
+ * it was read: a process that counts too late takes requests that the kill cuts.
+ */
 export async function stopGracefully(
   options: GracefulStopOptions,
   reason: StopReason,
 ): Promise<void> {
-  const { front, log, graceMs } = options;
-  log.lifecycle('gateway stops', { reason, openRequests: front.open(), graceMs });
-  const graceEndsAtMs = options.nowMs() + graceMs;
+  const { front, log, signalledSinceMs } = options;
+  const graceEndsAtMs = signalledSinceMs + options.graceMs;
+  const graceMs = Math.max(0, graceEndsAtMs - options.nowMs());
+  log.lifecycle('gateway stops', {
+    reason,
+    openRequests: front.open(),
+    graceMs: Math.round(graceMs),
+  });
   front.disableKeepAlive();
   options.announceLeaving();
-  await drain(options);
+  await drain(options, graceMs);
   const receivedBefore = front.received();
   const abortedRequests = await front.close({ idleMs: IDLE_MS, timeoutMs: CLOSE_PORT_MS });
   const receivedSinceDrained = front.received() - receivedBefore;
@@ -66,12 +76,17 @@
   await atMost(WRITE_LOG_MS, options.writeLog());
 }
 
-async function drain({ front, graceMs, nowMs, log }: GracefulStopOptions): Promise<void> {
+async function drain(
+  { front, nowMs, signalledSinceMs, log }: GracefulStopOptions,
+  graceMs: number,
+): Promise<void> {
   const afterDrainMs = ANSWER_MS + CLOSE_PORT_MS + STOP_CHILDREN_MS + WRITE_LOG_MS + EXIT_MS;
   const drainMs = Math.max(0, graceMs - afterDrainMs);
+  // A process that stood still has given the balancer no answer since the signal.
+  const noticeLeftMs = Math.max(0, signalledSinceMs + NOTICE_MS - nowMs());
   const state = createDrain({
     ...DRAIN_OPTIONS,
-    noticeMs: Math.min(NOTICE_MS, drainMs),
+    noticeMs: Math.min(noticeLeftMs, drainMs),
     drainMs,
     handOverMs: ANSWER_MS,
     acceptsWhileDraining: true,
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -306,6 +306,7 @@
           front,
           graceMs,
           nowMs: monotonicMs,
+          signalledSinceMs: standstill.unreadSinceMs(),
           log,
           announceLeaving: () => {
             leaving = true;
--- a/packages/daemon/src/node/standstill.ts
+++ b/packages/daemon/src/node/standstill.ts
@@ -18,6 +18,11 @@
 /** What a process knows of its standstills. */
 export interface StandstillWatch {
   readonly child: Child;
+  /**
+   * Since when events may have waited that are read now: the time of its last turn in a process that
+   * is behind, else the present.
+   */
+  readonly unreadSinceMs: () => number;
   /**
    * Resolves when the close of a connection would have been read on which something was read just
    * now; null in a process that is not behind.
@@ -64,6 +69,7 @@
         return Promise.resolve();
       },
     },
+    unreadSinceMs: () => (isBehind() ? standstill.sinceMs : ranAtMs),
     catchUp: () => (isBehind() ? turnLoopTimes(TURNS_TO_CLOSE) : null),
   };
 }
--- a/packages/daemon/test/gateway/graceful-stop.test.ts
+++ b/packages/daemon/test/gateway/graceful-stop.test.ts
@@ -57,6 +57,7 @@
       front,
       graceMs,
       nowMs: () => performance.now(),
+      signalledSinceMs: performance.now(),
       log: { info: note, warn: note, lifecycle: note },
       announceLeaving: () => steps.push('announce'),
       stopChildren: () => Promise.resolve(note('stop parts')),
