Give the test of a leaving engine the watch that sendings ask

Its fake services lacked the standstill watch that brought: the sending failed, and the test's process did not end. The checks are unchanged.

--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -129,6 +129,7 @@
       pulse: { heard: () => undefined, isSilent: () => false },
       onAnswerHead: () => undefined,
       elapsedMs: () => 0,
+      standstill: { catchUp: () => null },
       nowMs: () => 0,
       log: { info: () => undefined, warn: () => undefined },
       count: () => undefined,
