List the fleet as soon as a late answer says that its history is gone

Cause: a late answer that the history is gone was heard, and the question under way was waited for first, which has the same fate, 2.5 s more.

Change: the late answer ends the wait for the question under way.

--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -26,6 +26,7 @@
   type FleetReading,
 } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
+import { withResolvers } from '../node/http-body.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
 
@@ -71,6 +72,8 @@
   let stopped = true;
   let isAway = false;
   let needsListing = true;
+  /** Ends the wait for the answer to the question under way. */
+  let askAnew: () => void = () => undefined;
   const loggedFaults = new Set<string>();
 
   function noteAway(cause: string): void {
@@ -136,7 +139,7 @@
     const late = await reading;
     if (stopped) return;
     if (late.isErr()) {
-      if (afterRevision === view.revision) noteIfHistoryGone(late.error);
+      if (afterRevision === view.revision && noteIfHistoryGone(late.error)) askAnew();
       return;
     }
     if (late.value.revision < view.revision) return;
@@ -155,7 +158,13 @@
   /** Asks once; gives the pause before the next question. */
   async function askOnce(): Promise<number> {
     const question = ask();
-    const answer = await within(question.reading, question.patienceMs);
+    const wokenEarly = withResolvers<null>();
+    askAnew = () => {
+      wokenEarly.resolve(null);
+    };
+    const inTime = within(question.reading, question.patienceMs);
+    const answer = await Promise.race([inTime, wokenEarly.promise]);
+    if (answer === null && needsListing && !question.isListing) return 0;
     if (answer === null) {
       noteAway(`no answer within ${String(question.patienceMs)} ms`);
       void takeLate(question);
