Take no standstill of the gateway itself for the silence of its targets

What callers saw: streams and readings given up and begun anew elsewhere, or refused, after the gateway stood still for a moment; the engines are left alone as after a crash. Seen as 'of a new start end what its earlier start has read' of whole-path.test.ts, once beside load.

Cause: the timer that looks for silence fires before what the target sent meanwhile is read, and finds nothing heard for longer than 600 ms.

Evidence: six copies of whole-path.test.js, each stopped for 0.9 s again and again: that case and no other failed in 3 of 6 ('the condition did not come about': the reading was given up, so its handle was never refused). After the change 6 of 6 pass, stopped in the same way.

Change: silence is judged only once what came in meanwhile has been read.

--- a/packages/daemon/src/gateway/silence-watch.ts
+++ b/packages/daemon/src/gateway/silence-watch.ts
@@ -4,6 +4,7 @@
  * others are sent there as well. The request's own silence is not enough, since a busy engine lets a
  * request wait; that nothing else comes from it either tells the two apart.
  */
+import type { StandstillWatch } from '../node/standstill.js';
 import type { TargetPulse } from './target-pulse.js';
 
 /** How often a silent request is looked at again. */
@@ -18,12 +19,22 @@
   readonly stop: () => void;
 }
 
-/** Starts to watch; `onSilent` is told once, when the target is taken for dark. */
+/** What a watch looks at. */
+export interface SilenceSigns {
+  readonly pulse: TargetPulse;
+  readonly standstill: Pick<StandstillWatch, 'catchUp'>;
+  readonly nowMs: () => number;
+}
+
+/**
+ * Starts to watch; `onSilent` is told once, when the target is taken for dark. Guards also against a
+ * standstill of this process that is taken for the target's silence: it shows as streams and readings
+ * that are given up all at once, though what the targets sent meanwhile is there to be read.
+ */
 export function watchSilence(
-  pulse: TargetPulse,
+  { pulse, standstill, nowMs }: SilenceSigns,
   target: string,
   allowedMs: number,
-  nowMs: () => number,
   onSilent: () => void,
 ): SilenceWatch {
   let heardAtMs = nowMs();
@@ -32,6 +43,7 @@
   function check(): void {
     const leftMs = allowedMs - (nowMs() - heardAtMs);
     if (leftMs > 0) timer = setTimeout(check, leftMs);
+    else if (standstill.catchUp() !== null) timer = setTimeout(check, CHECK_MS);
     else if (!pulse.isSilent(target, TARGET_SILENT_MS)) timer = setTimeout(check, CHECK_MS);
     else onSilent();
   }
--- a/packages/daemon/src/gateway/stream-sending.ts
+++ b/packages/daemon/src/gateway/stream-sending.ts
@@ -130,7 +130,7 @@
   };
   if (exchange.signal.aborted) stop();
   exchange.signal.addEventListener('abort', stop);
-  const watch = watchSilence(services.pulse, target.id, how.allowedMs, services.nowMs, () => {
+  const watch = watchSilence(services, target.id, how.allowedMs, () => {
     services.count('silent_targets_total');
     if (mayMove) stop();
     else report(turn, JobEventKind.Failed, target.id);
