Judge by late timers only once what came in during a standstill is read

What callers saw: after a standstill of the gateway a plain request ran at a second target though the first had answered, or got 504 though its answer was there.

Cause: late timers fire before the sockets are read.

--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -1,5 +1,6 @@
 /** What the forwarding paths share. */
 import type { FleetView, Hash32, Random } from '@cassiamast/coordination';
+import type { StandstillWatch } from '../node/standstill.js';
 import type { AskServices } from './ask-target.js';
 import type { CrashReports } from './crash-reports.js';
 import type { GatewayLog } from './gateway-log.js';
@@ -10,6 +11,7 @@
 
 /** The surroundings of a request's way through the gateway. */
 export interface ForwardingServices extends AskServices {
+  readonly standstill: StandstillWatch;
   readonly view: FleetView;
   readonly budgets: RetryBudgets;
   readonly health: TargetHealth;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -237,7 +237,9 @@
     over.abort(EXCHANGE_OVER);
   };
   running.add(end);
-  const timer = setTimeout(end, endsAtMs - services.nowMs());
+  const timer = setTimeout(() => {
+    services.standstill.whenCaughtUp(end);
+  }, endsAtMs - services.nowMs());
   response.once('close', () => {
     clearTimeout(timer);
     running.delete(end);
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -94,7 +94,9 @@
   const triesLeft = exchange.sends + 1 < route.maxAttempts;
   const slowAfterMs = mayRepeat && triesLeft ? route.targetLatencyMs * SLOW_ANSWER_RATIO : leftMs;
   const timer = setTimeout(() => {
-    slow.abort();
+    services.standstill.whenCaughtUp(() => {
+      slow.abort();
+    });
   }, slowAfterMs);
   const headers = services.wire.targetHeaders(exchange.rawHeaders, {
     targetName: target.name,
--- a/packages/daemon/src/node/standstill.ts
+++ b/packages/daemon/src/node/standstill.ts
@@ -28,6 +28,11 @@
    * now; null in a process that is not behind.
    */
   readonly catchUp: () => Promise<void> | null;
+  /**
+   * Runs what a timer has come for: at once, or when what came in meanwhile was read. A late timer
+   * fires before that, and takes an answer that lies there for one that did not come.
+   */
+  readonly whenCaughtUp: (run: () => void) => void;
 }
 
 /** Makes the watch; `onStandstill` is told how long the process stood still. */
@@ -55,6 +60,10 @@
     return ranAtMs < standstill.feltUntilMs;
   }
 
+  function catchUp(): Promise<void> | null {
+    return isBehind() ? turnLoopTimes(TURNS_TO_CLOSE) : null;
+  }
+
   return {
     child: {
       name: 'standstill-watch',
@@ -70,7 +79,12 @@
       },
     },
     unreadSinceMs: () => (isBehind() ? standstill.sinceMs : ranAtMs),
-    catchUp: () => (isBehind() ? turnLoopTimes(TURNS_TO_CLOSE) : null),
+    catchUp,
+    whenCaughtUp: (run) => {
+      const caughtUp = catchUp();
+      if (caughtUp === null) run();
+      else void caughtUp.then(run);
+    },
   };
 }
 
