--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -24,6 +24,7 @@
 import { MAX_RUNS, createRequests } from '../entry/requests.js';
 import type { RunServices } from '../entry/run-services.js';
 import { createSessionDriver } from '../entry/session-driver.js';
+import { setTargetGauges } from '../entry/target-gauges.js';
 import { createTargetDirectory } from '../entry/target-directory.js';
 import { formatAddress } from '../node/address.js';
 import { createControlServer } from '../node/control-server.js';
@@ -41,6 +42,7 @@
 
 const PUMP_MS = 10;
 const SHED_MS = 250;
+const TARGET_GAUGES_MS = 1_000;
 /** A fleet that has lost half of its targets must still be served once an entry restarts. */
 const JOIN_GRACE_MS = 10_000;
 const LEDGER_MS = 60_000;
@@ -308,6 +310,18 @@
       ),
       ...planning.children,
       createPeriodic('queue-pump', () => PUMP_MS, policies.pump),
+      createPeriodic(
+        'target-gauges',
+        () => TARGET_GAUGES_MS,
+        () => {
+          setTargetGauges({
+            services: () => configuration?.services ?? [],
+            directory,
+            policies,
+            gauge: telemetry.gaugeByTarget,
+          });
+        },
+      ),
       createPeriodic(
         'shedding',
         () => SHED_MS,
