Let a late word of a gone history not end a listing that is under way

Found by reading: a second late answer of that kind ended the wait for the listing that the first one had led to, was logged as 'store lost', and the fleet was listed twice.

--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -139,7 +139,8 @@
     const late = await reading;
     if (stopped) return;
     if (late.isErr()) {
-      if (afterRevision === view.revision && noteIfHistoryGone(late.error)) askAnew();
+      const isNews = !needsListing && afterRevision === view.revision;
+      if (isNews && noteIfHistoryGone(late.error)) askAnew();
       return;
     }
     if (late.value.revision < view.revision) return;
