--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -73,6 +73,25 @@
       readonly id: string;
     };
 
+/** How a target's availability changed in a gateway's view. */
+export enum TargetTransition {
+  /** It reported that it is shutting down. */
+  Draining = 'draining',
+  /** Its entry is missing; it stays in use for the grace period. */
+  Missing = 'missing',
+  /** Its entry was written again within the grace period. */
+  Reappeared = 'reappeared',
+  /** It is no longer part of the fleet. */
+  Removed = 'removed',
+}
+
+/** Called with each transition of a target, and the store revision that caused it. */
+export type OnTargetTransition = (
+  transition: TargetTransition,
+  target: TargetEntry,
+  revision: number,
+) => void;
+
 /** A target and the state of its entry in the store. */
 interface KnownTarget {
   readonly entry: TargetEntry;
@@ -101,6 +120,7 @@
   readonly removedAtRevision: Map<string, number>;
   /** Request contents that crashed targets. */
   readonly crashes: CrashMemory;
+  readonly onTransition: OnTargetTransition;
 }
 
 /**
@@ -115,7 +135,7 @@
 const MAX_REMOVED_NAMES = 4096;
 
 /** Creates an empty view. */
-export function createFleetView(): FleetView {
+export function createFleetView(onTransition: OnTargetTransition = () => undefined): FleetView {
   return {
     table: null,
     targets: new Map(),
@@ -126,6 +146,7 @@
     graceUntilMs: 0,
     removedAtRevision: new Map(),
     crashes: createCrashMemory(),
+    onTransition,
   };
 }
 
@@ -215,6 +236,10 @@
   view.removedAtRevision.delete(entry.name);
   view.targets.set(entry.id, { entry, revision, missingSinceMs: null });
   view.idsByName.set(entry.name, entry.id);
+  const wasDraining = isSameStart && known.entry.draining;
+  if (entry.draining && !wasDraining) view.onTransition(TargetTransition.Draining, entry, revision);
+  const wasMissing = isSameStart && known.missingSinceMs !== null;
+  if (wasMissing) view.onTransition(TargetTransition.Reappeared, entry, revision);
 }
 
 function currentTarget(view: FleetView, name: string): KnownTarget | undefined {
@@ -235,14 +260,21 @@
   if (view.removedAtRevision.size > MAX_REMOVED_NAMES && oldest !== undefined) {
     view.removedAtRevision.delete(oldest);
   }
-  if (nowMs < view.graceUntilMs && !known.entry.draining) known.missingSinceMs = nowMs;
-  else dropTarget(view, known);
+  if (nowMs < view.graceUntilMs && !known.entry.draining) {
+    known.missingSinceMs = nowMs;
+    view.onTransition(TargetTransition.Missing, known.entry, revision);
+    return;
+  }
+  dropTarget(view, known);
+  view.onTransition(TargetTransition.Removed, known.entry, revision);
 }
 
 /** Removes targets whose entry is still missing at the end of the grace period. */
 export function removeMissingTargets(view: FleetView, nowMs: number): void {
   for (const known of [...view.targets.values()]) {
-    if (known.missingSinceMs !== null && nowMs >= view.graceUntilMs) dropTarget(view, known);
+    if (known.missingSinceMs === null || nowMs < view.graceUntilMs) continue;
+    dropTarget(view, known);
+    view.onTransition(TargetTransition.Removed, known.entry, view.revision);
   }
 }
 
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -6,6 +6,7 @@
   FleetChangeKind,
   type FleetChange,
   type FleetView,
+  TargetTransition,
   EXPIRY_GRACE_MS,
   OUTAGE_INACTIVITY_MS,
   applyChanges,
@@ -126,6 +127,41 @@
     });
   });
 
+  describe('a transition of a target', () => {
+    let transitions: string[];
+
+    beforeEach(() => {
+      transitions = [];
+      view = createFleetView((transition, { id }, revision) => {
+        transitions.push(`${id} ${transition} at ${String(revision)}`);
+      });
+      recordStoreAnswer(view, 0);
+      applyListing(view, [target('a', 1), target('b', 2)], 5, 0);
+    });
+
+    it('is reported once when a target drains and when its entry is removed', () => {
+      applyChanges(view, [target('a', 6, true), target('a', 7, true), removed('a', 8)], 8, 100);
+      assert.deepEqual(transitions, [
+        `a ${TargetTransition.Draining} at 6`,
+        `a ${TargetTransition.Removed} at 8`,
+      ]);
+    });
+
+    it('is reported when an entry is missing after an outage, and when it is back or not', () => {
+      const backAtMs = OUTAGE_INACTIVITY_MS + 1000;
+      recordStoreAnswer(view, backAtMs);
+      applyChanges(view, [removed('a', 6), removed('b', 7)], 7, backAtMs);
+      applyChanges(view, [target('a', 8)], 8, backAtMs + 500);
+      removeMissingTargets(view, backAtMs + EXPIRY_GRACE_MS);
+      assert.deepEqual(transitions, [
+        `a ${TargetTransition.Missing} at 6`,
+        `b ${TargetTransition.Missing} at 7`,
+        `a ${TargetTransition.Reappeared} at 8`,
+        `b ${TargetTransition.Removed} at 8`,
+      ]);
+    });
+  });
+
   // An engine crashes and is back under the same name a second later. Without an id per start,
   // requests for the earlier start go to the new one, which has none of their state, and crashes of
   // the earlier start count against the new one.
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -54,6 +54,7 @@
 import type { GatewaySettings } from './settings.js';
 import { createTargetHealth } from './target-health.js';
 import { createTargetLimits } from './target-limits.js';
+import { logTargetTransitions } from './target-transitions.js';
 import { createTargetActivity } from './target-activity.js';
 
 const MAX_SEED = 0x7fff_ffff;
@@ -117,7 +118,7 @@
   const fleet = countStoreCalls(platform.fleet, telemetry.count);
   const random = seededRandom(randomInt(MAX_SEED));
   const { hash32 } = await createHashing();
-  const view = createFleetView();
+  const view = createFleetView(logTargetTransitions(log, telemetry.count));
   const proof = createMemberProof(MEMBER_SECRET);
   const rpc = createRpcClient(proof, timeline.clock);
   const standstill = createStallWatch(monotonicMs, (forMs) => {
--- /dev/null
+++ b/packages/daemon/src/gateway/target-transitions.ts
@@ -0,0 +1,24 @@
+/**
+ * Logs and counts the changes of targets' availability, so that a request to a leaving target can be
+ * traced to what the gateway knew of that target.
+ */
+import { type OnTargetTransition, TargetTransition } from '@cassiamast/coordination';
+import type { GatewayLog } from './gateway-log.js';
+
+const MESSAGES: Readonly<Record<TargetTransition, string>> = {
+  [TargetTransition.Draining]: 'target leaves',
+  [TargetTransition.Missing]: 'target entry missing',
+  [TargetTransition.Reappeared]: 'target entry back',
+  [TargetTransition.Removed]: 'target removed',
+};
+
+/** Returns a listener that writes one line for each transition. */
+export function logTargetTransitions(
+  log: GatewayLog,
+  count: (name: string) => void,
+): OnTargetTransition {
+  return (transition, { id, service }, revision) => {
+    count(`targets_${transition}_total`);
+    log.info(MESSAGES[transition], { target: id, service, revision });
+  };
+}
