End the grace period of a missing target once and for all

Cause: a target whose entry is missing was judged by the end of the view's latest grace period, and each answer after more than 2.5 s without one starts a new period. A target whose period was over came back into use with it. Why it works: the end of the period is kept with the target when its entry is found missing, and nothing moves it; only a newer entry brings a target back.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -96,8 +96,11 @@
 interface KnownTarget {
   readonly entry: TargetEntry;
   readonly revision: number;
-  /** When its entry was first found missing; null while the entry exists. */
-  missingSinceMs: number | null;
+  /**
+   * End of the grace period in which its entry was found missing; null while the entry exists. It
+   * is fixed at that moment: a target that is still missing then has left, whatever the store does.
+   */
+  goneAtMs: number | null;
 }
 
 /** What one gateway knows of the fleet. */
@@ -234,11 +237,11 @@
   if (isSameStart && known.entry.draining && !entry.draining) return;
   if (known !== undefined && !isSameStart) dropTarget(view, known);
   view.removedAtRevision.delete(entry.name);
-  view.targets.set(entry.id, { entry, revision, missingSinceMs: null });
+  view.targets.set(entry.id, { entry, revision, goneAtMs: null });
   view.idsByName.set(entry.name, entry.id);
   const wasDraining = isSameStart && known.entry.draining;
   if (entry.draining && !wasDraining) view.onTransition(TargetTransition.Draining, entry, revision);
-  const wasMissing = isSameStart && known.missingSinceMs !== null;
+  const wasMissing = isSameStart && known.goneAtMs !== null;
   if (wasMissing) view.onTransition(TargetTransition.Reappeared, entry, revision);
 }
 
@@ -261,7 +264,8 @@
     view.removedAtRevision.delete(oldest);
   }
   if (nowMs < view.graceUntilMs && !known.entry.draining) {
-    known.missingSinceMs = nowMs;
+    if (known.goneAtMs !== null) return;
+    known.goneAtMs = view.graceUntilMs;
     view.onTransition(TargetTransition.Missing, known.entry, revision);
     return;
   }
@@ -272,7 +276,7 @@
 /** Removes targets whose entry is still missing at the end of the grace period. */
 export function removeMissingTargets(view: FleetView, nowMs: number): void {
   for (const known of [...view.targets.values()]) {
-    if (known.missingSinceMs === null || nowMs < view.graceUntilMs) continue;
+    if (!isGone(known, nowMs)) continue;
     dropTarget(view, known);
     view.onTransition(TargetTransition.Removed, known.entry, view.revision);
   }
@@ -284,8 +288,11 @@
  * which new work must stop.
  */
 function mayReceiveWork(view: FleetView, known: KnownTarget, nowMs: number): boolean {
-  const isGone = known.missingSinceMs !== null && nowMs >= view.graceUntilMs;
-  return !known.entry.draining && !isGone;
+  return !known.entry.draining && !isGone(known, nowMs);
+}
+
+function isGone({ goneAtMs }: KnownTarget, nowMs: number): boolean {
+  return goneAtMs !== null && nowMs >= goneAtMs;
 }
 
 /** Returns a target that may receive new work, or null if it is draining, removed or unknown. */
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -123,15 +123,11 @@
 
     // A gateway that extends the grace period of missing targets with each outage sends work to
     // targets that left long ago.
-    it(
-      'does not use a target again whose grace period is over',
-      { todo: 'KNOWN-RED.txt, issue 39' },
-      () => {
-        const nextBackAtMs = backAtMs + EXPIRY_GRACE_MS + OUTAGE_INACTIVITY_MS;
-        recordStoreAnswer(view, nextBackAtMs);
-        assert.deepEqual(serving(nextBackAtMs), ['b']);
-      },
-    );
+    it('does not use a target again whose grace period is over', () => {
+      const nextBackAtMs = backAtMs + EXPIRY_GRACE_MS + OUTAGE_INACTIVITY_MS;
+      recordStoreAnswer(view, nextBackAtMs);
+      assert.deepEqual(serving(nextBackAtMs), ['b']);
+    });
 
     it('removes a draining target at once', () => {
       applyChanges(view, [target('b', 7, true), removed('b', 8)], 8, backAtMs + 100);
