Take a gateway's own pause between two polls for no outage of the store

Where updates must be applied within 3 s or more, a poll without news comes 3.0 s after the last answer: a pause of 1.5 s, then a watch of 1.5 s. The view took 2.5 s without an answer for an outage, whatever the pause, so on such a deployment any removed target could be kept for 1.5 s more. The time without an answer now counts from the moment at which the next call was due; where the pause is 0.6 s the bound is 2.5 s as before. Test that failed before: fleet-view.test, 'after a long pause between two calls'.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -114,6 +114,8 @@
   revision: number;
   /** Time of the last answer from the store. */
   confirmedAtMs: number;
+  /** Time from which an answer of the store counts as the end of an outage. */
+  outageFromMs: number;
   /**
    * End of the grace period after the last outage, in which a missing entry may merely have
    * expired.
@@ -132,8 +134,11 @@
  * leaves, so the grace period is shorter.
  */
 export const EXPIRY_GRACE_MS = 1500;
-/** Time without an answer that counts as a store outage; a waiting watch answers sooner. */
-export const OUTAGE_INACTIVITY_MS = 2500;
+/**
+ * Time without an answer that counts as a store outage, from the moment at which the next call was
+ * due. A watch without news is answered after 1500 ms.
+ */
+export const OUTAGE_INACTIVITY_MS = 1900;
 /** Most removed targets whose removal revision is kept. */
 const MAX_REMOVED_NAMES = 4096;
 
@@ -146,6 +151,7 @@
     gateways: new Map(),
     revision: 0,
     confirmedAtMs: 0,
+    outageFromMs: Infinity,
     graceUntilMs: 0,
     removedAtRevision: new Map(),
     crashes: createCrashMemory(),
@@ -153,11 +159,15 @@
   };
 }
 
-/** Records that the store answered. An answer after an outage starts the grace period. */
-export function recordStoreAnswer(view: FleetView, nowMs: number): void {
-  const isAfterOutage = view.revision > 0 && nowMs - view.confirmedAtMs > OUTAGE_INACTIVITY_MS;
-  if (isAfterOutage) view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+/**
+ * Records that the store answered. An answer after an outage starts the grace period.
+ *
+ * @param pauseMs - Time until the next call to the store; silence in it is not an outage.
+ */
+export function recordStoreAnswer(view: FleetView, nowMs: number, pauseMs = 0): void {
+  if (nowMs > view.outageFromMs) view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
   view.confirmedAtMs = nowMs;
+  view.outageFromMs = nowMs + pauseMs + OUTAGE_INACTIVITY_MS;
 }
 
 /** Applies a complete listing and removes the targets and gateways that it does not contain. */
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -68,6 +68,28 @@
     });
   });
 
+  // A gateway that takes its own pause between two calls for silence of the store keeps removed
+  // targets in use after every poll without news.
+  describe('after a long pause between two calls', () => {
+    const PAUSE_MS = 2000;
+
+    it('removes a target at once when its entry is removed', () => {
+      recordStoreAnswer(view, 100, PAUSE_MS);
+      const nextAnswerAtMs = 100 + PAUSE_MS + OUTAGE_INACTIVITY_MS;
+      recordStoreAnswer(view, nextAnswerAtMs, PAUSE_MS);
+      applyChanges(view, [removed('a', 6)], 6, nextAnswerAtMs);
+      assert.deepEqual(serving(nextAnswerAtMs), ['b']);
+    });
+
+    it('keeps it if the answer was late by more than that', () => {
+      recordStoreAnswer(view, 100, PAUSE_MS);
+      const nextAnswerAtMs = 100 + PAUSE_MS + OUTAGE_INACTIVITY_MS + 1;
+      recordStoreAnswer(view, nextAnswerAtMs, PAUSE_MS);
+      applyChanges(view, [removed('a', 6)], 6, nextAnswerAtMs);
+      assert.deepEqual(serving(nextAnswerAtMs), ['a', 'b']);
+    });
+  });
+
   // A target that has left receives new work if a duplicated or late change from before its removal
   // restores its entry.
   describe('a stale change', () => {
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -81,8 +81,8 @@
     isStoreLost = true;
   }
 
-  function noteStoreRegained(): void {
-    recordStoreAnswer(view, nowMs());
+  function noteStoreRegained(pauseMs: number): void {
+    recordStoreAnswer(view, nowMs(), pauseMs);
     if (isStoreLost) log.info('store regained', { revision: view.revision });
     isStoreLost = false;
   }
@@ -104,8 +104,13 @@
     log.info('target started again', { target: id, before, revision: change.revision });
   }
 
-  function applyReading({ changes, faults, revision }: FleetChangeBatch, isListing: boolean): void {
-    noteStoreRegained();
+  /** Applies an answer, after which the store is not called for `pauseMs`. */
+  function applyReading(
+    { changes, faults, revision }: FleetChangeBatch,
+    isListing: boolean,
+    pauseMs: number,
+  ): void {
+    noteStoreRegained(pauseMs);
     for (const fault of faults) recordFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
     for (const change of changes) logTargetRestart(change);
@@ -148,7 +153,7 @@
     }
     if (late.value.revision < view.revision) return;
     options.count('store_late_answers_total');
-    applyReading(late.value, isListing);
+    applyReading(late.value, isListing, 0);
   }
 
   /** Requests a new listing if the store no longer has the changes after the known revision. */
@@ -179,9 +184,10 @@
       noteStoreLost(answer.error.message);
       return pauseAfterFailureMs(pace, random);
     }
-    applyReading(answer.value, read.isListing);
-    const pauseMs = pauseAfterAnswerMs(pace, nowMs());
-    return read.isListing ? 0 : pauseMs;
+    const settledPauseMs = pauseAfterAnswerMs(pace, nowMs());
+    const pauseMs = read.isListing ? 0 : settledPauseMs;
+    applyReading(answer.value, read.isListing, pauseMs);
+    return pauseMs;
   }
 
   async function poll(): Promise<void> {
