Check right before each send that the target still takes work

Every request to a target, read or run, plain or streamed, first or retried, passes one function; it now asks the gateway's view right before and when the first byte goes out. What is withheld goes to another target; after a prefill it costs retry budget. Tests that fail without the check: leaving-engine.test, 'that leaves while the prompt is read does not receive the stream' and 'that leaves while the gateway catches up after a stall is withheld'.

--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -10,6 +10,7 @@
   servingTarget,
 } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
+import { type Result, err, ok } from 'neverthrow';
 import {
   type AnswerSink,
   type SendOutcome,
@@ -35,12 +36,13 @@
 const ATTEMPT_STOPPED = new Error('the exchange is over, or its target silent');
 
 /**
- * Requests a prefill for a stream at another engine; returns null if it failed, with nothing run.
+ * Requests a prefill for a stream at another engine. If it failed, nothing has run, and the error
+ * says how the turn ends.
  */
 export async function requestPrefill(
   turn: Turn,
   prefillTarget: TargetEntry,
-): Promise<PromptHandle | null> {
+): Promise<Result<PromptHandle, TurnEnd>> {
   const { exchange, services } = turn;
   const collected = collectBody();
   const allowedMs = turn.plan.predictedReadMs * PREFILL_SLACK_RATIO + PREFILL_SLACK_MS;
@@ -57,10 +59,15 @@
     outcome.kind === SendOutcomeKind.Complete ? services.wire.readHandle(collected.body()) : null;
   if (handle !== null) {
     report(turn, JobEventKind.Read, prefillTarget.id);
-    return { address: prefillTarget.address, handle };
+    return ok({ address: prefillTarget.address, handle });
   }
-  if (!exchange.signal.aborted) reportFailed(turn, prefillTarget, failureKind(outcome));
-  return null;
+  if (exchange.signal.aborted) return err(TurnEnd.Stopped);
+  if (outcome.kind === SendOutcomeKind.Withheld) {
+    exchange.failedTargets.add(prefillTarget.id);
+    return err(TurnEnd.NotServing);
+  }
+  reportFailed(turn, prefillTarget, failureKind(outcome));
+  return err(TurnEnd.NotRun);
 }
 
 /** Requests the stream from a target and relays it to the caller. */
@@ -85,12 +92,17 @@
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
   recordCrashOutcome(exchange, turn.services, target.id, outcome);
   logSend(turn, target, 'sent to target', outcome);
-  return concludeTurn(turn, target, outcome);
+  const end = concludeTurn(turn, target, outcome);
+  // A prefill was already sent, so another turn sends a further one.
+  return end === TurnEnd.NotServing && from !== null ? TurnEnd.NotRun : end;
 }
 
 function concludeTurn(turn: Turn, target: TargetEntry, outcome: SendOutcome): TurnEnd {
   const { relay } = turn;
   switch (outcome.kind) {
+    case SendOutcomeKind.Withheld:
+      turn.exchange.failedTargets.add(target.id);
+      return TurnEnd.NotServing;
     case SendOutcomeKind.Complete:
       if (relay.endedInsideEvent() || relay.failedAfterStart()) {
         reportFailed(turn, target, JobEventKind.Broke);
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -166,6 +166,8 @@
       services.health.recordFailure(target);
       state.unreachable += 1;
       return state.unreachable > MAX_UNREACHABLE ? GIVE_UP : tryNextTarget(state);
+    case SendOutcomeKind.Withheld:
+      return tryNextTarget(state);
     case SendOutcomeKind.NotRun:
       return retryWithinBudget(state);
     // An attempt stopped before the deadline was too slow; only idempotent requests are stopped.
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -15,6 +15,8 @@
   Complete = 'complete',
   /** No byte of the request reached the target. */
   NotSent = 'not-sent',
+  /** Nothing was sent because the target must not receive requests any more. */
+  Withheld = 'withheld',
   /** The target declared that it did not run the request. */
   NotRun = 'not-run',
   /** The connection broke, or the answer is invalid or another request's; it may have run. */
@@ -78,6 +80,8 @@
   /** Monotonic time that also advances while this process is suspended. */
   readonly elapsedMs: () => number;
   readonly standstill: Pick<StallWatch, 'catchUp'>;
+  /** Returns why a target must not receive a request now, or null if it may. */
+  readonly withholdReason: (target: TargetEntry) => string | null;
 }
 
 /** Sends a request to a target and passes the answer to the sink. */
@@ -103,29 +107,24 @@
   signal: AbortSignal,
 ): Promise<SendOutcome> {
   // A request that is written and then aborted still reaches its target.
-  if (signal.aborted) {
-    return Promise.resolve({
-      kind: SendOutcomeKind.Stopped,
-      sent: false,
-      detail: 'not begun',
-      brokeOff: false,
-      limitPerS: null,
-    });
-  }
+  if (signal.aborted) return Promise.resolve(notBegun(SendOutcomeKind.Stopped, 'not begun'));
+  const withheld = services.withholdReason(target);
+  if (withheld !== null) return Promise.resolve(notBegun(SendOutcomeKind.Withheld, withheld));
   const sentAtMs = services.elapsedMs();
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
     let limitPerS: number | null = null;
+    let stream: HttpStream | null = null;
     const finish = (kind: SendOutcomeKind, detail: string, brokeOff = false): void => {
       signal.removeEventListener('abort', onAbort);
-      stream.stop();
+      stream?.stop();
       resolve({ kind, sent, detail, brokeOff, limitPerS });
     };
     const onAbort = (): void => {
       finish(SendOutcomeKind.Stopped, 'stopped');
     };
-    const stream = services.transport.stream(
+    stream = services.transport.stream(
       {
         origin: `http://${target.address}`,
         method: request.method as 'GET',
@@ -135,7 +134,10 @@
       },
       {
         onSent: () => {
-          sent = true;
+          // The request may have waited for a connection.
+          const reason = services.withholdReason(target);
+          if (reason === null) sent = true;
+          else finish(SendOutcomeKind.Withheld, reason);
         },
         onStart: (status, headers, rawHeaders) => {
           services.pulse.recordBytes(target.id);
@@ -153,7 +155,7 @@
         onData: (bytes) => {
           services.pulse.recordBytes(target.id);
           if (head === null || head.notRun) return;
-          const fault = sink.onBytes(bytes, stream);
+          const fault = stream === null ? null : sink.onBytes(bytes, stream);
           if (fault !== null) finish(SendOutcomeKind.Broken, fault);
         },
         onEnd: () => {
@@ -174,6 +176,10 @@
   });
 }
 
+function notBegun(kind: SendOutcomeKind, detail: string): SendOutcome {
+  return { kind, sent: false, detail, brokeOff: false, limitPerS: null };
+}
+
 /**
  * Returns why an answer can't be used, or null if it can. The echoed attempt id must be the
  * request's: after a surplus answer of a target, callers would get answers to other requests.
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -11,6 +11,7 @@
   createHashing,
   pollIntervalOptions,
   seededRandom,
+  servingTarget,
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
@@ -210,6 +211,8 @@
     },
     elapsedMs,
     standstill,
+    withholdReason: ({ id }) =>
+      servingTarget(view, id, monotonicMs()) === null ? 'the target leaves' : null,
     limits,
     random,
     hash32,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -105,10 +105,10 @@
   services.record('queue_wait_ms', plan.waitedMs);
   if (plan.streamAt === null) return requestStream(turn, prefillTarget, null);
   const handle = await requestPrefill(turn, prefillTarget);
-  if (handle === null) return exchange.signal.aborted ? TurnEnd.Stopped : TurnEnd.NotRun;
+  if (handle.isErr()) return handle.error;
   if (hasRestarted(services.view, prefillTarget)) return rejectHandle(turn, prefillTarget);
-  const end = await requestStream(turn, decodeTarget, handle);
-  if (end !== TurnEnd.Delivered) freeHandle(services, handle);
+  const end = await requestStream(turn, decodeTarget, handle.value);
+  if (end !== TurnEnd.Delivered) freeHandle(services, handle.value);
   return end;
 }
 
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -80,7 +80,16 @@
     const elapsedMs = () => 0;
     const standstill = { catchUp: () => null };
     const wire = {} as CallerWire;
-    const services = { transport, wire, pulse, onAnswerHead, elapsedMs, standstill };
+    const withholdReason = () => null;
+    const services = {
+      transport,
+      wire,
+      pulse,
+      onAnswerHead,
+      elapsedMs,
+      standstill,
+      withholdReason,
+    };
     const outcome = await sendToTarget(services, TARGET, request, sink, AbortSignal.abort());
     assert.deepEqual([outcome.kind, outcome.sent, sends], [SendOutcomeKind.Stopped, false, 0]);
   });
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -1,4 +1,4 @@
-/** Tests a grant of an engine that is leaving according to the gateway's own view of the fleet. */
+/** Requests whose target leaves between its choice and the send, by the gateway's own view. */
 import assert from 'node:assert/strict';
 import type { ServerResponse } from 'node:http';
 import { describe, it } from 'node:test';
@@ -6,20 +6,27 @@
   DecisionKind,
   DeliveryKind,
   EnginePhase,
+  type FleetChange,
   FleetChangeKind,
+  type FleetView,
+  type Plan,
+  RequestedWork,
+  type TargetEntry,
   applyChanges,
   createFleetView,
+  servingTarget,
+  servingTargets,
 } from '@cassiamast/coordination';
 import type { CallerWire, HttpTransport } from '@cassiamast/ports';
 import type { Exchange } from '../../src/gateway/exchange.js';
 import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
+import { SendOutcomeKind, sendToTarget } from '../../src/gateway/send-to-target.js';
 import { forwardStream } from '../../src/gateway/stream-forwarding.js';
 
-function viewWith(states: Readonly<Record<string, boolean>>): ReturnType<typeof createFleetView> {
-  const view = createFleetView();
-  const changes = Object.entries(states).map(([id, draining]) => ({
-    kind: FleetChangeKind.Target as const,
-    revision: 1,
+function targetChange(id: string, draining: boolean, revision: number): FleetChange {
+  return {
+    kind: FleetChangeKind.Target,
+    revision,
     target: {
       id,
       name: id,
@@ -31,11 +38,25 @@
       draining,
       phase: EnginePhase.Both,
     },
-  }));
+  };
+}
+
+function viewWith(states: Readonly<Record<string, boolean>>): FleetView {
+  const view = createFleetView();
+  const changes = Object.entries(states).map(([id, draining]) => targetChange(id, draining, 1));
   applyChanges(view, changes, 1, 0);
   return view;
 }
 
+const REQUEST = {
+  attemptId: 'x',
+  work: RequestedWork.Run,
+  method: 'POST',
+  path: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+};
+
 const EXCHANGE: Omit<Exchange, 'response'> = {
   id: 'x',
   head: { attemptId: 'x', remainingTimeMs: 1000, parts: [], outputTokens: 1, lastEventId: null },
@@ -49,7 +70,7 @@
     targetGapMs: 300,
     priority: 0,
     shares: [],
-    maxAttempts: 1,
+    maxAttempts: 2,
     hasPrompts: true,
     resumable: false,
   },
@@ -69,75 +90,141 @@
   lastTarget: '',
 };
 
+/** The services of a gateway whose scheduler grants these plans, and what it did. */
+interface Scene {
+  readonly services: ForwardingServices;
+  readonly sentTo: string[];
+  readonly avoided: (readonly string[])[];
+}
+
+/** Starts a view with engines, and a scheduler that grants them in order; every send is answered. */
+function createScene(
+  view: FleetView,
+  grants: readonly Pick<Plan, 'readAt' | 'streamAt'>[],
+  onSent: () => void = () => undefined,
+): Scene {
+  const remainingGrants = [...grants];
+  const avoided: (readonly string[])[] = [];
+  const sentTo: string[] = [];
+  const services = {
+    view,
+    wire: {
+      targetHeaders: () => [],
+      readAnswer: (status: number) => ({
+        status,
+        attemptId: null,
+        notRun: false,
+        encoded: false,
+        limitPerS: null,
+        unknownHeaders: [],
+      }),
+      callerHeaders: () => [],
+      gatewayResponseHeaders: () => ({}),
+      readHandle: () => 'handle',
+      handlePath: () => '/handle',
+    } as unknown as CallerWire,
+    transport: {
+      exchange: () => Promise.resolve({ status: 200, headers: {}, body: Buffer.alloc(0) }),
+      stream: (request: { origin: string }, handlers: Parameters<HttpTransport['stream']>[1]) => {
+        sentTo.push(request.origin);
+        setImmediate(() => {
+          handlers.onSent?.();
+          handlers.onStart(200, {}, []);
+          onSent();
+          handlers.onEnd();
+        });
+        return { stop: () => undefined, pause: () => undefined, resume: () => undefined };
+      },
+    },
+    budgets: { noteRequest: () => undefined, take: () => true },
+    scheduling: {
+      take: (_: string, job: () => { avoid: readonly string[]; id: string }) => {
+        avoided.push(job().avoid);
+        const grant = remainingGrants.shift() ?? { readAt: '', streamAt: null };
+        const plan = {
+          ...grant,
+          fetchFrom: null,
+          missingTokens: 0,
+          predictedReadMs: 0,
+          waitedMs: 0,
+        };
+        const decision = { kind: DecisionKind.Run, jobId: job().id, plan };
+        return Promise.resolve({ decision, schedulerId: 'g' });
+      },
+      report: () => undefined,
+    },
+    crashes: { recordCompletion: () => undefined },
+    pulse: { recordBytes: () => undefined, isInactive: () => false },
+    onAnswerHead: () => undefined,
+    elapsedMs: () => 0,
+    standstill: { catchUp: () => null, whenCaughtUp: () => undefined },
+    withholdReason: ({ id }: TargetEntry) =>
+      servingTarget(view, id, 0) === null ? 'the target leaves' : null,
+    nowMs: () => 0,
+    log: { info: () => undefined, warn: () => undefined },
+    count: () => undefined,
+    record: () => undefined,
+  } as unknown as ForwardingServices;
+  return { services, sentTo, avoided };
+}
+
+function createResponse(): ServerResponse {
+  return {
+    headersSent: false,
+    destroyed: false,
+    writeHead: () => undefined,
+    end: () => undefined,
+  } as unknown as ServerResponse;
+}
+
 describe('a grant of an engine', () => {
   // Otherwise, a leaving engine receives new work for seconds: the gateway that runs the scheduler
   // is cut off from the store and still grants the engine, while the one that forwards knows that
   // it leaves.
   it('that is leaving is rejected, and another engine is requested', async () => {
-    const granted = ['leaving', 'staying'];
-    const avoided: (readonly string[])[] = [];
-    const sentTo: string[] = [];
-    const response = {
-      headersSent: false,
-      destroyed: false,
-      writeHead: () => undefined,
-      end: () => undefined,
-    } as unknown as ServerResponse;
-    const services = {
-      view: viewWith({ leaving: true, staying: false }),
-      wire: {
-        targetHeaders: () => [],
-        readAnswer: (status: number) => ({
-          status,
-          attemptId: null,
-          notRun: false,
-          encoded: false,
-          limitPerS: null,
-          unknownHeaders: [],
-        }),
-        callerHeaders: () => [],
-        gatewayResponseHeaders: () => ({}),
-      } as unknown as CallerWire,
-      transport: {
-        stream: (request: { origin: string }, handlers: Parameters<HttpTransport['stream']>[1]) => {
-          sentTo.push(request.origin);
-          setImmediate(() => {
-            handlers.onSent?.();
-            handlers.onStart(200, {}, []);
-            handlers.onEnd();
-          });
-          return { stop: () => undefined, pause: () => undefined, resume: () => undefined };
-        },
-      },
-      budgets: { noteRequest: () => undefined, take: () => false },
-      scheduling: {
-        take: (_: string, job: () => { avoid: readonly string[]; id: string }) => {
-          avoided.push(job().avoid);
-          const plan = {
-            readAt: granted.shift() ?? '',
-            streamAt: null,
-            fetchFrom: null,
-            missingTokens: 0,
-            predictedReadMs: 0,
-            waitedMs: 0,
-          };
-          const decision = { kind: DecisionKind.Run, jobId: job().id, plan };
-          return Promise.resolve({ decision, schedulerId: 'g' });
-        },
-        report: () => undefined,
-      },
-      crashes: { recordCompletion: () => undefined },
-      pulse: { recordBytes: () => undefined, isInactive: () => false },
-      onAnswerHead: () => undefined,
-      elapsedMs: () => 0,
-      standstill: { catchUp: () => null },
-      nowMs: () => 0,
-      log: { info: () => undefined, warn: () => undefined },
-      count: () => undefined,
-      record: () => undefined,
-    } as unknown as ForwardingServices;
-    await forwardStream({ ...EXCHANGE, response, failedTargets: new Set() }, services);
-    assert.deepEqual(sentTo, ['http://staying:80']);
-    assert.deepEqual(avoided, [[], ['leaving']]);
+    const grants = ['leaving', 'staying'].map((readAt) => ({ readAt, streamAt: null }));
+    const scene = createScene(viewWith({ leaving: true, staying: false }), grants);
+    const exchange = { ...EXCHANGE, response: createResponse(), failedTargets: new Set<string>() };
+    await forwardStream(exchange, scene.services);
+    assert.deepEqual(scene.sentTo, ['http://staying:80']);
+    assert.deepEqual(scene.avoided, [[], ['leaving']]);
+  });
+
+  // Otherwise, an engine that leaves while another one reads the prompt receives the stream seconds
+  // after its departure was known.
+  it('that leaves while the prompt is read does not receive the stream', async () => {
+    const view = viewWith({ reader: false, leaving: false, staying: false });
+    const leave = (): void => {
+      applyChanges(view, [targetChange('leaving', true, 2)], 2, 0);
+    };
+    const grants = ['leaving', 'staying'].map((streamAt) => ({ readAt: 'reader', streamAt }));
+    const scene = createScene(view, grants, leave);
+    const exchange = { ...EXCHANGE, response: createResponse(), failedTargets: new Set<string>() };
+    await forwardStream(exchange, scene.services);
+    assert.deepEqual(scene.sentTo, ['http://reader:80', 'http://reader:80', 'http://staying:80']);
+    assert.deepEqual(scene.avoided, [[], ['leaving']]);
+  });
+});
+
+describe('a send to a target', () => {
+  // Otherwise, a gateway that stalled sends to targets of whose departure it reads a moment later.
+  it('that leaves while the gateway catches up after a stall is withheld', async () => {
+    const view = viewWith({ leaving: false });
+    const { services, sentTo } = createScene(view, []);
+    const [target] = servingTargets(view, 's', 0);
+    assert.ok(target !== undefined);
+    const catchUp = (): Promise<void> => {
+      applyChanges(view, [targetChange('leaving', true, 2)], 2, 0);
+      return Promise.resolve();
+    };
+    const outcome = await sendToTarget(
+      { ...services, standstill: { ...services.standstill, catchUp } },
+      target,
+      { ...REQUEST },
+      { onHead: () => undefined, onBytes: () => null },
+      EXCHANGE.signal,
+    );
+    assert.equal(outcome.kind, SendOutcomeKind.Withheld);
+    assert.deepEqual(sentTo, []);
   });
 });
