Decode and log what targets announce of leaving and of back-off

The adapter reads both in one place, for answers to requests and to control calls, and the lines of a send show them. Nothing is decided by them yet.

--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -17,6 +17,7 @@
   SendOutcomeKind,
   sendToTarget,
 } from './send-to-target.js';
+import { announcementFields } from './announcement-fields.js';
 import { recordCrashOutcome } from './crash-reports.js';
 import type { ForwardingServices } from './forwarding-services.js';
 import { watchInactivity } from './inactivity-watch.js';
@@ -231,7 +232,7 @@
     send: exchange.sends,
     outcome: outcome.kind,
     detail: outcome.detail,
-    limitPerS: outcome.limitPerS ?? undefined,
+    ...announcementFields(outcome.announced),
     ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
   });
 }
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -4,6 +4,7 @@
  */
 import { RequestedWork, DeliveryKind, type TargetEntry } from '@cassiamast/coordination';
 import { type SendOutcome, SendOutcomeKind, sendToTarget } from './send-to-target.js';
+import { announcementFields } from './announcement-fields.js';
 import { recordCrashOutcome } from './crash-reports.js';
 import type { Exchange } from './exchange.js';
 import { type BufferedAnswer, bufferAnswer } from './buffered-answer.js';
@@ -134,7 +135,7 @@
     send: exchange.sends,
     outcome: outcome.kind,
     detail: outcome.detail,
-    limitPerS: outcome.limitPerS ?? undefined,
+    ...announcementFields(outcome.announced),
     tookMs: Math.round(services.nowMs() - startedAtMs),
     leftMs,
     newsAgeMs: newsAgeMs(services),
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -5,7 +5,14 @@
  * have run, and requests that may have run.
  */
 import type { RequestedWork, TargetEntry } from '@cassiamast/coordination';
-import type { AnswerHead, CallerWire, HttpStream, HttpTransport } from '@cassiamast/ports';
+import {
+  type AnswerHead,
+  type CallerWire,
+  type HttpStream,
+  type HttpTransport,
+  NOTHING_ANNOUNCED,
+  type TargetAnnouncement,
+} from '@cassiamast/ports';
 import type { StallWatch } from '../node/stall-watch.js';
 import type { TargetActivity } from './target-activity.js';
 
@@ -38,8 +45,8 @@
    * Whether the connection broke while the target may have been running the request, as in a crash.
    */
   readonly brokeOff: boolean;
-  /** The rate limit stated in the answer, in requests per second; null if it states none. */
-  readonly limitPerS: number | null;
+  /** What the answer says about the target. */
+  readonly announced: TargetAnnouncement;
 }
 
 /** The request that is sent to a target. */
@@ -114,12 +121,12 @@
   return new Promise((resolve) => {
     let head: AnswerHead | null = null;
     let sent = false;
-    let limitPerS: number | null = null;
+    let announced = NOTHING_ANNOUNCED;
     let stream: HttpStream | null = null;
     const finish = (kind: SendOutcomeKind, detail: string, brokeOff = false): void => {
       signal.removeEventListener('abort', onAbort);
       stream?.stop();
-      resolve({ kind, sent, detail, brokeOff, limitPerS });
+      resolve({ kind, sent, detail, brokeOff, announced });
     };
     const onAbort = (): void => {
       finish(SendOutcomeKind.Stopped, 'stopped');
@@ -142,7 +149,8 @@
         onStart: (status, headers, rawHeaders) => {
           services.pulse.recordBytes(target.id);
           const received = services.wire.readAnswer(status, headers);
-          limitPerS = received.limitPerS;
+          const { limitPerS, isLeaving, backOffMs } = received;
+          announced = { limitPerS, isLeaving, backOffMs };
           const fault = findHeadFault(received, request);
           if (fault !== null) {
             finish(SendOutcomeKind.Broken, fault);
@@ -177,7 +185,7 @@
 }
 
 function notBegun(kind: SendOutcomeKind, detail: string): SendOutcome {
-  return { kind, sent: false, detail, brokeOff: false, limitPerS: null };
+  return { kind, sent: false, detail, brokeOff: false, announced: NOTHING_ANNOUNCED };
 }
 
 /**
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -34,6 +34,7 @@
 import { createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
+import { announcementFields } from './announcement-fields.js';
 import { countStoreCalls } from './store-call-counts.js';
 import { createCrashReports } from './crash-reports.js';
 import { createFleetFollower } from './fleet-follower.js';
@@ -147,14 +148,14 @@
     count: telemetry.count,
     gauge: telemetry.gaugeByTarget,
   });
-  platform.control.onAnswer((target, { call, status, limitPerS }) => {
+  platform.control.onAnswer((target, { call, status, ...announced }) => {
     log.info('engine answered', {
       target: target.id,
       call,
       status,
-      limitPerS: limitPerS ?? undefined,
+      ...announcementFields(announced),
     });
-    limits.noteAnswer(target, limitPerS, { work: null, sentAtMs: elapsedMs() });
+    limits.noteAnswer(target, announced.limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
   const schedulers = createSchedulingService({
     view,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -17,7 +17,7 @@
   servingTarget,
   servingTargets,
 } from '@cassiamast/coordination';
-import type { CallerWire, HttpTransport } from '@cassiamast/ports';
+import { type CallerWire, type HttpTransport, NOTHING_ANNOUNCED } from '@cassiamast/ports';
 import type { Exchange } from '../../src/gateway/exchange.js';
 import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
 import { SendOutcomeKind, sendToTarget } from '../../src/gateway/send-to-target.js';
@@ -115,7 +115,7 @@
         attemptId: null,
         notRun: false,
         encoded: false,
-        limitPerS: null,
+        ...NOTHING_ANNOUNCED,
         unknownHeaders: [],
       }),
       callerHeaders: () => [],
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -41,8 +41,25 @@
   readonly lastEventId: string | null;
 }
 
+/** What a response of a target says about the target itself. */
+export interface TargetAnnouncement {
+  /** Requests per second the target accepts from all gateways together; null if not announced. */
+  readonly limitPerS: number | null;
+  /** Whether the target is shutting down and should receive no further requests. */
+  readonly isLeaving: boolean;
+  /** Time in which the target wants no requests of this gateway; null if not announced. */
+  readonly backOffMs: number | null;
+}
+
+/** The announcement of a response that says nothing about its target. */
+export const NOTHING_ANNOUNCED: TargetAnnouncement = {
+  limitPerS: null,
+  isLeaving: false,
+  backOffMs: null,
+};
+
 /** The status and the parsed headers of a target's response. */
-export interface AnswerHead {
+export interface AnswerHead extends TargetAnnouncement {
   readonly status: number;
   /** The attempt that the response belongs to; null if the target does not state it. */
   readonly attemptId: string | null;
@@ -50,8 +67,6 @@
   readonly notRun: boolean;
   /** Whether the body was encoded in transit and differs from the one that the target sent. */
   readonly encoded: boolean;
-  /** Requests per second the target accepts from all gateways together; null if not announced. */
-  readonly limitPerS: number | null;
   /** Lower-case names of headers that the implementation does not know. */
   readonly unknownHeaders: readonly string[];
 }
--- a/packages/ports/src/engine-control/port.ts
+++ b/packages/ports/src/engine-control/port.ts
@@ -5,6 +5,7 @@
  */
 import type { EnginePhase, Failure, PromptPart, TargetEntry } from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
+import type { TargetAnnouncement } from '../caller-wire/port.js';
 
 /** The phase and the order status of an engine. */
 export interface EngineStatus {
@@ -38,14 +39,10 @@
   Refused = 'refused',
 }
 
-/** A response of an engine: the call, its status and the announced request rate. */
-export interface AnsweredCall {
+/** A response of an engine: the call, its status and what it announces. */
+export interface AnsweredCall extends TargetAnnouncement {
   readonly call: string;
   readonly status: number;
-  /**
-   * Requests per second that it accepts from all gateways together; null if it announces no limit.
-   */
-  readonly limitPerS: number | null;
 }
 
 /** Control calls to engines. None of them retries. */
