Send targets nothing that announce that they leave or ask for a back-off

What callers saw: requests went to a target whose end was announced in its answers, and were cut off with it (504); others were refused by a target that had asked to be left alone, up to ten a back-off from one gateway. Cause: what a target says of itself in its answers had no reader. Only the store and failed requests reached the choice of targets, so while the store could not be read a departure was unknown, and a refusal led to the next one. The routing of plain targets leaves them out, jobs for the scheduler list them to be avoided (also when asked again while queued), the scheduler grants an engine that leaves to nobody, the planner counts them as limited, control calls and the check right before each send withhold what is left. Where all targets of a service are unavailable callers are refused at once with the time of the first one. Why it works: every send, read or run, first or retried, plain or streamed, and every control call passes one of two guards that ask what was announced.

--- a/benchmark/src/scheduling/workload.ts
+++ b/benchmark/src/scheduling/workload.ts
@@ -134,5 +134,6 @@
     aimAtMs: atMs + kind.aimMs,
     deadlineAtMs: atMs + kind.deadlineMs,
     avoid: [],
+    avoidUntilMs: 0,
   };
 }
--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -6,7 +6,7 @@
 import { EnginePhase } from '../forwarding/fleet.js';
 import { recordConnection } from './connections.js';
 import { chooseDecodeEngine } from './decode-engine.js';
-import { type Decision, DecisionKind } from './job.js';
+import { type Decision, DecisionKind, type Job } from './job.js';
 import {
   choosePlacement,
   copyPenaltyMs,
@@ -30,6 +30,7 @@
   isUsable,
   pendingPrefillMs,
 } from './target-load.js';
+import { unavailableRefusal } from './unavailable-refusal.js';
 import { moveToQueue, queueOf } from './job-queues.js';
 
 /** Starts queued jobs on every engine with free capacity. */
@@ -48,7 +49,7 @@
         (canSteal ? chooseJobToSteal(scheduler, load, candidates, nowMs) : null);
       if (next === null) break;
       const decision =
-        startJob(scheduler, load, next, nowMs) ?? rateLimitRefusal(scheduler, next.job, nowMs);
+        startJob(scheduler, load, next, nowMs) ?? refusalOf(scheduler, next.job, nowMs);
       if (decision === null) break;
       decisions.push(decision);
     }
@@ -83,24 +84,30 @@
 }
 
 /**
- * Moves jobs whose engine left, failed or is suspended to the queue of another engine. Refuses a
- * job if only rate limits keep it from every engine.
+ * Moves jobs whose engine left, failed, is suspended or must be avoided to the queue of another
+ * engine. Refuses a job that no engine will take.
  */
 function requeueFromUnusable(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const refusals: Decision[] = [];
   for (const queuedJob of [...scheduler.queuedJobs.values()]) {
     const load = scheduler.targets.get(queuedJob.target);
-    if (load !== undefined && isUsable(load, nowMs)) continue;
+    const isAvoided = queuedJob.job.avoid.includes(queuedJob.target);
+    if (load !== undefined && isUsable(load, nowMs) && !isAvoided) continue;
     const placement = choosePlacement(scheduler, queuedJob, nowMs);
     if (placement !== null) moveToQueue(scheduler, queuedJob, placement.load.entry.id);
     else {
-      const refusal = rateLimitRefusal(scheduler, queuedJob.job, nowMs);
+      const refusal = refusalOf(scheduler, queuedJob.job, nowMs);
       if (refusal !== null) refusals.push(refusal);
     }
   }
   return refusals;
 }
 
+/** Refuses a job that waiting does not help; returns null otherwise. */
+function refusalOf(scheduler: Scheduler, job: Job, nowMs: number): Decision | null {
+  return rateLimitRefusal(scheduler, job, nowMs) ?? unavailableRefusal(scheduler, job, nowMs);
+}
+
 function nextQueuedJob(scheduler: Scheduler, load: TargetLoad, nowMs: number): QueuedJob | null {
   const startAtMs = nowMs + pendingPrefillMs(load, nowMs);
   let best: { readonly queuedJob: QueuedJob; readonly estimate: ServiceEstimate } | null = null;
--- a/packages/coordination/src/core/scheduling/job.ts
+++ b/packages/coordination/src/core/scheduling/job.ts
@@ -22,8 +22,10 @@
   readonly aimAtMs: number;
   /** Time at which the caller stops waiting. */
   readonly deadlineAtMs: number;
-  /** Targets that already failed this job. */
+  /** Targets that already failed this job, or that its gateway must not send requests to. */
   readonly avoid: readonly string[];
+  /** Time from which the gateway may use an engine that decodes; in the past if it may now. */
+  readonly avoidUntilMs: number;
 }
 
 /** The engines that run a job. */
@@ -48,7 +50,7 @@
 
 /** Reason for refusing a job. */
 export enum RefusalReason {
-  /** No target accepts work. */
+  /** No target accepts work of the job's gateway. */
   NoTarget = 'no-target',
   /** The first event would arrive after the caller's deadline. */
   TooLate = 'too-late',
@@ -88,6 +90,8 @@
   Read = 'read',
   /** The job ended, and no part of it is running. */
   Ended = 'ended',
+  /** The target announced that it is shutting down; this event belongs to no job. */
+  Leaving = 'leaving',
   /** The job ended with a complete answer from the target. */
   Served = 'served',
   /** The target is unreachable, unresponsive or not accepting work. */
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -16,7 +16,8 @@
 
 /** A job in the queue of an engine. */
 export interface QueuedJob {
-  readonly job: Job;
+  /** Replaced when its gateway asks again and must avoid other targets than before. */
+  job: Job;
   readonly sizeClass: SizeClass;
   readonly isRetry: boolean;
   readonly value: number;
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -13,6 +13,7 @@
 import { recordPrefill } from './prefill-time.js';
 import { rateLimitRefusal } from './rate-limit-refusal.js';
 import { admissionRefusal, refuse, refuseUnservableJobs } from './load-shedding.js';
+import { unavailableRefusal } from './unavailable-refusal.js';
 import { wasRecentlyRefused } from './refused-requests.js';
 import type { QueuedJob, Scheduler } from './scheduler-state.js';
 import { recordRequestedSize } from './size-fairness.js';
@@ -33,11 +34,15 @@
   const alreadyQueued = scheduler.queuedJobs.get(job.id);
   if (alreadyQueued !== undefined) {
     alreadyQueued.lastPolledAtMs = nowMs;
+    const { avoid, avoidUntilMs } = job;
+    alreadyQueued.job = { ...alreadyQueued.job, avoid, avoidUntilMs };
     return [];
   }
   const queuedJob = createQueuedJob(scheduler, job, nowMs);
   const limitRefusal = rateLimitRefusal(scheduler, job, nowMs);
   if (limitRefusal !== null) return [limitRefusal];
+  const unavailable = unavailableRefusal(scheduler, job, nowMs);
+  if (unavailable !== null) return [unavailable];
   const placement = choosePlacement(scheduler, queuedJob, nowMs);
   if (placement === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
   const refusal = admissionRefusal(scheduler, queuedJob, placement, nowMs);
@@ -89,6 +94,7 @@
   if (hasEnded) removeJob(scheduler, event.jobId);
   if (load === undefined) return;
   if (event.kind === JobEventKind.Served) recordSuccess(load);
+  if (event.kind === JobEventKind.Leaving) load.isLeaving = true;
   if (event.kind === JobEventKind.Failed) recordFailure(load, scheduler.options, nowMs);
   if (event.kind === JobEventKind.Broke) recordBrokenAnswer(load, scheduler.options, nowMs);
   if (event.kind === JobEventKind.Read) completePrefill(scheduler, load, event.jobId, nowMs);
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -43,6 +43,8 @@
   readonly streaming: Map<string, number>;
   lastPrefillEndAtMs: number;
   suspendedUntilMs: number;
+  /** Whether it announced that it is shutting down, which the store may not show yet. */
+  isLeaving: boolean;
   consecutiveFailures: number;
   /** Number of consecutive answers that the engine broke off. */
   consecutiveBreaks: number;
@@ -65,6 +67,7 @@
     streaming: new Map(),
     lastPrefillEndAtMs: 0,
     suspendedUntilMs: 0,
+    isLeaving: false,
     consecutiveFailures: 0,
     consecutiveBreaks: 0,
   };
@@ -147,7 +150,12 @@
 
 /** Returns whether the state of an engine permits work, regardless of its rate limit. */
 export function isHealthy(load: TargetLoad, nowMs: number): boolean {
-  return !load.entry.draining && load.suspendedUntilMs <= nowMs;
+  return !isShuttingDown(load) && load.suspendedUntilMs <= nowMs;
+}
+
+/** Returns whether an engine will take no more work, by its entry or its own announcement. */
+export function isShuttingDown({ entry, isLeaving }: TargetLoad): boolean {
+  return entry.draining || isLeaving;
 }
 
 /** Returns whether an engine can be given another prompt now. */
--- a/packages/daemon/src/gateway/engine-job.ts
+++ b/packages/daemon/src/gateway/engine-job.ts
@@ -18,7 +18,8 @@
   services: ForwardingServices,
   jobId: string,
 ): JobRequest {
-  const { route, head } = exchange;
+  const { route, head, service } = exchange;
+  const { availability } = services;
   const now = services.nowMs();
   const callerSilenceMs = Math.max(
     MIN_CALLER_SILENCE_MS,
@@ -36,6 +37,7 @@
     gateway: services.selfId,
     aimInMs: Math.round(exchange.receivedAtMs + route.targetLatencyMs - now),
     deadlineInMs: Math.round(deadlineAtMs - now),
-    avoid: [...exchange.failedTargets],
+    avoid: [...new Set([...exchange.failedTargets, ...availability.unavailable(service)])],
+    avoidForMs: Math.ceil(availability.availableInMs(service)),
   };
 }
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -3,12 +3,7 @@
  * another or the same one. An unresponsive target is abandoned if the request may continue
  * elsewhere.
  */
-import {
-  RequestedWork,
-  JobEventKind,
-  type TargetEntry,
-  servingTarget,
-} from '@cassiamast/coordination';
+import { RequestedWork, JobEventKind, type TargetEntry } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type Result, err, ok } from 'neverthrow';
 import {
@@ -19,7 +14,7 @@
 } from './send-to-target.js';
 import { announcementFields } from './announcement-fields.js';
 import { recordCrashOutcome } from './crash-reports.js';
-import type { ForwardingServices } from './forwarding-services.js';
+import { type ForwardingServices, availableTarget } from './forwarding-services.js';
 import { watchInactivity } from './inactivity-watch.js';
 import { type Turn, TurnEnd, reportFailed, report } from './stream-turn.js';
 
@@ -183,6 +178,7 @@
     },
   };
   const outcome = await sendToTarget(services, target, request, watchedSink, stopped.signal);
+  if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
   watch.stop();
   exchange.signal.removeEventListener('abort', stop);
   const isSilent = outcome.kind === SendOutcomeKind.Stopped && !exchange.signal.aborted;
@@ -207,11 +203,19 @@
 }
 
 function addressOf(services: ForwardingServices, id: string | null): string | null {
-  return id === null ? null : (servingTarget(services.view, id, services.nowMs())?.address ?? null);
+  return id === null ? null : (availableTarget(services, id)?.address ?? null);
 }
 
-/** Releases a prefilled prompt that won't be fetched. It would occupy memory until it expires. */
-export function freeHandle(services: ForwardingServices, from: PromptHandle): void {
+/**
+ * Releases a prefilled prompt that won't be fetched. It would occupy memory until it expires, which
+ * is left to a target that must not be sent anything.
+ */
+export function freeHandle(
+  services: ForwardingServices,
+  prefillTarget: TargetEntry,
+  from: PromptHandle,
+): void {
+  if (services.withholdReason(prefillTarget) !== null) return;
   const request = {
     origin: `http://${from.address}`,
     method: 'DELETE' as const,
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -1,11 +1,18 @@
 /** The services that plain and stream forwarding share. */
-import type { FleetView, Hash32, Random } from '@cassiamast/coordination';
+import {
+  type FleetView,
+  type Hash32,
+  type Random,
+  type TargetEntry,
+  servingTarget,
+} from '@cassiamast/coordination';
 import type { StallWatch } from '../node/stall-watch.js';
 import type { SendServices } from './send-to-target.js';
 import type { CrashReports } from './crash-reports.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
+import type { TargetAvailability } from './target-availability.js';
 import type { TargetHealth } from './target-health.js';
 import type { TargetLimits } from './target-limits.js';
 
@@ -16,6 +23,7 @@
   readonly budgets: RetryBudgets;
   readonly health: TargetHealth;
   readonly limits: TargetLimits;
+  readonly availability: TargetAvailability;
   readonly scheduling: SchedulingClient;
   readonly crashes: CrashReports;
   readonly random: Random;
@@ -29,6 +37,12 @@
   readonly selfId: string;
 }
 
+/** Returns a target that may be sent a request now, or null. */
+export function availableTarget(services: ForwardingServices, id: string): TargetEntry | null {
+  const target = servingTarget(services.view, id, services.nowMs());
+  return target === null || services.withholdReason(target) !== null ? null : target;
+}
+
 /** Returns the age of this gateway's view of the fleet, logged with each decision based on it. */
 export function newsAgeMs(services: ForwardingServices): number {
   return Math.round(services.nowMs() - services.view.confirmedAtMs);
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -35,6 +35,7 @@
 const DELIVERED: NextStep = { kind: NextStepKind.Delivered };
 const GIVE_UP: NextStep = { kind: NextStepKind.GiveUp };
 const NO_TARGET_REASON = 'no target takes work';
+const UNAVAILABLE_REASON = 'all targets leave or asked for a back-off';
 const RATE_LIMITED_REASON = 'all targets that could take it are at their rate limits';
 
 /** The state of one request while targets are tried. */
@@ -55,7 +56,7 @@
   const state: ForwardingState = { exchange, services, limited: new Map(), unreachable: 0 };
   services.budgets.noteRequest(exchange.service);
   let target = await choosePermittedTarget(state);
-  let detail = state.limited.size > 0 ? RATE_LIMITED_REASON : NO_TARGET_REASON;
+  let detail = reasonWithoutTarget(state);
   while (target !== null && !exchange.signal.aborted) {
     const bufferedAnswer = bufferAnswer(exchange.response, services.wire);
     const outcome = await send(exchange, services, target, bufferedAnswer);
@@ -67,12 +68,21 @@
   giveUp(state, detail);
 }
 
-/** Chooses the best target below its rate limit and takes a permit for it. */
+/** Returns why no target was found for a request that was not sent yet. */
+function reasonWithoutTarget({ exchange, services, limited }: ForwardingState): string {
+  if (limited.size > 0) return RATE_LIMITED_REASON;
+  const isUnavailable = services.availability.availableInMs(exchange.service) > 0;
+  return isUnavailable ? UNAVAILABLE_REASON : NO_TARGET_REASON;
+}
+
+/** Chooses the best available target below its rate limit and takes a permit for it. */
 async function choosePermittedTarget(state: ForwardingState): Promise<TargetEntry | null> {
   const { exchange, services, limited } = state;
+  const { failedTargets, service } = exchange;
   while (!exchange.signal.aborted) {
-    const tried = new Set([...exchange.failedTargets, ...limited.keys()]);
-    const target = services.health.choose(exchange.service, tried);
+    const unavailable = services.availability.unavailable(service);
+    const excluded = new Set([...failedTargets, ...limited.keys(), ...unavailable]);
+    const target = services.health.choose(service, excluded);
     if (target === null) return null;
     const waitMs = await services.limits.take(target);
     if (waitMs === 0) return target;
@@ -128,6 +138,7 @@
   if (outcome.sent) exchange.sends += 1;
   exchange.lastTarget = target.id;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
+  if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
   recordCrashOutcome(exchange, services, target.id, outcome);
   services.log.info('sent to target', {
     request: exchange.id,
@@ -197,7 +208,7 @@
 }
 
 function giveUp({ exchange, services, limited }: ForwardingState, detail: string): void {
-  const { response } = exchange;
+  const { response, service } = exchange;
   if (response.destroyed) return;
   if (response.headersSent) {
     // A part of the answer was sent. Only closing the connection signals that it is incomplete.
@@ -206,17 +217,35 @@
   }
   const status = failureStatus(exchange, exchange.signal.aborted);
   const isRefusal = !exchange.mayHaveRun;
-  const retryAfterMs = isRefusal ? computeRetryAfterMs(services, limited) : null;
+  const retryAfterMs = isRefusal ? computeRetryAfterMs(services, service, limited) : null;
   if (isRefusal && limited.size > 0) logLimited(exchange, services, limited, retryAfterMs);
+  else if (isRefusal && services.availability.availableInMs(service) > 0)
+    logUnavailable(exchange, services, retryAfterMs);
   sendOwnAnswer(response, services.wire, { status, reason: detail, retryAfterMs });
 }
 
 function computeRetryAfterMs(
-  { limits }: ForwardingServices,
+  { limits, availability }: ForwardingServices,
+  service: string,
   limited: ReadonlyMap<string, number>,
 ): number {
-  if (limited.size === 0) return RETRY_AFTER_MS;
-  return Math.max(RETRY_AFTER_MS, limits.callerRetryInMs(limited));
+  const retryInMs =
+    limited.size > 0 ? limits.callerRetryInMs(limited) : availability.callerRetryInMs(service);
+  return Math.max(RETRY_AFTER_MS, retryInMs);
+}
+
+function logUnavailable(
+  exchange: Exchange,
+  services: ForwardingServices,
+  retryAfterMs: number | null,
+): void {
+  services.count('refused_unavailable_total');
+  services.log.info('refused, targets unavailable', {
+    request: exchange.id,
+    targets: services.availability.unavailable(exchange.service),
+    retryAfterMs: Math.round(retryAfterMs ?? 0),
+    ageMs: Math.round(services.nowMs() - exchange.receivedAtMs),
+  });
 }
 
 function logLimited(
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -9,6 +9,7 @@
   type FleetView,
   type JobEvent,
   JobEventKind,
+  type TargetEntry,
   chooseScheduler,
 } from '@cassiamast/coordination';
 import { type Result, err } from 'neverthrow';
@@ -98,6 +99,8 @@
     jobId: string,
     target: string,
   ) => void;
+  /** Tells the gateway that schedules a service that one of its engines is shutting down. */
+  readonly reportLeaving: (target: TargetEntry) => void;
   /** Sends the queued reports. Resolves when each has been delivered or lost. */
   readonly flushReports: () => Promise<void>;
 }
@@ -272,6 +275,9 @@
       return null;
     },
     report,
+    reportLeaving: ({ id, service }) => {
+      report(service, schedulerOf(service), JobEventKind.Leaving, '', id);
+    },
     flushReports: settle,
   };
 }
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -27,9 +27,11 @@
 import type { GatewayLog } from './gateway-log.js';
 
 /** A job as sent between processes. Times are relative because clocks differ between VMs. */
-export interface JobRequest extends Omit<Job, 'aimAtMs' | 'deadlineAtMs'> {
+export interface JobRequest extends Omit<Job, 'aimAtMs' | 'deadlineAtMs' | 'avoidUntilMs'> {
   readonly aimInMs: number;
   readonly deadlineInMs: number;
+  /** Absent in requests of gateways that run an earlier version. */
+  readonly avoidForMs?: number;
 }
 
 /**
@@ -139,8 +141,13 @@
     take: (service, request, waitMs) => {
       if (view.table === null) return noDecision(waitMs);
       const now = nowMs();
-      const { aimInMs, deadlineInMs, ...rest } = request;
-      const job: Job = { ...rest, aimAtMs: now + aimInMs, deadlineAtMs: now + deadlineInMs };
+      const { aimInMs, deadlineInMs, avoidForMs = 0, ...rest } = request;
+      const job: Job = {
+        ...rest,
+        aimAtMs: now + aimInMs,
+        deadlineAtMs: now + deadlineInMs,
+        avoidUntilMs: now + avoidForMs,
+      };
       const scheduler = schedulerOf(service);
       refreshCaches(service, scheduler);
       const decisions = submitJob(scheduler, job, now);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -11,7 +11,6 @@
   createHashing,
   pollIntervalOptions,
   seededRandom,
-  servingTarget,
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
@@ -54,9 +53,11 @@
 import { createSchedulingClient } from './scheduling-client.js';
 import { createSchedulingService } from './scheduling-service.js';
 import type { GatewaySettings } from './settings.js';
+import { createTargetAvailability } from './target-availability.js';
 import { createTargetHealth } from './target-health.js';
 import { createTargetLimits } from './target-limits.js';
 import { logTargetTransitions } from './target-transitions.js';
+import { withholdControlCalls } from './withheld-control-calls.js';
 import { createTargetActivity } from './target-activity.js';
 
 const MAX_SEED = 0x7fff_ffff;
@@ -148,18 +149,32 @@
     count: telemetry.count,
     gauge: telemetry.gaugeByTarget,
   });
-  platform.control.onAnswer((target, { call, status, ...announced }) => {
+  const availability = createTargetAvailability({
+    view,
+    nowMs: monotonicMs,
+    elapsedMs,
+    random,
+    log,
+    count: telemetry.count,
+    gauge: telemetry.gaugeByTarget,
+    onLeaving: (target) => {
+      if (target.phase !== null) scheduling.reportLeaving(target);
+    },
+  });
+  const control = withholdControlCalls(platform.control, availability.withholdReason);
+  control.onAnswer((target, { call, status, ...announced }) => {
     log.info('engine answered', {
       target: target.id,
       call,
       status,
       ...announcementFields(announced),
     });
+    availability.noteAnswer(target, announced);
     limits.noteAnswer(target, announced.limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
   const schedulers = createSchedulingService({
     view,
-    control: platform.control,
+    control,
     permits: limits.permits,
     nowMs: monotonicMs,
     log,
@@ -208,12 +223,13 @@
     pulse,
     onAnswerHead: (target, head, { work, sentAtMs }) => {
       headerWatch.logUnknownHeaders(target, head);
+      availability.noteAnswer(target, head);
       limits.noteAnswer(target, head.limitPerS, { work: head.notRun ? null : work, sentAtMs });
     },
     elapsedMs,
     standstill,
-    withholdReason: ({ id }) =>
-      servingTarget(view, id, monotonicMs()) === null ? 'the target leaves' : null,
+    withholdReason: availability.withholdReason,
+    availability,
     limits,
     random,
     hash32,
@@ -233,12 +249,12 @@
     selfId,
     view,
     store: fleet,
-    control: platform.control,
+    control,
     schedulers,
     random,
     elapsedMs,
     nowMs: monotonicMs,
-    isLimited: limits.permits.isBinding,
+    isLimited: (target) => limits.permits.isBinding(target) || availability.isUnavailable(target),
     isScheduler: (service) => !isLeaving && scheduling.schedulerOf(service) === selfId,
     log,
     count: telemetry.count,
@@ -275,10 +291,12 @@
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
         limits.measure();
+        availability.measure();
         return telemetry.metricsText();
       }),
       presence.child,
       limits.child,
+      availability.child,
       planner,
       createReadinessServer(
         settings.readiness,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -10,11 +10,10 @@
   JobEventKind,
   type TargetEntry,
   hasRestarted,
-  servingTarget,
 } from '@cassiamast/coordination';
 import { createJobRequest } from './engine-job.js';
 import { type Exchange, callerLeft } from './exchange.js';
-import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
+import { type ForwardingServices, availableTarget, newsAgeMs } from './forwarding-services.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
 import { createStreamRelay } from './stream-relay.js';
 import { freeHandle, requestPrefill, requestStream } from './engine-requests.js';
@@ -85,11 +84,9 @@
 
 async function runTurn(turn: Turn): Promise<TurnEnd> {
   const { exchange, services, plan } = turn;
-  const prefillTarget = servingTarget(services.view, plan.readAt, services.nowMs());
+  const prefillTarget = availableTarget(services, plan.readAt);
   const decodeTarget =
-    plan.streamAt === null
-      ? prefillTarget
-      : servingTarget(services.view, plan.streamAt, services.nowMs());
+    plan.streamAt === null ? prefillTarget : availableTarget(services, plan.streamAt);
   if (prefillTarget === null || decodeTarget === null) return rejectGrant(turn);
   services.log.info('engine granted', {
     request: exchange.id,
@@ -108,24 +105,24 @@
   if (handle.isErr()) return handle.error;
   if (hasRestarted(services.view, prefillTarget)) return rejectHandle(turn, prefillTarget);
   const end = await requestStream(turn, decodeTarget, handle.value);
-  if (end !== TurnEnd.Delivered) freeHandle(services, handle.value);
+  if (end !== TurnEnd.Delivered) freeHandle(services, prefillTarget, handle.value);
   return end;
 }
 
 /**
- * Rejects a grant of an engine that is leaving according to this gateway's own view. A scheduler
+ * Rejects a grant of an engine that is leaving or backing off as far as this gateway knows. A scheduler
  * that is cut off from the store does not see that an engine leaves; without this check, the engine
  * would receive new work seconds after its departure was accepted.
  */
 function rejectGrant({ exchange, services, plan, schedulerId }: Turn): TurnEnd {
   for (const id of [plan.readAt, plan.streamAt]) {
-    if (id === null || servingTarget(services.view, id, services.nowMs()) !== null) continue;
+    if (id === null || availableTarget(services, id) !== null) continue;
     exchange.failedTargets.add(id);
     services.log.warn('grant rejected', {
       request: exchange.id,
       scheduler: schedulerId,
       target: id,
-      reason: 'the target leaves',
+      reason: 'the target leaves or asked for a back-off',
       newsAgeMs: newsAgeMs(services),
     });
   }
