Count engines that back off as usable for the split of phases

A back-off lasts seconds, a change of phase as long: only an engine that leaves is left out when the planner counts engines that decode. A stream that no engine took is refused with the time of the first engine as well, and a service without targets keeps the usual time.

--- a/packages/daemon/src/gateway/phase-planner.ts
+++ b/packages/daemon/src/gateway/phase-planner.ts
@@ -75,7 +75,7 @@
   readonly elapsedMs: () => number;
   readonly nowMs: () => number;
   readonly isScheduler: (service: string) => boolean;
-  /** Whether an engine has announced a rate limit that is used up. */
+  /** Whether an engine announced a rate limit that is used up, or that it leaves. */
   readonly isLimited: (target: string) => boolean;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -254,7 +254,7 @@
     random,
     elapsedMs,
     nowMs: monotonicMs,
-    isLimited: (target) => limits.permits.isBinding(target) || availability.isUnavailable(target),
+    isLimited: (target) => limits.permits.isBinding(target) || availability.isLeaving(target),
     isScheduler: (service) => !isLeaving && scheduling.schedulerOf(service) === selfId,
     log,
     count: telemetry.count,
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -67,7 +67,8 @@
     detail = `engine ${exchange.lastTarget}: ${end}`;
     if (!mayTakeAnotherTurn(exchange, services, end)) break;
   }
-  giveUp(exchange, services, detail, RETRY_AFTER_MS);
+  const availableInMs = services.availability.callerRetryInMs(exchange.service);
+  giveUp(exchange, services, detail, Math.max(RETRY_AFTER_MS, availableInMs));
 }
 
 /** Returns whether another turn is allowed after a failed one. */
--- a/packages/daemon/src/gateway/target-availability.ts
+++ b/packages/daemon/src/gateway/target-availability.ts
@@ -72,11 +72,11 @@
   readonly withholdReason: (target: TargetEntry) => string | null;
   /** Returns the targets of a service that must not be sent anything, by their announcements. */
   readonly unavailable: (service: string) => readonly string[];
-  /** Whether a target must not be sent anything, by its announcements. */
-  readonly isUnavailable: (target: string) => boolean;
+  /** Whether a target announced that it leaves. */
+  readonly isLeaving: (target: string) => boolean;
   /**
    * Returns the time until the first target of a service that produces answers may be used; 0 if
-   * one may be used now.
+   * one may be used now, or if the service has none.
    */
   readonly availableInMs: (service: string) => number;
   /** Returns when a refused caller of a service should retry. */
@@ -123,6 +123,7 @@
     const ids = servingTargets(view, service, nowMs())
       .filter(({ phase }) => phase !== EnginePhase.Prefill)
       .map(({ id }) => id);
+    if (ids.length === 0) return 0;
     return availableInMs(announced, ids, elapsedMs()) ?? REPLACEMENT_MS;
   }
 
@@ -150,7 +151,7 @@
     },
     withholdReason,
     unavailable,
-    isUnavailable: (id) => unavailableReason(announced, id, elapsedMs()) !== null,
+    isLeaving: (id) => unavailableReason(announced, id, elapsedMs()) === UnavailableReason.Leaving,
     availableInMs: serviceAvailableInMs,
     callerRetryInMs: (service) => {
       const inMs = serviceAvailableInMs(service);
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -160,7 +160,7 @@
     standstill: { catchUp: () => null, whenCaughtUp: () => undefined },
     withholdReason: ({ id }: TargetEntry) =>
       servingTarget(view, id, 0) === null ? 'the target leaves' : null,
-    availability: { unavailable: () => [], availableInMs: () => 0 },
+    availability: { unavailable: () => [], availableInMs: () => 0, callerRetryInMs: () => 0 },
     nowMs: () => 0,
     log: { info: () => undefined, warn: () => undefined },
     count: () => undefined,
