Let the follower say when it expects the next answer of the store

The follower now passes its pause and its watch's wait; the bound is the same to the millisecond. A rejected grant logs the reason of the engine that caused it.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -134,11 +134,8 @@
  * leaves, so the grace period is shorter.
  */
 export const EXPIRY_GRACE_MS = 1500;
-/**
- * Time without an answer that counts as a store outage, from the moment at which the next call was
- * due. A watch without news is answered after 1500 ms.
- */
-export const OUTAGE_INACTIVITY_MS = 1900;
+/** An answer that is late by more than this counts as the end of a store outage. */
+export const OUTAGE_DELAY_MS = 400;
 /** Most removed targets whose removal revision is kept. */
 const MAX_REMOVED_NAMES = 4096;
 
@@ -162,12 +159,13 @@
 /**
  * Records that the store answered. An answer after an outage starts the grace period.
  *
- * @param pauseMs - Time until the next call to the store; silence in it is not an outage.
+ * @param nextAnswerInMs - Time within which the next answer is expected: the gateway's own pause
+ * before the next call, and the time that the call waits for changes.
  */
-export function recordStoreAnswer(view: FleetView, nowMs: number, pauseMs = 0): void {
+export function recordStoreAnswer(view: FleetView, nowMs: number, nextAnswerInMs: number): void {
   if (nowMs > view.outageFromMs) view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
   view.confirmedAtMs = nowMs;
-  view.outageFromMs = nowMs + pauseMs + OUTAGE_INACTIVITY_MS;
+  view.outageFromMs = nowMs + nextAnswerInMs + OUTAGE_DELAY_MS;
 }
 
 /** Applies a complete listing and removes the targets and gateways that it does not contain. */
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -8,7 +8,7 @@
   type FleetView,
   TargetTransition,
   EXPIRY_GRACE_MS,
-  OUTAGE_INACTIVITY_MS,
+  OUTAGE_DELAY_MS,
   applyChanges,
   applyListing,
   createFleetView,
@@ -20,6 +20,8 @@
 } from '../../../src/index.js';
 
 const SERVICE = 'inspect-llm';
+/** How long a call to the store waits for changes. */
+const WATCH_MS = 1500;
 
 function target(name: string, revision: number, draining = false, bornAtMs = 0): FleetChange {
   const entry = {
@@ -47,7 +49,7 @@
 
   beforeEach(() => {
     view = createFleetView();
-    recordStoreAnswer(view, 0);
+    recordStoreAnswer(view, 0, WATCH_MS);
     applyListing(view, [target('a', 1), target('b', 2)], 5, 0);
   });
 
@@ -72,19 +74,20 @@
   // targets in use after every poll without news.
   describe('after a long pause between two calls', () => {
     const PAUSE_MS = 2000;
+    const NEXT_ANSWER_MS = PAUSE_MS + WATCH_MS;
 
     it('removes a target at once when its entry is removed', () => {
-      recordStoreAnswer(view, 100, PAUSE_MS);
-      const nextAnswerAtMs = 100 + PAUSE_MS + OUTAGE_INACTIVITY_MS;
-      recordStoreAnswer(view, nextAnswerAtMs, PAUSE_MS);
+      recordStoreAnswer(view, 100, NEXT_ANSWER_MS);
+      const nextAnswerAtMs = 100 + NEXT_ANSWER_MS + OUTAGE_DELAY_MS;
+      recordStoreAnswer(view, nextAnswerAtMs, NEXT_ANSWER_MS);
       applyChanges(view, [removed('a', 6)], 6, nextAnswerAtMs);
       assert.deepEqual(serving(nextAnswerAtMs), ['b']);
     });
 
     it('keeps it if the answer was late by more than that', () => {
-      recordStoreAnswer(view, 100, PAUSE_MS);
-      const nextAnswerAtMs = 100 + PAUSE_MS + OUTAGE_INACTIVITY_MS + 1;
-      recordStoreAnswer(view, nextAnswerAtMs, PAUSE_MS);
+      recordStoreAnswer(view, 100, NEXT_ANSWER_MS);
+      const nextAnswerAtMs = 100 + NEXT_ANSWER_MS + OUTAGE_DELAY_MS + 1;
+      recordStoreAnswer(view, nextAnswerAtMs, NEXT_ANSWER_MS);
       applyChanges(view, [removed('a', 6)], 6, nextAnswerAtMs);
       assert.deepEqual(serving(nextAnswerAtMs), ['a', 'b']);
     });
@@ -112,10 +115,10 @@
   // Entries expire during a store outage. A gateway that removes every target with a missing entry
   // has no targets left and rejects all requests for two seconds after the store returns.
   describe('after a store outage', () => {
-    const backAtMs = OUTAGE_INACTIVITY_MS + 1000;
+    const backAtMs = WATCH_MS + OUTAGE_DELAY_MS + 1000;
 
     beforeEach(() => {
-      recordStoreAnswer(view, backAtMs);
+      recordStoreAnswer(view, backAtMs, WATCH_MS);
       applyChanges(view, [removed('a', 6)], 6, backAtMs);
     });
 
@@ -146,8 +149,8 @@
     // A gateway that extends the grace period of missing targets with each outage sends work to
     // targets that left long ago.
     it('does not use a target again whose grace period is over', () => {
-      const nextBackAtMs = backAtMs + EXPIRY_GRACE_MS + OUTAGE_INACTIVITY_MS;
-      recordStoreAnswer(view, nextBackAtMs);
+      const nextBackAtMs = backAtMs + EXPIRY_GRACE_MS + WATCH_MS + OUTAGE_DELAY_MS;
+      recordStoreAnswer(view, nextBackAtMs, WATCH_MS);
       assert.deepEqual(serving(nextBackAtMs), ['b']);
     });
 
@@ -165,7 +168,7 @@
       view = createFleetView((transition, { id }, revision) => {
         transitions.push(`${id} ${transition} at ${String(revision)}`);
       });
-      recordStoreAnswer(view, 0);
+      recordStoreAnswer(view, 0, WATCH_MS);
       applyListing(view, [target('a', 1), target('b', 2)], 5, 0);
     });
 
@@ -178,8 +181,8 @@
     });
 
     it('is reported when an entry is missing after an outage, and when it is back or not', () => {
-      const backAtMs = OUTAGE_INACTIVITY_MS + 1000;
-      recordStoreAnswer(view, backAtMs);
+      const backAtMs = WATCH_MS + OUTAGE_DELAY_MS + 1000;
+      recordStoreAnswer(view, backAtMs, WATCH_MS);
       applyChanges(view, [removed('a', 6), removed('b', 7)], 7, backAtMs);
       applyChanges(view, [target('a', 8)], 8, backAtMs + 500);
       removeMissingTargets(view, backAtMs + EXPIRY_GRACE_MS);
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -82,7 +82,7 @@
   }
 
   function noteStoreRegained(pauseMs: number): void {
-    recordStoreAnswer(view, nowMs(), pauseMs);
+    recordStoreAnswer(view, nowMs(), pauseMs + WATCH_WAIT_MS);
     if (isStoreLost) log.info('store regained', { revision: view.revision });
     isStoreLost = false;
   }
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -39,8 +39,15 @@
 
 /** Returns a target that may be sent a request now, or null. */
 export function availableTarget(services: ForwardingServices, id: string): TargetEntry | null {
-  const target = servingTarget(services.view, id, services.nowMs());
-  return target === null || services.withholdReason(target) !== null ? null : target;
+  return unavailableBecause(services, id) === null
+    ? servingTarget(services.view, id, services.nowMs())
+    : null;
+}
+
+/** Returns why a target must not be sent a request now, or null if it may. */
+export function unavailableBecause(services: ForwardingServices, id: string): string | null {
+  const target = services.view.targets.get(id);
+  return target === undefined ? 'the target is gone' : services.withholdReason(target.entry);
 }
 
 /** Returns the age of this gateway's view of the fleet, logged with each decision based on it. */
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -13,7 +13,12 @@
 } from '@cassiamast/coordination';
 import { createJobRequest } from './engine-job.js';
 import { type Exchange, callerLeft } from './exchange.js';
-import { type ForwardingServices, availableTarget, newsAgeMs } from './forwarding-services.js';
+import {
+  type ForwardingServices,
+  availableTarget,
+  newsAgeMs,
+  unavailableBecause,
+} from './forwarding-services.js';
 import { failureStatus, sendOwnAnswer } from './own-answer.js';
 import { createStreamRelay } from './stream-relay.js';
 import { freeHandle, requestPrefill, requestStream } from './engine-requests.js';
@@ -117,13 +122,14 @@
  */
 function rejectGrant({ exchange, services, plan, schedulerId }: Turn): TurnEnd {
   for (const id of [plan.readAt, plan.streamAt]) {
-    if (id === null || availableTarget(services, id) !== null) continue;
+    const reason = id === null ? null : unavailableBecause(services, id);
+    if (id === null || reason === null) continue;
     exchange.failedTargets.add(id);
     services.log.warn('grant rejected', {
       request: exchange.id,
       scheduler: schedulerId,
       target: id,
-      reason: 'the target leaves or asked for a back-off',
+      reason,
       newsAgeMs: newsAgeMs(services),
     });
   }
--- a/packages/daemon/src/gateway/target-availability.ts
+++ b/packages/daemon/src/gateway/target-availability.ts
@@ -32,7 +32,7 @@
  * Callers that wait for the same back-off return spread over this time, so that a recovering target
  * is not sent all of them at once.
  */
-export const RETURN_SPREAD_MS = 300;
+const RETURN_SPREAD_MS = 300;
 
 /** Why a request is withheld if the target is missing from the view or draining there. */
 const NOT_SERVING = 'the target leaves';
--- a/packages/fuzz/src/worlds/departures/gateway.ts
+++ b/packages/fuzz/src/worlds/departures/gateway.ts
@@ -51,7 +51,7 @@
   }
   const { nowMs } = scheduler;
   simulation.pauseMs = pauseAfterAnswerMs(pace, nowMs);
-  recordStoreAnswer(view, nowMs, simulation.pauseMs);
+  recordStoreAnswer(view, nowMs, simulation.pauseMs + WATCH_WAIT_MS);
   options.afterStoreAnswer(simulation);
   const changes = store.changes.filter(({ revision }) => revision > view.revision);
   applyChanges(view, changes, store.revision, nowMs);
