--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -44,7 +44,7 @@
 };
 
 /** Guards that can be taken away. */
-export const DEPARTURES_MUTANTS: Readonly<Record<string, DeparturesOptions>> = {
+const DEPARTURES_MUTANTS: Readonly<Record<string, DeparturesOptions>> = {
   'quiet-polls-extend-grace': {
     ...GUARDED,
     afterStoreAnswer: (simulation) => {
