--- /dev/null
+++ b/packages/fuzz/src/worlds/departures/gateway.ts
@@ -0,0 +1,126 @@
+/** The gateway of the departures world: it polls the store and sends requests to targets. */
+import {
+  FleetChangeKind,
+  applyChanges,
+  pauseAfterAnswerMs,
+  pauseAfterFailureMs,
+  recordLeaving,
+  recordStoreAnswer,
+  removeMissingTargets,
+  servingTargets,
+  unavailableReason,
+} from '@cassiamast/coordination';
+import { schedule } from '../../kit/scheduler.js';
+import { SERVICE, type Send, type SimulatedTarget, type Simulation } from './simulation.js';
+
+const WATCH_WAIT_MS = 1500;
+const STORE_ANSWER_MS = 10;
+const SEND_INTERVAL_MS = 40;
+/** Answers take up to this long; late ones arrive after those to later requests. */
+const MAX_ANSWER_MS = 1200;
+/** A store that answers for this long is not the reason for a late update. */
+const CONTACT_MS = 4000;
+
+/** Polls the store for as long as the run lasts. */
+export function poll(simulation: Simulation): void {
+  const { store, scheduler, view, pace, random } = simulation;
+  if (store.isDown) {
+    schedule(scheduler, pauseAfterFailureMs(pace, random), () => {
+      poll(simulation);
+    });
+    return;
+  }
+  let isAnswered = false;
+  const answer = (): void => {
+    if (isAnswered) return;
+    isAnswered = true;
+    schedule(scheduler, STORE_ANSWER_MS, () => {
+      receiveChanges(simulation);
+    });
+  };
+  store.notify = answer;
+  if (store.revision > view.revision) answer();
+  else schedule(scheduler, WATCH_WAIT_MS, answer);
+}
+
+function receiveChanges(simulation: Simulation): void {
+  const { store, scheduler, view, pace, options } = simulation;
+  if (store.isDown) {
+    poll(simulation);
+    return;
+  }
+  const { nowMs } = scheduler;
+  simulation.pauseMs = pauseAfterAnswerMs(pace, nowMs);
+  recordStoreAnswer(view, nowMs, simulation.pauseMs);
+  options.afterStoreAnswer(simulation);
+  const changes = store.changes.filter(({ revision }) => revision > view.revision);
+  applyChanges(view, changes, store.revision, nowMs);
+  for (const change of changes) {
+    if (change.kind === FleetChangeKind.TargetRemoved) {
+      options.afterRemoval(simulation, change.name);
+    }
+  }
+  removeMissingTargets(view, nowMs);
+  schedule(scheduler, simulation.pauseMs, () => {
+    poll(simulation);
+  });
+}
+
+/** Sends requests for as long as the run lasts. */
+export function sendRequests(simulation: Simulation): void {
+  sendOne(simulation);
+  schedule(simulation.scheduler, SEND_INTERVAL_MS, () => {
+    sendRequests(simulation);
+  });
+}
+
+function sendOne(simulation: Simulation): void {
+  const { scheduler, view, availability, targets, random } = simulation;
+  const { nowMs } = scheduler;
+  const candidates = servingTargets(view, SERVICE, nowMs).filter(
+    ({ id }) => unavailableReason(availability, id, nowMs) === null,
+  );
+  const chosen = candidates[Math.floor(random() * candidates.length)];
+  const target = targets.find(({ name }) => name === chosen?.name);
+  if (target === undefined) return;
+  simulation.sends.push(describeSend(simulation, target));
+  const { isLeaving, backOffMs } = target;
+  const isTurnedAway = nowMs < target.turnsAwayUntilMs;
+  schedule(scheduler, random() * MAX_ANSWER_MS, () => {
+    receiveAnswer(simulation, target, nowMs, {
+      isLeaving,
+      backOffMs: isTurnedAway ? backOffMs : 0,
+    });
+  });
+}
+
+function describeSend({ scheduler, store }: Simulation, target: SimulatedTarget): Send {
+  const { nowMs } = scheduler;
+  const { toldLeavingAtMs, backOffUntilMs, leftAtMs } = target;
+  const isInContact =
+    !store.isDown && (store.upSinceMs === 0 || nowMs - store.upSinceMs > CONTACT_MS);
+  return {
+    target,
+    toldForMs: toldLeavingAtMs === null ? null : nowMs - toldLeavingAtMs,
+    backOffLeftMs: backOffUntilMs - nowMs,
+    leftForMs: leftAtMs === null || !isInContact ? null : nowMs - leftAtMs,
+  };
+}
+
+function receiveAnswer(
+  { scheduler, availability, options }: Simulation,
+  target: SimulatedTarget,
+  sentAtMs: number,
+  { isLeaving, backOffMs }: { readonly isLeaving: boolean; readonly backOffMs: number },
+): void {
+  const { nowMs } = scheduler;
+  const announcing = { id: target.name, service: SERVICE };
+  if (isLeaving) {
+    recordLeaving(availability, announcing, nowMs);
+    target.toldLeavingAtMs ??= nowMs;
+  }
+  if (backOffMs === 0) return;
+  const fromMs = options.backOffFromMs(sentAtMs, nowMs);
+  options.recordBackOff(availability, announcing, backOffMs, fromMs);
+  target.backOffUntilMs = Math.max(target.backOffUntilMs, nowMs + backOffMs);
+}
--- /dev/null
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -0,0 +1,252 @@
+/**
+ * The departures world: a target that has left, or that asked for a back-off, receives nothing more
+ * from a gateway, over the real fleet view, poll interval and announcements. Targets drain, vanish
+ * from the store, announce their departure before the store shows it, and turn requests away; the
+ * store fails, and entries expire and come back meanwhile.
+ */
+import {
+  EnginePhase,
+  FleetChangeKind,
+  createFleetView,
+  createPollInterval,
+  pollIntervalOptions,
+  recordBackOff,
+  seededRandom,
+} from '@cassiamast/coordination';
+import fc from 'fast-check';
+import { countFault } from '../../kit/faults.js';
+import { advance, createScheduler, schedule } from '../../kit/scheduler.js';
+import { holds } from '../../kit/violation.js';
+import type { World, WorldCommand, WorldSetup } from '../../kit/world.js';
+import { poll, sendRequests } from './gateway.js';
+import {
+  type DeparturesOptions,
+  SERVICE,
+  type Send,
+  type SimulatedTarget,
+  type Simulation,
+  TARGET_COUNT,
+} from './simulation.js';
+
+const APPLY_WITHIN_MS = [2000, 3000, 4000] as const;
+/** Entries that expired during an outage are back within this time. */
+const REAPPEAR_MS = 1400;
+const MAX_BACK_OFF_MS = 4000;
+/** A leaving target ends this long after the store shows its departure. */
+const SERVES_ON_MS = 9000;
+const SETTLE_MS = 12_000;
+
+const GUARDED: DeparturesOptions = {
+  recordBackOff,
+  afterStoreAnswer: () => undefined,
+  afterRemoval: () => undefined,
+  backOffFromMs: (_, receivedAtMs) => receivedAtMs,
+};
+
+/** Guards that can be taken away. */
+export const DEPARTURES_MUTANTS: Readonly<Record<string, DeparturesOptions>> = {
+  'quiet-polls-extend-grace': {
+    ...GUARDED,
+    afterStoreAnswer: (simulation) => {
+      const { view } = simulation;
+      view.outageFromMs -= simulation.pauseMs;
+      for (const known of view.targets.values()) {
+        if (known.goneAtMs !== null) known.goneAtMs = view.graceUntilMs;
+      }
+    },
+  },
+  'back-off-from-send': { ...GUARDED, backOffFromMs: (sentAtMs) => sentAtMs },
+  'forgets-with-entry': {
+    ...GUARDED,
+    afterRemoval: ({ availability }, name) => {
+      availability.delete(name);
+    },
+  },
+};
+
+function create(setup: WorldSetup): Simulation {
+  const random = seededRandom(setup.seed);
+  const applyWithinMs =
+    APPLY_WITHIN_MS[Math.floor(random() * APPLY_WITHIN_MS.length)] ?? APPLY_WITHIN_MS[0];
+  const simulation: Simulation = {
+    scheduler: createScheduler(),
+    random,
+    counts: setup.counts,
+    options: (setup.mutant === null ? undefined : DEPARTURES_MUTANTS[setup.mutant]) ?? GUARDED,
+    store: { revision: 1, changes: [], isDown: false, upSinceMs: 0, notify: () => undefined },
+    targets: [],
+    view: createFleetView(),
+    availability: new Map(),
+    pace: createPollInterval(pollIntervalOptions(applyWithinMs)),
+    applyWithinMs,
+    pauseMs: 0,
+    sends: [],
+    startedTargets: 0,
+  };
+  for (let index = 0; index < TARGET_COUNT; index += 1) startTarget(simulation);
+  poll(simulation);
+  sendRequests(simulation);
+  return simulation;
+}
+
+function startTarget(simulation: Simulation): void {
+  simulation.startedTargets += 1;
+  const target: SimulatedTarget = {
+    name: `target-${String(simulation.startedTargets)}`,
+    isLeaving: false,
+    turnsAwayUntilMs: 0,
+    backOffMs: 0,
+    leftAtMs: null,
+    toldLeavingAtMs: null,
+    backOffUntilMs: 0,
+  };
+  simulation.targets.push(target);
+  writeEntry(simulation, target);
+}
+
+function writeEntry({ store }: Simulation, { name }: SimulatedTarget, draining = false): void {
+  store.revision += 1;
+  const target = {
+    id: name,
+    name,
+    bornAtMs: 0,
+    service: SERVICE,
+    address: `${name}:80`,
+    failureDomain: 'eros-hall',
+    slots: 1,
+    draining,
+    phase: EnginePhase.Both,
+  };
+  store.changes.push({ kind: FleetChangeKind.Target, revision: store.revision, target });
+  store.notify();
+}
+
+function removeEntry({ store }: Simulation, { name }: SimulatedTarget): void {
+  store.revision += 1;
+  store.changes.push({ kind: FleetChangeKind.TargetRemoved, revision: store.revision, name });
+  store.notify();
+}
+
+/** The store acknowledges a departure, and a replacement starts. */
+function leave(simulation: Simulation, target: SimulatedTarget, depart: () => void): void {
+  if (target.leftAtMs !== null || simulation.store.isDown) return;
+  target.leftAtMs = simulation.scheduler.nowMs;
+  depart();
+  schedule(simulation.scheduler, SERVES_ON_MS, () => {
+    simulation.targets.splice(simulation.targets.indexOf(target), 1);
+    if (!simulation.store.isDown) removeEntry(simulation, target);
+    startTarget(simulation);
+  });
+}
+
+function endOutage(simulation: Simulation): void {
+  const { store, scheduler, targets, random } = simulation;
+  if (!store.isDown) return;
+  store.isDown = false;
+  store.upSinceMs = scheduler.nowMs;
+  for (const target of targets.filter(({ leftAtMs }) => leftAtMs === null)) {
+    if (random() < 0.5) continue;
+    removeEntry(simulation, target);
+    schedule(scheduler, random() * REAPPEAR_MS, () => {
+      if (target.leftAtMs === null) writeEntry(simulation, target);
+    });
+  }
+}
+
+type Command = WorldCommand<Simulation>;
+
+const stepMs = fc.constantFrom(0, 100, 700, 1450, 2900, 5000);
+const index = fc.nat({ max: TARGET_COUNT - 1 });
+
+function onTarget(
+  verb: string,
+  run: (simulation: Simulation, target: SimulatedTarget) => void,
+): fc.Arbitrary<Command> {
+  return fc.tuple(index, stepMs).map(([which, afterMs]) => ({
+    label: `target ${String(which)}: ${verb}; ${String(afterMs)} ms`,
+    run: (simulation) => {
+      const target = simulation.targets[which];
+      if (target === undefined) return;
+      countFault(simulation.counts, verb);
+      run(simulation, target);
+      advance(simulation.scheduler, afterMs);
+    },
+  }));
+}
+
+const COMMANDS: readonly fc.Arbitrary<Command>[] = [
+  onTarget('drains', (simulation, target) => {
+    leave(simulation, target, () => {
+      writeEntry(simulation, target, true);
+    });
+  }),
+  onTarget('vanishes from the store', (simulation, target) => {
+    leave(simulation, target, () => {
+      removeEntry(simulation, target);
+    });
+  }),
+  onTarget('announces its departure', (_, target) => {
+    target.isLeaving = true;
+  }),
+  onTarget('turns requests away', ({ scheduler, random }, target) => {
+    target.turnsAwayUntilMs = scheduler.nowMs + random() * MAX_BACK_OFF_MS;
+    target.backOffMs = 1 + random() * MAX_BACK_OFF_MS;
+  }),
+  onTarget('is written again', (simulation, target) => {
+    if (target.leftAtMs === null && !simulation.store.isDown) writeEntry(simulation, target);
+  }),
+  onTarget('loses its store', ({ store }) => {
+    store.isDown = true;
+  }),
+  onTarget('finds its store again', endOutage),
+];
+
+function check(simulation: Simulation): void {
+  for (const send of simulation.sends) checkSend(simulation, send);
+  simulation.sends = [];
+}
+
+function checkSend(
+  { applyWithinMs }: Simulation,
+  { target, toldForMs, backOffLeftMs, leftForMs }: Send,
+): void {
+  const { name } = target;
+  holds(toldForMs === null, 'heeds-departure', () => `${name}, ${String(toldForMs)} ms after it`);
+  holds(backOffLeftMs <= 0, 'heeds-back-off', () => `${name}, ${String(backOffLeftMs)} ms early`);
+  holds(
+    leftForMs === null || leftForMs <= applyWithinMs,
+    'nothing-after-leaving',
+    () => `${name}, ${String(leftForMs)} ms after it left, ${String(applyWithinMs)} allowed`,
+  );
+}
+
+/** Ends all faults; then each target that stays gets requests. */
+function settle(simulation: Simulation): void {
+  const { scheduler, targets } = simulation;
+  endOutage(simulation);
+  for (const target of targets) target.turnsAwayUntilMs = 0;
+  advance(scheduler, SETTLE_MS);
+  check(simulation);
+  const staying = targets.filter(({ isLeaving, leftAtMs }) => !isLeaving && leftAtMs === null);
+  const used = new Set<SimulatedTarget>();
+  advance(scheduler, SETTLE_MS);
+  for (const { target } of simulation.sends) used.add(target);
+  check(simulation);
+  const unused = staying.filter((target) => targets.includes(target) && !used.has(target));
+  holds(unused.length === 0, 'available-targets-are-used', () =>
+    unused.map(({ name }) => name).join(', '),
+  );
+}
+
+/** The world. */
+export const DEPARTURES_WORLD: World<Simulation> = {
+  name: 'departures',
+  mutants: Object.keys(DEPARTURES_MUTANTS),
+  commands: COMMANDS,
+  create,
+  check,
+  settle,
+  stepsOf: (simulation) => simulation.scheduler.steps,
+  // The trace of commands is complete, so there is no separate story.
+  storyOf: () => [],
+};
