Log what a retry is granted or refused by, and count sends against it

Change: lines 'retry granted' and 'retry refused' with the arrivals asked for, the requests and retries in the window, the number allowed, the gateways counted and for how long the process knows its window; retries_granted_total, retries_refused_total, first_sends_total, repeated_sends_total. No decision changes.

--- a/packages/coordination/src/core/forwarding/retry-window.ts
+++ b/packages/coordination/src/core/forwarding/retry-window.ts
@@ -50,16 +50,39 @@
   gateways: number,
   nowMs: number,
 ): boolean {
-  removeExpired(window, nowMs);
-  const { ratio, slack } = window.options;
-  const allowed =
-    window.requestsAtMs.length * ratio * RATIO_SHARE +
-    (slack * SLACK_SHARE) / Math.max(1, gateways);
-  if (window.retriesAtMs.length + retries > allowed) return false;
+  const use = retryWindowUse(window, gateways, nowMs);
+  if (use.retries + retries > use.allowed) return false;
   for (let reserved = 0; reserved < retries; reserved += 1) window.retriesAtMs.push(nowMs);
   return true;
 }
 
+/** What a retry is granted or refused by. */
+export interface RetryWindowUse {
+  /** Requests in the window. */
+  readonly requests: number;
+  /** Retries in the window. */
+  readonly retries: number;
+  /** Retries that the window allows. */
+  readonly allowed: number;
+}
+
+/** Returns how much of its allowance a window uses. */
+export function retryWindowUse(
+  window: RetryWindow,
+  gateways: number,
+  nowMs: number,
+): RetryWindowUse {
+  removeExpired(window, nowMs);
+  const { ratio, slack } = window.options;
+  const requests = window.requestsAtMs.length;
+  const share = (slack * SLACK_SHARE) / Math.max(1, gateways);
+  return {
+    requests,
+    retries: window.retriesAtMs.length,
+    allowed: requests * ratio * RATIO_SHARE + share,
+  };
+}
+
 function removeExpired(window: RetryWindow, nowMs: number): void {
   const fromMs = nowMs - window.options.windowMs;
   dropBefore(window.requestsAtMs, fromMs);
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -48,6 +48,7 @@
     { readOnly: true, from: null, allowedMs },
     collected.sink,
   );
+  if (outcome.sent) exchange.prefills += 1;
   // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
   if (outcome.brokeOff) services.crashes.recordCrash(exchange, prefillTarget.id);
   logSend(turn, prefillTarget, 'read prompt', outcome);
@@ -155,7 +156,8 @@
   });
   const { method, path, body, head } = exchange;
   const work = options.readOnly ? RequestedWork.Read : RequestedWork.Run;
-  const request = { attemptId: head.attemptId, work, method, path, headers, body };
+  const isRepeat = (options.readOnly ? exchange.prefills : exchange.sends) > 0;
+  const request = { attemptId: head.attemptId, work, isRepeat, method, path, headers, body };
   // A stream that must not run twice keeps waiting: an unresponsive target may still be producing
   // it.
   const mayMove = options.readOnly || exchange.route.resumable;
@@ -234,6 +236,7 @@
     request: exchange.id,
     target: target.id,
     send: exchange.sends,
+    prefills: exchange.prefills,
     outcome: outcome.kind,
     detail: outcome.detail,
     ...announcementFields(outcome.announced),
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -27,6 +27,8 @@
   mayHaveRun: boolean;
   /** Number of times that the request was sent to a target. */
   sends: number;
+  /** Number of times that only a prefill of its prompt was sent to a target. */
+  prefills: number;
   readonly failedTargets: Set<string>;
   /** Time from receipt to the first event of the stream; null before that event. */
   firstEventMs: number | null;
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -30,7 +30,7 @@
   readonly hash32: Hash32;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
-  readonly count: (name: string) => void;
+  readonly count: (name: string, by?: number) => void;
   readonly record: (name: string, valueMs: number) => void;
   readonly failureDomain: string;
   /** The identity of this gateway among the gateways. */
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -269,6 +269,7 @@
     signal: abortController.signal,
     mayHaveRun: false,
     sends: 0,
+    prefills: 0,
     failedTargets: new Set(),
     firstEventMs: null,
     lastTarget: '',
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -125,6 +125,7 @@
     {
       attemptId: exchange.head.attemptId,
       work: RequestedWork.Run,
+      isRepeat: exchange.sends > 0,
       method: exchange.method,
       path: exchange.path,
       headers,
@@ -204,7 +205,7 @@
   if (exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
   const next = await tryNextTarget(state);
   if (next.kind !== NextStepKind.TryAgain) return GIVE_UP;
-  return services.budgets.take(exchange.service) ? next : GIVE_UP;
+  return services.budgets.take(exchange.service, exchange.id) ? next : GIVE_UP;
 }
 
 function giveUp({ exchange, services, limited }: ForwardingState, detail: string): void {
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -54,6 +54,8 @@
   readonly attemptId: string | null;
   /** The work that the target is asked to do. */
   readonly work: RequestedWork;
+  /** Whether a target has received this request for the same kind of work before. */
+  readonly isRepeat: boolean;
   readonly method: string;
   readonly path: string;
   /** Alternating header names and values. */
@@ -87,6 +89,7 @@
   /** Monotonic time that also advances while this process is suspended. */
   readonly elapsedMs: () => number;
   readonly standstill: Pick<StallWatch, 'catchUp'>;
+  readonly count: (name: string) => void;
   /** Returns why a target must not receive a request now, or null if it may. */
   readonly withholdReason: (target: TargetEntry) => string | null;
 }
@@ -143,8 +146,12 @@
         onSent: () => {
           // The request may have waited for a connection.
           const reason = services.withholdReason(target);
-          if (reason === null) sent = true;
-          else finish(SendOutcomeKind.Withheld, reason);
+          if (reason !== null) {
+            finish(SendOutcomeKind.Withheld, reason);
+            return;
+          }
+          sent = true;
+          services.count(request.isRepeat ? 'repeated_sends_total' : 'first_sends_total');
         },
         onStart: (status, headers, rawHeaders) => {
           services.pulse.recordBytes(target.id);
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -85,7 +85,7 @@
   if (end === TurnEnd.NotServing) return true;
   if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
   if (exchange.sends >= exchange.route.maxAttempts) return false;
-  return services.budgets.take(exchange.service, ARRIVALS_PER_TURN);
+  return services.budgets.take(exchange.service, exchange.id, ARRIVALS_PER_TURN);
 }
 
 async function runTurn(turn: Turn): Promise<TurnEnd> {
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -69,6 +69,7 @@
     const request = {
       attemptId: 'a',
       work: RequestedWork.Run,
+      isRepeat: false,
       method: 'POST',
       path: '/',
       headers: [],
@@ -81,6 +82,7 @@
     const standstill = { catchUp: () => null };
     const wire = {} as CallerWire;
     const withholdReason = () => null;
+    const count = () => undefined;
     const services = {
       transport,
       wire,
@@ -88,6 +90,7 @@
       onAnswerHead,
       elapsedMs,
       standstill,
+      count,
       withholdReason,
     };
     const outcome = await sendToTarget(services, TARGET, request, sink, AbortSignal.abort());
--- a/packages/daemon/test/gateway/retry-budgets.test.ts
+++ b/packages/daemon/test/gateway/retry-budgets.test.ts
@@ -25,11 +25,19 @@
     let nowMs = 0;
     const counts = ids.map((id) => createGatewayCount(id, view, () => nowMs));
     for (const count of counts) count.refresh();
-    const budgets = counts.map((count) => createRetryBudgets(OPTIONS, count, () => nowMs));
+    const budgets = counts.map((count) =>
+      createRetryBudgets({
+        limits: OPTIONS,
+        gateways: count,
+        nowMs: () => nowMs,
+        log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
+        count: () => undefined,
+      }),
+    );
     nowMs = OUTAGE_MS;
     view.gateways.clear();
     let taken = 0;
-    for (const budget of budgets) while (budget.take(SERVICE)) taken += 1;
+    for (const budget of budgets) while (budget.take(SERVICE, 'request')) taken += 1;
     assert.ok(taken > 0 && taken <= OPTIONS.slack, String(taken));
   });
 });
