Let no process spend what it does not know to be unspent

Callers' requests piled up at failing targets: 203 (killed in series) and 190 (all killed again and again) further arrivals of 178 in 10 s, by retry-budget.test.ts on the code before.

Cause: the window of requests and retries is in a process's memory. A process that started took its whole share of the slack anew, and each kept 0.8 of the ratio of its requests of one window; after k starts a window, up to (k + 1) x half the slack. Half the slack was held back for that, a margin that fits one start. Class: an allowance that is forgotten at a start.

Evidence: the new log lines grant with six gateways counted and windows known for 0.2 to 1.7 s.

Change: the retries of a process in any window stay below ratio x the mean of its requests in that window and in the one before + its share of the slack. The rule takes the larger of the two, so the bounds of all processes add up to it, living or dead, without a margin: the share of the ratio is 1, the slack is used whole, and a process has none of it for one window after its start. Counts by slots of a hundredth of a window replace the unbounded lists of times.

--- a/packages/coordination/src/core/forwarding/retry-window.ts
+++ b/packages/coordination/src/core/forwarding/retry-window.ts
@@ -1,8 +1,21 @@
 /**
  * Limits the retries that one gateway sends to a service. All gateways together must stay below
- * `ratio` x requests + `slack` in any window. Each gateway applies the ratio to its own requests
- * and uses only its share of the slack, which needs no communication between gateways.
+ * `ratio` x requests + `slack` in any window, and gateways may be killed and replaced at any time.
+ *
+ * The requests of a window may be counted in it or in the window before it, whichever has more, so
+ * their mean may be counted as well. Each process keeps its retries in each window below `ratio` x the
+ * mean of its own requests + its share of the slack. These bounds add up over all processes, whether
+ * they still run or not: a process that has just started knows no requests and has nothing to spend,
+ * and what a killed one has spent was paid for by the requests that it had received.
  */
+import {
+  type SlotCounts,
+  clearEvents,
+  countEvent,
+  createSlotCounts,
+  eventsIn,
+  slotAt,
+} from './slot-counts.js';
 
 /** Limits that apply to all gateways together. */
 export interface RetryWindowOptions {
@@ -13,13 +26,16 @@
   readonly slack: number;
 }
 
+/** Resolution of the counts. */
+const SLOTS_PER_WINDOW = 100;
+const MIN_SLOT_MS = 1;
 /**
- * Fraction of the slack that all gateways use together. The rest covers gateways that restarted
- * within a window and lost their counts, and callers whose requests never arrived.
+ * Part of the ratio that the requests of a window pay, and that those of the window before it pay.
+ * The former let a process retry soon after its start, the latter let it retry many requests at once.
  */
-const SLACK_SHARE = 0.5;
-/** Fraction of the ratio that is used, for the same reasons. */
-const RATIO_SHARE = 0.8;
+const PAYING_SHARE = 0.5;
+/** Time from a caller's send until the request is counted, in slots. */
+const REQUEST_DELAY_SLOTS = 3;
 
 /**
  * Requests and retries of one service. A retry is reserved when it is decided on, open from its first
@@ -28,36 +44,48 @@
  */
 export interface RetryWindow {
   readonly options: RetryWindowOptions;
-  /** Times of requests, oldest first. */
-  readonly requestsAtMs: number[];
-  /** Times of recorded retries, oldest first. */
-  readonly retriesAtMs: number[];
+  readonly requests: SlotCounts;
+  readonly retries: SlotCounts;
   reserved: number;
   open: number;
 }
 
 /** Creates an empty window. */
 export function createRetryWindow(options: RetryWindowOptions): RetryWindow {
-  return { options, requestsAtMs: [], retriesAtMs: [], reserved: 0, open: 0 };
+  const slotMs = Math.max(MIN_SLOT_MS, options.windowMs / SLOTS_PER_WINDOW);
+  const keptSlots = 2 * SLOTS_PER_WINDOW;
+  return {
+    options,
+    requests: createSlotCounts(slotMs, keptSlots),
+    retries: createSlotCounts(slotMs, keptSlots),
+    reserved: 0,
+    open: 0,
+  };
 }
 
 /** Counts a request from a caller. */
 export function recordWindowRequest(window: RetryWindow, nowMs: number): void {
-  window.requestsAtMs.push(nowMs);
-  removeExpired(window, nowMs);
+  countEvent(window.requests, nowMs);
+}
+
+/** Forgets the requests, because the times at which they were counted are wrong. */
+export function forgetWindowRequests(window: RetryWindow): void {
+  clearEvents(window.requests);
 }
 
 /**
  * Reserves a number of retries and returns whether they are allowed. This prevents a retry storm,
  * in which the load on a failing service multiplies.
+ *
+ * @param slackShare - This process's share of the slack.
  */
 export function reserveWindowRetries(
   window: RetryWindow,
   retries: number,
-  gateways: number,
+  slackShare: number,
   nowMs: number,
 ): boolean {
-  const { headroom } = retryWindowUse(window, gateways, nowMs);
+  const { headroom } = retryWindowUse(window, slackShare, nowMs);
   if (window.reserved + retries > headroom) return false;
   window.reserved += retries;
   return true;
@@ -73,9 +101,9 @@
  * reservation: otherwise, retries that were reserved in several windows and then held back could all
  * arrive in one.
  */
-export function openWindowRetry(window: RetryWindow, gateways: number, nowMs: number): boolean {
+export function openWindowRetry(window: RetryWindow, slackShare: number, nowMs: number): boolean {
   window.reserved -= 1;
-  if (retryWindowUse(window, gateways, nowMs).headroom < 1) return false;
+  if (retryWindowUse(window, slackShare, nowMs).headroom < 1) return false;
   window.open += 1;
   return true;
 }
@@ -83,44 +111,58 @@
 /** Records a retry that can't arrive any later. */
 export function closeWindowRetry(window: RetryWindow, nowMs: number): void {
   window.open -= 1;
-  window.retriesAtMs.push(nowMs);
+  countEvent(window.retries, nowMs);
 }
 
 /** What a retry is granted or refused by. */
 export interface RetryWindowUse {
-  /** Requests in the window. */
+  /** Requests in the last window. */
   readonly requests: number;
-  /** Retries in the window that have arrived. */
+  /** Retries in the last window that have arrived. */
   readonly retries: number;
   readonly open: number;
   readonly reserved: number;
-  /** Retries that may still be sent; the reserved ones are not subtracted. */
+  /** Retries that may still be sent now; the reserved ones are not subtracted. */
   readonly headroom: number;
 }
 
-/** Returns how much of its allowance a window uses. */
+/** Returns how much of its allowance a window uses, and what is left of it in all windows. */
 export function retryWindowUse(
   window: RetryWindow,
-  gateways: number,
+  slackShare: number,
   nowMs: number,
 ): RetryWindowUse {
-  removeExpired(window, nowMs);
-  const { ratio, slack } = window.options;
-  const { open, reserved } = window;
-  const requests = window.requestsAtMs.length;
-  const retries = window.retriesAtMs.length;
-  const share = (slack * SLACK_SHARE) / Math.max(1, gateways);
-  const headroom = requests * ratio * RATIO_SHARE + share - retries - open;
-  return { requests, retries, open, reserved, headroom };
+  const { options, reserved, open } = window;
+  const newest = slotAt(window.requests, nowMs);
+  const ratioPerWindow = options.ratio * PAYING_SHARE;
+  let requests = 0;
+  let retries = 0;
+  let headroom = Infinity;
+  let paying = requestsBetween(window, firstSlotBefore(newest), newest - 1);
+  // Goes back through the windows that contain the current time, by the slot in which they begin.
+  for (let first = newest; first >= newest - SLOTS_PER_WINDOW; first -= 1) {
+    requests += eventsIn(window.requests, first);
+    retries += eventsIn(window.retries, first);
+    headroom = Math.min(headroom, paying * ratioPerWindow + slackShare - retries);
+    paying += eventsIn(window.requests, firstSlotWithin(first - 1));
+    paying += eventsIn(window.requests, firstSlotBefore(first - 1));
+    paying -= eventsIn(window.requests, first - 1);
+  }
+  return { requests, retries, open, reserved, headroom: headroom - open };
+}
+
+function requestsBetween({ requests }: RetryWindow, first: number, last: number): number {
+  let sum = 0;
+  for (let slot = first; slot <= last; slot += 1) sum += eventsIn(requests, slot);
+  return sum;
 }
 
-function removeExpired(window: RetryWindow, nowMs: number): void {
-  const fromMs = nowMs - window.options.windowMs;
-  dropBefore(window.requestsAtMs, fromMs);
-  dropBefore(window.retriesAtMs, fromMs);
+/** Returns the first slot whose requests were surely sent in a window that begins in slot `first`. */
+function firstSlotWithin(first: number): number {
+  return first + 1 + REQUEST_DELAY_SLOTS;
 }
 
-function dropBefore(timesMs: number[], fromMs: number): void {
-  const firstKept = timesMs.findIndex((timeMs) => timeMs >= fromMs);
-  timesMs.splice(0, firstKept === -1 ? timesMs.length : firstKept);
+/** Returns the same for the window before it. */
+function firstSlotBefore(first: number): number {
+  return firstSlotWithin(first) - SLOTS_PER_WINDOW;
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -82,6 +82,7 @@
 export * from './core/forwarding/poll-interval.js';
 export * from './core/forwarding/retry-window.js';
 export * from './core/forwarding/route-table.js';
+export * from './core/forwarding/slot-counts.js';
 export * from './core/availability/announced-availability.js';
 export * from './core/rate-limits/limit-shares.js';
 export * from './core/rate-limits/announced-limits.js';
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -49,6 +49,15 @@
   const windows = new Map<string, RetryWindow>();
   const startedAtMs = nowMs();
 
+  /**
+   * Returns this process's share of the slack: none for one window after its start, as an earlier
+   * process in its place may have used the share until then.
+   */
+  function slackShare(): number {
+    const isFirstWindow = nowMs() - startedAtMs <= limits.windowMs;
+    return isFirstWindow ? 0 : limits.slack / Math.max(1, gateways.count());
+  }
+
   function windowOf(service: string): RetryWindow {
     const window = windows.get(service) ?? createRetryWindow(limits);
     windows.set(service, window);
@@ -61,8 +70,9 @@
       request,
       service,
       arrivals,
-      ...retryWindowUse(windowOf(service), gateways.count(), now),
+      ...retryWindowUse(windowOf(service), slackShare(), now),
       gateways: gateways.count(),
+      slackShare: slackShare(),
       knownForMs: Math.round(now - startedAtMs),
     });
   }
@@ -74,7 +84,7 @@
       open: () => {
         if (left === 0) return null;
         left -= 1;
-        if (!openWindowRetry(window, gateways.count(), nowMs())) {
+        if (!openWindowRetry(window, slackShare(), nowMs())) {
           count('retries_withheld_total');
           logDecision('retry withheld', service, request, 1);
           return null;
@@ -98,7 +108,7 @@
     reserve: (service, request, arrivals) => {
       if (arrivals === 0) return NO_RETRIES;
       const window = windowOf(service);
-      const isGranted = reserveWindowRetries(window, arrivals, gateways.count(), nowMs());
+      const isGranted = reserveWindowRetries(window, arrivals, slackShare(), nowMs());
       count(isGranted ? 'retries_granted_total' : 'retries_refused_total', arrivals);
       logDecision(isGranted ? 'retry granted' : 'retry refused', service, request, arrivals);
       return isGranted ? reservationOf(service, request, arrivals) : null;
