Divide the slack only among gateways that all others must have counted

Callers' requests piled up at failing targets after all gateways had started before a store slower than a lease: 269 further arrivals of 178 in 10 s.

Cause: a gateway divided the slack by the announcements that it sees or saw lately. Where a grant and an announcement take longer than the lease, nobody is ever seen, and each of six gateways used the whole of it. Class: an allowance divided by a count that may be too small.

Change: a gateway has a share of the slack only after it was announced without a lapse for one and a half windows, so that all others have read it and their larger shares are a window ago, and while its last renewal and its last read of the fleet were sent at most half a window ago. Gateways that have disappeared count for two windows. A gap of up to a window in which the others still counted it costs nothing. Times that must have passed are taken from the clock that is never fast, those that must not have passed from the one that is never slow. The state is in 'share of common allowances' and in each line about a retry.

--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -28,6 +28,7 @@
 import type { Result } from 'neverthrow';
 import { withResolvers } from '../node/http-body.js';
 import type { Child } from '../supervisor/supervisor.js';
+import type { BeginCall } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
 /** Longest wait of one call for changes; short, to detect a connection that no longer answers. */
@@ -53,6 +54,8 @@
    * other's announcements from before the restart, and several would schedule the same engines.
    */
   readonly beforeFirstListing: () => Promise<unknown>;
+  /** Called when a read begins; its result is called when the answer was applied. */
+  readonly beginRead: BeginCall;
   readonly onChanged: () => void;
 }
 
@@ -63,6 +66,7 @@
   readonly afterRevision: number;
   readonly timeoutMs: number;
   readonly reading: PromiseLike<Result<FleetChangeBatch, Failure>>;
+  readonly confirmRead: () => void;
 }
 
 /** Creates the follower. */
@@ -124,13 +128,21 @@
 
   function startRead(): PendingRead {
     const afterRevision = view.revision;
+    const confirmRead = options.beginRead();
     return needsListing
-      ? { isListing: true, afterRevision, timeoutMs: LISTING_TIMEOUT_MS, reading: fleet.list() }
+      ? {
+          isListing: true,
+          afterRevision,
+          timeoutMs: LISTING_TIMEOUT_MS,
+          reading: fleet.list(),
+          confirmRead,
+        }
       : {
           isListing: false,
           afterRevision,
           timeoutMs: WATCH_WAIT_MS + ANSWER_MARGIN_MS,
           reading: fleet.changesAfter(afterRevision, WATCH_WAIT_MS),
+          confirmRead,
         };
   }
 
@@ -143,6 +155,7 @@
     isListing,
     afterRevision,
     reading,
+    confirmRead,
   }: PendingRead): Promise<void> {
     const late = await reading;
     if (stopped) return;
@@ -154,6 +167,7 @@
     if (late.value.revision < view.revision) return;
     options.count('store_late_answers_total');
     applyReading(late.value, isListing, 0);
+    confirmRead();
   }
 
   /** Requests a new listing if the store no longer has the changes after the known revision. */
@@ -187,6 +201,7 @@
     const settledPauseMs = pauseAfterAnswerMs(pace, nowMs());
     const pauseMs = read.isListing ? 0 : settledPauseMs;
     applyReading(answer.value, read.isListing, pauseMs);
+    read.confirmRead();
     return pauseMs;
   }
 
--- a/packages/daemon/src/gateway/gateway-count.ts
+++ b/packages/daemon/src/gateway/gateway-count.ts
@@ -1,49 +1,93 @@
 /**
  * Counts the gateways that share a common allowance, such as retries and the rate limits of
- * targets. Each gateway limits itself to its part of the allowance, which needs no coordination per
- * request.
+ * targets, and knows this gateway's share. Each gateway limits itself to its share, which needs no
+ * coordination per request.
  */
-import type { FleetView } from '@cassiamast/coordination';
+import {
+  type AllowanceShare,
+  type AllowanceShareOptions,
+  type ClockReading,
+  type FleetView,
+  type ShareState,
+  allowanceShare,
+  createShareKnowledge,
+  recordAnnouncement,
+  recordFleetRead,
+  recordGateways,
+  recordRenewal,
+} from '@cassiamast/coordination';
+import type { GatewayLog } from './gateway-log.js';
 
-/**
- * How long a gateway still counts after its announcement has disappeared. A gateway announces
- * itself again shortly after an outage of the store, and one that is shutting down still serves
- * requests during its grace period.
- */
-const RETENTION_MS = 10_000;
+/** Dependencies of the count. */
+export interface GatewayCountOptions {
+  readonly selfId: string;
+  readonly view: FleetView;
+  readonly share: AllowanceShareOptions;
+  readonly clocks: () => ClockReading;
+  readonly log: GatewayLog;
+}
+
+/** A call to the store that has begun; the function is called when the store has confirmed it. */
+export type BeginCall = () => () => void;
 
 /** Counts gateways. */
 export interface GatewayCount {
-  /** Records the announced gateways. Must be called more often than the retention time. */
+  /** Records the announced gateways. Must be called often compared to the window. */
   readonly refresh: () => void;
-  /** Returns the number of live gateways, including this one. */
+  /** Returns the number of gateways that may use a part of an allowance, including this one. */
   readonly count: () => number;
+  /** Returns the share of an allowance that this gateway may use now. */
+  readonly share: () => AllowanceShare;
+  readonly beginAnnouncement: BeginCall;
+  readonly beginRenewal: BeginCall;
+  readonly beginRead: BeginCall;
 }
 
-/**
- * Creates a count of the gateways in a view. Gateways are still counted for a while after their
- * announcements have expired; otherwise, after an outage of the store, each gateway would count
- * only itself and use the whole allowance.
- */
-export function createGatewayCount(
-  selfId: string,
-  view: FleetView,
-  nowMs: () => number,
-): GatewayCount {
-  /** When each gateway was last seen announced, by gateway id. */
-  const lastAnnouncedAtMs = new Map<string, number>();
+/** Creates a count of the gateways in a view. */
+export function createGatewayCount(options: GatewayCountOptions): GatewayCount {
+  const { selfId, view, clocks, log } = options;
+  const knowledge = createShareKnowledge(options.share);
+  let lastState: ShareState | null = null;
+
+  function recordView(): void {
+    recordGateways(knowledge, [...view.gateways.keys(), selfId], clocks());
+  }
+
+  function share(): AllowanceShare {
+    recordView();
+    return allowanceShare(knowledge, clocks());
+  }
+
+  function logChange(): void {
+    const { state, fraction, gateways } = share();
+    if (state !== lastState) log.info('share of common allowances', { state, fraction, gateways });
+    lastState = state;
+  }
 
   return {
-    refresh: () => {
-      const now = nowMs();
-      for (const id of [...view.gateways.keys(), selfId]) lastAnnouncedAtMs.set(id, now);
-      for (const [id, atMs] of lastAnnouncedAtMs) {
-        if (now - atMs > RETENTION_MS) lastAnnouncedAtMs.delete(id);
-      }
-    },
+    refresh: logChange,
     count: () => {
       const announced = view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
-      return Math.max(announced, lastAnnouncedAtMs.size);
+      return Math.max(announced, knowledge.lastAnnouncedAtMs.size);
+    },
+    share,
+    beginAnnouncement: () => {
+      const sentAtMs = clocks().elapsedMs;
+      return () => {
+        recordAnnouncement(knowledge, sentAtMs, clocks());
+      };
+    },
+    beginRenewal: () => {
+      const sentAtMs = clocks().elapsedMs;
+      return () => {
+        recordRenewal(knowledge, sentAtMs);
+      };
+    },
+    beginRead: () => {
+      const sentAtMs = clocks().elapsedMs;
+      return () => {
+        recordFleetRead(knowledge, sentAtMs, clocks());
+      };
     },
   };
 }
--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -12,6 +12,7 @@
 } from '@cassiamast/coordination';
 import { type FleetPort, KEY_VALUE_LEASE_GONE } from '@cassiamast/ports';
 import type { Child } from '../supervisor/supervisor.js';
+import type { BeginCall } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
 /** Renewals within the time to live of a lease; two consecutive renewals may be lost. */
@@ -27,6 +28,10 @@
   readonly random: Random;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
+  /** Called when an announcement begins. */
+  readonly beginAnnouncement: BeginCall;
+  /** Called when a renewal is sent. */
+  readonly beginRenewal: BeginCall;
 }
 
 /** The announcement of this gateway, which can be withdrawn before the process ends. */
@@ -52,6 +57,7 @@
   });
 
   async function announce(): Promise<void> {
+    const confirmAnnouncement = options.beginAnnouncement();
     const granted = await fleet.grantLease(ttlMs);
     if (granted.isErr()) return;
     const { leaseId: grantedLeaseId } = granted.value;
@@ -64,6 +70,7 @@
     if (announced.isErr()) return;
     leaseId = grantedLeaseId;
     confirmedAtMs = nowMs();
+    confirmAnnouncement();
     log.info('announced to the other gateways', { leaseId, ttlMs });
   }
 
@@ -73,8 +80,12 @@
       resolveTried();
     } else {
       const sentAtMs = nowMs();
+      const confirmRenewal = options.beginRenewal();
       const renewal = await fleet.keepLeaseAlive(leaseId);
-      if (renewal.isOk()) confirmedAtMs = sentAtMs;
+      if (renewal.isOk()) {
+        confirmedAtMs = sentAtMs;
+        confirmRenewal();
+      }
       if (renewal.isErr() && KEY_VALUE_LEASE_GONE.is(renewal.error)) {
         log.warn('announcement lapsed', { cause: renewal.error.message });
         leaseId = null;
--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -11,12 +11,12 @@
   retryWindowUse,
 } from '@cassiamast/coordination';
 import type { GatewayCount } from './gateway-count.js';
-import type { GatewayLog } from './gateway-log.js';
+import type { GatewayLog, LogFields } from './gateway-log.js';
 
 /** Dependencies of the retry budgets. */
 export interface RetryBudgetsOptions {
   readonly limits: RetryWindowOptions;
-  readonly gateways: Pick<GatewayCount, 'count'>;
+  readonly gateways: Pick<GatewayCount, 'share'>;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string, by?: number) => void;
@@ -49,13 +49,13 @@
   const windows = new Map<string, RetryWindow>();
   const startedAtMs = nowMs();
 
-  /**
-   * Returns this process's share of the slack: none for one window after its start, as an earlier
-   * process in its place may have used the share until then.
-   */
   function slackShare(): number {
-    const isFirstWindow = nowMs() - startedAtMs <= limits.windowMs;
-    return isFirstWindow ? 0 : limits.slack / Math.max(1, gateways.count());
+    return limits.slack * gateways.share().fraction;
+  }
+
+  function shareFields(): LogFields {
+    const { state, fraction, gateways: counted } = gateways.share();
+    return { share: state, slackShare: limits.slack * fraction, gateways: counted };
   }
 
   function windowOf(service: string): RetryWindow {
@@ -71,8 +71,7 @@
       service,
       arrivals,
       ...retryWindowUse(windowOf(service), slackShare(), now),
-      gateways: gateways.count(),
-      slackShare: slackShare(),
+      ...shareFields(),
       knownForMs: Math.round(now - startedAtMs),
     });
   }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -135,7 +135,13 @@
     beforeUse: standstill.catchUp,
   });
   const elapsedMs = createElapsedClock(SYSTEM_CLOCKS);
-  const gateways = createGatewayCount(selfId, view, elapsedMs);
+  const gateways = createGatewayCount({
+    selfId,
+    view,
+    share: { windowMs: settings.retryWindow.windowMs, leaseTtlMs: settings.leaseTtlMs },
+    clocks: () => ({ monotonicMs: monotonicMs(), elapsedMs: elapsedMs() }),
+    log,
+  });
   const limits = createTargetLimits({
     selfId,
     view,
@@ -189,6 +195,8 @@
     random,
     nowMs: monotonicMs,
     log,
+    beginAnnouncement: gateways.beginAnnouncement,
+    beginRenewal: gateways.beginRenewal,
   });
   const scheduling = createSchedulingClient({
     selfId,
@@ -278,6 +286,7 @@
         count: telemetry.count,
         beforeFirstListing: () =>
           Promise.race([presence.firstAttempt, sleep(MAX_ANNOUNCE_WAIT_MS)]),
+        beginRead: gateways.beginRead,
         onChanged: () => {
           schedulers.refresh();
           front.applyLimits();
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -7,6 +7,7 @@
   DeliveryKind,
   EnginePhase,
   FleetChangeKind,
+  ShareState,
   applyChanges,
   createFleetView,
 } from '@cassiamast/coordination';
@@ -106,7 +107,7 @@
     },
     budgets: createRetryBudgets({
       limits: LIMITS,
-      gateways: { count: () => 1 },
+      gateways: { share: () => ({ state: ShareState.Counted, fraction: 1, gateways: 1 }) },
       nowMs: () => clock.nowMs,
       log: SILENT_LOG,
       count: () => undefined,
--- a/packages/daemon/test/gateway/presence.test.ts
+++ b/packages/daemon/test/gateway/presence.test.ts
@@ -48,6 +48,8 @@
       random: seededRandom(1),
       nowMs: () => 0,
       log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
+      beginAnnouncement: () => () => undefined,
+      beginRenewal: () => () => undefined,
     });
     await presence.child.start(() => undefined);
   });
--- a/packages/daemon/test/gateway/target-limits.test.ts
+++ b/packages/daemon/test/gateway/target-limits.test.ts
@@ -63,7 +63,13 @@
     const limits = createTargetLimits({
       selfId: id,
       view,
-      gateways: createGatewayCount(id, view, () => fleet.nowMs),
+      gateways: createGatewayCount({
+        selfId: id,
+        view,
+        share: { windowMs: 10_000, leaseTtlMs: 3_000 },
+        clocks: () => ({ monotonicMs: fleet.nowMs, elapsedMs: fleet.nowMs }),
+        log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
+      }),
       rpc: { call } as unknown as RpcClient,
       schedulerOf: () => DECIDER,
       elapsedMs: () => fleet.nowMs,
