Let the gateways of a deployment's first start use their slack at once

Cause: a process can't tell a first start from a restart. Change: a key in the store, written once and never removed, tells whether any gateway may have used a share. Gateways that were announced before it was written, and have read the fleet as of it, are known to all that use one and begin at once, 3 s after their announcement; all others wait as before. One read of the store at each start, one write in the life of a deployment.

--- a/packages/coordination/src/core/forwarding/allowance-share.ts
+++ b/packages/coordination/src/core/forwarding/allowance-share.ts
@@ -7,7 +7,7 @@
  *
  * - after it was announced without a gap until all others must have read it, and until what they did
  *   before, with a larger share, is a window ago. That also covers the processes before it in its
- *   place.
+ *   place. Only if no gateway has used a share before, it need not wait.
  * - while its announcement was confirmed, and the fleet read, a short time ago. Otherwise gateways
  *   that it does not know may count on their shares.
  *
@@ -137,6 +137,28 @@
   knowledge.readAtMs = Math.max(knowledge.readAtMs, sentAtMs);
 }
 
+/**
+ * Returns the announcement that this gateway relies on, as the time since when it holds, once the
+ * gateway has also read the fleet; null before that.
+ */
+export function currentAnnouncement(knowledge: ShareKnowledge): number | null {
+  const { announcedSinceMs, readSinceMs } = knowledge;
+  return announcedSinceMs < Infinity && readSinceMs < Infinity ? announcedSinceMs : null;
+}
+
+/**
+ * Records that all gateways that may use the allowance count this one, because it has been announced
+ * since before any of them did. Does nothing if the announcement may have lapsed since.
+ */
+export function recordFirstStart(
+  knowledge: ShareKnowledge,
+  announcement: number,
+  now: ClockReading,
+): void {
+  const isConfirmed = now.elapsedMs - knowledge.confirmedAtMs < knowledge.options.leaseTtlMs;
+  if (knowledge.announcedSinceMs === announcement && isConfirmed) knowledge.isCounted = true;
+}
+
 /** Returns the share that the gateway may use now. */
 export function allowanceShare(knowledge: ShareKnowledge, now: ClockReading): AllowanceShare {
   const gateways = Math.max(1, knowledge.lastAnnouncedAtMs.size);
--- a/packages/coordination/test/core/forwarding/allowance-share.test.ts
+++ b/packages/coordination/test/core/forwarding/allowance-share.test.ts
@@ -7,7 +7,9 @@
   ShareState,
   allowanceShare,
   createShareKnowledge,
+  currentAnnouncement,
   recordAnnouncement,
+  recordFirstStart,
   recordFleetRead,
   recordGateways,
   recordRenewal,
@@ -95,6 +97,25 @@
     assert.equal(allowanceShare(read, at(30_001)).state, ShareState.Recent);
   });
 
+  it('is used at once by a gateway that was announced before any other used one', () => {
+    const knowledge = settled(3_000);
+    recordFirstStart(knowledge, currentAnnouncement(knowledge) ?? NaN, at(3_000));
+    assert.equal(allowanceShare(knowledge, at(3_000)).state, ShareState.Counted);
+  });
+
+  // Gateways that used a share meanwhile may not have counted a gateway whose announcement lapsed.
+  it('is not used at once after the announcement has changed or may have lapsed', () => {
+    const renewed = settled(2_000);
+    const before = currentAnnouncement(renewed) ?? NaN;
+    recordAnnouncement(renewed, 3_000, at(3_000));
+    recordFirstStart(renewed, before, at(3_000));
+    assert.equal(allowanceShare(renewed, at(3_000)).fraction, 0);
+    const unconfirmed = settled(2_000);
+    recordFirstStart(unconfirmed, before, at(5_000));
+    recordFleetRead(unconfirmed, 5_000, at(5_000));
+    assert.equal(allowanceShare(unconfirmed, at(5_000)).fraction, 0);
+  });
+
   // A clock that is set forward must not make the gateway settle earlier.
   it('is not earned by a clock that runs too fast', () => {
     const knowledge = settled(5_000);
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -56,6 +56,8 @@
   readonly beforeFirstListing: () => Promise<unknown>;
   /** Called when a read begins; its result is called when the answer was applied. */
   readonly beginRead: BeginCall;
+  /** Called for each gateway whose announcement was read. */
+  readonly onGateway: (id: string) => void;
   readonly onChanged: () => void;
 }
 
@@ -117,7 +119,10 @@
     noteStoreRegained(pauseMs);
     for (const fault of faults) recordFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
-    for (const change of changes) logTargetRestart(change);
+    for (const change of changes) {
+      logTargetRestart(change);
+      if (change.kind === FleetChangeKind.Gateway) options.onGateway(change.gateway.id);
+    }
     if (isListing) applyListing(view, changes, revision, nowMs());
     else applyChanges(view, changes, revision, nowMs());
     if (isListing) needsListing = false;
--- a/packages/daemon/src/gateway/gateway-count.ts
+++ b/packages/daemon/src/gateway/gateway-count.ts
@@ -11,7 +11,9 @@
   type ShareState,
   allowanceShare,
   createShareKnowledge,
+  currentAnnouncement,
   recordAnnouncement,
+  recordFirstStart,
   recordFleetRead,
   recordGateways,
   recordRenewal,
@@ -41,6 +43,12 @@
   readonly beginAnnouncement: BeginCall;
   readonly beginRenewal: BeginCall;
   readonly beginRead: BeginCall;
+  /** Records a gateway that was announced, even if it has disappeared since. */
+  readonly noteAnnounced: (id: string) => void;
+  /** Returns the announcement of this gateway once the fleet was read too, otherwise null. */
+  readonly announcement: () => number | null;
+  /** Records that all gateways that may use an allowance know that announcement. */
+  readonly joinFirstStart: (announcement: number) => void;
 }
 
 /** Creates a count of the gateways in a view. */
@@ -89,5 +97,12 @@
         recordFleetRead(knowledge, sentAtMs, clocks());
       };
     },
+    noteAnnounced: (id) => {
+      recordGateways(knowledge, [id], clocks());
+    },
+    announcement: () => currentAnnouncement(knowledge),
+    joinFirstStart: (announcement) => {
+      recordFirstStart(knowledge, announcement, clocks());
+    },
   };
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -36,6 +36,7 @@
 import { announcementFields } from './announcement-fields.js';
 import { countStoreCalls } from './store-call-counts.js';
 import { createCrashReports } from './crash-reports.js';
+import { createFirstStart } from './first-start.js';
 import { createFleetFollower } from './fleet-follower.js';
 import type { ForwardingServices } from './forwarding-services.js';
 import { createFrontServer } from './front-server.js';
@@ -287,6 +288,7 @@
         beforeFirstListing: () =>
           Promise.race([presence.firstAttempt, sleep(MAX_ANNOUNCE_WAIT_MS)]),
         beginRead: gateways.beginRead,
+        onGateway: gateways.noteAnnounced,
         onChanged: () => {
           schedulers.refresh();
           front.applyLimits();
@@ -309,6 +311,7 @@
         return telemetry.metricsText();
       }),
       presence.child,
+      createFirstStart({ store: fleet, gateways, readRevision: () => view.revision, log }),
       limits.child,
       availability.child,
       planner,
