Keep the count of gateways while announcements lapse, and use no limit unannounced

Targets that name a rate limit got 69 and 73 requests in 4 s of 23 allowed after all gateways had started before a store slower than a lease, and 43 once such a store had lasted for 20 s.

A gateway that was never announced, and sees nobody announced, counted itself alone and used the whole limit; one that runs forgot the others 10 s after all announcements had lapsed.

Change: while a gateway's own announcement may have lapsed, it forgets no other; until it was announced and has read the fleet once, it has no share of a limit.

--- a/packages/coordination/src/core/forwarding/allowance-share.ts
+++ b/packages/coordination/src/core/forwarding/allowance-share.ts
@@ -85,13 +85,20 @@
   };
 }
 
-/** Records the gateways that are announced now. Must be called often compared to the window. */
+/**
+ * Records the gateways that are announced now. Must be called often compared to the window. While this
+ * gateway's own announcement may have lapsed, those of others may have as well although they still
+ * serve, so none of them is forgotten.
+ */
 export function recordGateways(
   knowledge: ShareKnowledge,
   ids: Iterable<string>,
-  { monotonicMs }: ClockReading,
+  { monotonicMs, elapsedMs }: ClockReading,
 ): void {
-  const { lastAnnouncedAtMs, options } = knowledge;
+  const { lastAnnouncedAtMs, options, confirmedAtMs } = knowledge;
+  if (elapsedMs - confirmedAtMs >= options.leaseTtlMs) {
+    for (const id of lastAnnouncedAtMs.keys()) lastAnnouncedAtMs.set(id, monotonicMs);
+  }
   const keepFromMs = monotonicMs - RETENTION_WINDOWS * options.windowMs;
   for (const id of ids) lastAnnouncedAtMs.set(id, monotonicMs);
   for (const [id, atMs] of lastAnnouncedAtMs) {
@@ -159,6 +166,16 @@
   if (knowledge.announcedSinceMs === announcement && isConfirmed) knowledge.isCounted = true;
 }
 
+/**
+ * Returns the number of gateways that divide an allowance which need not hold over restarts. Infinite
+ * until this gateway was announced and has read the fleet once: it can't know any other before.
+ */
+export function gatewayCount(knowledge: ShareKnowledge): number {
+  return currentAnnouncement(knowledge) === null
+    ? Infinity
+    : Math.max(1, knowledge.lastAnnouncedAtMs.size);
+}
+
 /** Returns the share that the gateway may use now. */
 export function allowanceShare(knowledge: ShareKnowledge, now: ClockReading): AllowanceShare {
   const gateways = Math.max(1, knowledge.lastAnnouncedAtMs.size);
--- a/packages/coordination/test/core/forwarding/allowance-share.test.ts
+++ b/packages/coordination/test/core/forwarding/allowance-share.test.ts
@@ -8,6 +8,7 @@
   allowanceShare,
   createShareKnowledge,
   currentAnnouncement,
+  gatewayCount,
   recordAnnouncement,
   recordFirstStart,
   recordFleetRead,
@@ -70,6 +71,22 @@
     assert.equal(shareAt(40_001), 1);
   });
 
+  // All announcements lapse while a store is slower than a lease, and all gateways still serve.
+  it('still counts the others for as long as its own announcement may have lapsed as well', () => {
+    const knowledge = settled(20_000);
+    for (let ms = 20_500; ms < 120_000; ms += STEP_MS) recordGateways(knowledge, ['a'], at(ms));
+    assert.equal(gatewayCount(knowledge), IDS.length);
+  });
+
+  it('is divided by an unknown number until the gateway was announced', () => {
+    const knowledge = createShareKnowledge(OPTIONS);
+    recordFleetRead(knowledge, 0, at(0));
+    recordGateways(knowledge, ['a'], at(0));
+    assert.equal(gatewayCount(knowledge), Infinity);
+    recordAnnouncement(knowledge, 0, at(0));
+    assert.equal(gatewayCount(knowledge), 1);
+  });
+
   it('ends when the announcement or the fleet is not heard of for half a window', () => {
     const knowledge = settled(20_000);
     recordFleetRead(knowledge, 25_001, at(25_001));
--- a/packages/daemon/src/gateway/gateway-count.ts
+++ b/packages/daemon/src/gateway/gateway-count.ts
@@ -12,6 +12,7 @@
   allowanceShare,
   createShareKnowledge,
   currentAnnouncement,
+  gatewayCount,
   recordAnnouncement,
   recordFirstStart,
   recordFleetRead,
@@ -36,7 +37,10 @@
 export interface GatewayCount {
   /** Records the announced gateways. Must be called often compared to the window. */
   readonly refresh: () => void;
-  /** Returns the number of gateways that may use a part of an allowance, including this one. */
+  /**
+   * Returns the number of gateways that may use a part of an allowance, including this one; infinite
+   * as long as this gateway knows no other and none knows it.
+   */
   readonly count: () => number;
   /** Returns the share of an allowance that this gateway may use now. */
   readonly share: () => AllowanceShare;
@@ -74,10 +78,7 @@
 
   return {
     refresh: logChange,
-    count: () => {
-      const announced = view.gateways.size + (view.gateways.has(selfId) ? 0 : 1);
-      return Math.max(announced, knowledge.lastAnnouncedAtMs.size);
-    },
+    count: () => Math.max(view.gateways.size, gatewayCount(knowledge)),
     share,
     beginAnnouncement: () => {
       const sentAtMs = clocks().elapsedMs;
--- a/packages/daemon/test/gateway/target-limits.test.ts
+++ b/packages/daemon/test/gateway/target-limits.test.ts
@@ -60,16 +60,19 @@
     return okAsync(perform(gateway, method, params as readonly unknown[]));
   };
   for (const id of IDS) {
+    const gateways = createGatewayCount({
+      selfId: id,
+      view,
+      share: { windowMs: 10_000, leaseTtlMs: 3_000 },
+      clocks: () => ({ monotonicMs: fleet.nowMs, elapsedMs: fleet.nowMs }),
+      log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
+    });
+    gateways.beginAnnouncement()();
+    gateways.beginRead()();
     const limits = createTargetLimits({
       selfId: id,
       view,
-      gateways: createGatewayCount({
-        selfId: id,
-        view,
-        share: { windowMs: 10_000, leaseTtlMs: 3_000 },
-        clocks: () => ({ monotonicMs: fleet.nowMs, elapsedMs: fleet.nowMs }),
-        log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
-      }),
+      gateways,
       rpc: { call } as unknown as RpcClient,
       schedulerOf: () => DECIDER,
       elapsedMs: () => fleet.nowMs,
