Start the retry budget of an entry with the retries of one request

Change: a bucket starts with the retries of one request and fills up with first attempts, so a fresh entry can still try its first request elsewhere.

--- a/packages/coordination/src/core/retries/retries.ts
+++ b/packages/coordination/src/core/retries/retries.ts
@@ -38,9 +38,12 @@
   tokens: number;
 }
 
-/** Creates a full bucket. */
-export function createRetryBudget(options: RetryOptions): RetryBudget {
-  return { tokens: options.burst };
+/**
+ * Creates a bucket with the retries of one request. A full bucket would allow another burst at each
+ * restart of an entry.
+ */
+export function createRetryBudget({ burst, maxAttempts }: RetryOptions): RetryBudget {
+  return { tokens: Math.min(burst, maxAttempts - 1) };
 }
 
 /** Adds the tokens of a first attempt. */
--- a/packages/coordination/test/core/retries/retry-budget.test.ts
+++ b/packages/coordination/test/core/retries/retry-budget.test.ts
@@ -27,6 +27,23 @@
     assert.ok(retries >= 100);
   });
 
+  // Entries that are restarted in series must not allow a burst of retries each time.
+  it('grows by no more than the retries of one request at each restart', () => {
+    let retries = 0;
+    let firstAttempts = 0;
+    const restarts = 50;
+    for (let restart = 0; restart < restarts; restart += 1) {
+      const budget = createRetryBudget(OPTIONS);
+      for (let call = 0; call < 20; call += 1) {
+        firstAttempts += 1;
+        depositFirstAttempt(budget, OPTIONS);
+        while (withdrawRetry(budget)) retries += 1;
+      }
+    }
+    const allowed = firstAttempts * OPTIONS.ratio + restarts * (OPTIONS.maxAttempts - 1);
+    assert.ok(retries > 0 && retries <= allowed, `${String(retries)} retries`);
+  });
+
   it('holds no more tokens than its burst', () => {
     const budget = createRetryBudget(OPTIONS);
     for (let call = 0; call < 1_000; call += 1) depositFirstAttempt(budget, OPTIONS);
