Let only requests of a known age pay for retries

Cause: a request pays for the retries of the windows in which it was sent. Requests read after a stall of the event loop, or counted before the VM was suspended, are older than the gateway's monotonic clock says, so they paid for windows that they do not lie in.

Tests in retry-budgets.test.ts fail without.

--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -1,9 +1,11 @@
 /** Limits the retries of each service at this gateway to its part of a shared retry budget. */
 import {
+  type ClockReading,
   type RetryWindow,
   type RetryWindowOptions,
   closeWindowRetry,
   createRetryWindow,
+  forgetWindowRequests,
   openWindowRetry,
   recordWindowRequest,
   releaseWindowRetries,
@@ -13,11 +15,16 @@
 import type { GatewayCount } from './gateway-count.js';
 import type { GatewayLog, LogFields } from './gateway-log.js';
 
+/** A request that may have waited longer before it was read does not pay for retries. */
+const MAX_UNREAD_MS = 150;
+
 /** Dependencies of the retry budgets. */
 export interface RetryBudgetsOptions {
   readonly limits: RetryWindowOptions;
   readonly gateways: Pick<GatewayCount, 'share'>;
-  readonly nowMs: () => number;
+  readonly clocks: () => ClockReading;
+  /** Since when requests that are read now may have waited, by the monotonic clock. */
+  readonly unreadSinceMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string, by?: number) => void;
 }
@@ -45,9 +52,25 @@
 
 /** Creates empty retry windows. */
 export function createRetryBudgets(options: RetryBudgetsOptions): RetryBudgets {
-  const { limits, gateways, nowMs, log, count } = options;
+  const { limits, gateways, clocks, unreadSinceMs, log, count } = options;
+  const nowMs = (): number => clocks().monotonicMs;
   const windows = new Map<string, RetryWindow>();
   const startedAtMs = nowMs();
+  let suspendedMs = measureSuspensionMs();
+
+  function measureSuspensionMs(): number {
+    const { elapsedMs, monotonicMs } = clocks();
+    return elapsedMs - monotonicMs;
+  }
+
+  /** Requests from before a suspension of the VM are older than the monotonic clock says. */
+  function forgetAfterSuspension(): void {
+    const nowSuspendedMs = measureSuspensionMs();
+    if (nowSuspendedMs - suspendedMs > MAX_UNREAD_MS) {
+      for (const window of windows.values()) forgetWindowRequests(window);
+    }
+    suspendedMs = nowSuspendedMs;
+  }
 
   function slackShare(): number {
     return limits.slack * gateways.share().fraction;
@@ -59,6 +82,7 @@
   }
 
   function windowOf(service: string): RetryWindow {
+    forgetAfterSuspension();
     const window = windows.get(service) ?? createRetryWindow(limits);
     windows.set(service, window);
     return window;
@@ -102,6 +126,8 @@
 
   return {
     noteRequest: (service) => {
+      // It may have been sent in an earlier window.
+      if (nowMs() - unreadSinceMs() > MAX_UNREAD_MS) return;
       recordWindowRequest(windowOf(service), nowMs());
     },
     reserve: (service, request, arrivals) => {
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -5,6 +5,7 @@
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  type ClockReading,
   type Failure,
   createElapsedClock,
   createFleetView,
@@ -136,11 +137,12 @@
     beforeUse: standstill.catchUp,
   });
   const elapsedMs = createElapsedClock(SYSTEM_CLOCKS);
+  const clocks = (): ClockReading => ({ monotonicMs: monotonicMs(), elapsedMs: elapsedMs() });
   const gateways = createGatewayCount({
     selfId,
     view,
     share: { windowMs: settings.retryWindow.windowMs, leaseTtlMs: settings.leaseTtlMs },
-    clocks: () => ({ monotonicMs: monotonicMs(), elapsedMs: elapsedMs() }),
+    clocks,
     log,
   });
   const limits = createTargetLimits({
@@ -227,7 +229,8 @@
     budgets: createRetryBudgets({
       limits: settings.retryWindow,
       gateways,
-      nowMs: monotonicMs,
+      clocks,
+      unreadSinceMs: standstill.unreadSinceMs,
       log,
       count: telemetry.count,
     }),
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -108,7 +108,8 @@
     budgets: createRetryBudgets({
       limits: LIMITS,
       gateways: { share: () => ({ state: ShareState.Counted, fraction: 1, gateways: 1 }) },
-      nowMs: () => clock.nowMs,
+      clocks: () => ({ monotonicMs: clock.nowMs, elapsedMs: clock.nowMs }),
+      unreadSinceMs: () => clock.nowMs,
       log: SILENT_LOG,
       count: () => undefined,
     }),
--- a/packages/daemon/test/gateway/retry-budgets.test.ts
+++ b/packages/daemon/test/gateway/retry-budgets.test.ts
@@ -1,9 +1,14 @@
 /** Tests how gateways share one retry budget. */
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
-import { FleetChangeKind, applyChanges, createFleetView } from '@cassiamast/coordination';
+import { beforeEach, describe, it } from 'node:test';
+import {
+  FleetChangeKind,
+  ShareState,
+  applyChanges,
+  createFleetView,
+} from '@cassiamast/coordination';
 import { createGatewayCount } from '../../src/gateway/gateway-count.js';
-import { createRetryBudgets } from '../../src/gateway/retry-budgets.js';
+import { type RetryBudgets, createRetryBudgets } from '../../src/gateway/retry-budgets.js';
 
 const OPTIONS = { windowMs: 10_000, ratio: 0.2, slack: 58 };
 const LEASE_TTL_MS = 3_000;
@@ -11,6 +16,7 @@
 const GATEWAYS = 10;
 const SERVICE = 'ramp-portal';
 const OUTAGE_MS = 4_000;
+const STEP_MS = 100;
 const SILENT_LOG = { info: () => undefined, warn: () => undefined, lifecycle: () => undefined };
 
 /** Gateways that read the same view, with one clock. */
@@ -45,7 +51,8 @@
     createRetryBudgets({
       limits: OPTIONS,
       gateways,
-      nowMs: () => clock.nowMs,
+      clocks: () => ({ monotonicMs: clock.nowMs, elapsedMs: clock.nowMs }),
+      unreadSinceMs: () => clock.nowMs,
       log: SILENT_LOG,
       count: () => undefined,
     }),
@@ -102,3 +109,52 @@
     assert.equal(takeAll(), 0);
   });
 });
+
+describe('the requests that pay for retries', () => {
+  const clock = { monotonicMs: 0, elapsedMs: 0 };
+  let unreadSinceMs: number | null = null;
+  let budgets: RetryBudgets;
+
+  beforeEach(() => {
+    clock.monotonicMs = 0;
+    clock.elapsedMs = 0;
+    unreadSinceMs = null;
+    budgets = createRetryBudgets({
+      limits: OPTIONS,
+      gateways: { share: () => ({ state: ShareState.Recent, fraction: 0, gateways: 1 }) },
+      clocks: () => ({ ...clock }),
+      unreadSinceMs: () => unreadSinceMs ?? clock.monotonicMs,
+      log: SILENT_LOG,
+      count: () => undefined,
+    });
+  });
+
+  function receive(requests: number): void {
+    for (let request = 0; request < requests; request += 1) {
+      clock.monotonicMs += STEP_MS;
+      clock.elapsedMs += STEP_MS;
+      budgets.noteRequest(SERVICE);
+    }
+  }
+
+  const hasRoom = (): boolean => budgets.reserve(SERVICE, 'request', 1) !== null;
+
+  it('are those of the last windows', () => {
+    receive(100);
+    assert.ok(hasRoom());
+  });
+
+  // Callers sent them during the stall, which may lie in an earlier window.
+  it('are not those that are read after a stall', () => {
+    unreadSinceMs = -1_000;
+    receive(100);
+    assert.ok(!hasRoom());
+  });
+
+  // The suspended VM's monotonic clock does not tell how long ago they were sent.
+  it('are not those from before the VM was suspended', () => {
+    receive(100);
+    clock.elapsedMs += 5_000;
+    assert.ok(!hasRoom());
+  });
+});
