Keep room for retries that arrive up to a second after they were sent

Cause: a retry was paid for as of the moment of its send. If its target receives it later, as callers leave or the gateway is killed, it lies in windows that the requests that paid for it lie before.

Change: what is open must have room in the windows that begin within a second after the send too.

--- a/packages/coordination/src/core/forwarding/retry-window.ts
+++ b/packages/coordination/src/core/forwarding/retry-window.ts
@@ -28,6 +28,8 @@
 
 /** Resolution of the counts. */
 const SLOTS_PER_WINDOW = 100;
+/** Time from the first byte of a retry until it has reached its target, in slots. */
+const ARRIVAL_DELAY_SLOTS = 10;
 const MIN_SLOT_MS = 1;
 /**
  * Part of the ratio that the requests of a window pay, and that those of the window before it pay.
@@ -138,9 +140,10 @@
   let requests = 0;
   let retries = 0;
   let headroom = Infinity;
-  let paying = requestsBetween(window, firstSlotBefore(newest), newest - 1);
-  // Goes back through the windows that contain the current time, by the slot in which they begin.
-  for (let first = newest; first >= newest - SLOTS_PER_WINDOW; first -= 1) {
+  const latest = newest + ARRIVAL_DELAY_SLOTS;
+  let paying = requestsBetween(window, firstSlotBefore(latest), newest);
+  // Goes back through the windows in which a retry that is sent now may arrive, by their first slot.
+  for (let first = latest; first >= newest - SLOTS_PER_WINDOW; first -= 1) {
     requests += eventsIn(window.requests, first);
     retries += eventsIn(window.retries, first);
     headroom = Math.min(headroom, paying * ratioPerWindow + slackShare - retries);
