Fuzz the retry budget over all incarnations of all gateways

The world 'retries' runs the real windows and shares of five to eight gateways under a virtual clock: killed in series within a window, all at once, replaced under new names, paused, suspended, cut off, with a slow or rejecting store, retries held back, arrivals up to 1 s after the send. Its oracle counts as the rule does; at the end the budget must be used.

--- a/packages/fuzz/src/worlds/catalogue.ts
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -10,6 +10,7 @@
 import { DEPARTURES_WORLD } from './departures/world.js';
 import { LIMITS_WORLD } from './limits/world.js';
 import { createRequestsWorld } from './requests/world.js';
+import { RETRIES_WORLD } from './retries/world.js';
 
 /** A world as the command line sees it. */
 export interface RunnableWorld {
@@ -26,6 +27,7 @@
     bind(CHANGES_WORLD),
     bind(LIMITS_WORLD),
     bind(DEPARTURES_WORLD),
+    bind(RETRIES_WORLD),
   ];
 }
 
