--- a/packages/daemon/src/gateway/retry-budgets.ts
+++ b/packages/daemon/src/gateway/retry-budgets.ts
@@ -107,7 +107,7 @@
       open: () => {
         if (left === 0) return null;
         left -= 1;
-        if (!openWindowRetry(window, slackShare(), nowMs())) {
+        if (!openWindowRetry(windowOf(service), slackShare(), nowMs())) {
           count('retries_withheld_total');
           logDecision('retry withheld', service, request, 1);
           return null;
--- a/packages/daemon/test/gateway/retry-budgets.test.ts
+++ b/packages/daemon/test/gateway/retry-budgets.test.ts
@@ -154,7 +154,9 @@
   // The suspended VM's monotonic clock does not tell how long ago they were sent.
   it('are not those from before the VM was suspended', () => {
     receive(100);
+    const reserved = budgets.reserve(SERVICE, 'request', 1);
     clock.elapsedMs += 5_000;
+    assert.equal(reserved?.open(), null);
     assert.ok(!hasRoom());
   });
 });
