Log why a content is suspected, noted, convicted, cleared or forgotten

Cause: from the logs nobody could tell why a request that crashed ten targets was not rejected: suspicions, notes of other gateways, removals and acquittals left no line, and a rejection named no content.

Change: a line and a counter for each, with the hash of the content, the target, the targets that count, whether this gateway saw the crash or read of it, and the caller's address. No decision changes.

Result: crash-memory.test.ts and crashing-request.test.ts pass; nothing else was run on this commit.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -13,11 +13,42 @@
   readonly target: string;
 }
 
+/** How a crash became known to a gateway. */
+export enum CrashSource {
+  /** This gateway saw the crash. */
+  Observed = 'observed',
+  /** Another gateway wrote it to the store. */
+  Store = 'store',
+}
+
+/** The kinds of changes of a crash memory. */
+export enum CrashChangeKind {
+  /** A crash was recorded. */
+  Noted = 'noted',
+  /** The content has crashed so many targets that it is rejected from now on. */
+  Convicted = 'convicted',
+  /** A crash was removed from the store. */
+  Removed = 'removed',
+}
+
+/** A change of a crash memory. */
+export interface CrashChange extends CrashNote {
+  readonly kind: CrashChangeKind;
+  /** How the crash became known; null if it was removed. */
+  readonly source: CrashSource | null;
+  /** The targets that have crashed on the content, after the change. */
+  readonly targets: readonly string[];
+}
+
+/** Called with each change of a crash memory. */
+export type OnCrashChange = (change: CrashChange) => void;
+
 /** The crashes known to one gateway. */
 export interface CrashMemory {
   readonly targetsByContent: Map<string, Set<string>>;
   /** Contents that a target recently ran to completion; crashes during them had another cause. */
   readonly cleared: Set<string>;
+  readonly onChange: OnCrashChange;
 }
 
 /**
@@ -29,22 +60,33 @@
 const MAX_CLEARED = 1024;
 
 /** Creates an empty crash memory. */
-export function createCrashMemory(): CrashMemory {
-  return { targetsByContent: new Map(), cleared: new Set() };
+export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
+  return { targetsByContent: new Map(), cleared: new Set(), onChange };
 }
 
 /** Records a crash. Recording the same crash again has no effect. */
-export function addCrash(memory: CrashMemory, { content, target }: CrashNote): void {
+export function addCrash(
+  memory: CrashMemory,
+  { content, target }: CrashNote,
+  source: CrashSource,
+): void {
   const targets = memory.targetsByContent.get(content) ?? new Set();
+  if (targets.has(target)) return;
   targets.add(target);
   memory.targetsByContent.set(content, targets);
+  const change = { content, target, source, targets: [...targets] };
+  memory.onChange({ ...change, kind: CrashChangeKind.Noted });
+  const isConvictedNow = targets.size === CONVICTING_TARGETS && !memory.cleared.has(content);
+  if (isConvictedNow) memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
 }
 
 /** Removes a crash that has expired or was withdrawn. */
 export function removeCrash(memory: CrashMemory, { content, target }: CrashNote): void {
   const targets = memory.targetsByContent.get(content);
-  targets?.delete(target);
-  if (targets?.size === 0) memory.targetsByContent.delete(content);
+  if (targets?.delete(target) !== true) return;
+  if (targets.size === 0) memory.targetsByContent.delete(content);
+  const change = { content, target, source: null, targets: [...targets] };
+  memory.onChange({ ...change, kind: CrashChangeKind.Removed });
 }
 
 /**
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -7,6 +7,8 @@
 import {
   type CrashMemory,
   type CrashNote,
+  CrashSource,
+  type OnCrashChange,
   createCrashMemory,
   removeCrash,
   addCrash,
@@ -140,7 +142,10 @@
 const MAX_REMOVED_NAMES = 4096;
 
 /** Creates an empty view. */
-export function createFleetView(onTransition: OnTargetTransition = () => undefined): FleetView {
+export function createFleetView(
+  onTransition: OnTargetTransition = () => undefined,
+  onCrashChange: OnCrashChange = () => undefined,
+): FleetView {
   return {
     table: null,
     targets: new Map(),
@@ -151,7 +156,7 @@
     outageFromMs: Infinity,
     graceUntilMs: 0,
     removedAtRevision: new Map(),
-    crashes: createCrashMemory(),
+    crashes: createCrashMemory(onCrashChange),
     onTransition,
   };
 }
@@ -222,7 +227,7 @@
       view.gateways.delete(change.id);
       return;
     case FleetChangeKind.Crash:
-      addCrash(view.crashes, change.crash);
+      addCrash(view.crashes, change.crash, CrashSource.Store);
       return;
     case FleetChangeKind.CrashRemoved:
       removeCrash(view.crashes, change.crash);
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -2,7 +2,10 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import {
+  type CrashChange,
+  CrashChangeKind,
   type CrashMemory,
+  CrashSource,
   markContentHarmless,
   createCrashMemory,
   removeCrash,
@@ -20,22 +23,23 @@
   // A malformed history crashes one engine after another, along with all other requests that run
   // there: its caller keeps retrying it, and no single gateway sees more than one of the crashes.
   it('convicts a content that crashed three targets', () => {
-    addCrash(memory, { content: 'history', target: 't1' });
-    addCrash(memory, { content: 'history', target: 't2' });
+    addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed);
+    addCrash(memory, { content: 'history', target: 't2' }, CrashSource.Observed);
     assert.equal(isConvictedContent(memory, 'history'), false);
-    addCrash(memory, { content: 'history', target: 't3' });
+    addCrash(memory, { content: 'history', target: 't3' }, CrashSource.Observed);
     assert.equal(isConvictedContent(memory, 'history'), true);
   });
 
   it('counts a crash once, however often it is reported', () => {
     for (let report = 0; report < 5; report += 1) {
-      addCrash(memory, { content: 'history', target: 't1' });
+      addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed);
     }
     assert.equal(isConvictedContent(memory, 'history'), false);
   });
 
   it('does not count a removed crash', () => {
-    for (const target of ['t1', 't2', 't3']) addCrash(memory, { content: 'h', target });
+    for (const target of ['t1', 't2', 't3'])
+      addCrash(memory, { content: 'h', target }, CrashSource.Observed);
     removeCrash(memory, { content: 'h', target: 't1' });
     assert.equal(isConvictedContent(memory, 'h'), false);
   });
@@ -43,23 +47,46 @@
   // Many callers fetch the same report while targets crash for other reasons. Without this rule, the
   // report is rejected for a minute although a target delivers it completely to other callers.
   it('does not convict a content that a target ran to completion', () => {
-    for (const target of ['t1', 't2', 't3']) addCrash(memory, { content: 'r', target });
+    for (const target of ['t1', 't2', 't3'])
+      addCrash(memory, { content: 'r', target }, CrashSource.Observed);
     markContentHarmless(memory, 'r');
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
   it('returns the crashes of a content that ran to completion, to be deleted for all gateways', () => {
-    addCrash(memory, { content: 'r', target: 't1' });
+    addCrash(memory, { content: 'r', target: 't1' }, CrashSource.Observed);
     assert.deepEqual(markContentHarmless(memory, 'r'), [{ content: 'r', target: 't1' }]);
     assert.deepEqual(markContentHarmless(memory, 'r'), []);
   });
 
   it('does not convict a content that a target ran to completion earlier', () => {
     markContentHarmless(memory, 'r');
-    for (const target of ['t1', 't2', 't3']) addCrash(memory, { content: 'r', target });
+    for (const target of ['t1', 't2', 't3'])
+      addCrash(memory, { content: 'r', target }, CrashSource.Observed);
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
+  // Nobody could tell why a request was rejected, or why one that crashed three targets was not.
+  it('reports each crash once, the conviction and the removal of a crash', () => {
+    const changes: CrashChange[] = [];
+    memory = createCrashMemory((change) => changes.push(change));
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Observed);
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Store);
+    for (const target of ['t2', 't3'])
+      addCrash(memory, { content: 'h', target }, CrashSource.Store);
+    removeCrash(memory, { content: 'h', target: 't2' });
+    removeCrash(memory, { content: 'h', target: 't2' });
+    const seen = changes.map(({ kind, target, source }) => [kind, target, source]);
+    assert.deepEqual(seen, [
+      [CrashChangeKind.Noted, 't1', CrashSource.Observed],
+      [CrashChangeKind.Noted, 't2', CrashSource.Store],
+      [CrashChangeKind.Noted, 't3', CrashSource.Store],
+      [CrashChangeKind.Convicted, 't3', CrashSource.Store],
+      [CrashChangeKind.Removed, 't2', null],
+    ]);
+    assert.deepEqual(changes.at(-1)?.targets, ['t1', 't3']);
+  });
+
   it('keeps a bounded number of harmless contents', () => {
     for (let content = 0; content < 3000; content += 1) {
       markContentHarmless(memory, String(content));
--- /dev/null
+++ b/packages/daemon/src/gateway/crash-changes.ts
@@ -0,0 +1,21 @@
+/**
+ * Logs and counts the changes of what a gateway knows of crashing requests, so that a rejection, or
+ * a request that was not rejected, can be traced to the crashes that the gateway knew of.
+ */
+import { CrashChangeKind, type OnCrashChange } from '@cassiamast/coordination';
+import type { GatewayLog } from './gateway-log.js';
+
+const MESSAGES: Readonly<Record<CrashChangeKind, string>> = {
+  [CrashChangeKind.Noted]: 'crash noted',
+  [CrashChangeKind.Convicted]: 'content convicted',
+  [CrashChangeKind.Removed]: 'crash note removed',
+};
+
+/** Returns a listener that writes one line for each change. */
+export function logCrashChanges(log: GatewayLog, count: (name: string) => void): OnCrashChange {
+  return ({ kind, content, target, source, targets }) => {
+    count(`crash_contents_${kind}_total`);
+    const origin = source === null ? {} : { source };
+    log.info(MESSAGES[kind], { content, target, ...origin, crashed: targets });
+  };
+}
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -5,6 +5,7 @@
 import { createHash } from 'node:crypto';
 import {
   type CrashNote,
+  CrashSource,
   type FleetView,
   markContentHarmless,
   isConvictedContent,
@@ -49,11 +50,11 @@
 /** Records crashes, shares them with other gateways and answers which requests they rule out. */
 export interface CrashReports {
   /** Records that a target's connection broke while it may have been running the request. */
-  readonly recordCrash: (exchange: Exchange, target: string) => void;
+  readonly recordCrash: (exchange: Exchange, target: string, outcome: SendOutcome) => void;
   /** Records that a target ran the request to completion. */
-  readonly recordCompletion: (exchange: Exchange) => void;
-  /** Whether the request must not run again. */
-  readonly isConvicted: (exchange: Exchange) => boolean;
+  readonly recordCompletion: (exchange: Exchange, target: string, outcome: SendOutcome) => void;
+  /** Whether the request must not run again. Logs and counts the requests that must not. */
+  readonly rejects: (exchange: Exchange) => boolean;
   readonly stop: () => void;
 }
 
@@ -64,8 +65,9 @@
   target: string,
   outcome: SendOutcome,
 ): void {
-  if (outcome.brokeOff) crashes.recordCrash(exchange, target);
-  else if (outcome.kind === SendOutcomeKind.Complete) crashes.recordCompletion(exchange);
+  if (outcome.brokeOff) crashes.recordCrash(exchange, target, outcome);
+  else if (outcome.kind === SendOutcomeKind.Complete)
+    crashes.recordCompletion(exchange, target, outcome);
 }
 
 /** A possible crash and the time at which the connection broke. */
@@ -103,16 +105,22 @@
       suspicions.shift();
       const { note, atMs } = oldest;
       if (pulse.isInactive(note.target, now - atMs)) notes.push(note);
+      else dropSuspicion(note);
     }
     return notes;
   }
 
+  function dropSuspicion({ content, target }: CrashNote): void {
+    count('crash_suspicions_dropped_total');
+    log.info('crash suspicion dropped', { content, target, reason: 'the target sent something' });
+  }
+
   async function writeConfirmedNotes(): Promise<void> {
     timer = null;
     const notes = takeConfirmed();
     if (suspicions.length > 0) scheduleWrite();
     if (notes.length === 0) return;
-    for (const note of notes) addCrash(view.crashes, note);
+    for (const note of notes) addCrash(view.crashes, note, CrashSource.Observed);
     const id = await leaseId();
     const written = id === null ? null : await fleet.recordCrashes(notes, id);
     // The local record remains. Other gateways miss the note, which costs a few more crashes at
@@ -141,9 +149,15 @@
   }
 
   return {
-    recordCrash: (exchange, target) => {
+    recordCrash: (exchange, target, { detail }) => {
       const note = { content: contentOf(exchange), target };
       count('crashes_noted_total');
+      log.info('crash suspected', {
+        request: exchange.id,
+        caller: exchange.caller,
+        ...note,
+        detail,
+      });
       if (suspicions.length >= MAX_PENDING_NOTES) {
         count('crash_notes_lost_total');
         return;
@@ -151,13 +165,24 @@
       suspicions.push({ note, atMs: nowMs() });
       scheduleWrite();
     },
-    recordCompletion: (exchange) => {
-      const notes = markContentHarmless(view.crashes, contentOf(exchange));
-      if (notes.length > 0) void forgetNotes(notes);
+    recordCompletion: (exchange, target, { detail }) => {
+      const content = contentOf(exchange);
+      const notes = markContentHarmless(view.crashes, content);
+      if (notes.length === 0) return;
+      const crashed = notes.map((note) => note.target);
+      count('contents_cleared_total');
+      log.info('content cleared', { request: exchange.id, content, target, detail, crashed });
+      void forgetNotes(notes);
+    },
+    rejects: (exchange) => {
+      if (view.crashes.targetsByContent.size === 0) return false;
+      const content = contentOf(exchange);
+      if (!isConvictedContent(view.crashes, content)) return false;
+      const crashed = [...(view.crashes.targetsByContent.get(content) ?? [])];
+      count('requests_convicted_total');
+      log.warn('request rejected, it crashes targets', { request: exchange.id, content, crashed });
+      return true;
     },
-    isConvicted: (exchange) =>
-      view.crashes.targetsByContent.size > 0 &&
-      isConvictedContent(view.crashes, contentOf(exchange)),
     stop: () => {
       if (timer !== null) clearTimeout(timer);
       suspicions = [];
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -188,8 +188,7 @@
     refuse(response, services, OwnStatus.Refused, GATEWAY_STOPS_REASON, STOPPING_RETRY_MS);
     return;
   }
-  if (services.crashes.isConvicted(exchange)) {
-    services.log.warn('request rejected, it crashes targets', { request: exchange.id });
+  if (services.crashes.rejects(exchange)) {
     refuse(response, services, OwnStatus.Refused, CRASHES_TARGETS_REASON, CRASH_NOTE_TTL_MS);
     return;
   }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -36,6 +36,7 @@
 import { DEFAULT_RESTART_LIMIT, createSupervisor } from '../supervisor/supervisor.js';
 import { announcementFields } from './announcement-fields.js';
 import { countStoreCalls } from './store-call-counts.js';
+import { logCrashChanges } from './crash-changes.js';
 import { createCrashReports } from './crash-reports.js';
 import { createFirstStart } from './first-start.js';
 import { createFleetFollower } from './fleet-follower.js';
@@ -122,7 +123,10 @@
   );
   const fleet = countStoreCalls(platform.fleet, telemetry.count);
   const random = seededRandom(randomInt(MAX_SEED));
-  const view = createFleetView(logTargetTransitions(log, telemetry.count));
+  const view = createFleetView(
+    logTargetTransitions(log, telemetry.count),
+    logCrashChanges(log, telemetry.count),
+  );
   const proof = createMemberProof(MEMBER_SECRET);
   const rpc = createRpcClient(proof, timeline.clock);
   const standstill = createStallWatch(monotonicMs, (forMs) => {
