Count the crashes of a content whatever address it comes from

Callers saw a service of three targets crash again every few seconds.

Cause: the hash that identifies a content covered the caller's address. A caller sends the same request from several addresses, and each of them began at zero.

Evidence: in the record, one path under the keys of two addresses.

Change: the hash covers host, method, path and body.

--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -191,10 +191,10 @@
 }
 
 /**
- * Returns a hash that identifies a request's content. It covers the caller, so one caller's crashes
- * don't affect others that send the same request.
+ * Returns a hash that identifies a request's content. It covers nothing of the caller: a caller sends
+ * the same request from several addresses, and the crashes of each must count together.
  */
-function contentOf({ caller, method, path, body }: Exchange): string {
-  const hash = createHash('sha256').update(`${caller}\n${method}\n${path}\n`);
+function contentOf({ route, method, path, body }: Exchange): string {
+  const hash = createHash('sha256').update(`${route.host}\n${method}\n${path}\n`);
   return hash.update(body).digest('hex').slice(0, CONTENT_HASH_DIGITS);
 }
