Clear a content only by a whole success of a target

Callers saw a request go on crashing engines that fail a part of all requests on their own.

Cause: any complete answer cleared a content and deleted the crashes of all gateways. A failure of the target's own says nothing of what the request does when it runs, and a body that ends with its connection may be that of a crash.

Change: only a success clears whose end its headers tell, and a stream that did not stop within an event.

--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -12,7 +12,7 @@
   addCrash,
 } from '@cassiamast/coordination';
 import type { FleetPort } from '@cassiamast/ports';
-import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
+import type { SendOutcome } from './send-to-target.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { TargetActivity } from './target-activity.js';
@@ -66,8 +66,7 @@
   outcome: SendOutcome,
 ): void {
   if (outcome.brokeOff) crashes.recordCrash(exchange, target, outcome);
-  else if (outcome.kind === SendOutcomeKind.Complete)
-    crashes.recordCompletion(exchange, target, outcome);
+  else if (outcome.ranWhole) crashes.recordCompletion(exchange, target, outcome);
 }
 
 /** A possible crash and the time at which the connection broke. */
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -89,7 +89,8 @@
   const outcome = await send(turn, target, { readOnly: false, from, allowedMs }, reportingSink);
   if (outcome.sent) exchange.sends += 1;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
-  recordCrashOutcome(exchange, turn.services, target.id, outcome);
+  const ranWhole = outcome.ranWhole && !relay.endedInsideEvent();
+  recordCrashOutcome(exchange, turn.services, target.id, { ...outcome, ranWhole });
   logSend(turn, target, 'sent to target', outcome);
   const end = concludeTurn(turn, target, outcome);
   // A prefill was already sent, so another turn sends a further one.
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -17,6 +17,9 @@
 import type { RetryReservation } from './retry-budgets.js';
 import type { TargetActivity } from './target-activity.js';
 
+/** The lowest HTTP status that is not a success. */
+export const FIRST_FAILURE_STATUS = 300;
+
 /** How an attempt to send a request ended. */
 export enum SendOutcomeKind {
   /** The complete answer was received. */
@@ -48,6 +51,11 @@
    * Whether the connection broke while the target may have been running the request, as in a crash.
    */
   readonly brokeOff: boolean;
+  /**
+   * Whether the target ran the request to its end: it sent a complete success. A failure may come
+   * from in front of the run, and a body that ends with its connection may be cut off.
+   */
+  readonly ranWhole: boolean;
   /** What the answer says about the target. */
   readonly announced: TargetAnnouncement;
 }
@@ -138,7 +146,8 @@
       signal.removeEventListener('abort', onAbort);
       stream?.stop();
       noteArrived();
-      resolve({ kind, sent, detail, brokeOff, announced });
+      const ranWhole = kind === SendOutcomeKind.Complete && head !== null && isWholeSuccess(head);
+      resolve({ kind, sent, detail, brokeOff, ranWhole, announced });
     };
     const onAbort = (): void => {
       finish(SendOutcomeKind.Stopped, 'stopped');
@@ -209,7 +218,12 @@
 }
 
 function notBegun(kind: SendOutcomeKind, detail: string): SendOutcome {
-  return { kind, sent: false, detail, brokeOff: false, announced: NOTHING_ANNOUNCED };
+  const announced = NOTHING_ANNOUNCED;
+  return { kind, sent: false, detail, brokeOff: false, ranWhole: false, announced };
+}
+
+function isWholeSuccess({ status, hasKnownEnd }: AnswerHead): boolean {
+  return status < FIRST_FAILURE_STATUS && hasKnownEnd;
 }
 
 /**
--- a/packages/daemon/src/gateway/stream-relay.ts
+++ b/packages/daemon/src/gateway/stream-relay.ts
@@ -5,10 +5,7 @@
 import type { ServerResponse } from 'node:http';
 import { createEventFraming, hasPartialEvent, addEventBytes } from '@cassiamast/coordination';
 import type { AnswerHead, CallerWire } from '@cassiamast/ports';
-import type { AnswerSink } from './send-to-target.js';
-
-/** The lowest HTTP status that is not a success. */
-const FIRST_FAILURE_STATUS = 300;
+import { type AnswerSink, FIRST_FAILURE_STATUS } from './send-to-target.js';
 
 /** The relay of one stream. */
 export interface StreamRelay {
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -67,6 +67,11 @@
   readonly notRun: boolean;
   /** Whether the body was encoded in transit and differs from the one that the target sent. */
   readonly encoded: boolean;
+  /**
+   * Whether the headers tell where the body ends. The end of any other body is that of its connection,
+   * which may be a crash.
+   */
+  readonly hasKnownEnd: boolean;
   /** Lower-case names of headers that the implementation does not know. */
   readonly unknownHeaders: readonly string[];
 }
