Clear a content of its crashes, but not of those of a later release

Callers would see a service taken down by a request that ran well before.

Cause: a content that a target once ran whole was never rejected again by that gateway, whatever other gateways had noted.

Evidence: the new case of crash-memory.test.ts, three crashes after a whole run, is not convicted by the code before.

Change: a whole run deletes the crashes that are known, and excuses those that become known within five seconds; these are deleted for all gateways.

The tests of the memory take a time now; their checks are the same.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -27,6 +27,8 @@
   Noted = 'noted',
   /** The content has crashed so many targets that it is rejected from now on. */
   Convicted = 'convicted',
+  /** A crash does not count, as a target has just run the content to completion. */
+  Excused = 'excused',
   /** A crash was removed from the store. */
   Removed = 'removed',
 }
@@ -46,8 +48,8 @@
 /** The crashes known to one gateway. */
 export interface CrashMemory {
   readonly targetsByContent: Map<string, Set<string>>;
-  /** Contents that a target recently ran to completion; crashes during them had another cause. */
-  readonly cleared: Set<string>;
+  /** When a target last ran a content to completion. */
+  readonly completedAtMs: Map<string, number>;
   readonly onChange: OnCrashChange;
 }
 
@@ -57,11 +59,17 @@
  */
 const CONVICTING_TARGETS = 3;
 /** Most contents kept as harmless; the oldest are evicted first. */
-const MAX_CLEARED = 1024;
+const MAX_HARMLESS_CONTENTS = 1024;
+/**
+ * A crash that becomes known within this time after a target ran the content to completion had
+ * another cause. It covers the time that a note takes to reach all gateways, and no more: a content
+ * that was harmless may crash every target of a later release.
+ */
+export const HARMLESS_FOR_MS = 5000;
 
 /** Creates an empty crash memory. */
 export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
-  return { targetsByContent: new Map(), cleared: new Set(), onChange };
+  return { targetsByContent: new Map(), completedAtMs: new Map(), onChange };
 }
 
 /** Records a crash. Recording the same crash again has no effect. */
@@ -69,15 +77,23 @@
   memory: CrashMemory,
   { content, target }: CrashNote,
   source: CrashSource,
+  nowMs: number,
 ): void {
   const targets = memory.targetsByContent.get(content) ?? new Set();
   if (targets.has(target)) return;
+  const completedAtMs = memory.completedAtMs.get(content) ?? -Infinity;
+  if (nowMs - completedAtMs < HARMLESS_FOR_MS) {
+    const excused = { content, target, source, targets: [...targets] };
+    memory.onChange({ ...excused, kind: CrashChangeKind.Excused });
+    return;
+  }
   targets.add(target);
   memory.targetsByContent.set(content, targets);
   const change = { content, target, source, targets: [...targets] };
   memory.onChange({ ...change, kind: CrashChangeKind.Noted });
-  const isConvictedNow = targets.size === CONVICTING_TARGETS && !memory.cleared.has(content);
-  if (isConvictedNow) memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
+  if (targets.size === CONVICTING_TARGETS) {
+    memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
+  }
 }
 
 /** Removes a crash that has expired or was withdrawn. */
@@ -95,13 +111,19 @@
  * callers may send the same content, and targets that crash for other reasons interrupt some of
  * these requests.
  */
-export function markContentHarmless(memory: CrashMemory, content: string): readonly CrashNote[] {
+export function markContentHarmless(
+  memory: CrashMemory,
+  content: string,
+  nowMs: number,
+): readonly CrashNote[] {
   const targets = memory.targetsByContent.get(content) ?? new Set();
   memory.targetsByContent.delete(content);
-  memory.cleared.delete(content);
-  memory.cleared.add(content);
-  const oldest = memory.cleared.values().next().value;
-  if (memory.cleared.size > MAX_CLEARED && oldest !== undefined) memory.cleared.delete(oldest);
+  memory.completedAtMs.delete(content);
+  memory.completedAtMs.set(content, nowMs);
+  const oldest = memory.completedAtMs.keys().next().value;
+  if (memory.completedAtMs.size > MAX_HARMLESS_CONTENTS && oldest !== undefined) {
+    memory.completedAtMs.delete(oldest);
+  }
   return [...targets].map((target) => ({ content, target }));
 }
 
@@ -112,6 +134,5 @@
  * gateway receives the retry.
  */
 export function isConvictedContent(memory: CrashMemory, content: string): boolean {
-  const targets = memory.targetsByContent.get(content)?.size ?? 0;
-  return targets >= CONVICTING_TARGETS && !memory.cleared.has(content);
+  return (memory.targetsByContent.get(content)?.size ?? 0) >= CONVICTING_TARGETS;
 }
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -227,7 +227,7 @@
       view.gateways.delete(change.id);
       return;
     case FleetChangeKind.Crash:
-      addCrash(view.crashes, change.crash, CrashSource.Store);
+      addCrash(view.crashes, change.crash, CrashSource.Store, nowMs);
       return;
     case FleetChangeKind.CrashRemoved:
       removeCrash(view.crashes, change.crash);
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -6,6 +6,7 @@
   CrashChangeKind,
   type CrashMemory,
   CrashSource,
+  HARMLESS_FOR_MS,
   markContentHarmless,
   createCrashMemory,
   removeCrash,
@@ -13,6 +14,8 @@
   addCrash,
 } from '../../../src/index.js';
 
+const NOW_MS = 1000;
+
 describe('crash memory', () => {
   let memory: CrashMemory;
 
@@ -23,23 +26,23 @@
   // A malformed history crashes one engine after another, along with all other requests that run
   // there: its caller keeps retrying it, and no single gateway sees more than one of the crashes.
   it('convicts a content that crashed three targets', () => {
-    addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed);
-    addCrash(memory, { content: 'history', target: 't2' }, CrashSource.Observed);
+    addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed, NOW_MS);
+    addCrash(memory, { content: 'history', target: 't2' }, CrashSource.Observed, NOW_MS);
     assert.equal(isConvictedContent(memory, 'history'), false);
-    addCrash(memory, { content: 'history', target: 't3' }, CrashSource.Observed);
+    addCrash(memory, { content: 'history', target: 't3' }, CrashSource.Observed, NOW_MS);
     assert.equal(isConvictedContent(memory, 'history'), true);
   });
 
   it('counts a crash once, however often it is reported', () => {
     for (let report = 0; report < 5; report += 1) {
-      addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed);
+      addCrash(memory, { content: 'history', target: 't1' }, CrashSource.Observed, NOW_MS);
     }
     assert.equal(isConvictedContent(memory, 'history'), false);
   });
 
   it('does not count a removed crash', () => {
     for (const target of ['t1', 't2', 't3'])
-      addCrash(memory, { content: 'h', target }, CrashSource.Observed);
+      addCrash(memory, { content: 'h', target }, CrashSource.Observed, NOW_MS);
     removeCrash(memory, { content: 'h', target: 't1' });
     assert.equal(isConvictedContent(memory, 'h'), false);
   });
@@ -48,32 +51,43 @@
   // report is rejected for a minute although a target delivers it completely to other callers.
   it('does not convict a content that a target ran to completion', () => {
     for (const target of ['t1', 't2', 't3'])
-      addCrash(memory, { content: 'r', target }, CrashSource.Observed);
-    markContentHarmless(memory, 'r');
+      addCrash(memory, { content: 'r', target }, CrashSource.Observed, NOW_MS);
+    markContentHarmless(memory, 'r', NOW_MS);
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
   it('returns the crashes of a content that ran to completion, to be deleted for all gateways', () => {
-    addCrash(memory, { content: 'r', target: 't1' }, CrashSource.Observed);
-    assert.deepEqual(markContentHarmless(memory, 'r'), [{ content: 'r', target: 't1' }]);
-    assert.deepEqual(markContentHarmless(memory, 'r'), []);
+    addCrash(memory, { content: 'r', target: 't1' }, CrashSource.Observed, NOW_MS);
+    assert.deepEqual(markContentHarmless(memory, 'r', NOW_MS), [{ content: 'r', target: 't1' }]);
+    assert.deepEqual(markContentHarmless(memory, 'r', NOW_MS), []);
   });
 
   it('does not convict a content that a target ran to completion earlier', () => {
-    markContentHarmless(memory, 'r');
+    markContentHarmless(memory, 'r', NOW_MS);
     for (const target of ['t1', 't2', 't3'])
-      addCrash(memory, { content: 'r', target }, CrashSource.Observed);
+      addCrash(memory, { content: 'r', target }, CrashSource.Observed, NOW_MS);
     assert.equal(isConvictedContent(memory, 'r'), false);
   });
 
+  // A report that was harmless crashes each target of a new release. A gateway that had seen it run
+  // whole once would send it on for good.
+  it('convicts a content that begins to crash targets long after it ran to completion', () => {
+    markContentHarmless(memory, 'r', NOW_MS);
+    const laterMs = NOW_MS + HARMLESS_FOR_MS;
+    for (const target of ['t1', 't2', 't3']) {
+      addCrash(memory, { content: 'r', target }, CrashSource.Observed, laterMs);
+    }
+    assert.equal(isConvictedContent(memory, 'r'), true);
+  });
+
   // Nobody could tell why a request was rejected, or why one that crashed three targets was not.
   it('reports each crash once, the conviction and the removal of a crash', () => {
     const changes: CrashChange[] = [];
     memory = createCrashMemory((change) => changes.push(change));
-    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Observed);
-    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Store);
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Observed, NOW_MS);
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Store, NOW_MS);
     for (const target of ['t2', 't3'])
-      addCrash(memory, { content: 'h', target }, CrashSource.Store);
+      addCrash(memory, { content: 'h', target }, CrashSource.Store, NOW_MS);
     removeCrash(memory, { content: 'h', target: 't2' });
     removeCrash(memory, { content: 'h', target: 't2' });
     const seen = changes.map(({ kind, target, source }) => [kind, target, source]);
@@ -89,8 +103,8 @@
 
   it('keeps a bounded number of harmless contents', () => {
     for (let content = 0; content < 3000; content += 1) {
-      markContentHarmless(memory, String(content));
+      markContentHarmless(memory, String(content), NOW_MS);
     }
-    assert.equal(memory.cleared.size, 1024);
+    assert.equal(memory.completedAtMs.size, 1024);
   });
 });
--- a/packages/daemon/src/gateway/crash-changes.ts
+++ b/packages/daemon/src/gateway/crash-changes.ts
@@ -8,6 +8,7 @@
 const MESSAGES: Readonly<Record<CrashChangeKind, string>> = {
   [CrashChangeKind.Noted]: 'crash noted',
   [CrashChangeKind.Convicted]: 'content convicted',
+  [CrashChangeKind.Excused]: 'crash excused',
   [CrashChangeKind.Removed]: 'crash note removed',
 };
 
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -4,9 +4,11 @@
  */
 import { createHash } from 'node:crypto';
 import {
+  CrashChangeKind,
   type CrashNote,
   CrashSource,
   type FleetView,
+  type OnCrashChange,
   markContentHarmless,
   isConvictedContent,
   addCrash,
@@ -55,6 +57,8 @@
   readonly recordCompletion: (exchange: Exchange, target: string, outcome: SendOutcome) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
+  /** Must be called with each change of the view's crash memory. */
+  readonly noteChange: OnCrashChange;
   readonly stop: () => void;
 }
 
@@ -119,7 +123,7 @@
     const notes = takeConfirmed();
     if (suspicions.length > 0) scheduleWrite();
     if (notes.length === 0) return;
-    for (const note of notes) addCrash(view.crashes, note, CrashSource.Observed);
+    for (const note of notes) addCrash(view.crashes, note, CrashSource.Observed, nowMs());
     const id = await leaseId();
     const written = id === null ? null : await fleet.recordCrashes(notes, id);
     // The local record remains. Other gateways miss the note, which costs a few more crashes at
@@ -166,7 +170,7 @@
     },
     recordCompletion: (exchange, target, { detail }) => {
       const content = contentOf(exchange);
-      const notes = markContentHarmless(view.crashes, content);
+      const notes = markContentHarmless(view.crashes, content, nowMs());
       if (notes.length === 0) return;
       const crashed = notes.map((note) => note.target);
       count('contents_cleared_total');
@@ -182,6 +186,10 @@
       log.warn('request rejected, it crashes targets', { request: exchange.id, content, crashed });
       return true;
     },
+    noteChange: ({ kind, source, content, target }) => {
+      const isExcused = kind === CrashChangeKind.Excused && source === CrashSource.Store;
+      if (isExcused) void forgetNotes([{ content, target }]);
+    },
     stop: () => {
       if (timer !== null) clearTimeout(timer);
       suspicions = [];
--- a/packages/daemon/test/gateway/whole-runs.test.ts
+++ b/packages/daemon/test/gateway/whole-runs.test.ts
@@ -73,13 +73,17 @@
   }
 
   it('that is a whole success shows that the request ran', async () => {
-    const outcome = await send('HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone');
+    const outcome = await send(
+      'HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: 4\r\n\r\ndone',
+    );
     assert.equal(outcome.ranWhole, true);
   });
 
   // A target that fails on its own has not run the request, which may crash the next one.
   it('that is a failure of the target does not', async () => {
-    const outcome = await send('HTTP/1.1 500 Failed\r\nconnection: close\r\ncontent-length: 4\r\n\r\nfail');
+    const outcome = await send(
+      'HTTP/1.1 500 Failed\r\nconnection: close\r\ncontent-length: 4\r\n\r\nfail',
+    );
     assert.equal(outcome.kind, SendOutcomeKind.Complete);
     assert.equal(outcome.ranWhole, false);
   });
