Find out at once whether a target has crashed, and write it at once

Callers saw one target after another crash while gateways were restarted.

Cause: a gateway kept a broken connection for 1 to 2 s before it noted a crash, to see whether the target sends anything. Who was killed meanwhile took the crash along. Bytes that were read after the break counted as a sign of life, also those that were on their way when the target crashed.

Change: after a break the gateway opens one connection to the target; a target that accepts none has crashed, and the crash is written at once. Otherwise only answers to later requests, and bytes read some time after the break, are signs of life. Decisions are in crash-evidence, pure.

--- /dev/null
+++ b/packages/coordination/test/core/forwarding/crash-evidence.test.ts
@@ -0,0 +1,84 @@
+/** Decides whether a target has crashed while it ran a request. */
+import assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import {
+  type CrashEvidence,
+  createCrashEvidence,
+  decideSuspicions,
+  isSuspected,
+  recordDown,
+  recordLife,
+  suspect,
+} from '../../../src/index.js';
+
+const ENDED_AT_MS = 1000;
+const NEVER = (): number => -Infinity;
+
+describe('crash evidence', () => {
+  let evidence: CrashEvidence;
+
+  beforeEach(() => {
+    evidence = createCrashEvidence();
+    suspect(evidence, { content: 'c', target: 't', endedAtMs: ENDED_AT_MS });
+  });
+
+  it('confirms the suspicions of a target that accepts no connection', () => {
+    suspect(evidence, { content: 'other', target: 'u', endedAtMs: ENDED_AT_MS });
+    const confirmed = recordDown(evidence, 't', ENDED_AT_MS);
+    assert.deepEqual(
+      confirmed.map(({ content }) => content),
+      ['c'],
+    );
+    assert.equal(isSuspected(evidence, 'u', 0), true);
+    assert.equal(isSuspected(evidence, 't', 0), false);
+  });
+
+  it('does not confirm what ended after the connection was tried', () => {
+    assert.deepEqual(recordDown(evidence, 't', ENDED_AT_MS - 1), []);
+    assert.equal(isSuspected(evidence, 't', 0), true);
+  });
+
+  it('refutes the suspicions of a target that answers a later request', () => {
+    assert.equal(recordLife(evidence, 't', ENDED_AT_MS + 1).length, 1);
+    assert.equal(isSuspected(evidence, 't', 0), false);
+  });
+
+  // The answer to an earlier request was read after the break. It was on its way when the target
+  // crashed, and the crash was not counted.
+  it('does not take the answer to an earlier request for a sign of life', () => {
+    assert.deepEqual(recordLife(evidence, 't', ENDED_AT_MS - 1), []);
+    assert.equal(isSuspected(evidence, 't', 0), true);
+  });
+
+  it('decides nothing before the target had time to send something', () => {
+    const decided = decideSuspicions(evidence, NEVER, ENDED_AT_MS + 500);
+    assert.deepEqual(decided, { confirmed: [], refuted: [] });
+  });
+
+  it('confirms a break after which the target sends nothing', () => {
+    assert.equal(decideSuspicions(evidence, NEVER, ENDED_AT_MS + 1000).confirmed.length, 1);
+    assert.equal(isSuspected(evidence, 't', 0), false);
+  });
+
+  it('refutes a break after which the target sends something', () => {
+    const bytesAtMs = (): number => ENDED_AT_MS + 600;
+    assert.equal(decideSuspicions(evidence, bytesAtMs, ENDED_AT_MS + 1000).refuted.length, 1);
+  });
+
+  // Bytes of other streams were on their way when the target crashed. Taken for a sign of life, they
+  // hid the crash of each engine that served many streams.
+  it('does not take bytes that were on their way for a sign of life', () => {
+    const bytesAtMs = (): number => ENDED_AT_MS + 100;
+    assert.equal(decideSuspicions(evidence, bytesAtMs, ENDED_AT_MS + 1000).confirmed.length, 1);
+  });
+
+  it('keeps a bounded number of suspicions and returns those that it drops', () => {
+    const dropped = [];
+    for (let number = 0; number < 2000; number += 1) {
+      const content = String(number);
+      dropped.push(suspect(evidence, { content, target: 't', endedAtMs: ENDED_AT_MS }));
+    }
+    assert.equal(evidence.suspicions.length, 1024);
+    assert.equal(dropped.filter((each) => each !== null).length, 2000 + 1 - 1024);
+  });
+});
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -9,14 +9,19 @@
   CrashSource,
   type FleetView,
   type OnCrashChange,
+  type TargetEntry,
   markContentHarmless,
   isConvictedContent,
   addCrash,
 } from '@cassiamast/coordination';
 import type { FleetPort } from '@cassiamast/ports';
-import type { SendOutcome } from './send-to-target.js';
+import type { IsReachable } from '../node/reachable.js';
+import { createPeriodic } from '../node/timers.js';
+import type { Child } from '../supervisor/supervisor.js';
+import { createCrashSuspicions } from './crash-suspicions.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
+import type { SendOutcome } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
 /**
@@ -27,15 +32,12 @@
 export const CRASH_NOTE_TTL_MS = 30_000;
 /** A lease is reused for new notes during the first half of its time to live. */
 const LEASE_USE_MS = CRASH_NOTE_TTL_MS / 2;
-/**
- * Delay between a broken connection and its report. A target that sends anything in this time has
- * not crashed; it only lost an answer. The delay also batches notes, since each write has a cost.
- */
-const CONFIRM_DELAY_MS = 1000;
+/** Crashes that are found at the same moment are written together. */
+const BATCH_DELAY_MS = 5;
 /** Maximum number of entries in one write. */
 const MAX_NOTES_PER_WRITE = 32;
-/** Notes held while the store is unreachable; the crash of a full engine produces about sixty. */
-const MAX_PENDING_NOTES = 256;
+/** Interval at which suspicions are decided. */
+const TICK_MS = 250;
 /** Digits kept of a content's hex hash, enough that no two requests of a day collide. */
 const CONTENT_HASH_DIGITS = 24;
 
@@ -43,7 +45,8 @@
 export interface CrashReportsOptions {
   readonly fleet: FleetPort;
   readonly view: FleetView;
-  readonly pulse: TargetActivity;
+  readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
+  readonly isReachable: IsReachable;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
@@ -52,39 +55,49 @@
 /** Records crashes, shares them with other gateways and answers which requests they rule out. */
 export interface CrashReports {
   /** Records that a target's connection broke while it may have been running the request. */
-  readonly recordCrash: (exchange: Exchange, target: string, outcome: SendOutcome) => void;
+  readonly recordBreak: (exchange: Exchange, target: TargetEntry, outcome: SendOutcome) => void;
   /** Records that a target ran the request to completion. */
-  readonly recordCompletion: (exchange: Exchange, target: string, outcome: SendOutcome) => void;
+  readonly recordCompletion: (
+    exchange: Exchange,
+    target: TargetEntry,
+    outcome: SendOutcome,
+  ) => void;
+  /** Records an answer of a target to a request that was sent `ageMs` ago. */
+  readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
   /** Must be called with each change of the view's crash memory. */
   readonly noteChange: OnCrashChange;
-  readonly stop: () => void;
+  /** Decides the suspicions whose time is over. */
+  readonly child: Child;
 }
 
 /** Records a crash or a completed run from the outcome of one attempt, if it shows either. */
 export function recordCrashOutcome(
   exchange: Exchange,
   { crashes }: { readonly crashes: CrashReports },
-  target: string,
+  target: TargetEntry,
   outcome: SendOutcome,
 ): void {
-  if (outcome.brokeOff) crashes.recordCrash(exchange, target, outcome);
+  if (outcome.brokeOff) crashes.recordBreak(exchange, target, outcome);
   else if (outcome.ranWhole) crashes.recordCompletion(exchange, target, outcome);
 }
 
-/** A possible crash and the time at which the connection broke. */
-interface Suspicion {
-  readonly note: CrashNote;
-  readonly atMs: number;
-}
-
 /** Creates the crash reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { fleet, view, pulse, nowMs, log, count } = options;
-  let suspicions: Suspicion[] = [];
+  const { fleet, view, nowMs, log, count } = options;
+  let unwritten: CrashNote[] = [];
   let timer: NodeJS.Timeout | null = null;
   let lease: { readonly id: string; readonly grantedAtMs: number } | null = null;
+  const suspicions = createCrashSuspicions({ ...options, onCrash: recordCrash });
+
+  function recordCrash(note: CrashNote, reason: string): void {
+    count('crashes_found_total');
+    log.info('crash found', { ...note, reason });
+    addCrash(view.crashes, note, CrashSource.Observed, nowMs());
+    unwritten.push(note);
+    timer ??= setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
+  }
 
   async function leaseId(): Promise<string | null> {
     if (lease !== null && nowMs() - lease.grantedAtMs < LEASE_USE_MS) return lease.id;
@@ -95,35 +108,11 @@
     return lease.id;
   }
 
-  /**
-   * Removes the suspicions that are old enough from the queue. Returns the notes of those whose
-   * target has sent nothing since.
-   */
-  function takeConfirmed(): readonly CrashNote[] {
-    const now = nowMs();
-    const notes: CrashNote[] = [];
-    while (notes.length < MAX_NOTES_PER_WRITE) {
-      const [oldest] = suspicions;
-      if (oldest === undefined || now - oldest.atMs < CONFIRM_DELAY_MS) break;
-      suspicions.shift();
-      const { note, atMs } = oldest;
-      if (pulse.isInactive(note.target, now - atMs)) notes.push(note);
-      else dropSuspicion(note);
-    }
-    return notes;
-  }
-
-  function dropSuspicion({ content, target }: CrashNote): void {
-    count('crash_suspicions_dropped_total');
-    log.info('crash suspicion dropped', { content, target, reason: 'the target sent something' });
-  }
-
-  async function writeConfirmedNotes(): Promise<void> {
+  async function writeNotes(): Promise<void> {
     timer = null;
-    const notes = takeConfirmed();
-    if (suspicions.length > 0) scheduleWrite();
-    if (notes.length === 0) return;
-    for (const note of notes) addCrash(view.crashes, note, CrashSource.Observed, nowMs());
+    const notes = unwritten.slice(0, MAX_NOTES_PER_WRITE);
+    unwritten = unwritten.slice(MAX_NOTES_PER_WRITE);
+    if (unwritten.length > 0) timer = setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
     const id = await leaseId();
     const written = id === null ? null : await fleet.recordCrashes(notes, id);
     // The local record remains. Other gateways miss the note, which costs a few more crashes at
@@ -147,34 +136,33 @@
     }
   }
 
-  function scheduleWrite(): void {
-    timer ??= setTimeout(() => void writeConfirmedNotes(), CONFIRM_DELAY_MS);
-  }
-
   return {
-    recordCrash: (exchange, target, { detail }) => {
-      const note = { content: contentOf(exchange), target };
-      count('crashes_noted_total');
+    recordBreak: (exchange, target, { detail }) => {
+      const content = contentOf(exchange);
+      count('crashes_suspected_total');
       log.info('crash suspected', {
         request: exchange.id,
         caller: exchange.caller,
-        ...note,
+        content,
+        target: target.id,
         detail,
       });
-      if (suspicions.length >= MAX_PENDING_NOTES) {
-        count('crash_notes_lost_total');
-        return;
-      }
-      suspicions.push({ note, atMs: nowMs() });
-      scheduleWrite();
+      suspicions.suspect(content, target);
     },
+    noteAnswer: suspicions.noteAnswer,
     recordCompletion: (exchange, target, { detail }) => {
       const content = contentOf(exchange);
       const notes = markContentHarmless(view.crashes, content, nowMs());
       if (notes.length === 0) return;
       const crashed = notes.map((note) => note.target);
       count('contents_cleared_total');
-      log.info('content cleared', { request: exchange.id, content, target, detail, crashed });
+      log.info('content cleared', {
+        request: exchange.id,
+        content,
+        target: target.id,
+        detail,
+        crashed,
+      });
       void forgetNotes(notes);
     },
     rejects: (exchange) => {
@@ -190,10 +178,7 @@
       const isExcused = kind === CrashChangeKind.Excused && source === CrashSource.Store;
       if (isExcused) void forgetNotes([{ content, target }]);
     },
-    stop: () => {
-      if (timer !== null) clearTimeout(timer);
-      suspicions = [];
-    },
+    child: createPeriodic('crash-suspicions', () => TICK_MS, suspicions.tick),
   };
 }
 
--- /dev/null
+++ b/packages/daemon/src/gateway/crash-suspicions.ts
@@ -0,0 +1,123 @@
+/**
+ * Finds out which targets have crashed. An attempt whose connection broke makes its content suspect;
+ * a connection to the target and its answers to later requests decide the suspicion.
+ */
+import {
+  type CrashNote,
+  type CrashSuspicion,
+  type TargetEntry,
+  createCrashEvidence,
+  decideSuspicions,
+  isSuspected,
+  recordDown,
+  recordLife,
+  suspect,
+} from '@cassiamast/coordination';
+import type { IsReachable } from '../node/reachable.js';
+import type { GatewayLog } from './gateway-log.js';
+import type { TargetActivity } from './target-activity.js';
+
+/** Attempts at one target that fail together are decided by one connection to it. */
+const PROBE_DELAY_MS = 10;
+/** A live VM accepts a connection within this time. */
+const PROBE_TIMEOUT_MS = 300;
+/** Pause between two connections to a target. */
+const PROBE_PAUSE_MS = 500;
+/** Attempts that fail this soon after a target was found down have failed for that reason. */
+const DOWN_FOR_MS = 2000;
+
+/** Dependencies of the suspicions. */
+export interface CrashSuspicionsOptions {
+  readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
+  readonly isReachable: IsReachable;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly count: (name: string) => void;
+  /** Called for each crash that is found. */
+  readonly onCrash: (note: CrashNote, reason: string) => void;
+}
+
+/** Decides suspicions. */
+export interface CrashSuspicions {
+  /** Records that the connection of an attempt at a target broke. */
+  readonly suspect: (content: string, target: TargetEntry) => void;
+  /** Records an answer of a target to a request that was sent `ageMs` ago. */
+  readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
+  /** Decides the suspicions whose time is over. */
+  readonly tick: () => void;
+}
+
+/** Connections to one target that find out whether it is down. */
+interface Probes {
+  isWaiting: boolean;
+  /** Until when its attempts count as failed by a crash. */
+  downUntilMs: number;
+}
+
+/** Creates the suspicions. */
+export function createCrashSuspicions(options: CrashSuspicionsOptions): CrashSuspicions {
+  const { pulse, isReachable, nowMs, log, count, onCrash } = options;
+  const evidence = createCrashEvidence();
+  const probes = new Map<string, Probes>();
+
+  function confirm(suspicions: readonly CrashSuspicion[], reason: string): void {
+    for (const { content, target } of suspicions) onCrash({ content, target }, reason);
+  }
+
+  function drop(suspicions: readonly CrashSuspicion[], reason: string): void {
+    for (const { content, target } of suspicions) {
+      count('crash_suspicions_dropped_total');
+      log.info('crash suspicion dropped', { content, target, reason });
+    }
+  }
+
+  function probe(target: TargetEntry, pauseMs: number): void {
+    const known = probes.get(target.id) ?? { isWaiting: false, downUntilMs: 0 };
+    if (known.isWaiting) return;
+    known.isWaiting = true;
+    probes.set(target.id, known);
+    setTimeout(() => void runProbe(target, known), pauseMs);
+  }
+
+  async function runProbe(target: TargetEntry, known: Probes): Promise<void> {
+    const startedAtMs = nowMs();
+    const isUp = await isReachable(target.address, PROBE_TIMEOUT_MS);
+    known.isWaiting = false;
+    if (!isUp) {
+      known.downUntilMs = nowMs() + DOWN_FOR_MS;
+      confirm(recordDown(evidence, target.id, startedAtMs), 'accepts no connection');
+    }
+    if (isSuspected(evidence, target.id, startedAtMs)) probe(target, PROBE_PAUSE_MS);
+    else if (isUp) probes.delete(target.id);
+  }
+
+  function forgetProbes(): void {
+    for (const [id, { isWaiting, downUntilMs }] of probes) {
+      if (!isWaiting && downUntilMs < nowMs()) probes.delete(id);
+    }
+  }
+
+  return {
+    suspect: (content, target) => {
+      const endedAtMs = nowMs();
+      if (endedAtMs < (probes.get(target.id)?.downUntilMs ?? 0)) {
+        onCrash({ content, target: target.id }, 'accepts no connection');
+        return;
+      }
+      const dropped = suspect(evidence, { content, target: target.id, endedAtMs });
+      if (dropped !== null) count('crash_suspicions_lost_total');
+      probe(target, PROBE_DELAY_MS);
+    },
+    noteAnswer: (target, ageMs) => {
+      // An answer under a name that several starts share may be from the next start.
+      if (evidence.suspicions.length === 0 || target.bornAtMs !== 0) return;
+      drop(recordLife(evidence, target.id, nowMs() - ageMs), 'the target answers');
+    },
+    tick: () => {
+      const { confirmed, refuted } = decideSuspicions(evidence, pulse.lastBytesAtMs, nowMs());
+      confirm(confirmed, 'sends nothing');
+      drop(refuted, 'the target sent something');
+      forgetProbes();
+    },
+  };
+}
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -51,7 +51,7 @@
   );
   if (outcome.sent) exchange.prefills += 1;
   // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
-  if (outcome.brokeOff) services.crashes.recordCrash(exchange, prefillTarget.id, outcome);
+  if (outcome.brokeOff) services.crashes.recordBreak(exchange, prefillTarget, outcome);
   logSend(turn, prefillTarget, 'read prompt', outcome);
   const handle =
     outcome.kind === SendOutcomeKind.Complete ? services.wire.readHandle(collected.body()) : null;
@@ -90,7 +90,7 @@
   if (outcome.sent) exchange.sends += 1;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
   const ranWhole = outcome.ranWhole && !relay.endedInsideEvent();
-  recordCrashOutcome(exchange, turn.services, target.id, { ...outcome, ranWhole });
+  recordCrashOutcome(exchange, turn.services, target, { ...outcome, ranWhole });
   logSend(turn, target, 'sent to target', outcome);
   const end = concludeTurn(turn, target, outcome);
   // A prefill was already sent, so another turn sends a further one.
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -12,12 +12,14 @@
 import type { GatewayLog } from './gateway-log.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
+import type { TargetActivity } from './target-activity.js';
 import type { TargetAvailability } from './target-availability.js';
 import type { TargetHealth } from './target-health.js';
 import type { TargetLimits } from './target-limits.js';
 
 /** The services that forwarding a request depends on. */
 export interface ForwardingServices extends SendServices {
+  readonly pulse: TargetActivity;
   readonly standstill: StallWatch;
   readonly view: FleetView;
   readonly budgets: RetryBudgets;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -140,7 +140,7 @@
   exchange.lastTarget = target.id;
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
   if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
-  recordCrashOutcome(exchange, services, target.id, outcome);
+  recordCrashOutcome(exchange, services, target, outcome);
   services.log.info('sent to target', {
     request: exchange.id,
     target: target.id,
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -94,7 +94,7 @@
 export interface SendServices {
   readonly transport: HttpTransport;
   readonly wire: CallerWire;
-  readonly pulse: TargetActivity;
+  readonly pulse: Pick<TargetActivity, 'recordBytes'>;
   /** Called with the head of each answer that belongs to its request. */
   readonly onAnswerHead: (target: TargetEntry, head: AnswerHead, request: SentRequest) => void;
   /** Monotonic time that also advances while this process is suspended. */
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -222,6 +222,7 @@
     fleet,
     view,
     pulse,
+    isReachable,
     nowMs: monotonicMs,
     log,
     count: telemetry.count,
@@ -246,6 +247,7 @@
     onAnswerHead: (target, head, { work, sentAtMs }) => {
       headerWatch.logUnknownHeaders(target, head);
       availability.noteAnswer(target, head);
+      if (!head.notRun) crashes.noteAnswer(target, elapsedMs() - sentAtMs);
       limits.noteAnswer(target, head.limitPerS, { work: head.notRun ? null : work, sentAtMs });
     },
     elapsedMs,
@@ -321,6 +323,7 @@
       presence.child,
       createFirstStart({ store: fleet, gateways, readRevision: () => view.revision, log }),
       limits.child,
+      crashes.child,
       availability.child,
       planner,
       createReadinessServer(
@@ -346,7 +349,6 @@
   async function close(): Promise<void> {
     await scheduling.flushReports();
     schedulers.stop();
-    crashes.stop();
     await root.stop();
     await Promise.all([rpc.close(), transport.close(), fleet.close()]);
   }
--- a/packages/daemon/src/gateway/target-activity.ts
+++ b/packages/daemon/src/gateway/target-activity.ts
@@ -6,6 +6,8 @@
 /** Records the activity of targets. */
 export interface TargetActivity {
   readonly recordBytes: (target: string) => void;
+  /** Time at which the last byte of a target was received. */
+  readonly lastBytesAtMs: (target: string) => number;
   /** Whether nothing has been received from a target for `forMs`. */
   readonly isInactive: (target: string, forMs: number) => boolean;
 }
@@ -16,6 +18,7 @@
 /** Creates the tracking without any recorded activity. */
 export function createTargetActivity(nowMs: () => number): TargetActivity {
   const lastReceivedAtMs = new Map<string, number>();
+  const lastBytesAtMs = (target: string): number => lastReceivedAtMs.get(target) ?? -Infinity;
   return {
     recordBytes: (target) => {
       lastReceivedAtMs.delete(target);
@@ -24,6 +27,7 @@
       if (lastReceivedAtMs.size > MAX_TARGETS && oldest !== undefined)
         lastReceivedAtMs.delete(oldest);
     },
-    isInactive: (target, forMs) => nowMs() - (lastReceivedAtMs.get(target) ?? -Infinity) >= forMs,
+    lastBytesAtMs,
+    isInactive: (target, forMs) => nowMs() - lastBytesAtMs(target) >= forMs,
   };
 }
