Count crashes that close no connection

Callers saw one target after another disappear with its machine while one request came back.

Cause: only a broken connection was a crash. A lost machine closes nothing: its attempts end by silence, by a deadline or because the caller leaves, and left no note.

Change: such an attempt is a suspicion too. It is confirmed if the target accepts no connection, if its entry disappears without notice, or if another start takes its name; time alone confirms only a broken connection. Like attempts are one suspicion, so that a caller that repeats at once can't push the first one out. The first rejection of each content is logged whatever else is; crashing-request.test.ts failed now and then without that, as its flood of lines used the log's limit up.

--- a/packages/coordination/src/core/forwarding/crash-evidence.ts
+++ b/packages/coordination/src/core/forwarding/crash-evidence.ts
@@ -1,15 +1,28 @@
 /**
  * Decides from how attempts end whether their target has crashed. A crashed process closes its
- * connections, but so do targets that only lose an answer. Each broken connection is a suspicion
- * until something tells: the target accepts no connection, it answers a later request, or it sends
- * nothing for a while.
+ * connections, but so do targets that only lose an answer; a lost machine closes nothing, and its
+ * attempts end by silence or by their deadline. Each such end is a suspicion until something tells:
+ * the target accepts no connection, its entry disappears, it answers a later request, or nothing
+ * happens for a while.
  */
 import type { CrashNote } from './crash-memory.js';
 
+/** How an attempt ended without a complete answer. */
+export enum AttemptEnd {
+  /** The connection broke. */
+  Broken = 'broken',
+  /** The gateway stopped to wait for the target, or the caller's time was over. */
+  Unanswered = 'unanswered',
+  /** The caller left. */
+  Abandoned = 'abandoned',
+}
+
 /** An attempt during which the target may have crashed. */
 export interface CrashSuspicion extends CrashNote {
-  /** When the connection broke. */
+  readonly end: AttemptEnd;
   readonly endedAtMs: number;
+  /** When the last attempt with the same content, target and end was over. */
+  readonly lastEndedAtMs: number;
 }
 
 /** The suspicions that are neither confirmed nor refuted, oldest first. */
@@ -25,7 +38,7 @@
   readonly refuted: readonly CrashSuspicion[];
 }
 
-/** Most suspicions kept; the oldest are dropped first. The crash of a full engine causes sixty. */
+/** Most suspicions kept. The crash of a full engine causes sixty. */
 const MAX_SUSPICIONS = 1024;
 /** A target whose connection broke has crashed if it sends nothing for this long. */
 const CONFIRM_AFTER_MS = 1000;
@@ -34,18 +47,55 @@
  * sign of life.
  */
 const IN_FLIGHT_MS = 300;
+/** The entry of a crashed target disappears within this time, also if nothing else tells. */
+const FORGET_AFTER_MS = 10_000;
 
 /** Returns evidence without suspicions. */
 export function createCrashEvidence(): CrashEvidence {
   return { suspicions: [] };
 }
 
-/** Adds a suspicion. Returns the suspicion that had to be dropped, or null. */
-export function suspect(evidence: CrashEvidence, suspicion: CrashSuspicion): CrashSuspicion | null {
-  const suspicions = [...evidence.suspicions, suspicion];
-  const dropped = suspicions.length > MAX_SUSPICIONS ? (suspicions.shift() ?? null) : null;
-  evidence.suspicions = suspicions;
-  return dropped;
+/** What became of a suspicion that was added. */
+export interface AddedSuspicion {
+  /** Whether no like attempt was suspected before. */
+  readonly isNew: boolean;
+  /** The suspicion that had to be dropped, or null. */
+  readonly dropped: CrashSuspicion | null;
+}
+
+/** Adds a suspicion. */
+export function suspect(
+  evidence: CrashEvidence,
+  attempt: CrashNote & Pick<CrashSuspicion, 'end' | 'endedAtMs'>,
+): AddedSuspicion {
+  const same = evidence.suspicions.findIndex((each) => isSame(each, attempt));
+  // A caller that repeats its request at once must not push the first suspicion out.
+  if (same !== -1) {
+    evidence.suspicions = evidence.suspicions.map((each, index) =>
+      index === same ? { ...each, lastEndedAtMs: attempt.endedAtMs } : each,
+    );
+    return { isNew: false, dropped: null };
+  }
+  const suspicion = { ...attempt, lastEndedAtMs: attempt.endedAtMs };
+  evidence.suspicions = [...evidence.suspicions, suspicion];
+  const isFull = evidence.suspicions.length > MAX_SUSPICIONS;
+  return { isNew: true, dropped: isFull ? dropOne(evidence) : null };
+}
+
+function isSame(
+  left: CrashNote & Pick<CrashSuspicion, 'end'>,
+  right: CrashNote & Pick<CrashSuspicion, 'end'>,
+): boolean {
+  return left.target === right.target && left.content === right.content && left.end === right.end;
+}
+
+/** Drops the weakest suspicion: the oldest that was not broken off, or else the newest. */
+function dropOne(evidence: CrashEvidence): CrashSuspicion | null {
+  const { suspicions } = evidence;
+  const weakest =
+    suspicions.find(({ end }) => end !== AttemptEnd.Broken) ?? suspicions.at(-1) ?? null;
+  evidence.suspicions = suspicions.filter((each) => each !== weakest);
+  return weakest;
 }
 
 /** Records that a target accepted no connection at a time; returns the suspicions that this confirms. */
@@ -66,7 +116,11 @@
   target: string,
   sentAtMs: number,
 ): readonly CrashSuspicion[] {
-  return take(evidence, (each) => each.target === target && each.endedAtMs < sentAtMs);
+  return takeOutlived(
+    evidence,
+    (each) => each.target === target && each.endedAtMs < sentAtMs,
+    sentAtMs,
+  );
 }
 
 /**
@@ -79,13 +133,13 @@
   lastBytesAtMs: (target: string) => number,
   nowMs: number,
 ): DecidedSuspicions {
-  const due = take(evidence, ({ endedAtMs }) => nowMs - endedAtMs >= CONFIRM_AFTER_MS);
-  const hasCrashed = ({ target, endedAtMs }: CrashSuspicion): boolean =>
-    lastBytesAtMs(target) <= endedAtMs + IN_FLIGHT_MS;
-  return {
-    confirmed: due.filter(hasCrashed),
-    refuted: due.filter((each) => !hasCrashed(each)),
-  };
+  const isDue = ({ end, endedAtMs }: CrashSuspicion): boolean =>
+    nowMs - endedAtMs >= (end === AttemptEnd.Broken ? CONFIRM_AFTER_MS : FORGET_AFTER_MS);
+  const hasCrashed = ({ end, target, endedAtMs }: CrashSuspicion): boolean =>
+    end === AttemptEnd.Broken && lastBytesAtMs(target) <= endedAtMs + IN_FLIGHT_MS;
+  const confirmed = take(evidence, (each) => isDue(each) && hasCrashed(each));
+  const refuted = takeOutlived(evidence, isDue, nowMs - CONFIRM_AFTER_MS);
+  return { confirmed, refuted };
 }
 
 /** Returns whether any suspicion since a time concerns a target. */
@@ -94,7 +148,27 @@
   target: string,
   sinceMs: number,
 ): boolean {
-  return suspicions.some((each) => each.target === target && each.endedAtMs >= sinceMs);
+  return suspicions.some((each) => each.target === target && each.lastEndedAtMs >= sinceMs);
+}
+
+/**
+ * Takes the suspicions that a target has outlived. Those whose last attempt was over later than
+ * `outlivedAtMs` remain as suspicions of that attempt.
+ */
+function takeOutlived(
+  evidence: CrashEvidence,
+  isTaken: (suspicion: CrashSuspicion) => boolean,
+  outlivedAtMs: number,
+): readonly CrashSuspicion[] {
+  const taken = take(evidence, isTaken);
+  const renewed = taken.filter(({ lastEndedAtMs }) => lastEndedAtMs > outlivedAtMs);
+  if (renewed.length > 0) {
+    evidence.suspicions = [
+      ...evidence.suspicions,
+      ...renewed.map((each) => ({ ...each, endedAtMs: each.lastEndedAtMs })),
+    ];
+  }
+  return taken.filter(({ lastEndedAtMs }) => lastEndedAtMs <= outlivedAtMs);
 }
 
 function take(
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -85,6 +85,8 @@
   Reappeared = 'reappeared',
   /** It is no longer part of the fleet. */
   Removed = 'removed',
+  /** Another start has taken its name. */
+  Replaced = 'replaced',
 }
 
 /** Called with each transition of a target, and the store revision that caused it. */
@@ -248,7 +250,10 @@
   // Draining is never reverted within one start, so an entry that does so is stale.
   const isSameStart = known?.entry.id === entry.id;
   if (isSameStart && known.entry.draining && !entry.draining) return;
-  if (known !== undefined && !isSameStart) dropTarget(view, known);
+  if (known !== undefined && !isSameStart) {
+    dropTarget(view, known);
+    view.onTransition(TargetTransition.Replaced, known.entry, revision);
+  }
   view.removedAtRevision.delete(entry.name);
   view.targets.set(entry.id, { entry, revision, goneAtMs: null });
   view.idsByName.set(entry.name, entry.id);
--- a/packages/coordination/test/core/forwarding/crash-evidence.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-evidence.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import {
+  AttemptEnd,
   type CrashEvidence,
   createCrashEvidence,
   decideSuspicions,
@@ -19,11 +20,21 @@
 
   beforeEach(() => {
     evidence = createCrashEvidence();
-    suspect(evidence, { content: 'c', target: 't', endedAtMs: ENDED_AT_MS });
+    suspect(evidence, {
+      content: 'c',
+      target: 't',
+      end: AttemptEnd.Broken,
+      endedAtMs: ENDED_AT_MS,
+    });
   });
 
   it('confirms the suspicions of a target that accepts no connection', () => {
-    suspect(evidence, { content: 'other', target: 'u', endedAtMs: ENDED_AT_MS });
+    suspect(evidence, {
+      content: 'other',
+      target: 'u',
+      end: AttemptEnd.Broken,
+      endedAtMs: ENDED_AT_MS,
+    });
     const confirmed = recordDown(evidence, 't', ENDED_AT_MS);
     assert.deepEqual(
       confirmed.map(({ content }) => content),
@@ -72,13 +83,62 @@
     assert.equal(decideSuspicions(evidence, bytesAtMs, ENDED_AT_MS + 1000).confirmed.length, 1);
   });
 
-  it('keeps a bounded number of suspicions and returns those that it drops', () => {
-    const dropped = [];
+  // A caller that leaves, or a deadline that passes, says nothing by itself: most targets of such
+  // attempts have not crashed.
+  it('does not confirm by silence what was not broken off, and forgets it after a while', () => {
+    suspect(evidence, {
+      content: 'left',
+      target: 'u',
+      end: AttemptEnd.Abandoned,
+      endedAtMs: ENDED_AT_MS,
+    });
+    const early = decideSuspicions(evidence, NEVER, ENDED_AT_MS + 5000);
+    assert.deepEqual(
+      early.confirmed.map(({ target }) => target),
+      ['t'],
+    );
+    const late = decideSuspicions(evidence, NEVER, ENDED_AT_MS + 10_000);
+    assert.deepEqual(
+      late.refuted.map(({ content }) => content),
+      ['left'],
+    );
+  });
+
+  // A caller that repeated a failing request thousands of times pushed its first suspicion out before
+  // it could be decided, and the request was never rejected.
+  it('decides the first of many like attempts', () => {
     for (let number = 0; number < 2000; number += 1) {
+      const endedAtMs = ENDED_AT_MS + number / 2;
+      suspect(evidence, { content: 'c', target: 't', end: AttemptEnd.Broken, endedAtMs });
+    }
+    assert.equal(evidence.suspicions.length, 1);
+    assert.equal(decideSuspicions(evidence, NEVER, ENDED_AT_MS + 1000).confirmed.length, 1);
+  });
+
+  it('remains suspicious of a like attempt that ended after a sign of life', () => {
+    const endedAtMs = ENDED_AT_MS + 500;
+    suspect(evidence, { content: 'c', target: 't', end: AttemptEnd.Broken, endedAtMs });
+    assert.deepEqual(recordLife(evidence, 't', ENDED_AT_MS + 200), []);
+    assert.equal(decideSuspicions(evidence, NEVER, endedAtMs + 1000).confirmed.length, 1);
+  });
+
+  it('keeps a bounded number of suspicions, and broken attempts before others', () => {
+    const dropped = [];
+    for (let number = 0; number < 1000; number += 1) {
+      const content = `left ${String(number)}`;
+      const left = { content, target: 't', end: AttemptEnd.Abandoned, endedAtMs: ENDED_AT_MS };
+      dropped.push(suspect(evidence, left).dropped);
+    }
+    for (let number = 0; number < 1000; number += 1) {
       const content = String(number);
-      dropped.push(suspect(evidence, { content, target: 't', endedAtMs: ENDED_AT_MS }));
+      const broken = { content, target: 't', end: AttemptEnd.Broken, endedAtMs: ENDED_AT_MS };
+      dropped.push(suspect(evidence, broken).dropped);
     }
     assert.equal(evidence.suspicions.length, 1024);
-    assert.equal(dropped.filter((each) => each !== null).length, 2000 + 1 - 1024);
+    const lost = dropped.filter((each) => each !== null);
+    assert.equal(lost.length, 2001 - 1024);
+    assert.ok(lost.every(({ end }) => end === AttemptEnd.Abandoned));
+    const broken = evidence.suspicions.filter(({ end }) => end === AttemptEnd.Broken);
+    assert.equal(broken.length, 1001);
   });
 });
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -4,12 +4,14 @@
  */
 import { createHash } from 'node:crypto';
 import {
+  AttemptEnd,
   CrashChangeKind,
   type CrashNote,
   CrashSource,
   type FleetView,
   type OnCrashChange,
   type TargetEntry,
+  TargetTransition,
   markContentHarmless,
   isConvictedContent,
   addCrash,
@@ -19,9 +21,9 @@
 import { createPeriodic } from '../node/timers.js';
 import type { Child } from '../supervisor/supervisor.js';
 import { createCrashSuspicions } from './crash-suspicions.js';
-import type { Exchange } from './exchange.js';
+import { type Exchange, callerLeft } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
-import type { SendOutcome } from './send-to-target.js';
+import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
 /**
@@ -36,6 +38,8 @@
 const BATCH_DELAY_MS = 5;
 /** Maximum number of entries in one write. */
 const MAX_NOTES_PER_WRITE = 32;
+/** Most contents remembered as rejected; beyond it, first rejections are logged again. */
+const MAX_REJECTED_CONTENTS = 256;
 /** Interval at which suspicions are decided. */
 const TICK_MS = 250;
 /** Digits kept of a content's hex hash, enough that no two requests of a day collide. */
@@ -47,6 +51,8 @@
   readonly view: FleetView;
   readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
   readonly isReachable: IsReachable;
+  /** Whether a target has announced that it is shutting down. */
+  readonly isLeaving: (target: string) => boolean;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
@@ -54,14 +60,20 @@
 
 /** Records crashes, shares them with other gateways and answers which requests they rule out. */
 export interface CrashReports {
-  /** Records that a target's connection broke while it may have been running the request. */
-  readonly recordBreak: (exchange: Exchange, target: TargetEntry, outcome: SendOutcome) => void;
+  /** Records an attempt that ended without a complete answer, if its target may have crashed. */
+  readonly recordUnanswered: (
+    exchange: Exchange,
+    target: TargetEntry,
+    outcome: SendOutcome,
+  ) => void;
   /** Records that a target ran the request to completion. */
   readonly recordCompletion: (
     exchange: Exchange,
     target: TargetEntry,
     outcome: SendOutcome,
   ) => void;
+  /** Records how a target's availability changed. */
+  readonly noteTransition: (transition: TargetTransition, target: TargetEntry) => void;
   /** Records an answer of a target to a request that was sent `ageMs` ago. */
   readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
@@ -72,20 +84,34 @@
   readonly child: Child;
 }
 
-/** Records a crash or a completed run from the outcome of one attempt, if it shows either. */
+/** Records what the end of one attempt says about its target and its content. */
 export function recordCrashOutcome(
   exchange: Exchange,
   { crashes }: { readonly crashes: CrashReports },
   target: TargetEntry,
   outcome: SendOutcome,
 ): void {
-  if (outcome.brokeOff) crashes.recordBreak(exchange, target, outcome);
-  else if (outcome.ranWhole) crashes.recordCompletion(exchange, target, outcome);
+  if (outcome.ranWhole) crashes.recordCompletion(exchange, target, outcome);
+  else crashes.recordUnanswered(exchange, target, outcome);
+}
+
+/** Returns how an attempt ended during which the target may have crashed; null for any other end. */
+function suspiciousEnd(
+  exchange: Exchange,
+  { kind, sent, brokeOff }: SendOutcome,
+): AttemptEnd | null {
+  if (brokeOff) return AttemptEnd.Broken;
+  if (!sent) return null;
+  if (kind === SendOutcomeKind.Silent) return AttemptEnd.Unanswered;
+  if (kind !== SendOutcomeKind.Stopped) return null;
+  return callerLeft(exchange) ? AttemptEnd.Abandoned : AttemptEnd.Unanswered;
 }
 
 /** Creates the crash reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { fleet, view, nowMs, log, count } = options;
+  const { fleet, view, isLeaving, nowMs, log, count } = options;
+  /** Contents of which a request was rejected. */
+  const rejected = new Set<string>();
   let unwritten: CrashNote[] = [];
   let timer: NodeJS.Timeout | null = null;
   let lease: { readonly id: string; readonly grantedAtMs: number } | null = null;
@@ -99,6 +125,32 @@
     timer ??= setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
   }
 
+  function logSuspicion(
+    { id, caller }: Exchange,
+    content: string,
+    target: TargetEntry,
+    { kind, detail }: SendOutcome,
+  ): void {
+    count('crashes_suspected_total');
+    log.info('crash suspected', {
+      request: id,
+      caller,
+      content,
+      target: target.id,
+      outcome: kind,
+      detail,
+    });
+  }
+
+  /** The first rejection of each content is logged whatever the volume of the log. */
+  function logRejection({ id }: Exchange, content: string, crashed: readonly string[]): void {
+    const isFirst = !rejected.has(content);
+    if (rejected.size >= MAX_REJECTED_CONTENTS) rejected.clear();
+    rejected.add(content);
+    const write = isFirst ? log.lifecycle : log.warn;
+    write('request rejected, it crashes targets', { request: id, content, crashed });
+  }
+
   async function leaseId(): Promise<string | null> {
     if (lease !== null && nowMs() - lease.grantedAtMs < LEASE_USE_MS) return lease.id;
     const grantedAtMs = nowMs();
@@ -137,17 +189,20 @@
   }
 
   return {
-    recordBreak: (exchange, target, { detail }) => {
+    recordUnanswered: (exchange, target, outcome) => {
+      const end = suspiciousEnd(exchange, outcome);
+      if (end === null) return;
       const content = contentOf(exchange);
-      count('crashes_suspected_total');
-      log.info('crash suspected', {
-        request: exchange.id,
-        caller: exchange.caller,
-        content,
-        target: target.id,
-        detail,
-      });
-      suspicions.suspect(content, target);
+      const isNew = suspicions.suspect(content, target, end);
+      if (isNew && end !== AttemptEnd.Abandoned) {
+        logSuspicion(exchange, content, target, outcome);
+      }
+    },
+    noteTransition: (transition, target) => {
+      if (transition === TargetTransition.Replaced) suspicions.noteReplaced(target);
+      // A target that announced its departure has not crashed.
+      const isGone = transition === TargetTransition.Removed && !target.draining;
+      if (isGone && !isLeaving(target.id)) suspicions.noteGone(target);
     },
     noteAnswer: suspicions.noteAnswer,
     recordCompletion: (exchange, target, { detail }) => {
@@ -171,7 +226,7 @@
       if (!isConvictedContent(view.crashes, content)) return false;
       const crashed = [...(view.crashes.targetsByContent.get(content) ?? [])];
       count('requests_convicted_total');
-      log.warn('request rejected, it crashes targets', { request: exchange.id, content, crashed });
+      logRejection(exchange, content, crashed);
       return true;
     },
     noteChange: ({ kind, source, content, target }) => {
--- a/packages/daemon/src/gateway/crash-suspicions.ts
+++ b/packages/daemon/src/gateway/crash-suspicions.ts
@@ -1,9 +1,12 @@
 /**
- * Finds out which targets have crashed. An attempt whose connection broke makes its content suspect;
- * a connection to the target and its answers to later requests decide the suspicion.
+ * Finds out which targets have crashed. An attempt that ended without a complete answer makes its
+ * content suspect; opening a connection to the target, its answers to later requests and its entry in
+ * the store decide the suspicion.
  */
 import {
+  AttemptEnd,
   type CrashNote,
+  type FleetView,
   type CrashSuspicion,
   type TargetEntry,
   createCrashEvidence,
@@ -28,6 +31,7 @@
 
 /** Dependencies of the suspicions. */
 export interface CrashSuspicionsOptions {
+  readonly view: FleetView;
   readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
   readonly isReachable: IsReachable;
   readonly nowMs: () => number;
@@ -39,10 +43,17 @@
 
 /** Decides suspicions. */
 export interface CrashSuspicions {
-  /** Records that the connection of an attempt at a target broke. */
-  readonly suspect: (content: string, target: TargetEntry) => void;
+  /**
+   * Records that an attempt at a target ended without a complete answer. Returns whether no like
+   * attempt was suspected before.
+   */
+  readonly suspect: (content: string, target: TargetEntry, end: AttemptEnd) => boolean;
   /** Records an answer of a target to a request that was sent `ageMs` ago. */
   readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
+  /** Records that a target's entry disappeared although it did not announce its departure. */
+  readonly noteGone: (target: TargetEntry) => void;
+  /** Records that another start of a target has taken its name. */
+  readonly noteReplaced: (target: TargetEntry) => void;
   /** Decides the suspicions whose time is over. */
   readonly tick: () => void;
 }
@@ -56,7 +67,7 @@
 
 /** Creates the suspicions. */
 export function createCrashSuspicions(options: CrashSuspicionsOptions): CrashSuspicions {
-  const { pulse, isReachable, nowMs, log, count, onCrash } = options;
+  const { view, pulse, isReachable, nowMs, log, count, onCrash } = options;
   const evidence = createCrashEvidence();
   const probes = new Map<string, Probes>();
 
@@ -65,8 +76,10 @@
   }
 
   function drop(suspicions: readonly CrashSuspicion[], reason: string): void {
-    for (const { content, target } of suspicions) {
+    for (const { content, target, end } of suspicions) {
       count('crash_suspicions_dropped_total');
+      // Callers leave all the time; their requests are only of interest if the target crashes.
+      if (end === AttemptEnd.Abandoned) continue;
       log.info('crash suspicion dropped', { content, target, reason });
     }
   }
@@ -83,7 +96,9 @@
     const startedAtMs = nowMs();
     const isUp = await isReachable(target.address, PROBE_TIMEOUT_MS);
     known.isWaiting = false;
-    if (!isUp) {
+    if (isUp) {
+      if (hasSuccessor(target)) noteReplaced(target);
+    } else {
       known.downUntilMs = nowMs() + DOWN_FOR_MS;
       confirm(recordDown(evidence, target.id, startedAtMs), 'accepts no connection');
     }
@@ -91,6 +106,16 @@
     else if (isUp) probes.delete(target.id);
   }
 
+  /** Returns whether another target serves at the address of a target that has gone. */
+  function hasSuccessor({ id, address }: TargetEntry): boolean {
+    if (view.targets.has(id)) return false;
+    return [...view.targets.values()].some(({ entry }) => entry.address === address);
+  }
+
+  function noteReplaced({ id }: TargetEntry): void {
+    confirm(recordDown(evidence, id, nowMs()), 'was replaced');
+  }
+
   function forgetProbes(): void {
     for (const [id, { isWaiting, downUntilMs }] of probes) {
       if (!isWaiting && downUntilMs < nowMs()) probes.delete(id);
@@ -98,25 +123,31 @@
   }
 
   return {
-    suspect: (content, target) => {
+    suspect: (content, target, end) => {
       const endedAtMs = nowMs();
       if (endedAtMs < (probes.get(target.id)?.downUntilMs ?? 0)) {
         onCrash({ content, target: target.id }, 'accepts no connection');
-        return;
+        return true;
       }
-      const dropped = suspect(evidence, { content, target: target.id, endedAtMs });
+      const { isNew, dropped } = suspect(evidence, { content, target: target.id, end, endedAtMs });
       if (dropped !== null) count('crash_suspicions_lost_total');
-      probe(target, PROBE_DELAY_MS);
+      const isAbandoned = end === AttemptEnd.Abandoned && view.targets.has(target.id);
+      if (!isAbandoned) probe(target, PROBE_DELAY_MS);
+      return isNew;
     },
     noteAnswer: (target, ageMs) => {
       // An answer under a name that several starts share may be from the next start.
       if (evidence.suspicions.length === 0 || target.bornAtMs !== 0) return;
       drop(recordLife(evidence, target.id, nowMs() - ageMs), 'the target answers');
     },
+    noteGone: (target) => {
+      if (isSuspected(evidence, target.id, -Infinity)) probe(target, PROBE_DELAY_MS);
+    },
+    noteReplaced,
     tick: () => {
       const { confirmed, refuted } = decideSuspicions(evidence, pulse.lastBytesAtMs, nowMs());
       confirm(confirmed, 'sends nothing');
-      drop(refuted, 'the target sent something');
+      drop(refuted, 'the target sent something, or its entry is still there');
       forgetProbes();
     },
   };
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -51,7 +51,7 @@
   );
   if (outcome.sent) exchange.prefills += 1;
   // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
-  if (outcome.brokeOff) services.crashes.recordBreak(exchange, prefillTarget, outcome);
+  services.crashes.recordUnanswered(exchange, prefillTarget, outcome);
   logSend(turn, prefillTarget, 'read prompt', outcome);
   const handle =
     outcome.kind === SendOutcomeKind.Complete ? services.wire.readHandle(collected.body()) : null;
--- a/packages/daemon/src/gateway/gateway-log.ts
+++ b/packages/daemon/src/gateway/gateway-log.ts
@@ -11,7 +11,10 @@
 export interface GatewayLog {
   readonly info: (message: string, fields: LogFields) => void;
   readonly warn: (message: string, fields: LogFields) => void;
-  /** Logs an event of the process itself. These lines are few and exempt from the rate limit. */
+  /**
+   * Logs an event of the process itself, or another one that is rare and must not be missed. These
+   * lines are exempt from the rate limit.
+   */
   readonly lifecycle: (message: string, fields: LogFields) => void;
 }
 
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -223,6 +223,7 @@
     view,
     pulse,
     isReachable,
+    isLeaving: availability.isLeaving,
     nowMs: monotonicMs,
     log,
     count: telemetry.count,
--- a/packages/daemon/src/gateway/target-transitions.ts
+++ b/packages/daemon/src/gateway/target-transitions.ts
@@ -5,7 +5,8 @@
 import { type OnTargetTransition, TargetTransition } from '@cassiamast/coordination';
 import type { GatewayLog } from './gateway-log.js';
 
-const MESSAGES: Readonly<Record<TargetTransition, string>> = {
+/** A replaced target has no line of its own: the follower logs both of its starts together. */
+const MESSAGES: Readonly<Partial<Record<TargetTransition, string>>> = {
   [TargetTransition.Draining]: 'target leaves',
   [TargetTransition.Missing]: 'target entry missing',
   [TargetTransition.Reappeared]: 'target entry back',
@@ -19,6 +20,7 @@
 ): OnTargetTransition {
   return (transition, { id, service }, revision) => {
     count(`targets_${transition}_total`);
-    log.info(MESSAGES[transition], { target: id, service, revision });
+    const message = MESSAGES[transition];
+    if (message !== undefined) log.info(message, { target: id, service, revision });
   };
 }
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -121,7 +121,7 @@
       },
       report: () => undefined,
     },
-    crashes: { recordCompletion: () => undefined, recordBreak: () => undefined },
+    crashes: { recordCompletion: () => undefined, recordUnanswered: () => undefined },
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => clock.nowMs,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -159,7 +159,7 @@
       },
       report: () => undefined,
     },
-    crashes: { recordCompletion: () => undefined },
+    crashes: { recordCompletion: () => undefined, recordUnanswered: () => undefined },
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => 0,
