Keep the crashes of a content until something refutes them

Callers saw a service crash again half a minute after it had recovered.

Cause: crashes were kept under a lease of 15 to 30 s, and the end of the lease took the verdict of all gateways along. A caller comes back later, and leases lapse while the store is away.

Change: crashes have no lease. They end when a target runs the content whole, when the entry of the target is still there ten seconds later, with a store that answers, or when an operator deletes the key. The memory has bounds, one for contents that are rejected and one for all others; one gateway deletes from the store what is beyond them. A new listing removes what was deleted meanwhile.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -29,15 +29,27 @@
   Convicted = 'convicted',
   /** A crash does not count, as a target has just run the content to completion. */
   Excused = 'excused',
-  /** A crash was removed from the store. */
+  /** A crash counts no more. */
   Removed = 'removed',
 }
 
+/** Why a crash counts no more. */
+export enum CrashRemoval {
+  /** It was removed from the store. */
+  Store = 'removed from the store',
+  /** Its target has not crashed: its entry is still there. */
+  Refuted = 'the target lives',
+  /** The memory is full. */
+  Evicted = 'the memory is full',
+}
+
 /** A change of a crash memory. */
 export interface CrashChange extends CrashNote {
   readonly kind: CrashChangeKind;
   /** How the crash became known; null if it was removed. */
   readonly source: CrashSource | null;
+  /** Why the crash counts no more; null if it was not removed. */
+  readonly removal: CrashRemoval | null;
   /** The targets that have crashed on the content, after the change. */
   readonly targets: readonly string[];
 }
@@ -45,9 +57,17 @@
 /** Called with each change of a crash memory. */
 export type OnCrashChange = (change: CrashChange) => void;
 
+/** A crash that counts against a content. */
+interface KnownCrash {
+  readonly notedAtMs: number;
+  /** Whether the store has it. Only then does its absence from the store withdraw it. */
+  isStored: boolean;
+}
+
 /** The crashes known to one gateway. */
 export interface CrashMemory {
-  readonly targetsByContent: Map<string, Set<string>>;
+  /** Crashes by target, by content; the content whose crash was noted last is at the end. */
+  readonly crashesByContent: Map<string, Map<string, KnownCrash>>;
   /** When a target last ran a content to completion. */
   readonly completedAtMs: Map<string, number>;
   readonly onChange: OnCrashChange;
@@ -58,6 +78,14 @@
  * can be a coincidence while targets crash for other reasons.
  */
 const CONVICTING_TARGETS = 3;
+/** Most contents kept that crashed fewer targets than that, and most kept that are rejected. */
+const MAX_SUSPECT_CONTENTS = 1024;
+const MAX_CONVICTED_CONTENTS = 256;
+/**
+ * A target whose entry has been in the store for this long after a crash was noted has not crashed.
+ * Entries disappear a few seconds after the last sign of life of their target.
+ */
+const SURVIVAL_MS = 10_000;
 /** Most contents kept as harmless; the oldest are evicted first. */
 const MAX_HARMLESS_CONTENTS = 1024;
 /**
@@ -69,42 +97,64 @@
 
 /** Creates an empty crash memory. */
 export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
-  return { targetsByContent: new Map(), completedAtMs: new Map(), onChange };
+  return { crashesByContent: new Map(), completedAtMs: new Map(), onChange };
 }
 
 /** Records a crash. Recording the same crash again has no effect. */
 export function addCrash(
   memory: CrashMemory,
-  { content, target }: CrashNote,
+  note: CrashNote,
   source: CrashSource,
   nowMs: number,
 ): void {
-  const targets = memory.targetsByContent.get(content) ?? new Set();
-  if (targets.has(target)) return;
+  const { content, target } = note;
+  const isStored = source === CrashSource.Store;
+  const crashes = memory.crashesByContent.get(content) ?? new Map<string, KnownCrash>();
+  const known = crashes.get(target);
+  if (known !== undefined) {
+    known.isStored ||= isStored;
+    return;
+  }
   const completedAtMs = memory.completedAtMs.get(content) ?? -Infinity;
   if (nowMs - completedAtMs < HARMLESS_FOR_MS) {
-    const excused = { content, target, source, targets: [...targets] };
+    const excused = { ...note, source, removal: null, targets: [...crashes.keys()] };
     memory.onChange({ ...excused, kind: CrashChangeKind.Excused });
     return;
   }
-  targets.add(target);
-  memory.targetsByContent.set(content, targets);
-  const change = { content, target, source, targets: [...targets] };
+  crashes.set(target, { notedAtMs: nowMs, isStored });
+  memory.crashesByContent.delete(content);
+  memory.crashesByContent.set(content, crashes);
+  const change = { ...note, source, removal: null, targets: [...crashes.keys()] };
   memory.onChange({ ...change, kind: CrashChangeKind.Noted });
-  if (targets.size === CONVICTING_TARGETS) {
+  if (crashes.size === CONVICTING_TARGETS) {
     memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
   }
 }
 
-/** Removes a crash that has expired or was withdrawn. */
-export function removeCrash(memory: CrashMemory, { content, target }: CrashNote): void {
-  const targets = memory.targetsByContent.get(content);
-  if (targets?.delete(target) !== true) return;
-  if (targets.size === 0) memory.targetsByContent.delete(content);
-  const change = { content, target, source: null, targets: [...targets] };
+/** Removes a crash that counts no more. */
+export function removeCrash(memory: CrashMemory, note: CrashNote, removal: CrashRemoval): void {
+  const { content, target } = note;
+  const crashes = memory.crashesByContent.get(content);
+  if (crashes?.delete(target) !== true) return;
+  if (crashes.size === 0) memory.crashesByContent.delete(content);
+  const change = { ...note, source: null, removal, targets: [...crashes.keys()] };
   memory.onChange({ ...change, kind: CrashChangeKind.Removed });
 }
 
+/**
+ * Removes the crashes that were in the store and are missing from a complete listing of it. Without
+ * this, a gateway that missed the change would reject a content that was cleared for all others.
+ */
+export function retainListedCrashes(memory: CrashMemory, listed: readonly CrashNote[]): void {
+  const present = new Set(listed.map(keyOf));
+  for (const [content, crashes] of [...memory.crashesByContent]) {
+    for (const [target, { isStored }] of [...crashes]) {
+      const note = { content, target };
+      if (isStored && !present.has(keyOf(note))) removeCrash(memory, note, CrashRemoval.Store);
+    }
+  }
+}
+
 /**
  * Records that a target ran a content to completion and returns the crashes recorded for it, so
  * that the caller can delete them for all gateways. Contents without crashes are recorded too: many
@@ -116,14 +166,20 @@
   content: string,
   nowMs: number,
 ): readonly CrashNote[] {
-  const targets = memory.targetsByContent.get(content) ?? new Set();
-  memory.targetsByContent.delete(content);
+  const notes = crashesOf(memory, content);
+  memory.crashesByContent.delete(content);
   memory.completedAtMs.delete(content);
   memory.completedAtMs.set(content, nowMs);
   const oldest = memory.completedAtMs.keys().next().value;
   if (memory.completedAtMs.size > MAX_HARMLESS_CONTENTS && oldest !== undefined) {
     memory.completedAtMs.delete(oldest);
   }
+  return notes;
+}
+
+/** Returns the crashes that count against a content. */
+export function crashesOf(memory: CrashMemory, content: string): readonly CrashNote[] {
+  const targets = memory.crashesByContent.get(content)?.keys() ?? [];
   return [...targets].map((target) => ({ content, target }));
 }
 
@@ -134,5 +190,58 @@
  * gateway receives the retry.
  */
 export function isConvictedContent(memory: CrashMemory, content: string): boolean {
-  return (memory.targetsByContent.get(content)?.size ?? 0) >= CONVICTING_TARGETS;
+  return (memory.crashesByContent.get(content)?.size ?? 0) >= CONVICTING_TARGETS;
+}
+
+/**
+ * Removes and returns the crashes of targets that live on. An attempt may break off or go unanswered
+ * for other reasons; without this, such attempts would add up over days and convict a harmless
+ * content.
+ *
+ * @param livesSinceMs - Time since which a target has been listed in the store without a gap, or
+ * null if it isn't.
+ */
+export function refuteCrashes(
+  memory: CrashMemory,
+  livesSinceMs: (target: string) => number | null,
+  nowMs: number,
+): readonly CrashNote[] {
+  const refuted: CrashNote[] = [];
+  for (const [content, crashes] of memory.crashesByContent) {
+    for (const [target, { notedAtMs }] of crashes) {
+      const sinceMs = livesSinceMs(target);
+      if (sinceMs === null || nowMs - Math.max(sinceMs, notedAtMs) < SURVIVAL_MS) continue;
+      refuted.push({ content, target });
+    }
+  }
+  for (const note of refuted) removeCrash(memory, note, CrashRemoval.Refuted);
+  return refuted;
+}
+
+/**
+ * Removes and returns the crashes beyond the bounds of the memory: those of the contents whose last
+ * crash is the longest ago. Contents that are rejected have a bound of their own, so that crashes of
+ * harmless contents can't push them out.
+ */
+export function evictCrashes(memory: CrashMemory): readonly CrashNote[] {
+  let convicted = 0;
+  for (const { size } of memory.crashesByContent.values()) {
+    if (size >= CONVICTING_TARGETS) convicted += 1;
+  }
+  let surplusConvicted = convicted - MAX_CONVICTED_CONTENTS;
+  let surplusSuspects = memory.crashesByContent.size - convicted - MAX_SUSPECT_CONTENTS;
+  const evicted: CrashNote[] = [];
+  for (const [content, { size }] of memory.crashesByContent) {
+    const isConvicted = size >= CONVICTING_TARGETS;
+    if ((isConvicted ? surplusConvicted : surplusSuspects) <= 0) continue;
+    if (isConvicted) surplusConvicted -= 1;
+    else surplusSuspects -= 1;
+    evicted.push(...crashesOf(memory, content));
+  }
+  for (const note of evicted) removeCrash(memory, note, CrashRemoval.Evicted);
+  return evicted;
+}
+
+function keyOf({ content, target }: CrashNote): string {
+  return `${content}/${target}`;
 }
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -7,10 +7,12 @@
 import {
   type CrashMemory,
   type CrashNote,
+  CrashRemoval,
   CrashSource,
   type OnCrashChange,
   createCrashMemory,
   removeCrash,
+  retainListedCrashes,
   addCrash,
 } from './crash-memory.js';
 import type { FleetConfiguration, TargetEntry } from './fleet.js';
@@ -100,6 +102,8 @@
 interface KnownTarget {
   readonly entry: TargetEntry;
   readonly revision: number;
+  /** Time since which this start has been listed without a gap. */
+  readonly listedSinceMs: number;
   /**
    * End of the grace period in which its entry was found missing; null while the entry exists. It
    * is fixed at that moment: a target that is still missing then has left, whatever the store does.
@@ -118,6 +122,8 @@
   revision: number;
   /** Time of the last answer from the store. */
   confirmedAtMs: number;
+  /** Time since which the store has answered without an outage. */
+  steadySinceMs: number;
   /** Time from which an answer of the store counts as the end of an outage. */
   outageFromMs: number;
   /**
@@ -155,6 +161,7 @@
     gateways: new Map(),
     revision: 0,
     confirmedAtMs: 0,
+    steadySinceMs: 0,
     outageFromMs: Infinity,
     graceUntilMs: 0,
     removedAtRevision: new Map(),
@@ -170,7 +177,10 @@
  * before the next call, and the time that the call waits for changes.
  */
 export function recordStoreAnswer(view: FleetView, nowMs: number, nextAnswerInMs: number): void {
-  if (nowMs > view.outageFromMs) view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+  if (nowMs > view.outageFromMs) {
+    view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+    view.steadySinceMs = nowMs;
+  }
   view.confirmedAtMs = nowMs;
   view.outageFromMs = nowMs + nextAnswerInMs + OUTAGE_DELAY_MS;
 }
@@ -184,7 +194,9 @@
 ): void {
   const names = new Set<string>();
   const gateways = new Set<string>();
+  const crashes: CrashNote[] = [];
   for (const change of changes) {
+    if (change.kind === FleetChangeKind.Crash) crashes.push(change.crash);
     if (change.kind === FleetChangeKind.Target) names.add(change.target.name);
     if (change.kind === FleetChangeKind.Gateway) gateways.add(change.gateway.id);
   }
@@ -194,6 +206,7 @@
   for (const id of view.gateways.keys()) {
     if (!gateways.has(id)) view.gateways.delete(id);
   }
+  retainListedCrashes(view.crashes, crashes);
   applyChanges(view, changes, revision, nowMs);
 }
 
@@ -214,7 +227,7 @@
       view.table = newerRouteTable(view.table, change.configuration);
       return;
     case FleetChangeKind.Target:
-      putTarget(view, change.target, change.revision);
+      putTarget(view, change.target, change.revision, nowMs);
       return;
     case FleetChangeKind.TargetRemoved:
       removeTarget(view, change.name, change.revision, nowMs);
@@ -232,7 +245,7 @@
       addCrash(view.crashes, change.crash, CrashSource.Store, nowMs);
       return;
     case FleetChangeKind.CrashRemoved:
-      removeCrash(view.crashes, change.crash);
+      removeCrash(view.crashes, change.crash, CrashRemoval.Store);
       return;
   }
 }
@@ -242,7 +255,7 @@
  * requests, reports and caches of an earlier start are not attributed to a later one under the same
  * name. A late entry of an earlier start is recognized by its start time, whatever its revision.
  */
-function putTarget(view: FleetView, entry: TargetEntry, revision: number): void {
+function putTarget(view: FleetView, entry: TargetEntry, revision: number, nowMs: number): void {
   const known = currentTarget(view, entry.name);
   if (known !== undefined && known.revision > revision) return;
   if ((view.removedAtRevision.get(entry.name) ?? -1) > revision) return;
@@ -255,7 +268,9 @@
     view.onTransition(TargetTransition.Replaced, known.entry, revision);
   }
   view.removedAtRevision.delete(entry.name);
-  view.targets.set(entry.id, { entry, revision, goneAtMs: null });
+  const isListed = isSameStart && known.goneAtMs === null;
+  const listedSinceMs = isListed ? known.listedSinceMs : nowMs;
+  view.targets.set(entry.id, { entry, revision, listedSinceMs, goneAtMs: null });
   view.idsByName.set(entry.name, entry.id);
   const wasDraining = isSameStart && known.entry.draining;
   if (entry.draining && !wasDraining) view.onTransition(TargetTransition.Draining, entry, revision);
@@ -328,6 +343,17 @@
   return newest !== undefined && newest !== id;
 }
 
+/**
+ * Returns the time since which a target has certainly lived: its entry has been listed, and the store
+ * has answered without an outage, in which entries outlive their targets. Null if its entry is
+ * missing or the store's answer is overdue.
+ */
+export function livesSinceMs(view: FleetView, id: string, nowMs: number): number | null {
+  const known = view.targets.get(id);
+  if (known === undefined || known.goneAtMs !== null || nowMs > view.outageFromMs) return null;
+  return Math.max(known.listedSinceMs, view.steadySinceMs);
+}
+
 /** Returns the targets of a service that may receive new work. */
 export function servingTargets(
   view: FleetView,
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -4,6 +4,7 @@
 import {
   type CrashChange,
   CrashChangeKind,
+  CrashRemoval,
   type CrashMemory,
   CrashSource,
   HARMLESS_FOR_MS,
@@ -12,6 +13,10 @@
   removeCrash,
   isConvictedContent,
   addCrash,
+  crashesOf,
+  evictCrashes,
+  refuteCrashes,
+  retainListedCrashes,
 } from '../../../src/index.js';
 
 const NOW_MS = 1000;
@@ -43,7 +48,7 @@
   it('does not count a removed crash', () => {
     for (const target of ['t1', 't2', 't3'])
       addCrash(memory, { content: 'h', target }, CrashSource.Observed, NOW_MS);
-    removeCrash(memory, { content: 'h', target: 't1' });
+    removeCrash(memory, { content: 'h', target: 't1' }, CrashRemoval.Store);
     assert.equal(isConvictedContent(memory, 'h'), false);
   });
 
@@ -88,8 +93,8 @@
     addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Store, NOW_MS);
     for (const target of ['t2', 't3'])
       addCrash(memory, { content: 'h', target }, CrashSource.Store, NOW_MS);
-    removeCrash(memory, { content: 'h', target: 't2' });
-    removeCrash(memory, { content: 'h', target: 't2' });
+    removeCrash(memory, { content: 'h', target: 't2' }, CrashRemoval.Store);
+    removeCrash(memory, { content: 'h', target: 't2' }, CrashRemoval.Store);
     const seen = changes.map(({ kind, target, source }) => [kind, target, source]);
     assert.deepEqual(seen, [
       [CrashChangeKind.Noted, 't1', CrashSource.Observed],
@@ -101,6 +106,69 @@
     assert.deepEqual(changes.at(-1)?.targets, ['t1', 't3']);
   });
 
+  describe('whose store is listed anew', () => {
+    beforeEach(() => {
+      for (const target of ['t1', 't2', 't3']) {
+        addCrash(memory, { content: 'h', target }, CrashSource.Store, NOW_MS);
+      }
+    });
+
+    // A gateway that missed the change went on rejecting a content that was cleared for all others.
+    it('forgets the crashes that were removed meanwhile', () => {
+      retainListedCrashes(memory, [{ content: 'h', target: 't1' }]);
+      assert.deepEqual(crashesOf(memory, 'h'), [{ content: 'h', target: 't1' }]);
+    });
+
+    it('keeps the crashes that the store does not have yet', () => {
+      addCrash(memory, { content: 'own', target: 't1' }, CrashSource.Observed, NOW_MS);
+      retainListedCrashes(memory, []);
+      assert.equal(crashesOf(memory, 'own').length, 1);
+      assert.equal(crashesOf(memory, 'h').length, 0);
+    });
+  });
+
+  // Lost answers of targets that live on added up over days, and a harmless content was rejected.
+  it('forgets the crashes of targets that live on', () => {
+    for (const target of ['lives', 'back', 'gone']) {
+      addCrash(memory, { content: 'h', target }, CrashSource.Store, NOW_MS);
+    }
+    const laterMs = NOW_MS + 10_000;
+    const since: Record<string, number> = { lives: 0, back: NOW_MS + 500 };
+    const refuted = refuteCrashes(memory, (target) => since[target] ?? null, laterMs);
+    assert.deepEqual(refuted, [{ content: 'h', target: 'lives' }]);
+    const stillRefuted = refuteCrashes(memory, (target) => since[target] ?? null, laterMs + 500);
+    assert.deepEqual(stillRefuted, [{ content: 'h', target: 'back' }]);
+    assert.deepEqual(crashesOf(memory, 'h'), [{ content: 'h', target: 'gone' }]);
+  });
+
+  // The crash of an engine leaves a crash for each content that ran there. They must not push out
+  // the contents that are rejected.
+  it('keeps a bounded number of suspect contents beside those that are rejected', () => {
+    for (const target of ['t1', 't2', 't3']) {
+      addCrash(memory, { content: 'rejected', target }, CrashSource.Store, NOW_MS);
+    }
+    for (let number = 0; number < 3000; number += 1) {
+      const note = { content: String(number), target: 't1' };
+      addCrash(memory, note, CrashSource.Store, NOW_MS);
+    }
+    const evicted = evictCrashes(memory);
+    assert.equal(evicted.length, 3000 - 1024);
+    assert.deepEqual(evicted[0], { content: '0', target: 't1' });
+    assert.equal(isConvictedContent(memory, 'rejected'), true);
+    assert.equal(memory.crashesByContent.size, 1025);
+  });
+
+  it('keeps a bounded number of rejected contents', () => {
+    for (let number = 0; number < 300; number += 1) {
+      for (const target of ['t1', 't2', 't3']) {
+        addCrash(memory, { content: String(number), target }, CrashSource.Store, NOW_MS);
+      }
+    }
+    assert.equal(evictCrashes(memory).length, 3 * (300 - 256));
+    assert.equal(isConvictedContent(memory, '299'), true);
+    assert.equal(isConvictedContent(memory, '0'), false);
+  });
+
   it('keeps a bounded number of harmless contents', () => {
     for (let content = 0; content < 3000; content += 1) {
       markContentHarmless(memory, String(content), NOW_MS);
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -13,6 +13,7 @@
   applyListing,
   createFleetView,
   hasRestarted,
+  livesSinceMs,
   recordStoreAnswer,
   servingTarget,
   servingTargets,
@@ -198,6 +199,32 @@
   // An engine crashes and is back under the same name a second later. Without an id per start,
   // requests for the earlier start go to the new one, which has none of their state, and crashes of
   // the earlier start count against the new one.
+  // A crash is refuted by a target that lives on. Entries outlive their targets while the store is
+  // away, so a crash would be refuted that was one.
+  describe('the life of a target', () => {
+    it('lasts since its entry was listed', () => {
+      assert.equal(livesSinceMs(view, 'a', 100), 0);
+      assert.equal(livesSinceMs(view, 'unknown', 100), null);
+    });
+
+    it('is not known while the store does not answer', () => {
+      assert.equal(livesSinceMs(view, 'a', WATCH_MS + OUTAGE_DELAY_MS + 1), null);
+    });
+
+    it('is known again from the end of an outage on', () => {
+      recordStoreAnswer(view, 9000, WATCH_MS);
+      assert.equal(livesSinceMs(view, 'a', 9500), 9000);
+    });
+
+    it('begins anew when a missing entry is written again', () => {
+      recordStoreAnswer(view, 9000, WATCH_MS);
+      applyChanges(view, [removed('a', 6)], 6, 9000);
+      assert.equal(livesSinceMs(view, 'a', 9100), null);
+      applyChanges(view, [target('a', 7)], 7, 9200);
+      assert.equal(livesSinceMs(view, 'a', 9300), 9200);
+    });
+  });
+
   describe('a target that restarts under its name', () => {
     it('replaces its earlier start', () => {
       applyChanges(view, [target('a', 6, false, 2000)], 6, 100);
--- a/packages/daemon/src/gateway/crash-changes.ts
+++ b/packages/daemon/src/gateway/crash-changes.ts
@@ -14,9 +14,9 @@
 
 /** Returns a listener that writes one line for each change. */
 export function logCrashChanges(log: GatewayLog, count: (name: string) => void): OnCrashChange {
-  return ({ kind, content, target, source, targets }) => {
+  return ({ kind, content, target, source, removal, targets }) => {
     count(`crash_contents_${kind}_total`);
-    const origin = source === null ? {} : { source };
-    log.info(MESSAGES[kind], { content, target, ...origin, crashed: targets });
+    const reason = removal === null ? { source } : { reason: removal };
+    log.info(MESSAGES[kind], { content, target, ...reason, crashed: targets });
   };
 }
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -12,7 +12,11 @@
   type OnCrashChange,
   type TargetEntry,
   TargetTransition,
+  crashesOf,
+  evictCrashes,
+  livesSinceMs,
   markContentHarmless,
+  refuteCrashes,
   isConvictedContent,
   addCrash,
 } from '@cassiamast/coordination';
@@ -26,14 +30,8 @@
 import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
-/**
- * How long a crash counts: several times as long as a caller waits. When all gateways restart at
- * once, the record of completed requests is lost, so callers must be able to tolerate a wrong
- * refusal for this long.
- */
-export const CRASH_NOTE_TTL_MS = 30_000;
-/** A lease is reused for new notes during the first half of its time to live. */
-const LEASE_USE_MS = CRASH_NOTE_TTL_MS / 2;
+/** Retry-after time of a request that crashes targets. */
+export const CRASHING_RETRY_MS = 30_000;
 /** Crashes that are found at the same moment are written together. */
 const BATCH_DELAY_MS = 5;
 /** Maximum number of entries in one write. */
@@ -42,11 +40,14 @@
 const MAX_REJECTED_CONTENTS = 256;
 /** Interval at which suspicions are decided. */
 const TICK_MS = 250;
+/** Interval at which crashes that count no more are removed. */
+const CLEAN_UP_MS = 1000;
 /** Digits kept of a content's hex hash, enough that no two requests of a day collide. */
 const CONTENT_HASH_DIGITS = 24;
 
 /** Dependencies of the crash reports. */
 export interface CrashReportsOptions {
+  readonly selfId: string;
   readonly fleet: FleetPort;
   readonly view: FleetView;
   readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
@@ -80,8 +81,8 @@
   readonly rejects: (exchange: Exchange) => boolean;
   /** Must be called with each change of the view's crash memory. */
   readonly noteChange: OnCrashChange;
-  /** Decides the suspicions whose time is over. */
-  readonly child: Child;
+  /** Decide the suspicions whose time is over, and remove crashes that count no more. */
+  readonly children: readonly Child[];
 }
 
 /** Records what the end of one attempt says about its target and its content. */
@@ -109,12 +110,11 @@
 
 /** Creates the crash reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { fleet, view, isLeaving, nowMs, log, count } = options;
+  const { selfId, fleet, view, isLeaving, nowMs, log, count } = options;
   /** Contents of which a request was rejected. */
   const rejected = new Set<string>();
   let unwritten: CrashNote[] = [];
   let timer: NodeJS.Timeout | null = null;
-  let lease: { readonly id: string; readonly grantedAtMs: number } | null = null;
   const suspicions = createCrashSuspicions({ ...options, onCrash: recordCrash });
 
   function recordCrash(note: CrashNote, reason: string): void {
@@ -125,6 +125,21 @@
     timer ??= setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
   }
 
+  /** Removes the crashes that count no more, and those beyond the bounds of the memory. */
+  function cleanUp(): void {
+    const now = nowMs();
+    const lives = (target: string): number | null => livesSinceMs(view, target, now);
+    const outdated = [...refuteCrashes(view.crashes, lives, now), ...evictCrashes(view.crashes)];
+    // One gateway deletes for all; the others would only repeat its call.
+    if (outdated.length > 0 && isLongestAnnounced()) void forgetNotes(outdated);
+  }
+
+  /** Returns whether no gateway has been announced for longer than this one. */
+  function isLongestAnnounced(): boolean {
+    const own = view.gateways.get(selfId)?.announcedAtRevision ?? Infinity;
+    return ![...view.gateways.values()].some((other) => other.announcedAtRevision < own);
+  }
+
   function logSuspicion(
     { id, caller }: Exchange,
     content: string,
@@ -151,28 +166,17 @@
     write('request rejected, it crashes targets', { request: id, content, crashed });
   }
 
-  async function leaseId(): Promise<string | null> {
-    if (lease !== null && nowMs() - lease.grantedAtMs < LEASE_USE_MS) return lease.id;
-    const grantedAtMs = nowMs();
-    const granted = await fleet.grantLease(CRASH_NOTE_TTL_MS);
-    if (granted.isErr()) return null;
-    lease = { id: granted.value.leaseId, grantedAtMs };
-    return lease.id;
-  }
-
   async function writeNotes(): Promise<void> {
     timer = null;
     const notes = unwritten.slice(0, MAX_NOTES_PER_WRITE);
     unwritten = unwritten.slice(MAX_NOTES_PER_WRITE);
     if (unwritten.length > 0) timer = setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
-    const id = await leaseId();
-    const written = id === null ? null : await fleet.recordCrashes(notes, id);
+    const written = await fleet.recordCrashes(notes);
     // The local record remains. Other gateways miss the note, which costs a few more crashes at
     // most.
-    if (written === null || written.isErr()) {
-      const cause = written?.isErr() === true ? written.error.message : 'no lease';
+    if (written.isErr()) {
       count('crash_notes_lost_total');
-      log.warn('crash notes not written', { notes: notes.length, cause });
+      log.warn('crash notes not written', { notes: notes.length, cause: written.error.message });
     }
   }
 
@@ -181,9 +185,9 @@
    * keep refusing it, and the answer to a caller would depend on the gateway it reached.
    */
   async function forgetNotes(notes: readonly CrashNote[]): Promise<void> {
-    const forgotten = await fleet.deleteCrashes(notes);
-    // The notes expire with their lease a little later.
-    if (forgotten.isErr()) {
+    for (let from = 0; from < notes.length; from += MAX_NOTES_PER_WRITE) {
+      const forgotten = await fleet.deleteCrashes(notes.slice(from, from + MAX_NOTES_PER_WRITE));
+      if (forgotten.isOk()) continue;
       log.warn('crash notes not deleted', { cause: forgotten.error.message });
     }
   }
@@ -221,10 +225,10 @@
       void forgetNotes(notes);
     },
     rejects: (exchange) => {
-      if (view.crashes.targetsByContent.size === 0) return false;
+      if (view.crashes.crashesByContent.size === 0) return false;
       const content = contentOf(exchange);
       if (!isConvictedContent(view.crashes, content)) return false;
-      const crashed = [...(view.crashes.targetsByContent.get(content) ?? [])];
+      const crashed = crashesOf(view.crashes, content).map(({ target }) => target);
       count('requests_convicted_total');
       logRejection(exchange, content, crashed);
       return true;
@@ -233,7 +237,10 @@
       const isExcused = kind === CrashChangeKind.Excused && source === CrashSource.Store;
       if (isExcused) void forgetNotes([{ content, target }]);
     },
-    child: createPeriodic('crash-suspicions', () => TICK_MS, suspicions.tick),
+    children: [
+      createPeriodic('crash-suspicions', () => TICK_MS, suspicions.tick),
+      createPeriodic('crash-clean-up', () => CLEAN_UP_MS, cleanUp),
+    ],
   };
 }
 
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -19,7 +19,7 @@
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
-import { CRASH_NOTE_TTL_MS } from './crash-reports.js';
+import { CRASHING_RETRY_MS } from './crash-reports.js';
 import { type Exchange, replaceRetries } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { OwnStatus, sendOwnAnswer } from './own-answer.js';
@@ -189,7 +189,7 @@
     return;
   }
   if (services.crashes.rejects(exchange)) {
-    refuse(response, services, OwnStatus.Refused, CRASHES_TARGETS_REASON, CRASH_NOTE_TTL_MS);
+    refuse(response, services, OwnStatus.Refused, CRASHES_TARGETS_REASON, CRASHING_RETRY_MS);
     return;
   }
   await forward(exchange, services);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -219,6 +219,7 @@
   });
   const pulse = createTargetActivity(monotonicMs);
   const crashes = createCrashReports({
+    selfId,
     fleet,
     view,
     pulse,
@@ -324,7 +325,7 @@
       presence.child,
       createFirstStart({ store: fleet, gateways, readRevision: () => view.revision, log }),
       limits.child,
-      crashes.child,
+      ...crashes.children,
       availability.child,
       planner,
       createReadinessServer(
--- a/packages/daemon/src/gateway/store-call-counts.ts
+++ b/packages/daemon/src/gateway/store-call-counts.ts
@@ -37,8 +37,7 @@
     get: (key) => counted(StoreCall.Read, fleet.get(key)),
     transact: (compares, writes) => counted(StoreCall.Write, fleet.transact(compares, writes)),
     announce: (gateway, leaseId) => counted(StoreCall.Write, fleet.announce(gateway, leaseId)),
-    recordCrashes: (crashes, leaseId) =>
-      counted(StoreCall.Write, fleet.recordCrashes(crashes, leaseId)),
+    recordCrashes: (crashes) => counted(StoreCall.Write, fleet.recordCrashes(crashes)),
     deleteCrashes: (crashes) => counted(StoreCall.Write, fleet.deleteCrashes(crashes)),
     grantLease: (ttlMs) => counted(StoreCall.GrantLease, fleet.grantLease(ttlMs)),
     keepLeaseAlive: (leaseId) => counted(StoreCall.KeepLease, fleet.keepLeaseAlive(leaseId)),
