Write crashes until the store has them, and tell other gateways meanwhile

Callers saw a service go down again after an outage of the store, and while one gateway was cut off from it.

Cause: a crash that could not be written was logged and never written later. Each gateway counted alone meanwhile, and one that started afterwards knew nothing. A deletion that failed was not repeated either, so a cleared content stayed rejected elsewhere.

Change: crash-publisher writes and deletes until the store has done it. A write that fails, or is not confirmed in 150 ms, is told to three other gateways; they count the crash, write it a second later unless the store has it, and tell others in turn if they can't. The line of a conviction is never dropped.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -17,6 +17,8 @@
 export enum CrashSource {
   /** This gateway saw the crash. */
   Observed = 'observed',
+  /** Another gateway told of it, as it could not write it to the store. */
+  Peer = 'peer',
   /** Another gateway wrote it to the store. */
   Store = 'store',
 }
@@ -60,6 +62,8 @@
 /** A crash that counts against a content. */
 interface KnownCrash {
   readonly notedAtMs: number;
+  /** When this gateway writes it to the store unless the store has it by then. */
+  readonly writeAtMs: number;
   /** Whether the store has it. Only then does its absence from the store withdraw it. */
   isStored: boolean;
 }
@@ -78,6 +82,11 @@
  * can be a coincidence while targets crash for other reasons.
  */
 const CONVICTING_TARGETS = 3;
+/**
+ * A crash that another gateway told of is written after this time, as that gateway goes on trying to
+ * write it.
+ */
+const WRITE_FOR_PEER_AFTER_MS = 1000;
 /** Most contents kept that crashed fewer targets than that, and most kept that are rejected. */
 const MAX_SUSPECT_CONTENTS = 1024;
 const MAX_CONVICTED_CONTENTS = 256;
@@ -121,7 +130,8 @@
     memory.onChange({ ...excused, kind: CrashChangeKind.Excused });
     return;
   }
-  crashes.set(target, { notedAtMs: nowMs, isStored });
+  const writeAtMs = nowMs + (source === CrashSource.Peer ? WRITE_FOR_PEER_AFTER_MS : 0);
+  crashes.set(target, { notedAtMs: nowMs, writeAtMs, isStored });
   memory.crashesByContent.delete(content);
   memory.crashesByContent.set(content, crashes);
   const change = { ...note, source, removal: null, targets: [...crashes.keys()] };
@@ -183,6 +193,29 @@
   return [...targets].map((target) => ({ content, target }));
 }
 
+/** Returns the crashes that this gateway must write to the store now, oldest content first. */
+export function unstoredCrashes(memory: CrashMemory, nowMs: number): readonly CrashNote[] {
+  const notes: CrashNote[] = [];
+  for (const [content, crashes] of memory.crashesByContent) {
+    for (const [target, { isStored, writeAtMs }] of crashes) {
+      if (!isStored && writeAtMs <= nowMs) notes.push({ content, target });
+    }
+  }
+  return notes;
+}
+
+/** Records that the store has these crashes; returns those that do not count any more. */
+export function markCrashesStored(
+  memory: CrashMemory,
+  notes: readonly CrashNote[],
+): readonly CrashNote[] {
+  return notes.filter(({ content, target }) => {
+    const known = memory.crashesByContent.get(content)?.get(target);
+    if (known !== undefined) known.isStored = true;
+    return known === undefined;
+  });
+}
+
 /**
  * Returns whether requests with this content are rejected. Without this check, a request that
  * crashes its target would take down one target after another, along with all other requests that
--- a/packages/daemon/src/gateway/crash-changes.ts
+++ b/packages/daemon/src/gateway/crash-changes.ts
@@ -17,6 +17,7 @@
   return ({ kind, content, target, source, removal, targets }) => {
     count(`crash_contents_${kind}_total`);
     const reason = removal === null ? { source } : { reason: removal };
-    log.info(MESSAGES[kind], { content, target, ...reason, crashed: targets });
+    const write = kind === CrashChangeKind.Convicted ? log.lifecycle : log.info;
+    write(MESSAGES[kind], { content, target, ...reason, crashed: targets });
   };
 }
--- /dev/null
+++ b/packages/daemon/src/gateway/crash-publisher.ts
@@ -0,0 +1,154 @@
+/**
+ * Publishes the crashes that this gateway knows of: it writes them to the platform's store until it
+ * has them, and tells other gateways while it can't, so that the crash is not forgotten with this
+ * process. Deletes crashes from the store that count no more.
+ */
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  type CrashNote,
+  type Failure,
+  type FleetView,
+  type Random,
+  markCrashesStored,
+  unstoredCrashes,
+  waitAfterFailuresMs,
+} from '@cassiamast/coordination';
+import type { FleetPort } from '@cassiamast/ports';
+import type { Result } from 'neverthrow';
+import type { RpcClient } from '../node/rpc-client.js';
+import { RpcMethod } from '../protocol/methods.js';
+import type { GatewayLog } from './gateway-log.js';
+
+/** Crashes that are seen at the same moment are written together. */
+const BATCH_DELAY_MS = 5;
+/** Maximum number of entries in one write. */
+const MAX_NOTES_PER_WRITE = 32;
+/** A write that is not confirmed within this time is told to other gateways meanwhile. */
+const TELL_AFTER_MS = 150;
+/** Gateways that are told; each of them writes the crash too, or tells others in turn. */
+const PEERS_TOLD = 3;
+const TELL_TIMEOUT_MS = 500;
+const RETRY_BACKOFF = { initialMs: 300, maxMs: 1200 };
+/** Most deletions that wait for the store; the oldest are dropped first. */
+const MAX_DELETIONS = 1024;
+
+/** Dependencies of the publisher. */
+export interface CrashPublisherOptions {
+  readonly fleet: Pick<FleetPort, 'recordCrashes' | 'deleteCrashes'>;
+  /** The view whose crash memory is published. */
+  readonly view: FleetView;
+  readonly rpc: RpcClient;
+  readonly selfId: string;
+  readonly random: Random;
+  readonly nowMs: () => number;
+  readonly log: GatewayLog;
+  readonly count: (name: string) => void;
+}
+
+/** Publishes crashes. */
+export interface CrashPublisher {
+  /** Writes the crashes that the store does not have yet. */
+  readonly publish: () => void;
+  /** Deletes crashes from the store. */
+  readonly forget: (notes: readonly CrashNote[]) => void;
+  /** Writes nothing more. */
+  readonly stop: () => void;
+}
+
+/** Creates the publisher. */
+export function createCrashPublisher(options: CrashPublisherOptions): CrashPublisher {
+  const { fleet, view, rpc, selfId, random, nowMs, log, count } = options;
+  const memory = view.crashes;
+  const deletions = new Map<string, CrashNote>();
+  let isRunning = false;
+  let isStopped = false;
+
+  function start(): void {
+    if (isRunning || isStopped || !hasWork()) return;
+    isRunning = true;
+    void run().finally(() => {
+      isRunning = false;
+    });
+  }
+
+  async function run(): Promise<void> {
+    await sleep(BATCH_DELAY_MS);
+    let failures = 0;
+    while (hasWork() && !isStopped) {
+      const written = await writeBatch();
+      failures = written.isOk() ? 0 : failures + 1;
+      if (written.isOk()) continue;
+      count('crash_writes_failed_total');
+      if (failures === 1) log.warn('crash notes not written', { cause: written.error.message });
+      await sleep(waitAfterFailuresMs(failures, RETRY_BACKOFF, random));
+    }
+  }
+
+  function hasWork(): boolean {
+    return deletions.size > 0 || unstoredCrashes(memory, nowMs()).length > 0;
+  }
+
+  /** Writes or deletes as much as fits into one write. */
+  function writeBatch(): Promise<Result<null, Failure>> {
+    const notes = unstoredCrashes(memory, nowMs()).slice(0, MAX_NOTES_PER_WRITE);
+    if (notes.length > 0) return record(notes);
+    return deleteStored([...deletions.values()].slice(0, MAX_NOTES_PER_WRITE));
+  }
+
+  async function record(notes: readonly CrashNote[]): Promise<Result<null, Failure>> {
+    const timer = setTimeout(() => {
+      tellPeers(notes);
+    }, TELL_AFTER_MS);
+    const written = await fleet.recordCrashes(notes);
+    clearTimeout(timer);
+    // A content may have been cleared while its crashes were written.
+    if (written.isOk()) forget(markCrashesStored(memory, notes));
+    else tellPeers(notes);
+    return written;
+  }
+
+  async function deleteStored(notes: readonly CrashNote[]): Promise<Result<null, Failure>> {
+    const deleted = await fleet.deleteCrashes(notes);
+    if (deleted.isOk()) for (const note of notes) deletions.delete(keyOf(note));
+    return deleted;
+  }
+
+  /** Tells some other gateways, which keep the crashes if this process ends before it can write them. */
+  function tellPeers(notes: readonly CrashNote[]): void {
+    const others = [...view.gateways.keys()].filter((id) => id !== selfId);
+    for (let told = 0; told < PEERS_TOLD && others.length > 0; told += 1) {
+      const [peer = ''] = others.splice(Math.floor(random() * others.length), 1);
+      void tell(peer, notes);
+    }
+  }
+
+  async function tell(peer: string, notes: readonly CrashNote[]): Promise<void> {
+    const told = await rpc.call(peer, RpcMethod.CrashesTell, [notes], {
+      timeoutMs: TELL_TIMEOUT_MS,
+    });
+    count(told.isOk() ? 'crash_peers_told_total' : 'crash_peers_unreached_total');
+  }
+
+  function forget(notes: readonly CrashNote[]): void {
+    for (const note of notes) {
+      deletions.set(keyOf(note), note);
+      const oldest = deletions.keys().next().value;
+      if (deletions.size <= MAX_DELETIONS || oldest === undefined) continue;
+      deletions.delete(oldest);
+      count('crash_deletions_lost_total');
+    }
+    start();
+  }
+
+  return {
+    publish: start,
+    forget,
+    stop: () => {
+      isStopped = true;
+    },
+  };
+}
+
+function keyOf({ content, target }: CrashNote): string {
+  return `${content}/${target}`;
+}
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -8,7 +8,6 @@
   CrashChangeKind,
   type CrashNote,
   CrashSource,
-  type FleetView,
   type OnCrashChange,
   type TargetEntry,
   TargetTransition,
@@ -20,22 +19,17 @@
   isConvictedContent,
   addCrash,
 } from '@cassiamast/coordination';
-import type { FleetPort } from '@cassiamast/ports';
 import type { IsReachable } from '../node/reachable.js';
 import { createPeriodic } from '../node/timers.js';
 import type { Child } from '../supervisor/supervisor.js';
+import { type CrashPublisherOptions, createCrashPublisher } from './crash-publisher.js';
 import { createCrashSuspicions } from './crash-suspicions.js';
 import { type Exchange, callerLeft } from './exchange.js';
-import type { GatewayLog } from './gateway-log.js';
 import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
 /** Retry-after time of a request that crashes targets. */
 export const CRASHING_RETRY_MS = 30_000;
-/** Crashes that are found at the same moment are written together. */
-const BATCH_DELAY_MS = 5;
-/** Maximum number of entries in one write. */
-const MAX_NOTES_PER_WRITE = 32;
 /** Most contents remembered as rejected; beyond it, first rejections are logged again. */
 const MAX_REJECTED_CONTENTS = 256;
 /** Interval at which suspicions are decided. */
@@ -46,17 +40,11 @@
 const CONTENT_HASH_DIGITS = 24;
 
 /** Dependencies of the crash reports. */
-export interface CrashReportsOptions {
-  readonly selfId: string;
-  readonly fleet: FleetPort;
-  readonly view: FleetView;
+export interface CrashReportsOptions extends CrashPublisherOptions {
   readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
   readonly isReachable: IsReachable;
   /** Whether a target has announced that it is shutting down. */
   readonly isLeaving: (target: string) => boolean;
-  readonly nowMs: () => number;
-  readonly log: GatewayLog;
-  readonly count: (name: string) => void;
 }
 
 /** Records crashes, shares them with other gateways and answers which requests they rule out. */
@@ -79,10 +67,14 @@
   readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
+  /** Records crashes that another gateway could not write to the store. */
+  readonly receiveCrashes: (notes: readonly CrashNote[]) => void;
   /** Must be called with each change of the view's crash memory. */
   readonly noteChange: OnCrashChange;
   /** Decide the suspicions whose time is over, and remove crashes that count no more. */
   readonly children: readonly Child[];
+  /** Writes nothing more. */
+  readonly stop: () => void;
 }
 
 /** Records what the end of one attempt says about its target and its content. */
@@ -110,19 +102,17 @@
 
 /** Creates the crash reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { selfId, fleet, view, isLeaving, nowMs, log, count } = options;
+  const { selfId, view, isLeaving, nowMs, log, count } = options;
   /** Contents of which a request was rejected. */
   const rejected = new Set<string>();
-  let unwritten: CrashNote[] = [];
-  let timer: NodeJS.Timeout | null = null;
+  const publisher = createCrashPublisher(options);
   const suspicions = createCrashSuspicions({ ...options, onCrash: recordCrash });
 
   function recordCrash(note: CrashNote, reason: string): void {
     count('crashes_found_total');
     log.info('crash found', { ...note, reason });
     addCrash(view.crashes, note, CrashSource.Observed, nowMs());
-    unwritten.push(note);
-    timer ??= setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
+    publisher.publish();
   }
 
   /** Removes the crashes that count no more, and those beyond the bounds of the memory. */
@@ -131,7 +121,8 @@
     const lives = (target: string): number | null => livesSinceMs(view, target, now);
     const outdated = [...refuteCrashes(view.crashes, lives, now), ...evictCrashes(view.crashes)];
     // One gateway deletes for all; the others would only repeat its call.
-    if (outdated.length > 0 && isLongestAnnounced()) void forgetNotes(outdated);
+    if (isLongestAnnounced()) publisher.forget(outdated);
+    publisher.publish();
   }
 
   /** Returns whether no gateway has been announced for longer than this one. */
@@ -166,32 +157,6 @@
     write('request rejected, it crashes targets', { request: id, content, crashed });
   }
 
-  async function writeNotes(): Promise<void> {
-    timer = null;
-    const notes = unwritten.slice(0, MAX_NOTES_PER_WRITE);
-    unwritten = unwritten.slice(MAX_NOTES_PER_WRITE);
-    if (unwritten.length > 0) timer = setTimeout(() => void writeNotes(), BATCH_DELAY_MS);
-    const written = await fleet.recordCrashes(notes);
-    // The local record remains. Other gateways miss the note, which costs a few more crashes at
-    // most.
-    if (written.isErr()) {
-      count('crash_notes_lost_total');
-      log.warn('crash notes not written', { notes: notes.length, cause: written.error.message });
-    }
-  }
-
-  /**
-   * Deletes the notes about a content that has run to completion. Otherwise other gateways would
-   * keep refusing it, and the answer to a caller would depend on the gateway it reached.
-   */
-  async function forgetNotes(notes: readonly CrashNote[]): Promise<void> {
-    for (let from = 0; from < notes.length; from += MAX_NOTES_PER_WRITE) {
-      const forgotten = await fleet.deleteCrashes(notes.slice(from, from + MAX_NOTES_PER_WRITE));
-      if (forgotten.isOk()) continue;
-      log.warn('crash notes not deleted', { cause: forgotten.error.message });
-    }
-  }
-
   return {
     recordUnanswered: (exchange, target, outcome) => {
       const end = suspiciousEnd(exchange, outcome);
@@ -222,7 +187,7 @@
         detail,
         crashed,
       });
-      void forgetNotes(notes);
+      publisher.forget(notes);
     },
     rejects: (exchange) => {
       if (view.crashes.crashesByContent.size === 0) return false;
@@ -233,14 +198,18 @@
       logRejection(exchange, content, crashed);
       return true;
     },
+    receiveCrashes: (notes) => {
+      for (const note of notes) addCrash(view.crashes, note, CrashSource.Peer, nowMs());
+    },
     noteChange: ({ kind, source, content, target }) => {
       const isExcused = kind === CrashChangeKind.Excused && source === CrashSource.Store;
-      if (isExcused) void forgetNotes([{ content, target }]);
+      if (isExcused) publisher.forget([{ content, target }]);
     },
     children: [
       createPeriodic('crash-suspicions', () => TICK_MS, suspicions.tick),
       createPeriodic('crash-clean-up', () => CLEAN_UP_MS, cleanUp),
     ],
+    stop: publisher.stop,
   };
 }
 
--- a/packages/daemon/src/gateway/member-handlers.ts
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -1,7 +1,8 @@
 /** Handlers of RPC methods that other gateways call. Converts the parameters to typed values. */
-import type { JobEvent } from '@cassiamast/coordination';
+import type { CrashNote, JobEvent } from '@cassiamast/coordination';
 import type { ControlServerOptions } from '../node/control-server.js';
 import { RpcMethod } from '../protocol/methods.js';
+import type { CrashReports } from './crash-reports.js';
 import { ANNOUNCED_SINCE, type SchedulingClient } from './scheduling-client.js';
 import type { JobRequest, SchedulingService } from './scheduling-service.js';
 import type { TargetLimits } from './target-limits.js';
@@ -11,6 +12,7 @@
   schedulers: SchedulingService,
   scheduling: SchedulingClient,
   limits: TargetLimits,
+  crashes: Pick<CrashReports, 'receiveCrashes'>,
 ): ControlServerOptions['handlers'] {
   return {
     [RpcMethod.ScheduleTake]: (params) => {
@@ -43,5 +45,10 @@
       const [target, reports, from] = params as Parameters<TargetLimits['onTake']>;
       return limits.onTake(target, reports, from);
     },
+    [RpcMethod.CrashesTell]: (params) => {
+      const [notes] = params as [readonly CrashNote[]];
+      crashes.receiveCrashes(notes);
+      return null;
+    },
   };
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -222,6 +222,8 @@
     selfId,
     fleet,
     view,
+    rpc,
+    random,
     pulse,
     isReachable,
     isLeaving: availability.isLeaving,
@@ -311,7 +313,7 @@
         allows: allowNetworks(settings.memberNetworks),
         proof,
         clock: timeline.clock,
-        handlers: createMemberHandlers(schedulers, scheduling, limits),
+        handlers: createMemberHandlers(schedulers, scheduling, limits, crashes),
         streams: {},
         metricsText: telemetry.metricsText,
       }),
@@ -351,6 +353,7 @@
   async function close(): Promise<void> {
     await scheduling.flushReports();
     schedulers.stop();
+    crashes.stop();
     await root.stop();
     await Promise.all([rpc.close(), transport.close(), fleet.close()]);
   }
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -36,6 +36,7 @@
   LimitsBorrow = 'limits.borrow',
   LimitsTell = 'limits.tell',
   LimitsTake = 'limits.take',
+  CrashesTell = 'crashes.tell',
 }
 
 /** HTTP path of calls with a single response. */
--- /dev/null
+++ b/packages/daemon/test/gateway/crash-publisher.test.ts
@@ -0,0 +1,148 @@
+/** Publishes crashes through a store that fails, and through other gateways meanwhile. */
+import assert from 'node:assert/strict';
+import { beforeEach, describe, it } from 'node:test';
+import { setTimeout as sleep } from 'node:timers/promises';
+import {
+  type CrashNote,
+  CrashSource,
+  type Failure,
+  type FleetView,
+  addCrash,
+  createFleetView,
+  markContentHarmless,
+  seededRandom,
+} from '@cassiamast/coordination';
+import { KEY_VALUE_UNREACHABLE } from '@cassiamast/ports';
+import { type ResultAsync, errAsync, okAsync } from 'neverthrow';
+import { type CrashPublisher, createCrashPublisher } from '../../src/gateway/crash-publisher.js';
+import type { RpcClient } from '../../src/node/rpc-client.js';
+
+const SELF = '10.0.0.1:7000';
+const PEERS = ['10.0.0.2:7000', '10.0.0.3:7000', '10.0.0.4:7000', '10.0.0.5:7000'];
+const SETTLE_MS = 60;
+const NOTE: CrashNote = { content: 'c', target: 't1' };
+
+describe('a publisher of crashes', () => {
+  let view: FleetView;
+  let publisher: CrashPublisher;
+  let isStoreAway: boolean;
+  let writes: (readonly CrashNote[])[];
+  let deletions: (readonly CrashNote[])[];
+  let told: string[];
+  /** Called while a write is on its way. */
+  let whileWriting: () => void;
+
+  function answer(): ResultAsync<null, Failure> {
+    const call = { call: 'write', endpoint: 'store', mayHaveRun: false, detail: 'away' };
+    return isStoreAway ? errAsync(KEY_VALUE_UNREACHABLE.of(call)) : okAsync(null);
+  }
+
+  beforeEach(() => {
+    view = createFleetView();
+    for (const id of [SELF, ...PEERS]) {
+      const entry = { id, failureDomain: 'eros-hall', coreShare: 1, announcedAtRevision: 1 };
+      view.gateways.set(id, entry);
+    }
+    isStoreAway = false;
+    writes = [];
+    deletions = [];
+    told = [];
+    whileWriting = () => undefined;
+    publisher = createCrashPublisher({
+      fleet: {
+        recordCrashes: (notes) => {
+          writes.push(notes);
+          whileWriting();
+          return answer();
+        },
+        deleteCrashes: (notes) => {
+          deletions.push(notes);
+          return answer();
+        },
+      },
+      view,
+      rpc: {
+        call: (peer: string) => {
+          told.push(peer);
+          return okAsync(null);
+        },
+      } as unknown as RpcClient,
+      selfId: SELF,
+      random: seededRandom(1),
+      nowMs: () => performance.now(),
+      log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
+      count: () => undefined,
+    });
+  });
+
+  function noteCrash(note: CrashNote, source = CrashSource.Observed): void {
+    addCrash(view.crashes, note, source, performance.now());
+    publisher.publish();
+  }
+
+  it('writes crashes of the same moment together, and tells nobody', async () => {
+    noteCrash(NOTE);
+    noteCrash({ content: 'c', target: 't2' });
+    await sleep(SETTLE_MS);
+    assert.equal(writes.length, 1);
+    assert.equal(writes[0]?.length, 2);
+    assert.deepEqual(told, []);
+  });
+
+  it('tells some other gateways while it cannot write, and writes later', async () => {
+    isStoreAway = true;
+    noteCrash(NOTE);
+    await sleep(SETTLE_MS);
+    assert.equal(new Set(told).size, 3);
+    assert.ok(!told.includes(SELF));
+    isStoreAway = false;
+    while (writes.length < 2) await sleep(SETTLE_MS);
+    await sleep(SETTLE_MS);
+    assert.deepEqual(writes.at(-1), [NOTE]);
+    assert.equal(writes.length, 2);
+  });
+
+  // Each gateway that was told would write the crash again, at the same time as the one that saw it.
+  it('leaves the writing to the gateway that told it for a while', async () => {
+    noteCrash(NOTE, CrashSource.Peer);
+    await sleep(SETTLE_MS);
+    assert.deepEqual(writes, []);
+    noteCrash(NOTE, CrashSource.Store);
+    await sleep(1100);
+    publisher.publish();
+    await sleep(SETTLE_MS);
+    assert.deepEqual(writes, []);
+  });
+
+  // The note of a crash arrived at the store after the content was cleared, and all gateways rejected
+  // a harmless request.
+  it('deletes a crash whose content was cleared while it was written', async () => {
+    whileWriting = () => {
+      markContentHarmless(view.crashes, 'c', performance.now());
+    };
+    noteCrash(NOTE);
+    await sleep(SETTLE_MS);
+    assert.deepEqual(deletions, [[NOTE]]);
+  });
+
+  it('deletes until the store has done it', async () => {
+    isStoreAway = true;
+    publisher.forget([NOTE]);
+    await sleep(SETTLE_MS);
+    isStoreAway = false;
+    while (deletions.length < 2) await sleep(SETTLE_MS);
+    await sleep(SETTLE_MS);
+    assert.equal(deletions.length, 2);
+  });
+
+  it('writes no more than the store takes at once', async () => {
+    for (let number = 0; number < 40; number += 1) {
+      noteCrash({ content: String(number), target: 't1' });
+    }
+    await sleep(SETTLE_MS);
+    assert.deepEqual(
+      writes.map(({ length }) => length),
+      [32, 8],
+    );
+  });
+});
