Decide suspicions by the entries of targets, too

Cause: made suspicions ready for entries that disappear and for starts that replace others, but nothing told them of either.

Evidence: abandoned-crashes.test.ts, a request whose callers leave while its targets still live, and whose targets are lost a second later, fails without this commit.

Change: the transitions of the view reach the crash reports.

--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -123,11 +123,18 @@
   );
   const fleet = countStoreCalls(platform.fleet, telemetry.count);
   const random = seededRandom(randomInt(MAX_SEED));
+  const logTransition = logTargetTransitions(log, telemetry.count);
   const logCrashChange = logCrashChanges(log, telemetry.count);
-  const view = createFleetView(logTargetTransitions(log, telemetry.count), (change) => {
-    logCrashChange(change);
-    crashes.noteChange(change);
-  });
+  const view = createFleetView(
+    (transition, target, revision) => {
+      logTransition(transition, target, revision);
+      crashes.noteTransition(transition, target);
+    },
+    (change) => {
+      logCrashChange(change);
+      crashes.noteChange(change);
+    },
+  );
   const proof = createMemberProof(MEMBER_SECRET);
   const rpc = createRpcClient(proof, timeline.clock);
   const standstill = createStallWatch(monotonicMs, (forMs) => {
