Stop requests in flight when their content turns out to crash targets

Callers would see a target crash by a request that all gateways reject already.

Cause: whether a content crashes targets was looked at once, when the request had been read. One that waited for an engine or took another turn was sent on.

Change: a conviction ends the requests in flight with that content: 503 if they can't have run, else 502. The hash of a content is computed once a request.

--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -2,7 +2,6 @@
  * Reports requests during which a target's connection broke to all gateways, through the platform's
  * store, and determines which requests must not run again because they probably crash targets.
  */
-import { createHash } from 'node:crypto';
 import {
   AttemptEnd,
   CrashChangeKind,
@@ -28,16 +27,12 @@
 import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
-/** Retry-after time of a request that crashes targets. */
-export const CRASHING_RETRY_MS = 30_000;
 /** Most contents remembered as rejected; beyond it, first rejections are logged again. */
 const MAX_REJECTED_CONTENTS = 256;
 /** Interval at which suspicions are decided. */
 const TICK_MS = 250;
 /** Interval at which crashes that count no more are removed. */
 const CLEAN_UP_MS = 1000;
-/** Digits kept of a content's hex hash, enough that no two requests of a day collide. */
-const CONTENT_HASH_DIGITS = 24;
 
 /** Dependencies of the crash reports. */
 export interface CrashReportsOptions extends CrashPublisherOptions {
@@ -161,7 +156,7 @@
     recordUnanswered: (exchange, target, outcome) => {
       const end = suspiciousEnd(exchange, outcome);
       if (end === null) return;
-      const content = contentOf(exchange);
+      const content = exchange.content();
       const isNew = suspicions.suspect(content, target, end);
       if (isNew && end !== AttemptEnd.Abandoned) {
         logSuspicion(exchange, content, target, outcome);
@@ -175,7 +170,7 @@
     },
     noteAnswer: suspicions.noteAnswer,
     recordCompletion: (exchange, target, { detail }) => {
-      const content = contentOf(exchange);
+      const content = exchange.content();
       const notes = markContentHarmless(view.crashes, content, nowMs());
       if (notes.length === 0) return;
       const crashed = notes.map((note) => note.target);
@@ -191,7 +186,7 @@
     },
     rejects: (exchange) => {
       if (view.crashes.crashesByContent.size === 0) return false;
-      const content = contentOf(exchange);
+      const content = exchange.content();
       if (!isConvictedContent(view.crashes, content)) return false;
       const crashed = crashesOf(view.crashes, content).map(({ target }) => target);
       count('requests_convicted_total');
@@ -212,12 +207,3 @@
     stop: publisher.stop,
   };
 }
-
-/**
- * Returns a hash that identifies a request's content. It covers nothing of the caller: a caller sends
- * the same request from several addresses, and the crashes of each must count together.
- */
-function contentOf({ route, method, path, body }: Exchange): string {
-  const hash = createHash('sha256').update(`${route.host}\n${method}\n${path}\n`);
-  return hash.update(body).digest('hex').slice(0, CONTENT_HASH_DIGITS);
-}
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -18,12 +18,16 @@
   /** Alternating header names and values, as the caller sent them. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** Returns a hash of what the request asks a target to run. */
+  readonly content: () => string;
   readonly receivedAtMs: number;
   /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
   readonly endsAtMs: number;
   readonly response: ServerResponse;
-  /** Aborted when the caller disconnects or the deadline passes. */
+  /** Aborted when the caller disconnects, the deadline passes or the request must not run any more. */
   readonly signal: AbortSignal;
+  /** Whether the request must not run any more because it crashes targets. */
+  isConvicted: boolean;
   /** Whether a target may have run the request. If so, it must not be rejected as not run. */
   mayHaveRun: boolean;
   /** Number of times that the request was sent to a target. */
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -19,11 +19,11 @@
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
-import { CRASHING_RETRY_MS } from './crash-reports.js';
 import { type Exchange, replaceRetries } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
-import { OwnStatus, sendOwnAnswer } from './own-answer.js';
+import { OwnStatus, convictedAnswer, sendOwnAnswer } from './own-answer.js';
 import { forwardPlain } from './plain-forwarding.js';
+import { lazyContentHash } from './request-content.js';
 import { forwardStream } from './stream-forwarding.js';
 
 /** Larger than any header limit that operators set; the callers' side enforces their limits. */
@@ -44,7 +44,6 @@
  */
 const EXCHANGE_ENDED = new Error('the caller left, was answered, or its time is over');
 const GATEWAY_STOPS_REASON = 'the gateway stops';
-const CRASHES_TARGETS_REASON = 'each target that ran this request broke off';
 /** Interval at which Node checks connections for slow requests. */
 const CONNECTION_CHECK_MS = 1000;
 const SERVER_OPTIONS: ServerOptions = {
@@ -73,6 +72,8 @@
   readonly refuseAll: () => void;
   /** Ends all requests in flight as if their deadlines had passed, with the matching answers. */
   readonly endAll: () => void;
+  /** Ends the requests in flight with a content that crashes targets. */
+  readonly stopConvicted: (content: string) => void;
   /** Closes the server; resolves with the number of requests that were aborted. */
   readonly close: (options: CloseOptions) => Promise<number>;
 }
@@ -81,8 +82,15 @@
 interface Admission {
   /** Requests with a later deadline are rejected; a time in the past rejects all requests. */
   acceptedUntilMs: number;
-  /** A function for each request in flight that ends it with the matching failure answer. */
-  readonly running: Set<() => void>;
+  readonly running: Set<RunningRequest>;
+}
+
+/** A request in flight. */
+interface RunningRequest {
+  /** Ends it with the matching failure answer. */
+  readonly end: () => void;
+  /** Null until the request has been read completely. */
+  readonly exchange: Exchange | null;
 }
 
 /** Creates the server. */
@@ -134,7 +142,20 @@
       admission.acceptedUntilMs = -Infinity;
     },
     endAll: () => {
-      for (const end of [...admission.running]) end();
+      for (const { end } of [...admission.running]) end();
+    },
+    stopConvicted: (content) => {
+      for (const { exchange, end } of [...admission.running]) {
+        if (exchange?.content() !== content) continue;
+        exchange.isConvicted = true;
+        services.count('requests_convicted_total');
+        services.log.warn('request stopped, it crashes targets', {
+          request: exchange.id,
+          content,
+          sends: exchange.sends,
+        });
+        end();
+      }
     },
     close,
   };
@@ -189,7 +210,8 @@
     return;
   }
   if (services.crashes.rejects(exchange)) {
-    refuse(response, services, OwnStatus.Refused, CRASHES_TARGETS_REASON, CRASHING_RETRY_MS);
+    const answer = convictedAnswer(exchange);
+    refuse(response, services, answer.status, answer.reason, answer.retryAfterMs);
     return;
   }
   await forward(exchange, services);
@@ -200,15 +222,16 @@
   request: IncomingMessage,
   response: ServerResponse,
   services: ForwardingServices,
-  { running }: Admission,
+  admission: Admission,
   maxBytes: number,
 ): ReturnType<typeof readBody> {
   const end = (): void => {
     refuse(response, services, OwnStatus.Refused, GATEWAY_STOPS_REASON, STOPPING_RETRY_MS);
   };
-  running.add(end);
+  const running: RunningRequest = { end, exchange: null };
+  admission.running.add(running);
   const body = await readBody(request, maxBytes);
-  running.delete(end);
+  admission.running.delete(running);
   return body;
 }
 
@@ -230,7 +253,7 @@
   body: Buffer,
   receivedAtMs: number,
   services: ForwardingServices,
-  { running }: Admission,
+  admission: Admission,
 ): Exchange | null {
   const path = request.url ?? '/';
   const route = findRoute(table, request.headers.host ?? '', path);
@@ -243,29 +266,23 @@
   const end = (): void => {
     abortController.abort(EXCHANGE_ENDED);
   };
-  running.add(end);
-  const timer = setTimeout(() => {
-    services.standstill.whenCaughtUp(end);
-  }, endsAtMs - services.nowMs());
-  response.once('close', () => {
-    clearTimeout(timer);
-    running.delete(end);
-    end();
-  });
-  return {
+  const method = request.method ?? 'GET';
+  const exchange: Exchange = {
     id,
     head,
     route,
     service: chooseService(route, services.hash32(id)),
     caller: request.socket.remoteAddress ?? '',
-    method: request.method ?? 'GET',
+    method,
     path,
     rawHeaders: request.rawHeaders,
     body,
+    content: lazyContentHash({ host: route.host, method, path, body }),
     receivedAtMs,
     endsAtMs,
     response,
     signal: abortController.signal,
+    isConvicted: false,
     mayHaveRun: false,
     sends: 0,
     prefills: 0,
@@ -274,6 +291,17 @@
     firstEventMs: null,
     lastTarget: '',
   };
+  const running: RunningRequest = { end, exchange };
+  admission.running.add(running);
+  const timer = setTimeout(() => {
+    services.standstill.whenCaughtUp(end);
+  }, endsAtMs - services.nowMs());
+  response.once('close', () => {
+    clearTimeout(timer);
+    admission.running.delete(running);
+    end();
+  });
+  return exchange;
 }
 
 async function forward(exchange: Exchange, services: ForwardingServices): Promise<void> {
--- a/packages/daemon/src/gateway/own-answer.ts
+++ b/packages/daemon/src/gateway/own-answer.ts
@@ -7,6 +7,10 @@
 import type { CallerWire, GatewayResponse } from '@cassiamast/ports';
 import type { Exchange } from './exchange.js';
 
+const CRASHES_TARGETS_REASON = 'each target that ran this request broke off';
+/** Retry-after time of a request that crashes targets. */
+const CRASHING_RETRY_MS = 30_000;
+
 /** Status codes of the gateway's own answers. */
 export enum OwnStatus {
   NoRoute = 404,
@@ -37,7 +41,16 @@
 }
 
 /** Returns the status for a request that can't be served, depending on whether it may have run. */
-export function failureStatus(exchange: Exchange, timedOut: boolean): OwnStatus {
-  if (!exchange.mayHaveRun) return OwnStatus.Refused;
-  return timedOut ? OwnStatus.TimedOut : OwnStatus.BadGateway;
+export function failureStatus({ mayHaveRun, isConvicted, signal }: Exchange): OwnStatus {
+  if (!mayHaveRun) return OwnStatus.Refused;
+  return signal.aborted && !isConvicted ? OwnStatus.TimedOut : OwnStatus.BadGateway;
+}
+
+/** Returns the answer to a request that crashes targets. */
+export function convictedAnswer(exchange: Exchange): GatewayResponse {
+  return {
+    status: failureStatus(exchange),
+    reason: CRASHES_TARGETS_REASON,
+    retryAfterMs: exchange.mayHaveRun ? null : CRASHING_RETRY_MS,
+  };
 }
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -8,7 +8,7 @@
 import { recordCrashOutcome } from './crash-reports.js';
 import { type Exchange, replaceRetries, retriesOf } from './exchange.js';
 import { type BufferedAnswer, bufferAnswer } from './buffered-answer.js';
-import { failureStatus, sendOwnAnswer } from './own-answer.js';
+import { convictedAnswer, failureStatus, sendOwnAnswer } from './own-answer.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 
 /** An idempotent request is retried elsewhere after this multiple of its route's target latency. */
@@ -220,7 +220,11 @@
     response.destroy();
     return;
   }
-  const status = failureStatus(exchange, exchange.signal.aborted);
+  if (exchange.isConvicted) {
+    sendOwnAnswer(response, services.wire, convictedAnswer(exchange));
+    return;
+  }
+  const status = failureStatus(exchange);
   const isRefusal = !exchange.mayHaveRun;
   const retryAfterMs = isRefusal ? computeRetryAfterMs(services, service, limited) : null;
   if (isRefusal && limited.size > 0) logLimited(exchange, services, limited, retryAfterMs);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type ClockReading,
+  CrashChangeKind,
   type Failure,
   createElapsedClock,
   createFleetView,
@@ -133,6 +134,7 @@
     (change) => {
       logCrashChange(change);
       crashes.noteChange(change);
+      if (change.kind === CrashChangeKind.Convicted) front.stopConvicted(change.content);
     },
   );
   const proof = createMemberProof(MEMBER_SECRET);
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -19,7 +19,7 @@
   newsAgeMs,
   unavailableBecause,
 } from './forwarding-services.js';
-import { failureStatus, sendOwnAnswer } from './own-answer.js';
+import { convictedAnswer, failureStatus, sendOwnAnswer } from './own-answer.js';
 import { createStreamRelay } from './stream-relay.js';
 import { freeHandle, requestPrefill, requestStream } from './engine-requests.js';
 import { type Turn, TurnEnd, report } from './stream-turn.js';
@@ -188,7 +188,11 @@
     response.destroy();
     return;
   }
-  const status = failureStatus(exchange, exchange.signal.aborted);
+  if (exchange.isConvicted) {
+    sendOwnAnswer(response, services.wire, convictedAnswer(exchange));
+    return;
+  }
+  const status = failureStatus(exchange);
   const answer = { status, reason, retryAfterMs: exchange.mayHaveRun ? null : retryAfterMs };
   sendOwnAnswer(response, services.wire, answer);
 }
--- a/packages/daemon/test/gateway/graceful-stop.test.ts
+++ b/packages/daemon/test/gateway/graceful-stop.test.ts
@@ -32,6 +32,7 @@
       return 0;
     },
     received: () => 0,
+    stopConvicted: () => undefined,
     applyLimits: () => undefined,
     disableKeepAlive: () => steps.push('disable keep-alive'),
     acceptOnlyUntil: () => steps.push('limit'),
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -167,6 +167,8 @@
     response: response as unknown as ServerResponse,
     signal: new AbortController().signal,
     mayHaveRun: false,
+    isConvicted: false,
+    content: () => 'content',
     sends: 0,
     prefills: 0,
     retries: null,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -85,6 +85,8 @@
   endsAtMs: 1000,
   signal: new AbortController().signal,
   mayHaveRun: false,
+  isConvicted: false,
+  content: () => 'content',
   sends: 0,
   prefills: 0,
   retries: null,
