Forget a crash that was deleted before its write was answered

A gateway could go on rejecting a content that all others had cleared.

Cause: when the answer to a write arrived, the gateway marked the crash as stored, although it might already have read past that revision and another gateway might have deleted the crash. Nothing told it of the deletion again.

Evidence: the fuzzing world of crashes, guarded: at the end of a run, one gateway counted a crash that the store did not have (forgets-what-is-deleted).

Change: the store's answer to a write carries its revision. A crash that is not there although the gateway has read up to that revision is forgotten.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -204,16 +204,25 @@
   return notes;
 }
 
-/** Records that the store has these crashes; returns those that do not count any more. */
+/**
+ * Records that the store had these crashes at a revision. Returns those that do not count any more
+ * and have to be deleted.
+ *
+ * @param readRevision - Revision up to which this gateway has read the store. A crash that was not
+ * there then, although it had been written, was deleted meanwhile.
+ */
 export function markCrashesStored(
   memory: CrashMemory,
   notes: readonly CrashNote[],
 ): readonly CrashNote[] {
-  return notes.filter(({ content, target }) => {
-    const known = memory.crashesByContent.get(content)?.get(target);
-    if (known !== undefined) known.isStored = true;
-    return known === undefined;
-  });
+  const outdated: CrashNote[] = [];
+  for (const note of notes) {
+    const known = memory.crashesByContent.get(note.content)?.get(note.target);
+    if (known === undefined) outdated.push(note);
+    else if (known.isStored || revision > readRevision) known.isStored = true;
+    else removeCrash(memory, note, CrashRemoval.Store);
+  }
+  return outdated;
 }
 
 /**
@@ -238,6 +247,8 @@
   memory: CrashMemory,
   livesSinceMs: (target: string) => number | null,
   nowMs: number,
+  revision: number,
+  readRevision: number,
 ): readonly CrashNote[] {
   const refuted: CrashNote[] = [];
   for (const [content, crashes] of memory.crashesByContent) {
--- a/packages/daemon/src/gateway/crash-publisher.ts
+++ b/packages/daemon/src/gateway/crash-publisher.ts
@@ -14,7 +14,7 @@
   waitAfterFailuresMs,
 } from '@cassiamast/coordination';
 import type { FleetPort } from '@cassiamast/ports';
-import type { Result } from 'neverthrow';
+import { type Result, err, ok } from 'neverthrow';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { GatewayLog } from './gateway-log.js';
@@ -102,9 +102,12 @@
     const written = await fleet.recordCrashes(notes);
     clearTimeout(timer);
     // A content may have been cleared while its crashes were written.
-    if (written.isOk()) forget(markCrashesStored(memory, notes));
-    else tellPeers(notes);
-    return written;
+    if (written.isOk()) {
+      forget(markCrashesStored(memory, notes, written.value, view.revision));
+      return ok(null);
+    }
+    tellPeers(notes);
+    return err(written.error);
   }
 
   async function deleteStored(notes: readonly CrashNote[]): Promise<Result<null, Failure>> {
@@ -130,6 +133,7 @@
   }
 
   function forget(notes: readonly CrashNote[]): void {
+    if (notes.length === 0) return;
     for (const note of notes) {
       deletions.set(keyOf(note), note);
       const oldest = deletions.keys().next().value;
--- a/packages/daemon/test/gateway/crash-publisher.test.ts
+++ b/packages/daemon/test/gateway/crash-publisher.test.ts
@@ -1,6 +1,6 @@
 /** Publishes crashes through a store that fails, and through other gateways meanwhile. */
 import assert from 'node:assert/strict';
-import { beforeEach, describe, it } from 'node:test';
+import { afterEach, beforeEach, describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type CrashNote,
@@ -20,6 +20,7 @@
 const SELF = '10.0.0.1:7000';
 const PEERS = ['10.0.0.2:7000', '10.0.0.3:7000', '10.0.0.4:7000', '10.0.0.5:7000'];
 const SETTLE_MS = 60;
+const WRITE_REVISION = 7;
 const NOTE: CrashNote = { content: 'c', target: 't1' };
 
 describe('a publisher of crashes', () => {
@@ -32,9 +33,9 @@
   /** Called while a write is on its way. */
   let whileWriting: () => void;
 
-  function answer(): ResultAsync<null, Failure> {
+  function answer<Answer>(value: Answer): ResultAsync<Answer, Failure> {
     const call = { call: 'write', endpoint: 'store', mayHaveRun: false, detail: 'away' };
-    return isStoreAway ? errAsync(KEY_VALUE_UNREACHABLE.of(call)) : okAsync(null);
+    return isStoreAway ? errAsync(KEY_VALUE_UNREACHABLE.of(call)) : okAsync(value);
   }
 
   beforeEach(() => {
@@ -53,11 +54,11 @@
         recordCrashes: (notes) => {
           writes.push(notes);
           whileWriting();
-          return answer();
+          return answer(WRITE_REVISION);
         },
         deleteCrashes: (notes) => {
           deletions.push(notes);
-          return answer();
+          return answer(null);
         },
       },
       view,
@@ -75,6 +76,10 @@
     });
   });
 
+  afterEach(() => {
+    publisher.stop();
+  });
+
   function noteCrash(note: CrashNote, source = CrashSource.Observed): void {
     addCrash(view.crashes, note, source, performance.now());
     publisher.publish();
@@ -125,6 +130,18 @@
     assert.deepEqual(deletions, [[NOTE]]);
   });
 
+  // Another gateway cleared the content between the write and its answer, and this one had read that
+  // in a new listing. It went on rejecting the content for good.
+  it('forgets a crash that was deleted before its write was answered', async () => {
+    whileWriting = () => {
+      view.revision = WRITE_REVISION + 1;
+    };
+    noteCrash(NOTE);
+    await sleep(SETTLE_MS);
+    assert.equal(view.crashes.crashesByContent.size, 0);
+    assert.deepEqual(deletions, []);
+  });
+
   it('deletes until the store has done it', async () => {
     isStoreAway = true;
     publisher.forget([NOTE]);
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -33,8 +33,11 @@
   ) => ResultAsync<FleetChangeBatch, Failure>;
   /** Registers this gateway until the lease expires. */
   readonly announce: (gateway: GatewayEntry, leaseId: string) => ResultAsync<null, Failure>;
-  /** Publishes crash notes to all gateways until they are deleted. */
-  readonly recordCrashes: (crashes: readonly CrashNote[]) => ResultAsync<null, Failure>;
+  /**
+   * Publishes crash notes to all gateways until they are deleted. Returns the revision at which the
+   * store has them.
+   */
+  readonly recordCrashes: (crashes: readonly CrashNote[]) => ResultAsync<number, Failure>;
   /** Deletes published crash notes. */
   readonly deleteCrashes: (crashes: readonly CrashNote[]) => ResultAsync<null, Failure>;
   readonly close: () => Promise<void>;
