Tell other gateways of an unwritten crash again, less and less often

Cause: three gateways were told of a crash at each failed write. In an outage of ten minutes, that was a thousand calls a crash; were they told only once, all of them might have ended since.

Change: they are told again after pauses that double up to ten seconds.

--- a/packages/daemon/src/gateway/crash-publisher.ts
+++ b/packages/daemon/src/gateway/crash-publisher.ts
@@ -25,8 +25,10 @@
 const MAX_NOTES_PER_WRITE = 32;
 /** A write that is not confirmed within this time is told to other gateways meanwhile. */
 const TELL_AFTER_MS = 150;
-/** Gateways that are told; each of them writes the crash too, or tells others in turn. */
+/** Gateways that are told at once; each of them writes the crash too, or tells others in turn. */
 const PEERS_TOLD = 3;
+/** Pause until others are told of a crash again, which doubles: those that were told may have ended. */
+const TELL_AGAIN = { initialMs: 300, maxMs: 10_000 };
 const TELL_TIMEOUT_MS = 500;
 const RETRY_BACKOFF = { initialMs: 300, maxMs: 1200 };
 /** Most deletions that wait for the store; the oldest are dropped first. */
@@ -60,6 +62,8 @@
   const { fleet, view, rpc, selfId, random, nowMs, log, count } = options;
   const memory = view.crashes;
   const deletions = new Map<string, CrashNote>();
+  /** When others are told of a crash again, by its key; for crashes that are not written yet. */
+  const tellAgain = new Map<string, { readonly pauseMs: number; readonly atMs: number }>();
   let isRunning = false;
   let isStopped = false;
 
@@ -103,6 +107,7 @@
     clearTimeout(timer);
     // A content may have been cleared while its crashes were written.
     if (written.isOk()) {
+      for (const note of notes) tellAgain.delete(keyOf(note));
       forget(markCrashesStored(memory, notes, written.value, view.revision));
       return ok(null);
     }
@@ -118,15 +123,27 @@
 
   /** Tells some other gateways, which keep the crashes if this process ends before it can write them. */
   function tellPeers(notes: readonly CrashNote[]): void {
+    const crashes = notes.filter((note) => isTellingDue(keyOf(note)));
+    if (crashes.length === 0) return;
     const others = [...view.gateways.keys()].filter((id) => id !== selfId);
     for (let told = 0; told < PEERS_TOLD && others.length > 0; told += 1) {
       const [peer = ''] = others.splice(Math.floor(random() * others.length), 1);
-      void tell(peer, notes);
+      void tell(peer, crashes);
     }
   }
 
-  async function tell(peer: string, notes: readonly CrashNote[]): Promise<void> {
-    const told = await rpc.call(peer, RpcMethod.CrashesTell, [notes], {
+  /** Returns whether others are to be told of a crash now, and plans when to tell them again. */
+  function isTellingDue(key: string): boolean {
+    const now = nowMs();
+    const planned = tellAgain.get(key) ?? { pauseMs: TELL_AGAIN.initialMs, atMs: now };
+    if (now < planned.atMs) return false;
+    const pauseMs = Math.min(TELL_AGAIN.maxMs, planned.pauseMs * 2);
+    tellAgain.set(key, { pauseMs, atMs: now + planned.pauseMs });
+    return true;
+  }
+
+  async function tell(peer: string, crashes: readonly CrashNote[]): Promise<void> {
+    const told = await rpc.call(peer, RpcMethod.CrashesTell, [crashes], {
       timeoutMs: TELL_TIMEOUT_MS,
     });
     count(told.isOk() ? 'crash_peers_told_total' : 'crash_peers_unreached_total');
--- a/packages/daemon/test/gateway/crash-publisher.test.ts
+++ b/packages/daemon/test/gateway/crash-publisher.test.ts
@@ -107,6 +107,15 @@
     assert.equal(writes.length, 2);
   });
 
+  // Those that were told may have ended meanwhile, but a long outage must not cost a call a second.
+  it('tells others again, less and less often', async () => {
+    isStoreAway = true;
+    noteCrash(NOTE);
+    while (writes.length < 5) await sleep(SETTLE_MS);
+    const rounds = told.length / 3;
+    assert.ok(rounds >= 2 && rounds < writes.length, `told ${String(rounds)} times`);
+  });
+
   // Each gateway that was told would write the crash again, at the same time as the one that saw it.
   it('leaves the writing to the gateway that told it for a while', async () => {
     noteCrash(NOTE, CrashSource.Peer);
