Take an answer of a target as a sign that it did not crash

A harmless content could stay rejected while the store was away.

Cause: a gateway that loses all targets for a moment takes each of them for crashed. Only their entries in the store refuted that, and a note that one gateway had dropped came back from another that it had told.

Evidence: the fuzzing world of crashes, guarded: harmless-is-served, after a gateway was cut off from the targets and the store was away.

Change: an answer to a request that was sent after a crash had been noted refutes that crash. Gateways tell each other how long ago they noted it.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -72,6 +72,10 @@
 export interface CrashMemory {
   /** Crashes by target, by content; the content whose crash was noted last is at the end. */
   readonly crashesByContent: Map<string, Map<string, KnownCrash>>;
+  /** When the last crash of a target was noted; targets without crashes may remain for a while. */
+  readonly notedAtMsByTarget: Map<string, number>;
+  /** When the last request was sent that a target answered. */
+  readonly answeredAtMsByTarget: Map<string, number>;
   /** When a target last ran a content to completion. */
   readonly completedAtMs: Map<string, number>;
   readonly onChange: OnCrashChange;
@@ -95,6 +99,8 @@
  * Entries disappear a few seconds after the last sign of life of their target.
  */
 const SURVIVAL_MS = 10_000;
+/** Most targets whose last answered request is known, far more than a gateway uses in a minute. */
+const MAX_ANSWERING_TARGETS = 1024;
 /** Most contents kept as harmless; the oldest are evicted first. */
 const MAX_HARMLESS_CONTENTS = 1024;
 /**
@@ -106,17 +112,31 @@
 
 /** Creates an empty crash memory. */
 export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
-  return { crashesByContent: new Map(), completedAtMs: new Map(), onChange };
+  return {
+    crashesByContent: new Map(),
+    notedAtMsByTarget: new Map(),
+    answeredAtMsByTarget: new Map(),
+    completedAtMs: new Map(),
+    onChange,
+  };
 }
 
-/** Records a crash. Recording the same crash again has no effect. */
+/**
+ * Records a crash. Recording the same crash again has no effect.
+ *
+ * @param ageMs - How long ago the gateway that tells of the crash noted it. A target that has answered
+ * a request since then has not crashed.
+ */
 export function addCrash(
   memory: CrashMemory,
   note: CrashNote,
   source: CrashSource,
   nowMs: number,
+  ageMs = 0,
 ): void {
   const { content, target } = note;
+  const notedAtMs = nowMs - ageMs;
+  if ((memory.answeredAtMsByTarget.get(target) ?? -Infinity) > notedAtMs) return;
   const isStored = source === CrashSource.Store;
   const crashes = memory.crashesByContent.get(content) ?? new Map<string, KnownCrash>();
   const known = crashes.get(target);
@@ -131,7 +151,8 @@
     return;
   }
   const writeAtMs = nowMs + (source === CrashSource.Peer ? WRITE_FOR_PEER_AFTER_MS : 0);
-  crashes.set(target, { notedAtMs: nowMs, writeAtMs, isStored });
+  crashes.set(target, { notedAtMs, writeAtMs, isStored });
+  memory.notedAtMsByTarget.set(target, notedAtMs);
   memory.crashesByContent.delete(content);
   memory.crashesByContent.set(content, crashes);
   const change = { ...note, source, removal: null, targets: [...crashes.keys()] };
@@ -193,6 +214,15 @@
   return [...targets].map((target) => ({ content, target }));
 }
 
+/** Returns how long ago a crash was noted, wherever that was. */
+export function crashAgeMs(
+  memory: CrashMemory,
+  { content, target }: CrashNote,
+  nowMs: number,
+): number {
+  return nowMs - (memory.crashesByContent.get(content)?.get(target)?.notedAtMs ?? nowMs);
+}
+
 /** Returns the crashes that this gateway must write to the store now, oldest content first. */
 export function unstoredCrashes(memory: CrashMemory, nowMs: number): readonly CrashNote[] {
   const notes: CrashNote[] = [];
@@ -214,6 +244,8 @@
 export function markCrashesStored(
   memory: CrashMemory,
   notes: readonly CrashNote[],
+  revision: number,
+  readRevision: number,
 ): readonly CrashNote[] {
   const outdated: CrashNote[] = [];
   for (const note of notes) {
@@ -247,8 +279,6 @@
   memory: CrashMemory,
   livesSinceMs: (target: string) => number | null,
   nowMs: number,
-  revision: number,
-  readRevision: number,
 ): readonly CrashNote[] {
   const refuted: CrashNote[] = [];
   for (const [content, crashes] of memory.crashesByContent) {
@@ -262,6 +292,33 @@
   return refuted;
 }
 
+/**
+ * Records that a target answered a request; removes and returns its crashes that were noted before
+ * that request was sent: it has not crashed. This tells sooner than the store, and also while the
+ * store is away.
+ */
+export function recordAnswerOf(
+  memory: CrashMemory,
+  target: string,
+  sentAtMs: number,
+): readonly CrashNote[] {
+  const { answeredAtMsByTarget, notedAtMsByTarget } = memory;
+  const answeredAtMs = Math.max(sentAtMs, answeredAtMsByTarget.get(target) ?? -Infinity);
+  answeredAtMsByTarget.delete(target);
+  answeredAtMsByTarget.set(target, answeredAtMs);
+  const oldest = answeredAtMsByTarget.keys().next().value;
+  if (answeredAtMsByTarget.size > MAX_ANSWERING_TARGETS && oldest !== undefined) {
+    answeredAtMsByTarget.delete(oldest);
+  }
+  if ((notedAtMsByTarget.get(target) ?? Infinity) >= sentAtMs) return [];
+  notedAtMsByTarget.delete(target);
+  const refuted = [...memory.crashesByContent]
+    .filter(([, crashes]) => crashes.has(target))
+    .map(([content]) => ({ content, target }));
+  for (const note of refuted) removeCrash(memory, note, CrashRemoval.Refuted);
+  return refuted;
+}
+
 /**
  * Removes and returns the crashes beyond the bounds of the memory: those of the contents whose last
  * crash is the longest ago. Contents that are rejected have a bound of their own, so that crashes of
@@ -283,9 +340,17 @@
     evicted.push(...crashesOf(memory, content));
   }
   for (const note of evicted) removeCrash(memory, note, CrashRemoval.Evicted);
+  forgetTargetsWithoutCrashes(memory);
   return evicted;
 }
 
+function forgetTargetsWithoutCrashes({ crashesByContent, notedAtMsByTarget }: CrashMemory): void {
+  const crashed = new Set([...crashesByContent.values()].flatMap((crashes) => [...crashes.keys()]));
+  for (const target of notedAtMsByTarget.keys()) {
+    if (!crashed.has(target)) notedAtMsByTarget.delete(target);
+  }
+}
+
 function keyOf({ content, target }: CrashNote): string {
   return `${content}/${target}`;
 }
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -16,6 +16,7 @@
   crashesOf,
   evictCrashes,
   refuteCrashes,
+  recordAnswerOf,
   retainListedCrashes,
 } from '../../../src/index.js';
 
@@ -141,6 +142,34 @@
     assert.deepEqual(crashesOf(memory, 'h'), [{ content: 'h', target: 'gone' }]);
   });
 
+  // A gateway lost all targets for a moment and took them for crashed. While the store was away, only
+  // their answers could tell that they were not.
+  it('forgets the crashes of a target that answers a later request', () => {
+    for (const target of ['t1', 't2']) {
+      addCrash(memory, { content: 'h', target }, CrashSource.Observed, NOW_MS);
+    }
+    assert.deepEqual(recordAnswerOf(memory, 't1', NOW_MS), []);
+    const refuted = recordAnswerOf(memory, 't1', NOW_MS + 1);
+    assert.deepEqual(refuted, [{ content: 'h', target: 't1' }]);
+    assert.deepEqual(crashesOf(memory, 'h'), [{ content: 'h', target: 't2' }]);
+  });
+
+  // Gateways told each other of a crash that one of them had refuted, again and again.
+  it('does not count an old crash of a target that has answered since', () => {
+    recordAnswerOf(memory, 't1', NOW_MS);
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Peer, NOW_MS + 100, 200);
+    assert.equal(crashesOf(memory, 'h').length, 0);
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Peer, NOW_MS + 100, 50);
+    assert.equal(crashesOf(memory, 'h').length, 1);
+  });
+
+  it('keeps no targets without crashes', () => {
+    addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Observed, NOW_MS);
+    removeCrash(memory, { content: 'h', target: 't1' }, CrashRemoval.Store);
+    evictCrashes(memory);
+    assert.equal(memory.notedAtMsByTarget.size, 0);
+  });
+
   // The crash of an engine leaves a crash for each content that ran there. They must not push out
   // the contents that are rejected.
   it('keeps a bounded number of suspect contents beside those that are rejected', () => {
--- a/packages/daemon/src/gateway/crash-publisher.ts
+++ b/packages/daemon/src/gateway/crash-publisher.ts
@@ -9,6 +9,7 @@
   type Failure,
   type FleetView,
   type Random,
+  crashAgeMs,
   markCrashesStored,
   unstoredCrashes,
   waitAfterFailuresMs,
@@ -34,6 +35,11 @@
 /** Most deletions that wait for the store; the oldest are dropped first. */
 const MAX_DELETIONS = 1024;
 
+/** A crash as sent between gateways. Times are relative because clocks differ between VMs. */
+export interface ToldCrash extends CrashNote {
+  readonly ageMs: number;
+}
+
 /** Dependencies of the publisher. */
 export interface CrashPublisherOptions {
   readonly fleet: Pick<FleetPort, 'recordCrashes' | 'deleteCrashes'>;
@@ -123,7 +129,9 @@
 
   /** Tells some other gateways, which keep the crashes if this process ends before it can write them. */
   function tellPeers(notes: readonly CrashNote[]): void {
-    const crashes = notes.filter((note) => isTellingDue(keyOf(note)));
+    const crashes = notes
+      .filter((note) => isTellingDue(keyOf(note)))
+      .map((note) => ({ ...note, ageMs: Math.round(crashAgeMs(memory, note, nowMs())) }));
     if (crashes.length === 0) return;
     const others = [...view.gateways.keys()].filter((id) => id !== selfId);
     for (let told = 0; told < PEERS_TOLD && others.length > 0; told += 1) {
@@ -142,7 +150,7 @@
     return true;
   }
 
-  async function tell(peer: string, crashes: readonly CrashNote[]): Promise<void> {
+  async function tell(peer: string, crashes: readonly ToldCrash[]): Promise<void> {
     const told = await rpc.call(peer, RpcMethod.CrashesTell, [crashes], {
       timeoutMs: TELL_TIMEOUT_MS,
     });
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -15,13 +15,18 @@
   livesSinceMs,
   markContentHarmless,
   refuteCrashes,
+  recordAnswerOf,
   isConvictedContent,
   addCrash,
 } from '@cassiamast/coordination';
 import type { IsReachable } from '../node/reachable.js';
 import { createPeriodic } from '../node/timers.js';
 import type { Child } from '../supervisor/supervisor.js';
-import { type CrashPublisherOptions, createCrashPublisher } from './crash-publisher.js';
+import {
+  type CrashPublisherOptions,
+  type ToldCrash,
+  createCrashPublisher,
+} from './crash-publisher.js';
 import { createCrashSuspicions } from './crash-suspicions.js';
 import { type Exchange, callerLeft } from './exchange.js';
 import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
@@ -63,7 +68,7 @@
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
   /** Records crashes that another gateway could not write to the store. */
-  readonly receiveCrashes: (notes: readonly CrashNote[]) => void;
+  readonly receiveCrashes: (crashes: readonly ToldCrash[]) => void;
   /** Must be called with each change of the view's crash memory. */
   readonly noteChange: OnCrashChange;
   /** Decide the suspicions whose time is over, and remove crashes that count no more. */
@@ -168,7 +173,13 @@
       const isGone = transition === TargetTransition.Removed && !target.draining;
       if (isGone && !isLeaving(target.id)) suspicions.noteGone(target);
     },
-    noteAnswer: suspicions.noteAnswer,
+    noteAnswer: (target, ageMs) => {
+      // An answer under a name that several starts share may be from the next start.
+      if (target.bornAtMs !== 0) return;
+      const sentAtMs = nowMs() - ageMs;
+      suspicions.noteAnswer(target.id, sentAtMs);
+      publisher.forget(recordAnswerOf(view.crashes, target.id, sentAtMs));
+    },
     recordCompletion: (exchange, target, { detail }) => {
       const content = exchange.content();
       const notes = markContentHarmless(view.crashes, content, nowMs());
@@ -193,8 +204,10 @@
       logRejection(exchange, content, crashed);
       return true;
     },
-    receiveCrashes: (notes) => {
-      for (const note of notes) addCrash(view.crashes, note, CrashSource.Peer, nowMs());
+    receiveCrashes: (crashes) => {
+      for (const { ageMs, ...note } of crashes) {
+        addCrash(view.crashes, note, CrashSource.Peer, nowMs(), ageMs);
+      }
     },
     noteChange: ({ kind, source, content, target }) => {
       const isExcused = kind === CrashChangeKind.Excused && source === CrashSource.Store;
--- a/packages/daemon/src/gateway/crash-suspicions.ts
+++ b/packages/daemon/src/gateway/crash-suspicions.ts
@@ -49,8 +49,8 @@
    * attempt was suspected before.
    */
   readonly suspect: (content: string, target: TargetEntry, end: AttemptEnd) => boolean;
-  /** Records an answer of a target to a request that was sent `ageMs` ago. */
-  readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
+  /** Records an answer of a target to a request that was sent at a time. */
+  readonly noteAnswer: (target: string, sentAtMs: number) => void;
   /** Records that a target's entry disappeared although it did not announce its departure. */
   readonly noteGone: (target: TargetEntry) => void;
   /** Records that another start of a target has taken its name. */
@@ -137,10 +137,9 @@
       if (!isAbandoned) probe(target, PROBE_DELAY_MS);
       return isNew;
     },
-    noteAnswer: (target, ageMs) => {
-      // An answer under a name that several starts share may be from the next start.
-      if (evidence.suspicions.length === 0 || target.bornAtMs !== 0) return;
-      drop(recordLife(evidence, target.id, nowMs() - ageMs), 'the target answers');
+    noteAnswer: (target, sentAtMs) => {
+      if (evidence.suspicions.length === 0) return;
+      drop(recordLife(evidence, target, sentAtMs), 'the target answers');
     },
     noteGone: (target) => {
       if (isSuspected(evidence, target.id, -Infinity)) probe(target, PROBE_DELAY_MS);
--- a/packages/daemon/src/gateway/member-handlers.ts
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -1,7 +1,8 @@
 /** Handlers of RPC methods that other gateways call. Converts the parameters to typed values. */
-import type { CrashNote, JobEvent } from '@cassiamast/coordination';
+import type { JobEvent } from '@cassiamast/coordination';
 import type { ControlServerOptions } from '../node/control-server.js';
 import { RpcMethod } from '../protocol/methods.js';
+import type { ToldCrash } from './crash-publisher.js';
 import type { CrashReports } from './crash-reports.js';
 import { ANNOUNCED_SINCE, type SchedulingClient } from './scheduling-client.js';
 import type { JobRequest, SchedulingService } from './scheduling-service.js';
@@ -46,8 +47,8 @@
       return limits.onTake(target, reports, from);
     },
     [RpcMethod.CrashesTell]: (params) => {
-      const [notes] = params as [readonly CrashNote[]];
-      crashes.receiveCrashes(notes);
+      const [told] = params as [readonly ToldCrash[]];
+      crashes.receiveCrashes(told);
       return null;
     },
   };
