Wait for the decision on a third crash before a request is tried elsewhere

Cause: whether a target has crashed is known some milliseconds after its connection broke, and 300 ms after a machine was lost. The same request was already at the next target by then.

Evidence: retry-after-crash.test.ts: a request with two known crashes crashes its third target and reaches the fourth.

Change: if one more crash rules a content out, its next attempt waits until it is known whether the last one has crashed its target.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -267,6 +267,11 @@
   return (memory.crashesByContent.get(content)?.size ?? 0) >= CONVICTING_TARGETS;
 }
 
+/** Returns whether one more crash rules a content out. */
+export function isNearConviction(memory: CrashMemory, content: string): boolean {
+  return memory.crashesByContent.get(content)?.size === CONVICTING_TARGETS - 1;
+}
+
 /**
  * Removes and returns the crashes of targets that live on. An attempt may break off or go unanswered
  * for other reasons; without this, such attempts would add up over days and convict a harmless
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -17,6 +17,7 @@
   refuteCrashes,
   recordAnswerOf,
   isConvictedContent,
+  isNearConviction,
   addCrash,
 } from '@cassiamast/coordination';
 import type { IsReachable } from '../node/reachable.js';
@@ -67,6 +68,11 @@
   readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
+  /**
+   * Resolves when it is known whether the last attempt of a request has crashed its target, if one
+   * more crash rules the request out.
+   */
+  readonly whenDecided: (exchange: Exchange) => Promise<void>;
   /** Records crashes that another gateway could not write to the store. */
   readonly receiveCrashes: (crashes: readonly ToldCrash[]) => void;
   /** Must be called with each change of the view's crash memory. */
@@ -204,6 +210,11 @@
       logRejection(exchange, content, crashed);
       return true;
     },
+    whenDecided: async (exchange) => {
+      if (view.crashes.crashesByContent.size === 0) return;
+      if (!isNearConviction(view.crashes, exchange.content())) return;
+      await suspicions.whenProbed(exchange.lastTarget);
+    },
     receiveCrashes: (crashes) => {
       for (const { ageMs, ...note } of crashes) {
         addCrash(view.crashes, note, CrashSource.Peer, nowMs(), ageMs);
--- a/packages/daemon/src/gateway/crash-suspicions.ts
+++ b/packages/daemon/src/gateway/crash-suspicions.ts
@@ -3,6 +3,7 @@
  * content suspect; opening a connection to the target, its answers to later requests and its entry in
  * the store decide the suspicion.
  */
+import { setTimeout as sleep } from 'node:timers/promises';
 import {
   AttemptEnd,
   type CrashNote,
@@ -55,6 +56,8 @@
   readonly noteGone: (target: TargetEntry) => void;
   /** Records that another start of a target has taken its name. */
   readonly noteReplaced: (target: TargetEntry) => void;
+  /** Resolves when it is known whether a target accepts connections, if that is being found out. */
+  readonly whenProbed: (target: string) => Promise<void>;
   /** Decides the suspicions whose time is over. */
   readonly tick: () => void;
 }
@@ -62,10 +65,14 @@
 /** Connections to one target that find out whether it is down. */
 interface Probes {
   isWaiting: boolean;
+  /** Resolves when the latest one is over. */
+  latest: Promise<void>;
   /** Until when its attempts count as failed by a crash. */
   downUntilMs: number;
 }
 
+const NO_PROBES: Probes = { isWaiting: false, latest: Promise.resolve(), downUntilMs: 0 };
+
 /** Creates the suspicions. */
 export function createCrashSuspicions(options: CrashSuspicionsOptions): CrashSuspicions {
   const { view, pulse, isReachable, nowMs, log, count, onCrash } = options;
@@ -86,11 +93,11 @@
   }
 
   function probe(target: TargetEntry, pauseMs: number): void {
-    const known = probes.get(target.id) ?? { isWaiting: false, downUntilMs: 0 };
+    const known = probes.get(target.id) ?? { ...NO_PROBES };
     if (known.isWaiting) return;
     known.isWaiting = true;
     probes.set(target.id, known);
-    setTimeout(() => void runProbe(target, known), pauseMs);
+    known.latest = sleep(pauseMs).then(() => runProbe(target, known));
   }
 
   async function runProbe(target: TargetEntry, known: Probes): Promise<void> {
@@ -145,6 +152,9 @@
       if (isSuspected(evidence, target.id, -Infinity)) probe(target, PROBE_DELAY_MS);
     },
     noteReplaced,
+    whenProbed: async (target) => {
+      await probes.get(target)?.latest;
+    },
     tick: () => {
       const { confirmed, refuted } = decideSuspicions(evidence, pulse.lastBytesAtMs, nowMs());
       confirm(confirmed, 'sends nothing');
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -205,6 +205,7 @@
 async function retryWithinBudget(state: ForwardingState): Promise<NextStep> {
   const { exchange, services } = state;
   if (exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
+  await services.crashes.whenDecided(exchange);
   const next = await tryNextTarget(state);
   if (next.kind !== NextStepKind.TryAgain) return GIVE_UP;
   const arrivals = exchange.sends === 0 ? 0 : 1;
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -66,6 +66,7 @@
     if (end === TurnEnd.Stopped) break;
     detail = `engine ${exchange.lastTarget}: ${end}`;
     if (!mayTakeAnotherTurn(exchange, services, end)) break;
+    await services.crashes.whenDecided(exchange);
   }
   const availableInMs = services.availability.callerRetryInMs(exchange.service);
   giveUp(exchange, services, detail, Math.max(RETRY_AFTER_MS, availableInMs));
