--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -161,7 +161,11 @@
       },
       report: () => undefined,
     },
-    crashes: { recordCompletion: () => undefined, recordUnanswered: () => undefined },
+    crashes: {
+      recordCompletion: () => undefined,
+      recordUnanswered: () => undefined,
+      whenDecided: () => Promise.resolve(),
+    },
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => 0,
