Tell others of a crash that waits for an earlier write

What callers saw: with a slow store, a content that crashes targets reached more of them after the gateway that saw the third crash was killed. Cause: only the crashes of the write on its way were told to other gateways. One found meanwhile waited for the end of that write, up to seconds, in the memory of one process. Change: 150 ms after a crash is published, all crashes that the store does not have yet are told, whether a write is on its way or not.

--- a/packages/daemon/src/gateway/crash-publisher.ts
+++ b/packages/daemon/src/gateway/crash-publisher.ts
@@ -24,7 +24,7 @@
 const BATCH_DELAY_MS = 5;
 /** Maximum number of entries in one write. */
 const MAX_NOTES_PER_WRITE = 32;
-/** A write that is not confirmed within this time is told to other gateways meanwhile. */
+/** A crash that the store does not have by then is told to other gateways meanwhile. */
 const TELL_AFTER_MS = 150;
 /** Gateways that are told at once; each of them writes the crash too, or tells others in turn. */
 const PEERS_TOLD = 3;
@@ -74,7 +74,9 @@
   let isStopped = false;
 
   function start(): void {
-    if (isRunning || isStopped || !hasWork()) return;
+    if (isStopped || !hasWork()) return;
+    setTimeout(tellOfUnstored, TELL_AFTER_MS);
+    if (isRunning) return;
     isRunning = true;
     void run().finally(() => {
       isRunning = false;
@@ -106,11 +108,7 @@
   }
 
   async function record(notes: readonly CrashNote[]): Promise<Result<null, Failure>> {
-    const timer = setTimeout(() => {
-      tellPeers(notes);
-    }, TELL_AFTER_MS);
     const written = await fleet.recordCrashes(notes);
-    clearTimeout(timer);
     // A content may have been cleared while its crashes were written.
     if (written.isOk()) {
       for (const note of notes) tellAgain.delete(keyOf(note));
@@ -127,6 +125,11 @@
     return deleted;
   }
 
+  /** Includes crashes that wait for an earlier write, which may take seconds. */
+  function tellOfUnstored(): void {
+    if (!isStopped) tellPeers(unstoredCrashes(memory, nowMs()));
+  }
+
   /** Tells some other gateways, which keep the crashes if this process ends before it can write them. */
   function tellPeers(notes: readonly CrashNote[]): void {
     const crashes = notes
--- a/packages/daemon/test/gateway/crash-publisher.test.ts
+++ b/packages/daemon/test/gateway/crash-publisher.test.ts
@@ -13,13 +13,15 @@
   seededRandom,
 } from '@cassiamast/coordination';
 import { KEY_VALUE_UNREACHABLE } from '@cassiamast/ports';
-import { type ResultAsync, errAsync, okAsync } from 'neverthrow';
+import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { type CrashPublisher, createCrashPublisher } from '../../src/gateway/crash-publisher.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
 
 const SELF = '10.0.0.1:7000';
 const PEERS = ['10.0.0.2:7000', '10.0.0.3:7000', '10.0.0.4:7000', '10.0.0.5:7000'];
 const SETTLE_MS = 60;
+const SLOW_MS = 600;
+const TOLD_AFTER_MS = 250;
 const WRITE_REVISION = 7;
 const NOTE: CrashNote = { content: 'c', target: 't1' };
 
@@ -30,11 +32,16 @@
   let writes: (readonly CrashNote[])[];
   let deletions: (readonly CrashNote[])[];
   let told: string[];
+  let toldNotes: CrashNote[];
+  let isStoreSlow: boolean;
   /** Called while a write is on its way. */
   let whileWriting: () => void;
 
   function answer<Answer>(value: Answer): ResultAsync<Answer, Failure> {
     const call = { call: 'write', endpoint: 'store', mayHaveRun: false, detail: 'away' };
+    if (isStoreSlow) {
+      return ResultAsync.fromSafePromise(sleep(SLOW_MS)).map(() => value);
+    }
     return isStoreAway ? errAsync(KEY_VALUE_UNREACHABLE.of(call)) : okAsync(value);
   }
 
@@ -48,6 +55,8 @@
     writes = [];
     deletions = [];
     told = [];
+    toldNotes = [];
+    isStoreSlow = false;
     whileWriting = () => undefined;
     publisher = createCrashPublisher({
       fleet: {
@@ -63,8 +72,9 @@
       },
       view,
       rpc: {
-        call: (peer: string) => {
+        call: (peer: string, _: string, [notes]: readonly [readonly CrashNote[]]) => {
           told.push(peer);
+          toldNotes.push(...notes);
           return okAsync(null);
         },
       } as unknown as RpcClient,
@@ -107,6 +117,18 @@
     assert.equal(writes.length, 2);
   });
 
+  // A gateway found a crash while the store took a second for an earlier one, and was killed: nobody
+  // knew of the second crash.
+  it('tells others of a crash that waits for an earlier write', async () => {
+    isStoreSlow = true;
+    noteCrash(NOTE);
+    await sleep(SETTLE_MS);
+    noteCrash({ content: 'c', target: 't2' });
+    await sleep(TOLD_AFTER_MS);
+    assert.equal(writes.length, 1);
+    assert.equal(toldNotes.filter(({ target }) => target === 't2').length, 3);
+  });
+
   // Those that were told may have ended meanwhile, but a long outage must not cost a call a second.
   it('tells others again, less and less often', async () => {
     isStoreAway = true;
