Try a rejected content once more after a while

What callers saw: a harmless request that many send was rejected by all gateways as one that crashes targets, and stayed so: 40 s after the last fault of a soak all five gateways still answered it with 503. Cause: three targets crashed while they ran it, for another reason, and nothing ran it to completion in the 5 s before at a gateway that could tell. Since crashes no longer expire, nothing could show that it is harmless, as it never ran again. The trial is noted in the store first, beside the crashes, so that restarts and other gateways cannot repeat it; without the store there is none. Run to completion, it clears the content for all. A content that does crash targets costs two more at most, of the three that the rule allows.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -83,6 +83,8 @@
   readonly onChange: OnCrashChange;
 }
 
+/** Names under which the trials of a rejected content are noted; no target has such a name. */
+export const TRIAL_NAMES: readonly string[] = ['~trial-1', '~trial-2'];
 /**
  * Number of distinct targets that must crash on a content before it is rejected. One or two crashes
  * can be a coincidence while targets crash for other reasons.
@@ -159,7 +161,7 @@
   memory.crashesByContent.set(content, crashes);
   const change = { ...note, source, removal: null, targets: [...crashes.keys()] };
   memory.onChange({ ...change, kind: CrashChangeKind.Noted });
-  if (crashes.size === CONVICTING_TARGETS) {
+  if (countTargets(crashes) === CONVICTING_TARGETS && !TRIAL_NAMES.includes(target)) {
     memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
   }
 }
@@ -271,12 +273,12 @@
  * gateway receives the retry.
  */
 export function isConvictedContent(memory: CrashMemory, content: string): boolean {
-  return (memory.crashesByContent.get(content)?.size ?? 0) >= CONVICTING_TARGETS;
+  return countTargets(memory.crashesByContent.get(content)) >= CONVICTING_TARGETS;
 }
 
 /** Returns whether one more crash rules a content out. */
 export function isNearConviction(memory: CrashMemory, content: string): boolean {
-  return memory.crashesByContent.get(content)?.size === CONVICTING_TARGETS - 1;
+  return countTargets(memory.crashesByContent.get(content)) === CONVICTING_TARGETS - 1;
 }
 
 /**
@@ -338,14 +340,14 @@
  */
 export function evictCrashes(memory: CrashMemory): readonly CrashNote[] {
   let convicted = 0;
-  for (const { size } of memory.crashesByContent.values()) {
-    if (size >= CONVICTING_TARGETS) convicted += 1;
+  for (const content of memory.crashesByContent.keys()) {
+    if (isConvictedContent(memory, content)) convicted += 1;
   }
   let surplusConvicted = convicted - MAX_CONVICTED_CONTENTS;
   let surplusSuspects = memory.crashesByContent.size - convicted - MAX_SUSPECT_CONTENTS;
   const evicted: CrashNote[] = [];
-  for (const [content, { size }] of memory.crashesByContent) {
-    const isConvicted = size >= CONVICTING_TARGETS;
+  for (const content of [...memory.crashesByContent.keys()]) {
+    const isConvicted = isConvictedContent(memory, content);
     if ((isConvicted ? surplusConvicted : surplusSuspects) <= 0) continue;
     if (isConvicted) surplusConvicted -= 1;
     else surplusSuspects -= 1;
@@ -363,6 +365,11 @@
   }
 }
 
+/** Counts the targets that crashed; trials are noted among them. */
+function countTargets(crashes: ReadonlyMap<string, unknown> = new Map()): number {
+  return crashes.size - TRIAL_NAMES.filter((name) => crashes.has(name)).length;
+}
+
 function keyOf({ content, target }: CrashNote): string {
   return `${content}/${target}`;
 }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -78,6 +78,7 @@
 export * from './core/forwarding/allowance-share.js';
 export * from './core/forwarding/crash-evidence.js';
 export * from './core/forwarding/crash-memory.js';
+export * from './core/forwarding/crash-trials.js';
 export * from './core/forwarding/event-framing.js';
 export * from './core/forwarding/fleet.js';
 export * from './core/forwarding/fleet-view.js';
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -20,6 +20,7 @@
   isNearConviction,
   addCrash,
   countsCrash,
+  dueTrial,
 } from '@cassiamast/coordination';
 import type { IsReachable } from '../node/reachable.js';
 import { createPeriodic } from '../node/timers.js';
@@ -69,6 +70,11 @@
   readonly noteAnswer: (target: TargetEntry, ageMs: number) => void;
   /** Whether the request must not run again. Logs and counts the requests that must not. */
   readonly rejects: (exchange: Exchange) => boolean;
+  /**
+   * Whether a request that is rejected is the one that tries its content once more. It is noted in
+   * the store first, and must be sent to one target only.
+   */
+  readonly tryAgain: (exchange: Exchange) => Promise<boolean>;
   /**
    * Resolves when it is known whether the last attempt of a request has crashed its target, if one
    * more crash rules the request out.
@@ -112,9 +118,11 @@
 
 /** Creates the crash reports. */
 export function createCrashReports(options: CrashReportsOptions): CrashReports {
-  const { selfId, view, isLeaving, nowMs, log, count } = options;
+  const { fleet, selfId, view, isLeaving, nowMs, log, count } = options;
   /** Contents of which a request was rejected. */
   const rejected = new Set<string>();
+  /** Contents whose trial is being noted. */
+  const trialsBegun = new Set<string>();
   const publisher = createCrashPublisher(options);
   const suspicions = createCrashSuspicions({ ...options, onCrash: recordCrash });
 
@@ -167,6 +175,19 @@
     write('request rejected, it crashes targets', { request: id, content, crashed });
   }
 
+  /** Notes a trial and returns whether the store has it. */
+  async function noteTrial(trial: CrashNote): Promise<boolean> {
+    trialsBegun.add(trial.content);
+    const written = await fleet.recordCrashes([trial]);
+    trialsBegun.delete(trial.content);
+    if (written.isErr()) {
+      log.warn('trial not noted', { ...trial, cause: written.error.message });
+      return false;
+    }
+    addCrash(view.crashes, trial, CrashSource.Store, nowMs());
+    return true;
+  }
+
   return {
     recordUnanswered: (exchange, target, outcome) => {
       const end = suspiciousEnd(exchange, outcome);
@@ -214,6 +235,22 @@
       logRejection(exchange, content, crashed);
       return true;
     },
+    tryAgain: async (exchange) => {
+      if (view.crashes.crashesByContent.size === 0) return false;
+      const content = exchange.content();
+      const trial = dueTrial(view.crashes, content, nowMs());
+      // One gateway tries for all, as each trial may cost a target.
+      if (trial === null || !isLongestAnnounced() || trialsBegun.has(content)) return false;
+      if (!(await noteTrial(trial))) return false;
+      exchange.isTrial = true;
+      count('crash_trials_total');
+      log.lifecycle('rejected content tried once more', {
+        request: exchange.id,
+        content,
+        trial: trial.target,
+      });
+      return true;
+    },
     whenDecided: async (exchange) => {
       if (view.crashes.crashesByContent.size === 0) return;
       if (!isNearConviction(view.crashes, exchange.content())) return;
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -28,6 +28,8 @@
   readonly signal: AbortSignal;
   /** Whether the request must not run any more because it crashes targets. */
   isConvicted: boolean;
+  /** Whether the request tries a rejected content once more, at one target only. */
+  isTrial: boolean;
   /** Whether a target may have run the request. If so, it must not be rejected as not run. */
   mayHaveRun: boolean;
   /** Number of times that the request was sent to a target. */
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -209,7 +209,8 @@
     refuse(response, services, OwnStatus.Refused, GATEWAY_STOPS_REASON, STOPPING_RETRY_MS);
     return;
   }
-  if (services.crashes.rejects(exchange)) {
+  const isTrial = await services.crashes.tryAgain(exchange);
+  if (!isTrial && services.crashes.rejects(exchange)) {
     const answer = convictedAnswer(exchange);
     refuse(response, services, answer.status, answer.reason, answer.retryAfterMs);
     return;
@@ -283,6 +284,7 @@
     response,
     signal: abortController.signal,
     isConvicted: false,
+    isTrial: false,
     mayHaveRun: false,
     sends: 0,
     prefills: 0,
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -204,7 +204,7 @@
 /** Continues at another target if the route's maximum of attempts and the retry budget allow it. */
 async function retryWithinBudget(state: ForwardingState): Promise<NextStep> {
   const { exchange, services } = state;
-  if (exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
+  if (exchange.isTrial || exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
   await services.crashes.whenDecided(exchange);
   const next = await tryNextTarget(state);
   if (next.kind !== NextStepKind.TryAgain) return GIVE_UP;
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -81,7 +81,7 @@
   if (end === TurnEnd.NotServing) return true;
   if (end === TurnEnd.OverBudget) return false;
   if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
-  if (exchange.sends >= exchange.route.maxAttempts) return false;
+  if (exchange.isTrial || exchange.sends >= exchange.route.maxAttempts) return false;
   const arrivals = furtherArrivals(exchange);
   replaceRetries(exchange, services.budgets.reserve(exchange.service, exchange.id, arrivals));
   return exchange.retries !== null;
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -172,6 +172,7 @@
     signal: new AbortController().signal,
     mayHaveRun: false,
     isConvicted: false,
+    isTrial: false,
     content: () => 'content',
     sends: 0,
     prefills: 0,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -86,6 +86,7 @@
   signal: new AbortController().signal,
   mayHaveRun: false,
   isConvicted: false,
+  isTrial: false,
   content: () => 'content',
   sends: 0,
   prefills: 0,
