Let streams go on only at the version that began them

What callers saw: streams with events of two software versions of their engines, whose pieces don't fit together, in one answer or after they were taken up. Cause: nothing read the version in a target's entry, nor the attempt that a caller names when it takes a stream up; whoever chose an engine took any version. Change: the version of the engine that brings the first event is the stream's. Further turns avoid all others, and a grant of another one is rejected. Gateways remember the version of each attempt that they forward or schedule; one that takes a stream up asks the scheduling gateway, the one that forwarded it, then all, and goes on at once if only one version has served lately. A version that is not known or has no engine that decodes is refused at once, with a date. The gateway that schedules tells another one of its own streams while several versions are about. Log lines and counters say what was learned from whom.

--- a/benchmark/src/scheduling/play.ts
+++ b/benchmark/src/scheduling/play.ts
@@ -197,6 +197,7 @@
     id: `engine-${String(index)}`,
     name: `engine-${String(index)}`,
     bornAtMs: 0,
+    version: 'v1',
     service: 'llm',
     address: `engine-${String(index)}:80`,
     failureDomain: `domain-${String(index % DOMAINS)}`,
--- a/packages/coordination/src/core/forwarding/fleet.ts
+++ b/packages/coordination/src/core/forwarding/fleet.ts
@@ -99,6 +99,8 @@
   /** Start time in Unix milliseconds, which orders starts with the same name; 0 if not reported. */
   readonly bornAtMs: number;
   readonly service: string;
+  /** Version of its software. Versions have no order. */
+  readonly version: string;
   /** `host:port`. */
   readonly address: string;
   readonly failureDomain: string;
--- /dev/null
+++ b/packages/coordination/src/core/forwarding/version-history.ts
@@ -0,0 +1,49 @@
+/** Remembers which software versions the targets of each service had lately. */
+import type { TargetEntry } from './fleet.js';
+
+/** The versions of each service, with the time at which each was last seen. */
+export interface VersionHistory {
+  readonly lastSeenMs: Map<string, Map<string, number>>;
+  /** Since when the fleet has been followed; null before its first listing. */
+  followedSinceMs: number | null;
+}
+
+/** Longer than a stream and the pauses of its caller. */
+const RECENT_MS = 120_000;
+
+/** Creates an empty history. */
+export function createVersionHistory(): VersionHistory {
+  return { lastSeenMs: new Map(), followedSinceMs: null };
+}
+
+/** Records the versions of all targets that are listed now. */
+export function noteVersions(
+  history: VersionHistory,
+  entries: Iterable<TargetEntry>,
+  nowMs: number,
+): void {
+  history.followedSinceMs ??= nowMs;
+  for (const { service, version } of entries) {
+    const versions = history.lastSeenMs.get(service) ?? new Map<string, number>();
+    versions.set(version, nowMs);
+    history.lastSeenMs.set(service, versions);
+  }
+}
+
+/** Returns the versions that a service had lately. */
+export function recentVersions(
+  { lastSeenMs }: VersionHistory,
+  service: string,
+  nowMs: number,
+): readonly string[] {
+  const versions = lastSeenMs.get(service) ?? new Map<string, number>();
+  for (const [version, seenAtMs] of versions) {
+    if (nowMs - seenAtMs > RECENT_MS) versions.delete(version);
+  }
+  return [...versions.keys()];
+}
+
+/** Returns whether the history is as long as a stream can be. */
+export function isHistoryLong({ followedSinceMs }: VersionHistory, nowMs: number): boolean {
+  return followedSinceMs !== null && nowMs - followedSinceMs > RECENT_MS;
+}
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -79,6 +79,8 @@
 export * from './core/forwarding/crash-evidence.js';
 export * from './core/forwarding/crash-memory.js';
 export * from './core/forwarding/crash-trials.js';
+export * from './core/forwarding/stream-origins.js';
+export * from './core/forwarding/version-history.js';
 export * from './core/forwarding/event-framing.js';
 export * from './core/forwarding/fleet.js';
 export * from './core/forwarding/fleet-view.js';
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -29,6 +29,7 @@
     id: bornAtMs === 0 ? name : `${name}@${String(bornAtMs)}`,
     name,
     bornAtMs,
+    version: 'v1',
     service: SERVICE,
     address: '10.0.0.1:80',
     failureDomain: 'eros-hall',
--- a/packages/daemon/src/gateway/engine-job.ts
+++ b/packages/daemon/src/gateway/engine-job.ts
@@ -37,7 +37,13 @@
     gateway: services.selfId,
     aimInMs: Math.round(exchange.receivedAtMs + route.targetLatencyMs - now),
     deadlineInMs: Math.round(deadlineAtMs - now),
-    avoid: [...new Set([...exchange.failedTargets, ...availability.unavailable(service)])],
+    avoid: [
+      ...new Set([
+        ...exchange.failedTargets,
+        ...availability.unavailable(service),
+        ...services.versions.otherVersions(exchange),
+      ]),
+    ],
     avoidForMs: Math.ceil(availability.availableInMs(service)),
   };
 }
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -151,6 +151,7 @@
 ): Promise<SendOutcome> {
   const { exchange, services, relay } = turn;
   exchange.lastTarget = target.id;
+  exchange.sentVersion = target.version;
   const headers = services.wire.targetHeaders(exchange.rawHeaders, {
     targetName: target.name,
     remainingTimeMs: Math.max(1, Math.floor(exchange.endsAtMs - services.nowMs())),
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -30,6 +30,10 @@
   isConvicted: boolean;
   /** Whether the request tries a rejected content once more, at one target only. */
   isTrial: boolean;
+  /** Software version of the engine that brought the first event; null before that event. */
+  version: string | null;
+  /** Software version of the target that the request was last sent to. */
+  sentVersion: string | null;
   /** Whether a target may have run the request. If so, it must not be rejected as not run. */
   mayHaveRun: boolean;
   /** Number of times that the request was sent to a target. */
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -12,6 +12,7 @@
 import type { GatewayLog } from './gateway-log.js';
 import type { RetryBudgets } from './retry-budgets.js';
 import type { SchedulingClient } from './scheduling-client.js';
+import type { StreamVersions } from './stream-versions.js';
 import type { TargetActivity } from './target-activity.js';
 import type { TargetAvailability } from './target-availability.js';
 import type { TargetHealth } from './target-health.js';
@@ -28,6 +29,7 @@
   readonly availability: TargetAvailability;
   readonly scheduling: SchedulingClient;
   readonly crashes: CrashReports;
+  readonly versions: StreamVersions;
   readonly random: Random;
   readonly hash32: Hash32;
   readonly nowMs: () => number;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -285,6 +285,8 @@
     signal: abortController.signal,
     isConvicted: false,
     isTrial: false,
+    version: null,
+    sentVersion: null,
     mayHaveRun: false,
     sends: 0,
     prefills: 0,
--- a/packages/daemon/src/gateway/member-handlers.ts
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -6,6 +6,7 @@
 import type { CrashReports } from './crash-reports.js';
 import { ANNOUNCED_SINCE, type SchedulingClient } from './scheduling-client.js';
 import type { JobRequest, SchedulingService } from './scheduling-service.js';
+import type { StreamVersions } from './stream-versions.js';
 import type { TargetLimits } from './target-limits.js';
 
 /** Creates the handlers, by method. */
@@ -14,6 +15,7 @@
   scheduling: SchedulingClient,
   limits: TargetLimits,
   crashes: Pick<CrashReports, 'receiveCrashes'>,
+  versions: Pick<StreamVersions, 'find' | 'receive'>,
 ): ControlServerOptions['handlers'] {
   return {
     [RpcMethod.ScheduleTake]: (params) => {
@@ -50,5 +52,14 @@
       const [told] = params as [readonly ToldCrash[]];
       return crashes.receiveCrashes(told);
     },
+    [RpcMethod.StreamsFind]: (params) => {
+      const [attempt] = params as [string];
+      return versions.find(attempt);
+    },
+    [RpcMethod.StreamsTell]: (params) => {
+      const [streams, gateway] = params as Parameters<StreamVersions['receive']>;
+      versions.receive(streams, gateway);
+      return null;
+    },
   };
 }
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -6,6 +6,7 @@
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
   type Decision,
+  DecisionKind,
   type FleetView,
   type Job,
   type JobEvent,
@@ -65,11 +66,13 @@
   readonly permits: Permits;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
+  /** Called with the engine that streams each job that is given one. */
+  readonly onGranted: (jobId: string, gateway: string, engine: string) => void;
 }
 
 /** Creates the service. */
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
-  const { view, control, permits, nowMs, log } = options;
+  const { view, control, permits, nowMs, log, onGranted } = options;
   const schedulers = new Map<string, Scheduler>();
   const pendingAnswers = new Map<string, DeliverDecision>();
   let timer: NodeJS.Timeout | null = null;
@@ -154,9 +157,16 @@
       const own = decisions.find((decision) => decision.jobId === job.id) ?? null;
       deliverDecisions(decisions);
       scheduleTick();
+      const noteGranted = (decision: Decision | null): void => {
+        if (decision?.kind !== DecisionKind.Run) return;
+        const { readAt, streamAt } = decision.plan;
+        onGranted(job.id, job.gateway, streamAt ?? readAt);
+      };
+      noteGranted(own);
       if (own !== null) return Promise.resolve(own);
       return new Promise((resolve) => {
         const deliver: DeliverDecision = (decision) => {
+          noteGranted(decision);
           clearTimeout(timeout);
           if (pendingAnswers.get(job.id) === deliver) pendingAnswers.delete(job.id);
           resolve(decision);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -38,6 +38,7 @@
 import { announcementFields } from './announcement-fields.js';
 import { countStoreCalls } from './store-call-counts.js';
 import { logCrashChanges } from './crash-changes.js';
+import { type StreamVersions, createStreamVersions } from './stream-versions.js';
 import { createCrashReports } from './crash-reports.js';
 import { createFirstStart } from './first-start.js';
 import { createFleetFollower } from './fleet-follower.js';
@@ -200,6 +201,9 @@
     permits: limits.permits,
     nowMs: monotonicMs,
     log,
+    onGranted: (jobId, gateway, engine) => {
+      versions.noteGranted(jobId, gateway, engine);
+    },
   });
   const presence = createPresence({
     fleet,
@@ -240,6 +244,15 @@
     log,
     count: telemetry.count,
   });
+  const versions: StreamVersions = createStreamVersions({
+    selfId,
+    view,
+    rpc,
+    schedulerOf: scheduling.schedulerOf,
+    nowMs: monotonicMs,
+    log,
+    count: telemetry.count,
+  });
   const headerWatch = createHeaderWatch(log);
   const services: ForwardingServices = {
     view,
@@ -256,6 +269,7 @@
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
     scheduling,
     crashes,
+    versions,
     pulse,
     onAnswerHead: (target, head, { work, sentAtMs }) => {
       headerWatch.logUnknownHeaders(target, head);
@@ -313,6 +327,7 @@
         beginRead: gateways.beginRead,
         onGateway: gateways.noteAnnounced,
         onChanged: () => {
+          versions.refresh();
           schedulers.refresh();
           front.applyLimits();
         },
@@ -322,7 +337,7 @@
         allows: allowNetworks(settings.memberNetworks),
         proof,
         clock: timeline.clock,
-        handlers: createMemberHandlers(schedulers, scheduling, limits, crashes),
+        handlers: createMemberHandlers(schedulers, scheduling, limits, crashes, versions),
         streams: {},
         metricsText: telemetry.metricsText,
       }),
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -40,9 +40,15 @@
     onFirstEvent: () => {
       exchange.firstEventMs ??= Math.round(services.nowMs() - exchange.receivedAtMs);
       services.record('first_event_ms', exchange.firstEventMs);
+      services.versions.noteBegun(exchange);
     },
   });
   services.budgets.noteRequest(exchange.service);
+  const refused = await services.versions.takeUp(exchange);
+  if (refused !== null) {
+    giveUp(exchange, services, refused.reason, refused.retryAfterMs);
+    return;
+  }
   let detail = '';
   for (let turnNumber = 1; turnNumber <= MAX_TURNS && !exchange.signal.aborted; turnNumber += 1) {
     const jobId = `${exchange.id}/${String(turnNumber)}`;
@@ -66,6 +72,11 @@
     if (end === TurnEnd.Stopped) break;
     detail = `engine ${exchange.lastTarget}: ${end}`;
     if (!mayTakeAnotherTurn(exchange, services, end)) break;
+    const gone = services.versions.refusal(exchange);
+    if (gone !== null) {
+      detail = gone.reason;
+      break;
+    }
     await services.crashes.whenDecided(exchange);
   }
   const availableInMs = services.availability.callerRetryInMs(exchange.service);
@@ -101,6 +112,9 @@
   const decodeTarget =
     plan.streamAt === null ? prefillTarget : availableTarget(services, plan.streamAt);
   if (prefillTarget === null || decodeTarget === null) return rejectGrant(turn);
+  for (const target of [prefillTarget, decodeTarget]) {
+    if (!fitsVersion(exchange, target)) return rejectVersion(turn, target);
+  }
   services.log.info('engine granted', {
     request: exchange.id,
     scheduler: turn.schedulerId,
@@ -143,6 +157,26 @@
   return TurnEnd.NotServing;
 }
 
+function fitsVersion({ version }: Exchange, target: TargetEntry): boolean {
+  return version === null || target.version === version;
+}
+
+/**
+ * Rejects a grant of an engine of another version than the one that began the stream. A scheduler
+ * may know engines that this gateway did not name when it asked.
+ */
+function rejectVersion({ exchange, services, schedulerId }: Turn, target: TargetEntry): TurnEnd {
+  exchange.failedTargets.add(target.id);
+  services.log.warn('grant rejected', {
+    request: exchange.id,
+    scheduler: schedulerId,
+    target: target.id,
+    reason: `the stream began at version ${String(exchange.version)}, not ${target.version}`,
+    newsAgeMs: newsAgeMs(services),
+  });
+  return TurnEnd.NotServing;
+}
+
 /**
  * Rejects a prompt handle of an engine that has restarted since the prefill. The new incarnation
  * may use the same handle for another prompt, and the caller would get the answer to that one.
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -37,6 +37,8 @@
   LimitsTell = 'limits.tell',
   LimitsTake = 'limits.take',
   CrashesTell = 'crashes.tell',
+  StreamsFind = 'streams.find',
+  StreamsTell = 'streams.tell',
 }
 
 /** HTTP path of calls with a single response. */
--- a/packages/daemon/test/gateway/caller-left.test.ts
+++ b/packages/daemon/test/gateway/caller-left.test.ts
@@ -20,6 +20,7 @@
   id: 'i-1',
   name: 'i-1',
   bornAtMs: 0,
+  version: 'v1',
   service: 's',
   address: '10.0.0.1:80',
   failureDomain: 'eros-hall',
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -31,6 +31,7 @@
       id,
       name: id,
       bornAtMs: 0,
+      version: 'v1',
       service: 's',
       address: `${id}:80`,
       failureDomain: 'eros-hall',
@@ -60,7 +61,14 @@
 
 const EXCHANGE: Omit<Exchange, 'response'> = {
   id: 'x',
-  head: { attemptId: 'x', remainingTimeMs: 1000, parts: [], outputTokens: 1, lastEventId: null },
+  head: {
+    attemptId: 'x',
+    remainingTimeMs: 1000,
+    parts: [],
+    outputTokens: 1,
+    lastEventId: null,
+    resumes: null,
+  },
   route: {
     name: 'r',
     host: 'h',
@@ -87,6 +95,8 @@
   mayHaveRun: false,
   isConvicted: false,
   isTrial: false,
+  version: null,
+  sentVersion: null,
   content: () => 'content',
   sends: 0,
   prefills: 0,
@@ -167,6 +177,12 @@
       recordUnanswered: () => undefined,
       whenDecided: () => Promise.resolve(),
     },
+    versions: {
+      takeUp: () => Promise.resolve(null),
+      noteBegun: () => undefined,
+      refusal: () => null,
+      otherVersions: () => [],
+    },
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => 0,
--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -110,6 +110,7 @@
     id: name,
     name,
     bornAtMs: 0,
+    version: 'v1',
     service: SERVICE,
     address: `${name}:80`,
     failureDomain: 'eros-hall',
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -16,6 +16,11 @@
   readonly outputTokens: number;
   /** The last event that the caller has received; null to start at the beginning. */
   readonly lastEventId: string | null;
+  /**
+   * The attempt that brought the first event of the stream that the caller takes up; null if it does
+   * not take one up.
+   */
+  readonly resumes: string | null;
 }
 
 /** Identifies the KV cache of a prompt that another engine keeps. */
