Do not fetch the memory of a prompt from an engine that its job avoids

A stream that goes on avoids the engines of all other versions, but cached parts of its prompt were still fetched from them: what two versions write doesn't fit together. An engine that has just failed the request was a source, too. Found by reading; the new test failed before (the avoided engine was a source). Change: engines that a job avoids are no sources of its cached parts.

--- a/packages/coordination/src/core/scheduling/prefill-cost.ts
+++ b/packages/coordination/src/core/scheduling/prefill-cost.ts
@@ -41,7 +41,10 @@
   readonly byDomain: ReadonlyMap<string, TargetLoad>;
 }
 
-/** Returns the engines that can transfer the longest prefix of a prompt. */
+/**
+ * Returns the engines that can transfer the longest prefix of a prompt. The memory of an engine that
+ * the job avoids is not used either: its version may be another one, or it has just failed.
+ */
 export function findCacheHolders(
   loads: Iterable<TargetLoad>,
   job: Job,
@@ -51,7 +54,7 @@
   let any: TargetLoad | null = null;
   const byDomain = new Map<string, TargetLoad>();
   for (const load of loads) {
-    if (!isUsable(load, nowMs)) continue;
+    if (!isUsable(load, nowMs) || job.avoid.includes(load.entry.id)) continue;
     const availableParts = countTransferableParts(load, job.parts);
     if (availableParts === 0 || availableParts < parts) continue;
     if (availableParts > parts) byDomain.clear();
--- a/packages/coordination/test/core/scheduling/scheduler-placement.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler-placement.test.ts
@@ -2,7 +2,6 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import {
-  DecisionKind,
   EnginePhase,
   JobEventKind,
   RefusalReason,
@@ -18,6 +17,7 @@
   suspendEngine,
   tickScheduler,
 } from '../../../src/index.js';
+import { type CacheHolders, findCacheHolders } from '../../../src/core/scheduling/prefill-cost.js';
 import {
   SPEC,
   engine,
@@ -114,6 +114,17 @@
       assert.equal(plan.missingTokens, 1000);
     });
 
+    // A stream that goes on at its version would read on from the memory of an engine of another one.
+    it('does not fetch cached parts from an engine that the job avoids', () => {
+      const first = job('a', 1000);
+      const { readAt } = planOf(submitJob(scheduler, first, 0));
+      reportPrefilled(scheduler, first.id, readAt, 328);
+      const holdersFor = (avoid: readonly string[]): CacheHolders =>
+        findCacheHolders(scheduler.targets.values(), job('a', 1000, { avoid }), 410);
+      assert.notEqual(holdersFor([]).any, null);
+      assert.equal(holdersFor([readAt, 'streamer']).any, null);
+    });
+
     // A decode engine with the shortest queue was given a cold prompt of twenty thousand tokens,
     // and the streams of all its callers paused for a second.
     it('gives no long prompt to a decode engine while prefill engines are available', () => {
