--- a/packages/coordination/test/core/scheduling/scheduler-placement.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler-placement.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import {
+  DecisionKind,
   EnginePhase,
   JobEventKind,
   RefusalReason,
