Keep the versions of a fleet that does not change

Versions were noted with each change of the fleet and forgotten two minutes later: with nothing changing, or without the store, a gateway knew no version at all, and refused streams that only it could take up. Found by reading; the new test failed before. Change: the versions of the targets in view are noted again when they are asked for, once a second at most.

--- a/packages/daemon/src/gateway/stream-versions.ts
+++ b/packages/daemon/src/gateway/stream-versions.ts
@@ -32,6 +32,8 @@
 const FRESH_NEWS_MS = 1500;
 /** Gateways whose announcements lapsed this recently may still run, as after an outage of the store. */
 const RECENT_GATEWAY_MS = 30_000;
+/** The fleet may not change for long, and a gateway without the store learns of no change. */
+const NOTE_INTERVAL_MS = 1000;
 /** Retry-after time while nobody knows the version; those who do may be back then. */
 const UNKNOWN_RETRY_MS = 1000;
 /** Retry-after time while no engine of the version serves. */
@@ -88,6 +90,7 @@
   const { selfId, view, rpc, schedulerOf, nowMs, log, count } = options;
   const origins = createStreamOrigins();
   const history = createVersionHistory();
+  let notedAtMs = -Infinity;
   /** When each gateway was last announced. */
   const gatewaySeenMs = new Map<string, number>();
   /** Streams that another gateway is to be told of, with their versions. */
@@ -102,11 +105,24 @@
     return head.resumes === null ? [id] : [head.resumes, id];
   }
 
+  function noteTargets(): void {
+    notedAtMs = nowMs();
+    const listed = [...view.targets.values()].filter(({ goneAtMs }) => goneAtMs === null);
+    const entries = listed.map(({ entry }) => entry);
+    noteVersions(history, entries, notedAtMs);
+  }
+
+  /** Returns the versions that a service had lately. Those of targets in the view still count. */
+  function versionsOf(service: string): readonly string[] {
+    if (nowMs() - notedAtMs > NOTE_INTERVAL_MS) noteTargets();
+    return recentVersions(history, service, nowMs());
+  }
+
   /** Tells another gateway, as the loss of this one would lose both who know. */
   function backUp(exchange: Exchange, version: string): void {
     const { service } = exchange;
     if (schedulerOf(service) !== selfId) return;
-    if (recentVersions(history, service, nowMs()).length < 2) return;
+    if (versionsOf(service).length < 2) return;
     if (untold.length === 0) setTimeout(tellBackup, TELL_AFTER_MS);
     untold.push(...attemptsOf(exchange).map((attempt) => [attempt, version] as const));
   }
@@ -135,7 +151,7 @@
   }
 
   function onlyVersion(service: string): string | null {
-    const [version = null, ...others] = recentVersions(history, service, nowMs());
+    const [version = null, ...others] = versionsOf(service);
     return others.length === 0 ? version : null;
   }
 
@@ -212,16 +228,14 @@
       resumes: exchange.head.resumes,
       version: exchange.version,
       reason: refused.reason,
-      recentVersions: recentVersions(history, exchange.service, nowMs()),
+      recentVersions: versionsOf(exchange.service),
     });
     return refused;
   }
 
   return {
     refresh: () => {
-      const listed = [...view.targets.values()].filter(({ goneAtMs }) => goneAtMs === null);
-      const entries = listed.map(({ entry }) => entry);
-      noteVersions(history, entries, nowMs());
+      noteTargets();
       noteGateways();
     },
     noteGranted: (jobId, gateway, engine) => {
--- a/packages/daemon/test/gateway/stream-versions.test.ts
+++ b/packages/daemon/test/gateway/stream-versions.test.ts
@@ -19,6 +19,7 @@
 const SERVICE = 's';
 const TOLD_AFTER_MS = 120;
 const RUNS = 300;
+const LONG_MS = 600_000;
 
 /** Ways in which a gateway could fail to know a version. */
 enum Mutant {
@@ -47,6 +48,7 @@
   const order = [...GATEWAYS];
   const streams: Stream[] = [];
   const serving = new Set<string>(VERSIONS);
+  let nowMs = 1;
   const scheduler = (): string => order[0] ?? '';
 
   function call(peer: string, method: RpcMethod, params: unknown) {
@@ -82,7 +84,7 @@
       view,
       rpc: { call } as unknown as RpcClient,
       schedulerOf: scheduler,
-      nowMs: () => 1,
+      nowMs: () => nowMs,
       log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
       count: () => undefined,
     });
@@ -120,6 +122,9 @@
         versions.refresh();
       }
     },
+    advance: (byMs: number): void => {
+      nowMs += byMs;
+    },
     resume: (id: string, exchange: Exchange) =>
       gateways.get(id)?.versions.takeUp(exchange) ?? Promise.resolve(null),
     /** Takes a stream up and checks how it goes on. */
@@ -211,6 +216,16 @@
     assert.match(String(refusal?.reason), /not known/);
   });
 
+  // Versions were noted with each change of the fleet only, and forgotten two minutes later.
+  it('goes on at the only version although the fleet has not changed for long', async () => {
+    const network = createNetwork(null);
+    network.removeVersion('v2');
+    network.advance(LONG_MS);
+    const exchange = request('t', 'unknown', null);
+    assert.equal(await network.resume('g1', exchange), null);
+    assert.equal(exchange.version, 'v1');
+  });
+
   it('goes on at the only version that has served', async () => {
     const network = createNetwork(null);
     network.removeVersion('v2');
