--- /dev/null
+++ b/packages/daemon/test/gateway/forwarding-stand-ins.ts
@@ -0,0 +1,16 @@
+/** Stand-ins for services of forwarding that know of nothing. */
+
+/** No request has crashed a target. */
+export const NO_CRASHES = {
+  recordCompletion: (): void => undefined,
+  recordUnanswered: (): void => undefined,
+  whenDecided: (): Promise<void> => Promise.resolve(),
+};
+
+/** Streams may go on at any target. */
+export const ANY_VERSION = {
+  takeUp: (): Promise<null> => Promise.resolve(null),
+  noteBegun: (): void => undefined,
+  refusal: (): null => null,
+  otherVersions: (): readonly string[] => [],
+};
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -16,6 +16,7 @@
 import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
 import { createRetryBudgets } from '../../src/gateway/retry-budgets.js';
 import { forwardStream } from '../../src/gateway/stream-forwarding.js';
+import { ANY_VERSION, NO_CRASHES } from './forwarding-stand-ins.js';
 
 const LIMITS = { windowMs: 10_000, ratio: 0.2, slack: 58 };
 const SERVICE = 's';
@@ -122,17 +123,8 @@
       },
       report: () => undefined,
     },
-    crashes: {
-      recordCompletion: () => undefined,
-      recordUnanswered: () => undefined,
-      whenDecided: () => Promise.resolve(),
-    },
-    versions: {
-      takeUp: () => Promise.resolve(null),
-      noteBegun: () => undefined,
-      refusal: () => null,
-      otherVersions: () => [],
-    },
+    crashes: NO_CRASHES,
+    versions: ANY_VERSION,
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => clock.nowMs,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -22,6 +22,7 @@
 import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
 import { SendOutcomeKind, sendToTarget } from '../../src/gateway/send-to-target.js';
 import { forwardStream } from '../../src/gateway/stream-forwarding.js';
+import { ANY_VERSION, NO_CRASHES } from './forwarding-stand-ins.js';
 
 function targetChange(id: string, draining: boolean, revision: number): FleetChange {
   return {
@@ -172,17 +173,8 @@
       },
       report: () => undefined,
     },
-    crashes: {
-      recordCompletion: () => undefined,
-      recordUnanswered: () => undefined,
-      whenDecided: () => Promise.resolve(),
-    },
-    versions: {
-      takeUp: () => Promise.resolve(null),
-      noteBegun: () => undefined,
-      refusal: () => null,
-      otherVersions: () => [],
-    },
+    crashes: NO_CRASHES,
+    versions: ANY_VERSION,
     pulse: { recordBytes: () => undefined, isInactive: () => false },
     onAnswerHead: () => undefined,
     elapsedMs: () => 0,
