--- a/packages/fuzz/src/worlds/catalogue.ts
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -7,6 +7,7 @@
 import type { World } from '../kit/world.js';
 import { createAuthorityWorld } from './authority/world.js';
 import { CHANGES_WORLD } from './changes/world.js';
+import { CRASHES_WORLD } from './crashes/world.js';
 import { DEPARTURES_WORLD } from './departures/world.js';
 import { LIMITS_WORLD } from './limits/world.js';
 import { createRequestsWorld } from './requests/world.js';
@@ -28,6 +29,7 @@
     bind(LIMITS_WORLD),
     bind(DEPARTURES_WORLD),
     bind(RETRIES_WORLD),
+    bind(CRASHES_WORLD),
   ];
 }
 
