--- a/packages/fuzz/src/worlds/crashes/targets.ts
+++ b/packages/fuzz/src/worlds/crashes/targets.ts
@@ -1,7 +1,7 @@
 /** What the targets of the crashes world do with requests, and how they crash and come back. */
 import { AttemptEnd } from '@cassiamast/coordination';
 import { schedule } from '../../kit/scheduler.js';
-import { noteDown } from './gateway.js';
+import { noteDown } from './sending.js';
 import {
   type AttemptInFlight,
   CULPRIT,
