Log why an answer ended early, and targets that fall silent

Cause: 'request ended' says that an answer is not whole, not why; a silent target left a trace only in the outcome of the attempt that was given up. Evidence: the timeline of the silent targets could not tell its hypotheses apart by the logs. Change: 'answer ended early' with its reason and answers_cut_total; 'target silent' with what was waited for. No decision changes.

--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -175,6 +175,13 @@
   exchange.signal.addEventListener('abort', stop);
   const watch = watchInactivity(services, target.id, options.allowedMs, () => {
     services.count('silent_targets_total');
+    services.log.info('target silent', {
+      request: exchange.id,
+      target: target.id,
+      readOnly: options.readOnly,
+      mayMove,
+      allowedMs: Math.round(options.allowedMs),
+    });
     if (mayMove) stop();
     else report(turn, JobEventKind.Failed, target.id);
   });
--- a/packages/daemon/src/gateway/own-answer.ts
+++ b/packages/daemon/src/gateway/own-answer.ts
@@ -6,7 +6,10 @@
 import type { ServerResponse } from 'node:http';
 import type { CallerWire, GatewayResponse } from '@cassiamast/ports';
 import type { Exchange } from './exchange.js';
+import type { GatewayLog } from './gateway-log.js';
 
+/** Reason of an answer that ended because the time of its request was over. */
+export const DEADLINE_REASON = 'the deadline has passed, or the request must not run any more';
 const CRASHES_TARGETS_REASON = 'each target that ran this request broke off';
 /** Retry-after time of a request that crashes targets. */
 const CRASHING_RETRY_MS = 30_000;
@@ -40,6 +43,34 @@
   return true;
 }
 
+/** Dependencies of {@link cutAnswer}. */
+export interface CutAnswerServices {
+  readonly nowMs: () => number;
+  readonly log: Pick<GatewayLog, 'warn'>;
+  readonly count: (name: string) => void;
+}
+
+/**
+ * Closes the connection of an answer of which a part was sent. Nothing else signals to the caller
+ * that it is incomplete.
+ */
+export function cutAnswer(
+  exchange: Exchange,
+  { nowMs, log, count }: CutAnswerServices,
+  reason: string,
+): void {
+  count('answers_cut_total');
+  log.warn('answer ended early', {
+    request: exchange.id,
+    reason,
+    target: exchange.lastTarget,
+    sends: exchange.sends,
+    ageMs: Math.round(nowMs() - exchange.receivedAtMs),
+    leftMs: Math.round(exchange.endsAtMs - nowMs()),
+  });
+  exchange.response.destroy();
+}
+
 /** Returns the status for a request that can't be served, depending on whether it may have run. */
 export function failureStatus({ mayHaveRun, isConvicted, signal }: Exchange): OwnStatus {
   if (!mayHaveRun) return OwnStatus.Refused;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -8,7 +8,13 @@
 import { recordCrashOutcome } from './crash-reports.js';
 import { type Exchange, replaceRetries, retriesOf } from './exchange.js';
 import { type BufferedAnswer, bufferAnswer } from './buffered-answer.js';
-import { convictedAnswer, failureStatus, sendOwnAnswer } from './own-answer.js';
+import {
+  DEADLINE_REASON,
+  convictedAnswer,
+  cutAnswer,
+  failureStatus,
+  sendOwnAnswer,
+} from './own-answer.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 
 /** An idempotent request is retried elsewhere after this multiple of its route's target latency. */
@@ -214,11 +220,10 @@
 }
 
 function giveUp({ exchange, services, limited }: ForwardingState, detail: string): void {
-  const { response, service } = exchange;
+  const { response, service, signal } = exchange;
   if (response.destroyed) return;
   if (response.headersSent) {
-    // A part of the answer was sent. Only closing the connection signals that it is incomplete.
-    response.destroy();
+    cutAnswer(exchange, services, signal.aborted ? DEADLINE_REASON : detail);
     return;
   }
   if (exchange.isConvicted) {
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -19,7 +19,13 @@
   newsAgeMs,
   unavailableBecause,
 } from './forwarding-services.js';
-import { convictedAnswer, failureStatus, sendOwnAnswer } from './own-answer.js';
+import {
+  DEADLINE_REASON,
+  convictedAnswer,
+  cutAnswer,
+  failureStatus,
+  sendOwnAnswer,
+} from './own-answer.js';
 import { createStreamRelay } from './stream-relay.js';
 import { freeHandle, requestPrefill, requestStream } from './engine-requests.js';
 import { type Turn, TurnEnd, report } from './stream-turn.js';
@@ -219,8 +225,7 @@
   const { response } = exchange;
   if (callerLeft(exchange)) return;
   if (response.headersSent) {
-    // A part of the stream was sent. Only closing the connection signals that it is incomplete.
-    response.destroy();
+    cutAnswer(exchange, services, exchange.signal.aborted ? DEADLINE_REASON : reason);
     return;
   }
   if (exchange.isConvicted) {
