Keep answers of silent targets until another target has the request

Cause: what was silent or slow was stopped first, and another target was looked for afterwards. When the scheduler refused, the retry budget was used up, or the next target rejected the request, nothing was left of an answer that had begun. The class: giving up what one has before its replacement is certain.

A refusal by the scheduler does not end what is open; it is asked again. A target that is down (no connection accepted twice) ends an attempt of which the caller has no part. A silence is a suspicion of a crash at once, and withdrawn when the target goes on. Failures end nobody else's answer. A slow caller is not taken for a silent engine. The same for plain requests, prefills and handovers.

--- a/packages/daemon/src/gateway/buffered-answer.ts
+++ b/packages/daemon/src/gateway/buffered-answer.ts
@@ -21,8 +21,16 @@
   readonly deliver: () => void;
 }
 
-/** Creates a buffer for an answer to a caller. */
-export function bufferAnswer(response: ServerResponse, wire: CallerWire): BufferedAnswer {
+/**
+ * Creates a buffer for an answer to a caller.
+ *
+ * @param isAlone - Whether no other target may still answer the request.
+ */
+export function bufferAnswer(
+  response: ServerResponse,
+  wire: CallerWire,
+  isAlone: () => boolean,
+): BufferedAnswer {
   let head: AnswerHead | null = null;
   let rawHeaders: readonly string[] = [];
   let chunks: Buffer[] = [];
@@ -47,6 +55,7 @@
           chunks.push(bytes);
           bufferedBytes += bytes.length;
           if (bufferedBytes <= MAX_BUFFERED_BYTES) return null;
+          if (!isAlone()) return 'a failure whose body is not buffered';
           sendHead();
           response.write(Buffer.concat(chunks));
           chunks = [];
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -42,6 +42,9 @@
 /** Interval at which crashes that count no more are removed. */
 const CLEAN_UP_MS = 1000;
 
+/** What is logged of an attempt that is not over while its target is silent. */
+const SILENT = { kind: SendOutcomeKind.Silent, detail: 'not over' };
+
 /** Dependencies of the crash reports. */
 export interface CrashReportsOptions extends CrashPublisherOptions {
   readonly pulse: Pick<TargetActivity, 'lastBytesAtMs'>;
@@ -58,6 +61,8 @@
     target: TargetEntry,
     outcome: SendOutcome,
   ) => void;
+  /** Records that a target is silent while it has a request, which may go elsewhere meanwhile. */
+  readonly recordSilence: (exchange: Exchange, target: TargetEntry) => void;
   /** Records that a target ran the request to completion. */
   readonly recordCompletion: (
     exchange: Exchange,
@@ -112,6 +117,7 @@
   if (brokeOff) return AttemptEnd.Broken;
   if (!sent) return null;
   if (kind === SendOutcomeKind.Silent) return AttemptEnd.Unanswered;
+  if (kind === SendOutcomeKind.Replaced) return AttemptEnd.Abandoned;
   if (kind !== SendOutcomeKind.Stopped) return null;
   return callerLeft(exchange) ? AttemptEnd.Abandoned : AttemptEnd.Unanswered;
 }
@@ -153,7 +159,7 @@
     { id, caller }: Exchange,
     content: string,
     target: TargetEntry,
-    { kind, detail }: SendOutcome,
+    { kind, detail }: Pick<SendOutcome, 'kind' | 'detail'>,
   ): void {
     count('crashes_suspected_total');
     log.info('crash suspected', {
@@ -198,6 +204,11 @@
         logSuspicion(exchange, content, target, outcome);
       }
     },
+    recordSilence: (exchange, target) => {
+      const content = exchange.content();
+      const isNew = suspicions.suspect(content, target, AttemptEnd.Unanswered);
+      if (isNew) logSuspicion(exchange, content, target, SILENT);
+    },
     noteTransition: (transition, target) => {
       if (transition === TargetTransition.Replaced) suspicions.noteReplaced(target);
       // A target that announced its departure has not crashed.
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -1,13 +1,14 @@
 /**
  * Sends the requests of one turn to its engines: a prefill to one engine, and the stream request to
- * another or the same one. An unresponsive target is abandoned if the request may continue
- * elsewhere.
+ * another or the same one.
  */
 import { RequestedWork, JobEventKind, type TargetEntry } from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type Result, err, ok } from 'neverthrow';
 import {
   type AnswerSink,
+  FIRST_FAILURE_STATUS,
+  type FlowControl,
   type SendOutcome,
   SendOutcomeKind,
   sendToTarget,
@@ -15,8 +16,9 @@
 import { announcementFields } from './announcement-fields.js';
 import { recordCrashOutcome } from './crash-reports.js';
 import { type ForwardingServices, availableTarget } from './forwarding-services.js';
-import { retriesOf } from './exchange.js';
-import { watchInactivity } from './inactivity-watch.js';
+import { type Exchange, retriesOf } from './exchange.js';
+import { type SilenceWatch, watchSilence } from './silence-watch.js';
+import type { StreamPart } from './stream-relay.js';
 import { type Turn, TurnEnd, reportFailed, report } from './stream-turn.js';
 
 /**
@@ -27,11 +29,6 @@
 const PREFILL_SLACK_MS = 500;
 /** Same for a stream without events: twice the longest gap that callers accept as on time. */
 const STREAM_SILENCE_MS = 700;
-/**
- * Shared abort reason, because the default reason of an abort signal captures a costly stack trace.
- */
-const ATTEMPT_STOPPED = new Error('the exchange is over, or its target silent');
-
 /**
  * Requests a prefill for a stream at another engine. If it failed, nothing has run, and the error
  * says how the turn ends.
@@ -49,23 +46,25 @@
     { readOnly: true, from: null, allowedMs },
     collected.sink,
   );
-  if (outcome.sent) exchange.prefills += 1;
   // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
   services.crashes.recordUnanswered(exchange, prefillTarget, outcome);
   logSend(turn, prefillTarget, 'read prompt', outcome);
   const handle =
     outcome.kind === SendOutcomeKind.Complete ? services.wire.readHandle(collected.body()) : null;
   if (handle !== null) {
+    turn.progress.noteRead();
     report(turn, JobEventKind.Read, prefillTarget.id);
     return ok({ address: prefillTarget.address, handle });
   }
-  if (exchange.signal.aborted) return err(TurnEnd.Stopped);
+  if (turn.progress.signal.aborted) return err(TurnEnd.Stopped);
   if (outcome.kind === SendOutcomeKind.OverBudget) return err(TurnEnd.OverBudget);
   if (outcome.kind === SendOutcomeKind.Withheld) {
     exchange.failedTargets.add(prefillTarget.id);
     return err(TurnEnd.NotServing);
   }
-  reportFailed(turn, prefillTarget, failureKind(outcome));
+  if (outcome.kind !== SendOutcomeKind.Silent) {
+    reportFailed(turn, prefillTarget, failureKind(outcome));
+  }
   return err(TurnEnd.NotRun);
 }
 
@@ -75,30 +74,35 @@
   target: TargetEntry,
   from: PromptHandle | null,
 ): Promise<TurnEnd> {
-  const { exchange, relay, plan } = turn;
-  const sink = relay.createSink();
-  const reportingSink = {
-    ...sink,
-    onBytes: (bytes: Buffer, flow: Parameters<typeof sink.onBytes>[1]) => {
+  const { exchange, plan } = turn;
+  const part = turn.relay.beginPart();
+  const sink: AnswerSink = {
+    onHead: part.sink.onHead,
+    onBytes: (bytes, flow) => {
       if (plan.streamAt === null) report(turn, JobEventKind.Read, target.id);
-      return sink.onBytes(bytes, flow);
+      // Another attempt may have been sent since.
+      noteSent(exchange, target);
+      return part.sink.onBytes(bytes, flow);
     },
   };
   const allowedMs =
     STREAM_SILENCE_MS + (from === null ? plan.predictedReadMs * PREFILL_SLACK_RATIO : 0);
-  const outcome = await send(turn, target, { readOnly: false, from, allowedMs }, reportingSink);
-  if (outcome.sent) exchange.sends += 1;
+  const outcome = await send(turn, target, { readOnly: false, from, allowedMs }, sink);
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
-  const ranWhole = outcome.ranWhole && !relay.endedInsideEvent();
+  const ranWhole = outcome.ranWhole && !part.endedInsideEvent();
   recordCrashOutcome(exchange, turn.services, target, { ...outcome, ranWhole });
   logSend(turn, target, 'sent to target', outcome);
-  const end = concludeTurn(turn, target, outcome);
+  const end = concludeTurn(turn, target, outcome, part);
   // A prefill was already sent, so another turn sends a further one.
   return end === TurnEnd.NotServing && from !== null ? TurnEnd.NotRun : end;
 }
 
-function concludeTurn(turn: Turn, target: TargetEntry, outcome: SendOutcome): TurnEnd {
-  const { relay } = turn;
+function concludeTurn(
+  turn: Turn,
+  target: TargetEntry,
+  outcome: SendOutcome,
+  part: StreamPart,
+): TurnEnd {
   switch (outcome.kind) {
     case SendOutcomeKind.Withheld:
       turn.exchange.failedTargets.add(target.id);
@@ -106,11 +110,12 @@
     case SendOutcomeKind.OverBudget:
       return TurnEnd.OverBudget;
     case SendOutcomeKind.Complete:
-      if (relay.endedInsideEvent() || relay.failedAfterStart()) {
+      if (!isDeliverable(turn, part)) {
         reportFailed(turn, target, JobEventKind.Broke);
         return TurnEnd.Broken;
       }
-      relay.end();
+      turn.progress.noteAnswer();
+      part.end();
       return TurnEnd.Delivered;
     case SendOutcomeKind.NotSent:
     case SendOutcomeKind.NotRun:
@@ -119,14 +124,25 @@
       reportFailed(turn, target, JobEventKind.Failed);
       return TurnEnd.NotRun;
     case SendOutcomeKind.Stopped:
+    case SendOutcomeKind.Replaced:
       return TurnEnd.Stopped;
     case SendOutcomeKind.Silent:
+      return TurnEnd.Broken;
     case SendOutcomeKind.Broken:
       reportFailed(turn, target, failureKind(outcome));
       return TurnEnd.Broken;
   }
 }
 
+/**
+ * Returns whether an answer may be passed on: a stream must not look complete inside an event or
+ * after a failure, and a failure must not end an answer that another target may still bring.
+ */
+function isDeliverable({ exchange, progress }: Turn, part: StreamPart): boolean {
+  if (part.endedInsideEvent()) return false;
+  return !part.hasFailed() || (!exchange.response.headersSent && progress.isAlone());
+}
+
 /**
  * A broken answer may concern this request only; any other failure means that the target is down.
  */
@@ -135,23 +151,22 @@
 }
 
 /** Options of one attempt. */
-interface SendOptions {
+export interface SendOptions {
   readonly readOnly: boolean;
   readonly from: PromptHandle | null;
   /** After a longer silence, the target is checked for being unresponsive. */
   readonly allowedMs: number;
 }
 
-/** Sends the request to one target; aborts the attempt if the target becomes unresponsive. */
+/** Sends the request to one target; tells of its answer, and whether it is overdue. */
 async function send(
   turn: Turn,
   target: TargetEntry,
   options: SendOptions,
   sink: AnswerSink,
 ): Promise<SendOutcome> {
-  const { exchange, services, relay } = turn;
-  exchange.lastTarget = target.id;
-  exchange.sentVersion = target.version;
+  const { exchange, services, relay, progress } = turn;
+  noteSent(exchange, target);
   const headers = services.wire.targetHeaders(exchange.rawHeaders, {
     targetName: target.name,
     remainingTimeMs: Math.max(1, Math.floor(exchange.endsAtMs - services.nowMs())),
@@ -163,41 +178,60 @@
   const { method, path, body, head } = exchange;
   const work = options.readOnly ? RequestedWork.Read : RequestedWork.Run;
   const retries = retriesOf(exchange, options.readOnly ? exchange.prefills : exchange.sends);
-  const request = { attemptId: head.attemptId, work, retries, method, path, headers, body };
-  // A stream that must not run twice keeps waiting: an unresponsive target may still be producing
-  // it.
-  const mayMove = options.readOnly || exchange.route.resumable;
-  const stopped = new AbortController();
-  const stop = (): void => {
-    stopped.abort(ATTEMPT_STOPPED);
+  const onSent = (): void => {
+    if (options.readOnly) {
+      exchange.prefills += 1;
+      return;
+    }
+    exchange.sends += 1;
+    progress.noteRun();
   };
-  if (exchange.signal.aborted) stop();
-  exchange.signal.addEventListener('abort', stop);
-  const watch = watchInactivity(services, target.id, options.allowedMs, () => {
-    services.count('silent_targets_total');
-    services.log.info('target silent', {
-      request: exchange.id,
-      target: target.id,
-      readOnly: options.readOnly,
-      mayMove,
-      allowedMs: Math.round(options.allowedMs),
-    });
-    if (mayMove) stop();
-    else report(turn, JobEventKind.Failed, target.id);
-  });
+  const request = { attemptId: head.attemptId, work, onSent, retries, method, path, headers, body };
+  const watch = watchSilence(turn, target, options);
+  let hasFailed = false;
   const watchedSink: AnswerSink = {
-    onHead: sink.onHead,
-    onBytes: (bytes, flow) => {
+    onHead: (received, rawHeaders) => {
+      sink.onHead(received, rawHeaders);
+      // A failure must not stop the attempts whose targets may still answer.
+      hasFailed = received.status >= FIRST_FAILURE_STATUS;
+      if (hasFailed) return;
       watch.noteBytes();
-      return sink.onBytes(bytes, flow);
+      if (!options.readOnly) progress.noteAnswer();
+    },
+    onBytes: (bytes, flow) => {
+      if (!hasFailed) watch.noteBytes();
+      return sink.onBytes(bytes, pausing(watch, flow));
     },
   };
-  const outcome = await sendToTarget(services, target, request, watchedSink, stopped.signal);
+  const outcome = await sendToTarget(services, target, request, watchedSink, watch.signal);
   if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
   watch.stop();
-  exchange.signal.removeEventListener('abort', stop);
-  const isSilent = outcome.kind === SendOutcomeKind.Stopped && !exchange.signal.aborted;
-  return isSilent ? { ...outcome, kind: SendOutcomeKind.Silent, detail: 'silent' } : outcome;
+  return outcome.kind === SendOutcomeKind.Stopped ? explainStop(turn, watch, outcome) : outcome;
+}
+
+/** Suspends a watch while the caller reads too slowly for more bytes. */
+function pausing(watch: SilenceWatch, flow: FlowControl): FlowControl {
+  return {
+    pause: () => {
+      watch.pause();
+      flow.pause();
+    },
+    resume: () => {
+      watch.resume();
+      flow.resume();
+    },
+  };
+}
+
+function noteSent(exchange: Exchange, target: TargetEntry): void {
+  exchange.lastTarget = target.id;
+  exchange.sentVersion = target.version;
+}
+
+function explainStop({ exchange }: Turn, watch: SilenceWatch, outcome: SendOutcome): SendOutcome {
+  if (exchange.signal.aborted) return outcome;
+  const kind = watch.isSilent() ? SendOutcomeKind.Silent : SendOutcomeKind.Replaced;
+  return { ...outcome, kind, detail: kind };
 }
 
 function collectBody(): {
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -17,10 +17,12 @@
 import type { TargetAvailability } from './target-availability.js';
 import type { TargetHealth } from './target-health.js';
 import type { TargetLimits } from './target-limits.js';
+import type { TargetProbes } from './target-probes.js';
 
 /** The services that forwarding a request depends on. */
 export interface ForwardingServices extends SendServices {
   readonly pulse: TargetActivity;
+  readonly probes: TargetProbes;
   readonly standstill: StallWatch;
   readonly view: FleetView;
   readonly budgets: RetryBudgets;
--- a/packages/daemon/src/gateway/inactivity-watch.ts
+++ b/packages/daemon/src/gateway/inactivity-watch.ts
@@ -19,6 +19,9 @@
 export interface InactivityWatch {
   /** Records that bytes were received for the request. */
   readonly noteBytes: () => void;
+  /** Suspends the watch while the caller, not the target, holds the answer up. */
+  readonly pause: () => void;
+  readonly resume: () => void;
   readonly stop: () => void;
 }
 
@@ -29,32 +32,59 @@
   readonly nowMs: () => number;
 }
 
+/** Callbacks of a watch. */
+export interface InactivityEvents {
+  /** Called when the target is found unresponsive. */
+  readonly onSilent: () => void;
+  /** Called when an unresponsive target sends something for the request again. */
+  readonly onActive: (silentForMs: number) => void;
+}
+
 /**
- * Starts to watch a request. Calls `onUnresponsive` once when the target is found unresponsive. An
- * event loop stall of this process does not count as inactivity of the target; otherwise many
- * streams and prefills would be given up at once although the data that targets sent meanwhile is
- * waiting to be read.
+ * Starts to watch a request. An event loop stall of this process does not count as inactivity of the
+ * target; otherwise many targets would be taken for unresponsive at once although the data that they
+ * sent meanwhile is waiting to be read.
  */
 export function watchInactivity(
   { pulse, standstill, nowMs }: InactivitySources,
   target: string,
   allowedMs: number,
-  onUnresponsive: () => void,
+  { onSilent, onActive }: InactivityEvents,
 ): InactivityWatch {
   let lastBytesAtMs = nowMs();
+  let isSilent = false;
+  let isPaused = false;
   let timer = setTimeout(check, allowedMs);
 
   function check(): void {
     const remainingMs = allowedMs - (nowMs() - lastBytesAtMs);
-    if (remainingMs > 0) timer = setTimeout(check, remainingMs);
+    if (isPaused) timer = setTimeout(check, allowedMs);
+    else if (remainingMs > 0) timer = setTimeout(check, remainingMs);
     else if (standstill.catchUp() !== null) timer = setTimeout(check, RECHECK_INTERVAL_MS);
     else if (!pulse.isInactive(target, TARGET_INACTIVITY_MS))
       timer = setTimeout(check, RECHECK_INTERVAL_MS);
-    else onUnresponsive();
+    else {
+      isSilent = true;
+      onSilent();
+    }
+  }
+
+  function noteBytes(): void {
+    const silentForMs = nowMs() - lastBytesAtMs;
+    lastBytesAtMs = nowMs();
+    if (!isSilent) return;
+    isSilent = false;
+    timer = setTimeout(check, allowedMs);
+    onActive(silentForMs);
   }
 
   return {
-    noteBytes: () => {
+    noteBytes,
+    pause: () => {
+      isPaused = true;
+    },
+    resume: () => {
+      isPaused = false;
       lastBytesAtMs = nowMs();
     },
     stop: () => {
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -1,12 +1,19 @@
 /**
- * Forwards requests to plain services. A failed request is retried at other targets if it is
- * idempotent and both its route's maximum of attempts and the retry budget allow it.
+ * Forwards requests to plain services. A request whose target has failed, or whose answer is overdue,
+ * is tried at other targets if it is idempotent and both its route's maximum of attempts and the
+ * retry budget allow it.
  */
 import { RequestedWork, DeliveryKind, type TargetEntry } from '@cassiamast/coordination';
-import { type SendOutcome, SendOutcomeKind, sendToTarget } from './send-to-target.js';
+import {
+  type AnswerSink,
+  type SendOutcome,
+  SendOutcomeKind,
+  sendToTarget,
+} from './send-to-target.js';
 import { announcementFields } from './announcement-fields.js';
 import { recordCrashOutcome } from './crash-reports.js';
 import { type Exchange, replaceRetries, retriesOf } from './exchange.js';
+import { watchAnswer } from './answer-watch.js';
 import { type BufferedAnswer, bufferAnswer } from './buffered-answer.js';
 import {
   DEADLINE_REASON,
@@ -16,6 +23,7 @@
   sendOwnAnswer,
 } from './own-answer.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
+import { type AttemptProgress, createOpenAttempts } from './open-attempts.js';
 
 /** An idempotent request is retried elsewhere after this multiple of its route's target latency. */
 const SLOW_ANSWER_RATIO = 2;
@@ -26,20 +34,12 @@
 /** HTTP statuses from this one on are failures of the target. */
 const FIRST_SERVER_ERROR_STATUS = 500;
 
-/** Kinds of steps after an attempt. */
-enum NextStepKind {
-  Delivered = 'delivered',
-  TryAgain = 'try-again',
-  GiveUp = 'give-up',
+/** How an attempt at one target ended. */
+interface AttemptOutcome extends SendOutcome {
+  readonly answer: BufferedAnswer;
 }
 
-/** The step after an attempt. A rate-limit permit is already taken for the target to try. */
-type NextStep =
-  | { readonly kind: NextStepKind.Delivered | NextStepKind.GiveUp }
-  | { readonly kind: NextStepKind.TryAgain; readonly target: TargetEntry };
-
-const DELIVERED: NextStep = { kind: NextStepKind.Delivered };
-const GIVE_UP: NextStep = { kind: NextStepKind.GiveUp };
+const OVERDUE_REASON = 'the answer is overdue';
 const NO_TARGET_REASON = 'no target takes work';
 const UNAVAILABLE_REASON = 'all targets leave or asked for a back-off';
 const RATE_LIMITED_REASON = 'all targets that could take it are at their rate limits';
@@ -61,17 +61,31 @@
 ): Promise<void> {
   const state: ForwardingState = { exchange, services, limited: new Map(), unreachable: 0 };
   services.budgets.noteRequest(exchange.service);
+  const attempts = createOpenAttempts<AttemptOutcome>(exchange.signal, mayRepeat(exchange));
   let target = await choosePermittedTarget(state);
   let detail = reasonWithoutTarget(state);
-  while (target !== null && !exchange.signal.aborted) {
-    const bufferedAnswer = bufferAnswer(exchange.response, services.wire);
-    const outcome = await send(exchange, services, target, bufferedAnswer);
-    detail = outcome.detail;
-    const next = await decideNextStep(state, target, bufferedAnswer, outcome);
-    if (next.kind === NextStepKind.Delivered) return;
-    target = next.kind === NextStepKind.TryAgain ? next.target : null;
+  while (!exchange.signal.aborted && (target !== null || attempts.areOpen())) {
+    if (target !== null) attempts.begin(attemptAt(state, target));
+    // While nobody else takes the request, an overdue answer is awaited.
+    else await attempts.changed(RETRY_AFTER_MS);
+    // While the answers of all targets are overdue, null: the request may be tried elsewhere.
+    const outcome = await attempts.next();
+    detail = outcome?.detail ?? OVERDUE_REASON;
+    target = await chooseNextTarget(state, outcome);
+    if (target === null && outcome !== null && deliver(outcome)) return;
+    // The answer may have come while the next target was chosen.
+    if (outcome === null && !attempts.areAllOverdue()) target = null;
   }
-  giveUp(state, detail);
+  const last = await attempts.over();
+  if (last !== null && deliver(last)) return;
+  giveUp(state, last?.detail ?? detail);
+}
+
+/** Passes a complete answer on; returns whether there is one. */
+function deliver({ kind, answer }: AttemptOutcome): boolean {
+  if (kind !== SendOutcomeKind.Complete) return false;
+  answer.deliver();
+  return true;
 }
 
 /** Returns why no target was found for a request that was not sent yet. */
@@ -97,55 +111,35 @@
   return null;
 }
 
-async function send(
-  exchange: Exchange,
-  services: ForwardingServices,
+/** Returns the attempt at one target. */
+function attemptAt(
+  state: ForwardingState,
   target: TargetEntry,
-  bufferedAnswer: BufferedAnswer,
-): Promise<SendOutcome> {
-  const { route } = exchange;
+): (progress: AttemptProgress) => Promise<AttemptOutcome> {
+  return (progress) => attempt(state, target, progress);
+}
+
+/** Sends the request to one target, and records what its end says about the target. */
+async function attempt(
+  state: ForwardingState,
+  target: TargetEntry,
+  progress: AttemptProgress,
+): Promise<AttemptOutcome> {
+  const { exchange, services } = state;
+  const answer = bufferAnswer(exchange.response, services.wire, progress.isAlone);
   const startedAtMs = services.nowMs();
   const leftMs = Math.max(1, Math.floor(exchange.endsAtMs - startedAtMs));
-  const slowAnswer = new AbortController();
-  const mayRepeat = route.kind === DeliveryKind.Idempotent;
-  const hasAttemptsLeft = exchange.sends + 1 < route.maxAttempts;
-  const slowAfterMs =
-    mayRepeat && hasAttemptsLeft ? route.targetLatencyMs * SLOW_ANSWER_RATIO : leftMs;
-  const timer = setTimeout(() => {
-    services.standstill.whenCaughtUp(() => {
-      slowAnswer.abort();
-    });
-  }, slowAfterMs);
-  const headers = services.wire.targetHeaders(exchange.rawHeaders, {
-    targetName: target.name,
-    remainingTimeMs: leftMs,
-    prefillOnly: false,
-    from: null,
-    fetchFrom: null,
-    lastEventId: exchange.head.lastEventId,
-  });
+  // No further attempt may choose it, also while this one is open.
+  exchange.failedTargets.add(target.id);
   services.health.noteSent(target);
-  const outcome = await sendToTarget(
-    services,
-    target,
-    {
-      attemptId: exchange.head.attemptId,
-      work: RequestedWork.Run,
-      retries: retriesOf(exchange, exchange.sends),
-      method: exchange.method,
-      path: exchange.path,
-      headers,
-      body: exchange.body,
-    },
-    bufferedAnswer.sink,
-    AbortSignal.any([exchange.signal, slowAnswer.signal]),
-  );
-  clearTimeout(timer);
+  const outcome = await send(state, target, progress, answer, leftMs);
   services.health.noteDone(target);
-  if (outcome.sent) exchange.sends += 1;
-  exchange.lastTarget = target.id;
+  // Its head and body may have come before it was overdue, and its end after.
+  if (outcome.kind === SendOutcomeKind.Complete && !hasFailed(answer)) progress.noteAnswer();
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
   if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
+  if (outcome.kind === SendOutcomeKind.NotSent) state.unreachable += 1;
+  recordHealth(state, target, outcome);
   recordCrashOutcome(exchange, services, target, outcome);
   services.log.info('sent to target', {
     request: exchange.id,
@@ -158,65 +152,132 @@
     leftMs,
     newsAgeMs: newsAgeMs(services),
   });
-  return outcome;
+  return { ...outcome, answer };
 }
 
-async function decideNextStep(
-  state: ForwardingState,
+async function send(
+  { exchange, services }: ForwardingState,
   target: TargetEntry,
-  bufferedAnswer: BufferedAnswer,
-  outcome: SendOutcome,
-): Promise<NextStep> {
-  const { exchange, services } = state;
-  const mayRepeat = exchange.route.kind === DeliveryKind.Idempotent;
-  exchange.failedTargets.add(target.id);
-  switch (outcome.kind) {
-    case SendOutcomeKind.Complete: {
+  progress: AttemptProgress,
+  answer: BufferedAnswer,
+  leftMs: number,
+): Promise<SendOutcome> {
+  const { route, head, method, path, body } = exchange;
+  exchange.lastTarget = target.id;
+  const headers = services.wire.targetHeaders(exchange.rawHeaders, {
+    targetName: target.name,
+    remainingTimeMs: leftMs,
+    prefillOnly: false,
+    from: null,
+    fetchFrom: null,
+    lastEventId: head.lastEventId,
+  });
+  const hasAttemptsLeft = exchange.sends + 1 < route.maxAttempts;
+  const overdueAfterMs =
+    mayRepeat(exchange) && hasAttemptsLeft ? route.targetLatencyMs * SLOW_ANSWER_RATIO : null;
+  const watch = watchAnswer(exchange, services, target, progress, overdueAfterMs);
+  const onSent = (): void => {
+    exchange.sends += 1;
+    progress.noteRun();
+  };
+  const retries = retriesOf(exchange, exchange.sends);
+  const work = RequestedWork.Run;
+  const request = { attemptId: head.attemptId, work, onSent, retries, method, path, headers, body };
+  const sink: AnswerSink = {
+    onHead: (received, rawHeaders) => {
+      answer.sink.onHead(received, rawHeaders);
+      if (!hasFailed(answer)) watch.noteAnswer();
+    },
+    onBytes: (bytes, flow) => {
+      if (!hasFailed(answer)) watch.noteAnswer();
+      return answer.sink.onBytes(bytes, flow);
+    },
+  };
+  const outcome = await sendToTarget(services, target, request, sink, watch.signal);
+  watch.stop();
+  const isReplaced = outcome.kind === SendOutcomeKind.Stopped && !exchange.signal.aborted;
+  if (!isReplaced) return outcome;
+  const kind = watch.isOverdue() ? SendOutcomeKind.Silent : SendOutcomeKind.Replaced;
+  return { ...outcome, kind, detail: kind };
+}
+
+function hasFailed(answer: BufferedAnswer): boolean {
+  return (answer.head()?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
+}
+
+function mayRepeat({ route }: Exchange): boolean {
+  return route.kind === DeliveryKind.Idempotent;
+}
+
+function recordHealth(
+  { exchange, services }: ForwardingState,
+  target: TargetEntry,
+  { kind }: SendOutcome,
+): void {
+  switch (kind) {
+    case SendOutcomeKind.Complete:
       services.health.recordSuccess(target);
-      const failed = (bufferedAnswer.head()?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
-      if (failed && mayRepeat && !bufferedAnswer.hasSentHead()) {
-        const next = await retryWithinBudget(state);
-        if (next.kind === NextStepKind.TryAgain) return next;
-      }
-      bufferedAnswer.deliver();
-      return DELIVERED;
-    }
+      return;
     case SendOutcomeKind.NotSent:
       services.health.recordFailure(target);
-      state.unreachable += 1;
-      return state.unreachable > MAX_UNREACHABLE ? GIVE_UP : tryNextTarget(state);
+      return;
+    case SendOutcomeKind.Broken:
+      if (!exchange.signal.aborted) services.health.recordFailure(target);
+      return;
+    // The watch has recorded an answer that is overdue.
+    case SendOutcomeKind.Silent:
+    case SendOutcomeKind.Stopped:
     case SendOutcomeKind.Withheld:
-      return tryNextTarget(state);
     case SendOutcomeKind.OverBudget:
-      return GIVE_UP;
+    case SendOutcomeKind.NotRun:
+    case SendOutcomeKind.Replaced:
+      return;
+  }
+}
+
+/**
+ * Chooses the target to try next after an attempt, or beside overdue ones (null); null if the request
+ * must not be tried again.
+ */
+async function chooseNextTarget(
+  state: ForwardingState,
+  outcome: AttemptOutcome | null,
+): Promise<TargetEntry | null> {
+  const { exchange } = state;
+  switch (outcome?.kind) {
+    case SendOutcomeKind.Complete: {
+      const { answer } = outcome;
+      if (!hasFailed(answer) || !mayRepeat(exchange) || answer.hasSentHead()) return null;
+      return retryWithinBudget(state);
+    }
+    case SendOutcomeKind.NotSent:
+      return state.unreachable > MAX_UNREACHABLE ? null : choosePermittedTarget(state);
+    case SendOutcomeKind.Withheld:
+      return choosePermittedTarget(state);
+    case SendOutcomeKind.OverBudget:
+      return null;
     case SendOutcomeKind.NotRun:
       return retryWithinBudget(state);
-    // An attempt stopped before the deadline was too slow; only idempotent requests are stopped.
     case SendOutcomeKind.Stopped:
     case SendOutcomeKind.Silent:
+    case SendOutcomeKind.Replaced:
     case SendOutcomeKind.Broken:
-      if (exchange.signal.aborted) return GIVE_UP;
-      services.health.recordFailure(target);
-      return !mayRepeat || bufferedAnswer.hasSentHead() ? GIVE_UP : retryWithinBudget(state);
+    case undefined:
+      if (exchange.signal.aborted || !mayRepeat(exchange)) return null;
+      return exchange.response.headersSent ? null : retryWithinBudget(state);
   }
 }
 
-/** Continues at another target if there is one. */
-async function tryNextTarget(state: ForwardingState): Promise<NextStep> {
-  const target = await choosePermittedTarget(state);
-  return target === null ? GIVE_UP : { kind: NextStepKind.TryAgain, target };
-}
-
-/** Continues at another target if the route's maximum of attempts and the retry budget allow it. */
-async function retryWithinBudget(state: ForwardingState): Promise<NextStep> {
+/** Chooses another target if the route's maximum of attempts and the retry budget allow it. */
+async function retryWithinBudget(state: ForwardingState): Promise<TargetEntry | null> {
   const { exchange, services } = state;
-  if (exchange.isTrial || exchange.sends >= exchange.route.maxAttempts) return GIVE_UP;
+  if (exchange.isTrial || exchange.sends >= exchange.route.maxAttempts) return null;
   await services.crashes.whenDecided(exchange);
-  const next = await tryNextTarget(state);
-  if (next.kind !== NextStepKind.TryAgain) return GIVE_UP;
+  const target = await choosePermittedTarget(state);
+  if (target === null) return null;
   const arrivals = exchange.sends === 0 ? 0 : 1;
   replaceRetries(exchange, services.budgets.reserve(exchange.service, exchange.id, arrivals));
-  return exchange.retries === null ? GIVE_UP : next;
+  return exchange.retries === null ? null : target;
 }
 
 function giveUp({ exchange, services, limited }: ForwardingState, detail: string): void {
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -38,6 +38,8 @@
   Stopped = 'stopped',
   /** The attempt was abandoned because the target is unresponsive; the request may have run. */
   Silent = 'silent',
+  /** The attempt was stopped as the request goes on at another target. */
+  Replaced = 'replaced',
 }
 
 /** The outcome of one attempt. */
@@ -65,6 +67,8 @@
   readonly attemptId: string | null;
   /** The work that the target is asked to do. */
   readonly work: RequestedWork;
+  /** Called right before the first byte is sent. */
+  readonly onSent?: () => void;
   /** The retry budget that this send draws on; null for the first send of a request. */
   readonly retries: Pick<RetryReservation, 'open'> | null;
   readonly method: string;
@@ -176,6 +180,7 @@
             }
           }
           sent = true;
+          request.onSent?.();
           services.count('sends_total');
         },
         onStart: (status, headers, rawHeaders) => {
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -61,6 +61,7 @@
 import { createTargetAvailability } from './target-availability.js';
 import { createTargetHealth } from './target-health.js';
 import { createTargetLimits } from './target-limits.js';
+import { createTargetProbes } from './target-probes.js';
 import { logTargetTransitions } from './target-transitions.js';
 import { withholdControlCalls } from './withheld-control-calls.js';
 import { createTargetActivity } from './target-activity.js';
@@ -271,6 +272,7 @@
     crashes,
     versions,
     pulse,
+    probes: createTargetProbes(isReachable, monotonicMs),
     onAnswerHead: (target, head, { work, sentAtMs }) => {
       headerWatch.logUnknownHeaders(target, head);
       availability.noteAnswer(target, head);
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -2,7 +2,8 @@
  * Forwards requests to services of engines. A request is queued at the scheduler, its prompt is
  * prefilled, possibly by another engine than the one that decodes, and the stream is relayed. A
  * resumable stream that breaks off continues at another engine within the same answer; for any
- * other stream, the caller's connection is closed.
+ * other stream, the caller's connection is closed. While an engine is silent, its answer stays open
+ * and another engine is tried.
  */
 import {
   type Decision,
@@ -26,8 +27,10 @@
   failureStatus,
   sendOwnAnswer,
 } from './own-answer.js';
-import { createStreamRelay } from './stream-relay.js';
+import { type StreamRelay, createStreamRelay } from './stream-relay.js';
 import { freeHandle, requestPrefill, requestStream } from './engine-requests.js';
+import { type OpenAttempts, createOpenAttempts } from './open-attempts.js';
+import { SendOutcomeKind } from './send-to-target.js';
 import { type Turn, TurnEnd, report } from './stream-turn.js';
 
 /** Maximum number of turns of one request: the first one and a few after failures. */
@@ -37,6 +40,17 @@
 /** The scheduler's decision not to give a request an engine. */
 type Refusal = Extract<Decision, { readonly kind: DecisionKind.Refuse }>;
 
+/** The state of one request while turns are taken. */
+interface Stream {
+  readonly exchange: Exchange;
+  readonly services: ForwardingServices;
+  readonly relay: StreamRelay;
+  readonly turns: OpenAttempts<TurnEnd>;
+  /** Number of turns that the scheduler was asked for, and of those that it granted. */
+  turnsAsked: number;
+  turnsTaken: number;
+}
+
 /** Forwards a request; resolves when its answer is delivered or no further turn may be taken. */
 export async function forwardStream(
   exchange: Exchange,
@@ -55,46 +69,69 @@
     giveUp(exchange, services, refused.reason, refused.retryAfterMs);
     return;
   }
+  const turns = createOpenAttempts<TurnEnd>(exchange.signal, exchange.route.resumable);
+  const stream: Stream = { exchange, services, relay, turns, turnsAsked: 0, turnsTaken: 0 };
   let detail = '';
-  for (let turnNumber = 1; turnNumber <= MAX_TURNS && !exchange.signal.aborted; turnNumber += 1) {
-    const jobId = `${exchange.id}/${String(turnNumber)}`;
-    const answer = await services.scheduling.take(
-      exchange.service,
-      () => createJobRequest(exchange, services, jobId),
-      exchange.signal,
-    );
-    if (answer === null) break;
-    const { decision, schedulerId } = answer;
-    if (decision.kind === DecisionKind.Refuse) {
-      logRefusal(exchange, services, schedulerId, decision);
-      giveUp(exchange, services, decision.reason, decision.retryAfterMs);
+  let needsTurn = true;
+  while (!exchange.signal.aborted) {
+    const refusal = needsTurn ? await askForTurn(stream) : null;
+    if (refusal !== null && !turns.areOpen()) {
+      giveUp(exchange, services, refusal.reason, refusal.retryAfterMs);
       return;
     }
-    const turn: Turn = { exchange, services, relay, jobId, schedulerId, plan: decision.plan };
-    const end = await runTurn(turn);
-    const isServed = end === TurnEnd.Delivered;
-    report(turn, isServed ? JobEventKind.Served : JobEventKind.Ended, exchange.lastTarget);
-    if (isServed) return;
+    // While nobody else takes the request, the answers of silent targets are awaited.
+    if (refusal !== null || !needsTurn) await turns.changed(RETRY_AFTER_MS);
+    // While the targets of all turns are silent, null: the request may be tried elsewhere.
+    const end = await turns.next();
+    if (end === TurnEnd.Delivered) return;
     if (end === TurnEnd.Stopped) break;
-    detail = `engine ${exchange.lastTarget}: ${end}`;
-    if (!mayTakeAnotherTurn(exchange, services, end)) break;
+    detail = `engine ${exchange.lastTarget}: ${end ?? SendOutcomeKind.Silent}`;
     const gone = services.versions.refusal(exchange);
-    if (gone !== null) {
-      detail = gone.reason;
-      break;
-    }
-    await services.crashes.whenDecided(exchange);
+    needsTurn = gone === null && mayTakeAnotherTurn(stream, end);
+    detail = gone?.reason ?? detail;
+    if (!needsTurn && !turns.areOpen()) break;
+    if (needsTurn) await services.crashes.whenDecided(exchange);
   }
+  if ((await turns.over()) === TurnEnd.Delivered) return;
   const availableInMs = services.availability.callerRetryInMs(exchange.service);
   giveUp(exchange, services, detail, Math.max(RETRY_AFTER_MS, availableInMs));
 }
 
-/** Returns whether another turn is allowed after a failed one. */
+/** Asks the scheduler for engines and begins a turn with them; returns the refusal if there are none. */
+async function askForTurn(stream: Stream): Promise<Refusal | null> {
+  const { exchange, services, relay, turns } = stream;
+  stream.turnsAsked += 1;
+  const jobId = `${exchange.id}/${String(stream.turnsAsked)}`;
+  const answer = await services.scheduling.take(
+    exchange.service,
+    () => createJobRequest(exchange, services, jobId),
+    turns.untilAnswer(),
+  );
+  if (answer === null) return null;
+  const { decision, schedulerId } = answer;
+  if (decision.kind === DecisionKind.Refuse) {
+    logRefusal(exchange, services, schedulerId, decision);
+    return decision;
+  }
+  stream.turnsTaken += 1;
+  const grant = { exchange, services, relay, jobId, schedulerId, plan: decision.plan };
+  turns.begin((progress) => takeTurn({ ...grant, progress }));
+  return null;
+}
+
+async function takeTurn(turn: Turn): Promise<TurnEnd> {
+  const end = await runTurn(turn);
+  const kind = end === TurnEnd.Delivered ? JobEventKind.Served : JobEventKind.Ended;
+  report(turn, kind, turn.plan.streamAt ?? turn.plan.readAt);
+  return end;
+}
+
+/** Returns whether another turn is allowed after a failed one, or beside silent ones (null). */
 function mayTakeAnotherTurn(
-  exchange: Exchange,
-  services: ForwardingServices,
-  end: TurnEnd,
+  { exchange, services, turnsTaken }: Stream,
+  end: TurnEnd | null,
 ): boolean {
+  if (turnsTaken >= MAX_TURNS) return false;
   if (end === TurnEnd.NotServing) return true;
   if (end === TurnEnd.OverBudget) return false;
   if (end === TurnEnd.Broken && !exchange.route.resumable) return false;
@@ -137,11 +174,21 @@
   const handle = await requestPrefill(turn, prefillTarget);
   if (handle.isErr()) return handle.error;
   if (hasRestarted(services.view, prefillTarget)) return rejectHandle(turn, prefillTarget);
+  await turn.progress.whenAloneToRun();
+  if (mustNotRunAgain(exchange) || turn.progress.signal.aborted) {
+    freeHandle(services, prefillTarget, handle.value);
+    return TurnEnd.Broken;
+  }
   const end = await requestStream(turn, decodeTarget, handle.value);
   if (end !== TurnEnd.Delivered) freeHandle(services, prefillTarget, handle.value);
   return end;
 }
 
+/** Returns whether another target may have run a stream that must not run twice. */
+function mustNotRunAgain({ mayHaveRun, route }: Exchange): boolean {
+  return mayHaveRun && !route.resumable;
+}
+
 /**
  * Rejects a grant of an engine that is leaving or backing off as far as this gateway knows. A scheduler
  * that is cut off from the store does not see that an engine leaves; without this check, the engine
--- a/packages/daemon/src/gateway/stream-relay.ts
+++ b/packages/daemon/src/gateway/stream-relay.ts
@@ -4,24 +4,27 @@
  */
 import type { ServerResponse } from 'node:http';
 import { createEventFraming, hasPartialEvent, addEventBytes } from '@cassiamast/coordination';
-import type { AnswerHead, CallerWire } from '@cassiamast/ports';
-import { type AnswerSink, FIRST_FAILURE_STATUS } from './send-to-target.js';
+import type { CallerWire } from '@cassiamast/ports';
+import { type AnswerSink, FIRST_FAILURE_STATUS, type FlowControl } from './send-to-target.js';
+
+/** The part of a stream that one target produces. */
+export interface StreamPart {
+  /** Receives the answer of the target. */
+  readonly sink: AnswerSink;
+  /** Returns whether the target answered with a failure, which is buffered. */
+  readonly hasFailed: () => boolean;
+  /** Returns whether the target's stream stopped in the middle of an event. */
+  readonly endedInsideEvent: () => boolean;
+  /** Ends the answer as complete, or sends the buffered failure answer of the target. */
+  readonly end: () => void;
+}
 
 /** The relay of one stream. */
 export interface StreamRelay {
-  /** Creates a sink for the next target that produces the stream. */
-  readonly createSink: () => AnswerSink;
+  /** Begins the part of a target. While several are begun, only one may send events. */
+  readonly beginPart: () => StreamPart;
   /** Returns the id of the last event that was sent; null before the first event with an id. */
   readonly lastEventId: () => string | null;
-  /**
-   * Returns whether the current target answered with a failure after earlier targets produced a
-   * part of the stream. Such a stream must not end as if it were complete.
-   */
-  readonly failedAfterStart: () => boolean;
-  /** Returns whether the current target's stream stopped in the middle of an event. */
-  readonly endedInsideEvent: () => boolean;
-  /** Ends the answer as complete, or sends the buffered failure answer. */
-  readonly end: () => void;
 }
 
 /** Callbacks of the relay. */
@@ -36,26 +39,9 @@
   wire: CallerWire,
   events: StreamRelayEvents,
 ): StreamRelay {
-  let framing = createEventFraming();
   let lastEventId: string | null = null;
-  let headers: readonly string[] = [];
-  let status = 0;
-  let failure: AnswerHead | null = null;
-  let failureBody: Buffer[] = [];
-
-  /**
-   * Sends the head together with the first event. If a stream breaks off before that event, the
-   * gateway can still send a failure answer. With the head sent, it could only close the
-   * connection, and the caller would have to reconnect.
-   */
-  function sendHead(): void {
-    if (!response.headersSent) response.writeHead(status, wire.callerHeaders(headers));
-  }
 
-  function relay(wholeEvents: Buffer, flow: { pause: () => void; resume: () => void }): void {
-    if (wholeEvents.length === 0 || response.destroyed) return;
-    lastEventId = framing.lastEventId ?? lastEventId;
-    sendHead();
+  function relay(wholeEvents: Buffer, flow: FlowControl): void {
     if (response.write(wholeEvents)) return;
     flow.pause();
     response.once('drain', () => {
@@ -63,45 +49,57 @@
     });
   }
 
-  function createSink(): AnswerSink {
+  function beginPart(): StreamPart {
+    const framing = createEventFraming();
+    const failureBody: Buffer[] = [];
+    let head: { readonly status: number; readonly headers: readonly string[] } | null = null;
     let isFirstEvent = true;
-    framing = createEventFraming();
-    failure = null;
-    failureBody = [];
+
+    const hasFailed = (): boolean => (head?.status ?? 0) >= FIRST_FAILURE_STATUS;
+
+    /**
+     * Sends the head together with the first event. If a stream breaks off before that event, the
+     * gateway can still send a failure answer. With the head sent, it could only close the
+     * connection, and the caller would have to reconnect.
+     */
+    function sendHead(): void {
+      // The caller may have the head of an earlier target's answer.
+      if (response.headersSent) return;
+      response.writeHead(head?.status ?? 0, wire.callerHeaders(head?.headers ?? []));
+    }
+
+    function relayEvents(bytes: Buffer, flow: FlowControl): void {
+      const wholeEvents = addEventBytes(framing, bytes);
+      if (isFirstEvent && wholeEvents.length > 0) {
+        isFirstEvent = false;
+        events.onFirstEvent();
+      }
+      if (wholeEvents.length === 0 || response.destroyed) return;
+      lastEventId = framing.lastEventId ?? lastEventId;
+      sendHead();
+      relay(wholeEvents, flow);
+    }
+
     return {
-      onHead: (head, rawHeaders) => {
-        if (head.status >= FIRST_FAILURE_STATUS) failure = head;
-        // The caller already has the head of an earlier target's answer.
-        if (response.headersSent) return;
-        status = head.status;
-        headers = rawHeaders;
-      },
-      onBytes: (bytes, flow) => {
-        if (failure !== null) {
-          failureBody.push(bytes);
+      sink: {
+        onHead: ({ status }, headers) => {
+          head = { status, headers };
+        },
+        onBytes: (bytes, flow) => {
+          if (hasFailed()) failureBody.push(bytes);
+          else relayEvents(bytes, flow);
           return null;
-        }
-        const wholeEvents = addEventBytes(framing, bytes);
-        if (isFirstEvent && wholeEvents.length > 0) {
-          isFirstEvent = false;
-          events.onFirstEvent();
-        }
-        relay(wholeEvents, flow);
-        return null;
+        },
+      },
+      hasFailed,
+      endedInsideEvent: () => hasPartialEvent(framing),
+      end: () => {
+        if (response.destroyed) return;
+        sendHead();
+        response.end(hasFailed() ? Buffer.concat(failureBody) : undefined);
       },
     };
   }
 
-  return {
-    createSink,
-    lastEventId: () => lastEventId,
-    failedAfterStart: () => failure !== null && response.headersSent,
-    endedInsideEvent: () => hasPartialEvent(framing),
-    end: () => {
-      if (response.destroyed) return;
-      const isHeldFailure = failure !== null && !response.headersSent;
-      sendHead();
-      response.end(isHeldFailure ? Buffer.concat(failureBody) : undefined);
-    },
-  };
+  return { beginPart, lastEventId: () => lastEventId };
 }
--- a/packages/daemon/src/gateway/stream-turn.ts
+++ b/packages/daemon/src/gateway/stream-turn.ts
@@ -5,6 +5,7 @@
 import type { JobEventKind, Plan, TargetEntry } from '@cassiamast/coordination';
 import type { Exchange } from './exchange.js';
 import type { ForwardingServices } from './forwarding-services.js';
+import type { AttemptProgress } from './open-attempts.js';
 import type { StreamRelay } from './stream-relay.js';
 
 /** One turn of a request at the engines that the scheduler granted it. */
@@ -15,6 +16,7 @@
   readonly jobId: string;
   readonly schedulerId: string;
   readonly plan: Plan;
+  readonly progress: AttemptProgress;
 }
 
 /** How a turn ended. */
