Let a stream that began long ago go on at another engine

A stream that broke off more than some 2.4 s after its request was cut, although an engine was idle.

Cause: the scheduler was told that the caller leaves 2.4 s after the request. A caller that gets events leaves after as long a silence, not earlier. Change: the caller's silence counts from the last event that was passed on.

--- a/packages/daemon/src/gateway/engine-job.ts
+++ b/packages/daemon/src/gateway/engine-job.ts
@@ -26,7 +26,8 @@
     route.targetLatencyMs * CALLER_SILENCE_TARGET_LATENCIES,
     route.targetGapMs * CALLER_SILENCE_TARGET_GAPS,
   );
-  const deadlineAtMs = Math.min(exchange.endsAtMs, exchange.receivedAtMs + callerSilenceMs);
+  const silentSinceMs = exchange.lastEventAtMs ?? exchange.receivedAtMs;
+  const deadlineAtMs = Math.min(exchange.endsAtMs, silentSinceMs + callerSilenceMs);
   return {
     id: jobId,
     route: route.name,
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -45,6 +45,8 @@
   readonly failedTargets: Set<string>;
   /** Time from receipt to the first event of the stream; null before that event. */
   firstEventMs: number | null;
+  /** When the last event of the stream was passed on; null before the first one. */
+  lastEventAtMs: number | null;
   /** The last target that the request was sent to, for the log. */
   lastTarget: string;
 }
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -293,6 +293,7 @@
     retries: null,
     failedTargets: new Set(),
     firstEventMs: null,
+    lastEventAtMs: null,
     lastTarget: '',
   };
   const running: RunningRequest = { end, exchange };
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -62,6 +62,9 @@
       services.record('first_event_ms', exchange.firstEventMs);
       services.versions.noteBegun(exchange);
     },
+    onEvents: () => {
+      exchange.lastEventAtMs = services.nowMs();
+    },
   });
   services.budgets.noteRequest(exchange.service);
   const refused = await services.versions.takeUp(exchange);
--- a/packages/daemon/src/gateway/stream-relay.ts
+++ b/packages/daemon/src/gateway/stream-relay.ts
@@ -29,8 +29,10 @@
 
 /** Callbacks of the relay. */
 export interface StreamRelayEvents {
-  /** Called when the first complete event of an answer is received. */
+  /** Called when the first complete event of a target's answer is received. */
   readonly onFirstEvent: () => void;
+  /** Called when complete events are passed on. */
+  readonly onEvents: () => void;
 }
 
 /** Creates a relay for one caller. */
@@ -76,6 +78,7 @@
       }
       if (wholeEvents.length === 0 || response.destroyed) return;
       lastEventId = framing.lastEventId ?? lastEventId;
+      events.onEvents();
       sendHead();
       relay(wholeEvents, flow);
     }
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -187,6 +187,7 @@
     retries: null,
     failedTargets: new Set(),
     firstEventMs: null,
+    lastEventAtMs: null,
     lastTarget: '',
   };
 }
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -104,6 +104,7 @@
   retries: null,
   failedTargets: new Set(),
   firstEventMs: null,
+  lastEventAtMs: null,
   lastTarget: '',
 };
 
