Read what has arrived before an idle connection is closed

A caller on a kept connection lost a request that it had sent whole: the connection was closed with neither an answer nor a refusal.

Cause: after a stall of the event loop, timers run before the input that has arrived meanwhile is read, and the idle timer destroyed a connection whose next request was waiting. A configuration with a shorter idle time makes it likelier. The class: a timer decides before what is known to the system was read. Whether it is the users' report beside a change of the configuration is not shown. Change: the connection is closed only if nothing was read after one more turn of the loop.

--- a/packages/daemon/src/node/graceful-server.ts
+++ b/packages/daemon/src/node/graceful-server.ts
@@ -45,6 +45,11 @@
   readBytes: number;
 }
 
+/** Returns whether nothing was read from a connection since its latest response was complete. */
+function isIdle(socket: Socket, { open, readBytes }: Connection): boolean {
+  return open.size === 0 && socket.bytesRead === readBytes;
+}
+
 /** Ends the connection with this response, instead of an earlier one that has not been sent yet. */
 function endWith(connection: Connection, response: ServerResponse): void {
   if (connection.last !== null) connection.last.shouldKeepAlive = true;
@@ -76,6 +81,13 @@
     });
     serve(request, response);
   });
+  server.on('timeout', (socket: Socket) => {
+    // After an event loop stall, timers run before the requests that have arrived meanwhile are read.
+    setImmediate(() => {
+      const connection = connections.get(socket);
+      if (connection === undefined || isIdle(socket, connection)) socket.destroy();
+    });
+  });
   server.on('connection', (socket: Socket) => {
     const connection: Connection = { open: new Set(), last: null, readBytes: 0 };
     connections.set(socket, connection);
@@ -94,8 +106,7 @@
     setTimeout(() => {
       // Data that has already arrived is read first.
       setImmediate(() => {
-        const isIdle = connection.open.size === 0 && socket.bytesRead === connection.readBytes;
-        if (isIdle) socket.destroy();
+        if (isIdle(socket, connection)) socket.destroy();
       });
     }, idleMs).unref();
   }
