Forward a request by the configuration that its route is from

A stream was sent to an engine as a plain request when its service was dropped while its body was read.

Cause: the route is of the version in force when the request was read, the kind of its service was looked up in the one in force when it was forwarded. Change: the exchange keeps whether the service has engines.

--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -11,6 +11,8 @@
   readonly head: RequestHead;
   readonly route: Route;
   readonly service: string;
+  /** Whether the service had engines in the configuration that the route is from. */
+  readonly usesEngines: boolean;
   /** IP address of the caller. */
   readonly caller: string;
   readonly method: string;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -268,11 +268,13 @@
     abortController.abort(EXCHANGE_ENDED);
   };
   const method = request.method ?? 'GET';
+  const service = chooseService(route, services.hash32(id));
   const exchange: Exchange = {
     id,
     head,
     route,
-    service: chooseService(route, services.hash32(id)),
+    service,
+    usesEngines: table.servicesByName.get(service)?.engine != null,
     caller: request.socket.remoteAddress ?? '',
     method,
     path,
@@ -310,10 +312,9 @@
 }
 
 async function forward(exchange: Exchange, services: ForwardingServices): Promise<void> {
-  const { route, service, response } = exchange;
-  const spec = services.view.table?.servicesByName.get(service);
-  const usesEngines = route.kind === DeliveryKind.Stream && spec?.engine != null;
-  await (usesEngines ? forwardStream : forwardPlain)(exchange, services);
+  const { route, service, response, usesEngines } = exchange;
+  const isStream = usesEngines && route.kind === DeliveryKind.Stream;
+  await (isStream ? forwardStream : forwardPlain)(exchange, services);
   replaceRetries(exchange, null);
   const tookMs = services.nowMs() - exchange.receivedAtMs;
   services.record('request_ms', tookMs);
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -167,6 +167,7 @@
     },
     route: ROUTE,
     service: SERVICE,
+    usesEngines: true,
     caller: '10.9.0.1',
     method: 'POST',
     path: `/${id}`,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -85,6 +85,7 @@
     resumable: false,
   },
   service: 's',
+  usesEngines: true,
   caller: '10.9.0.1',
   method: 'POST',
   path: '/',
