Answer a request whose handling failed

Cause: an exception in the handling of a request closed the connection of its caller with neither an answer nor a refusal. Change: a caller who has no part of an answer gets 502, which promises nothing.

--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -44,6 +44,7 @@
  */
 const EXCHANGE_ENDED = new Error('the caller left, was answered, or its time is over');
 const GATEWAY_STOPS_REASON = 'the gateway stops';
+const FAILED_REASON = 'the gateway failed';
 /** Interval at which Node checks connections for slow requests. */
 const CONNECTION_CHECK_MS = 1000;
 const SERVER_OPTIONS: ServerOptions = {
@@ -104,7 +105,9 @@
     handleRequest(request, response, services, admission).catch((error: unknown) => {
       services.count('request_faults_total');
       services.log.warn('request handling failed', { cause: String(error) });
-      response.destroy();
+      const answer = { status: OwnStatus.BadGateway, reason: FAILED_REASON, retryAfterMs: null };
+      // A caller that has a part of the answer learns of its end by the closed connection only.
+      if (!sendOwnAnswer(response, services.wire, answer)) response.destroy();
     });
   }
 
