Fuzz attempts at targets that fall silent

Cause: the attempt race decides which attempt of a request goes on while targets are silent, and had neither unit tests nor a world that orders silences, failures and answers at will.

Evidence: the rig of quiet targets runs real processes, so the orders that it meets are few, and it has no oracle for what targets run twice.

Change: a world `silence` drives the real race from simulated drivers that follow stream-forwarding, engine-requests, plain-forwarding and the watches step by step; its oracle sees only what callers and targets are sent and what the gateway hears. The drivers themselves are not run by the world, and no product code changes.

The last three mutants are what the drivers do now.

--- a/packages/fuzz/src/worlds/catalogue.ts
+++ b/packages/fuzz/src/worlds/catalogue.ts
@@ -12,6 +12,7 @@
 import { LIMITS_WORLD } from './limits/world.js';
 import { createRequestsWorld } from './requests/world.js';
 import { RETRIES_WORLD } from './retries/world.js';
+import { SILENCE_WORLD } from './silence/world.js';
 
 /** A world as the command line sees it. */
 export interface RunnableWorld {
@@ -30,6 +31,7 @@
     bind(DEPARTURES_WORLD),
     bind(RETRIES_WORLD),
     bind(CRASHES_WORLD),
+    bind(SILENCE_WORLD),
   ];
 }
 
--- /dev/null
+++ b/packages/fuzz/test/worlds/silence.test.ts
@@ -0,0 +1,19 @@
+/** The silence world on fixed seeds. */
+import { SILENCE_WORLD } from '../../src/worlds/silence/world.js';
+import { describeWorld } from './describe-world.js';
+
+describeWorld(SILENCE_WORLD, {
+  minSteps: 100_000,
+  promises: {
+    'stops-silent-attempts': 'silence-ends-no-answer',
+    'others-run-on-beside-an-answer': 'no-double-work',
+    'younger-run-on-beside-a-read': 'no-double-work',
+    'readers-go-on-beside-a-run': 'runs-once',
+    'overdue-is-failed': 'no-double-work',
+    'over-is-open': 'ends-at-once',
+    'failure-is-a-sign': 'silence-ends-no-answer',
+    'begins-beside-answers': 'ends-at-once',
+    'plain-end-is-no-sign': 'no-double-work',
+  },
+  runsPerMutant: 2000,
+});
