Show three faults of the drivers around silent targets

Cause: plain-forwarding does not count the end of an answer as a sign of its target, and begins an attempt whose target was chosen while an overdue answer went on; engine-requests counts the body of a failure as a sign that a silent engine answers, which stops all other attempts.

Change: tests of the real forwardPlain and forwardStream over stand-ins. Three cases are red and run as todo, listed in KNOWN-RED.txt; no product code changes.

--- /dev/null
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -0,0 +1,273 @@
+/** Tests what becomes of a request whose targets fall silent and go on, over the real drivers. */
+import assert from 'node:assert/strict';
+import type { ServerResponse } from 'node:http';
+import { describe, it } from 'node:test';
+import {
+  DecisionKind,
+  DeliveryKind,
+  EnginePhase,
+  FleetChangeKind,
+  applyChanges,
+  createFleetView,
+} from '@cassiamast/coordination';
+import { type HttpRequest, type HttpStreamHandlers, NOTHING_ANNOUNCED } from '@cassiamast/ports';
+import type { Exchange } from '../../src/gateway/exchange.js';
+import type { ForwardingServices } from '../../src/gateway/forwarding-services.js';
+import { forwardPlain } from '../../src/gateway/plain-forwarding.js';
+import { forwardStream } from '../../src/gateway/stream-forwarding.js';
+import { ANY_VERSION, NO_CRASHES } from './forwarding-stand-ins.js';
+
+const RED = { todo: 'KNOWN-RED.txt' };
+const SERVICE = 's';
+const DEADLINE_MS = 60_000;
+/** Plain answers are overdue after twice that. */
+const TARGET_LATENCY_MS = 100;
+const SILENT_LOG = { info: () => undefined, warn: () => undefined, lifecycle: () => undefined };
+
+/** What a target does at a time after it was sent a request. */
+type Script = readonly (readonly [atMs: number, step: (handlers: HttpStreamHandlers) => void])[];
+
+const head =
+  (status: number) =>
+  (handlers: HttpStreamHandlers): void => {
+    handlers.onStart(status, {}, []);
+  };
+const bytes =
+  (text: string) =>
+  (handlers: HttpStreamHandlers): void => {
+    handlers.onData(Buffer.from(text));
+  };
+const end = (handlers: HttpStreamHandlers): void => {
+  handlers.onEnd();
+};
+
+/** Targets that are tried in the order of their scripts, and send nothing else. */
+function createServices(
+  scripts: Readonly<Record<string, Script>>,
+  permitMs: Readonly<Record<string, number>> = {},
+): ForwardingServices {
+  const view = createFleetView();
+  const targets = Object.keys(scripts).map((id) => ({
+    id,
+    name: id,
+    bornAtMs: 0,
+    version: 'v1',
+    service: SERVICE,
+    address: `${id}:80`,
+    failureDomain: 'eros-hall',
+    slots: 64,
+    draining: false,
+    phase: EnginePhase.Both,
+  }));
+  for (const target of targets) {
+    applyChanges(view, [{ kind: FleetChangeKind.Target, revision: 1, target }], 1, 0);
+  }
+  const granted = Object.keys(scripts);
+  const nowMs = (): number => performance.now();
+  const wait = (ms: number): Promise<void> => new Promise((resolve) => setTimeout(resolve, ms));
+  return {
+    view,
+    wire: {
+      targetHeaders: () => [],
+      readAnswer: (status: number) => ({
+        status,
+        attemptId: null,
+        notRun: false,
+        encoded: false,
+        hasKnownEnd: true,
+        ...NOTHING_ANNOUNCED,
+        unknownHeaders: [],
+      }),
+      callerHeaders: () => [],
+      gatewayResponseHeaders: () => ({}),
+    },
+    transport: {
+      stream: ({ origin }: HttpRequest, handlers: HttpStreamHandlers) => {
+        const script = scripts[new URL(origin).hostname] ?? [];
+        const timers = script.map(([atMs, step]) => setTimeout(step, atMs, handlers));
+        setImmediate(() => handlers.onSent?.());
+        const stop = (): void => {
+          timers.forEach(clearTimeout);
+        };
+        return { stop, pause: () => undefined, resume: () => undefined };
+      },
+    },
+    budgets: {
+      noteRequest: () => undefined,
+      reserve: () => ({ open: () => () => undefined, release: () => undefined }),
+    },
+    health: {
+      choose: (_: string, excluded: ReadonlySet<string>) =>
+        targets.find(({ id }) => !excluded.has(id)) ?? null,
+      noteSent: () => undefined,
+      noteDone: () => undefined,
+      recordSuccess: () => undefined,
+      recordFailure: () => undefined,
+    },
+    limits: { take: ({ id }: { id: string }) => wait(permitMs[id] ?? 0).then(() => 0) },
+    scheduling: {
+      take: () => {
+        const id = granted.shift();
+        const plan = { readAt: id, streamAt: null, fetchFrom: null, predictedReadMs: 0 };
+        const refusal = { kind: DecisionKind.Refuse, reason: 'no engine', retryAfterMs: 1 };
+        const decision =
+          id === undefined ? refusal : { kind: DecisionKind.Run, plan: { ...plan, waitedMs: 0 } };
+        return Promise.resolve({ decision, schedulerId: 'g' });
+      },
+      report: () => undefined,
+    },
+    crashes: NO_CRASHES,
+    versions: ANY_VERSION,
+    probes: { isDown: () => Promise.resolve(false) },
+    pulse: { recordBytes: () => undefined, isInactive: () => true, lastBytesAtMs: () => -1 },
+    onAnswerHead: () => undefined,
+    elapsedMs: nowMs,
+    nowMs,
+    standstill: {
+      catchUp: () => null,
+      unreadSinceMs: nowMs,
+      whenCaughtUp: (run: () => void) => {
+        run();
+      },
+    },
+    withholdReason: () => null,
+    availability: { unavailable: () => [], availableInMs: () => 0, callerRetryInMs: () => 0 },
+    log: SILENT_LOG,
+    count: () => undefined,
+    record: () => undefined,
+  } as unknown as ForwardingServices;
+}
+
+/** What a caller got. */
+interface Received {
+  status: number | null;
+  text: string;
+  isWhole: boolean;
+}
+
+function createExchange(kind: DeliveryKind): { exchange: Exchange; received: Received } {
+  const received: Received = { status: null, text: '', isWhole: false };
+  const response = {
+    headersSent: false,
+    destroyed: false,
+    writeHead: (status: number) => {
+      assert.equal(response.headersSent, false, 'a second head');
+      response.headersSent = true;
+      received.status = status;
+    },
+    write: (part: Buffer) => {
+      received.text += part.toString();
+      return true;
+    },
+    end: (rest?: Buffer | string) => {
+      received.text += rest?.toString() ?? '';
+      received.isWhole = true;
+    },
+    destroy: () => {
+      response.destroyed = true;
+    },
+  };
+  const receivedAtMs = performance.now();
+  const exchange = {
+    id: 'request',
+    head: { attemptId: 'request', parts: [], outputTokens: 1, lastEventId: null, resumes: null },
+    route: { kind, targetLatencyMs: TARGET_LATENCY_MS, maxAttempts: 3, resumable: true },
+    service: SERVICE,
+    method: 'POST',
+    path: '/',
+    rawHeaders: [],
+    body: Buffer.alloc(0),
+    receivedAtMs,
+    endsAtMs: receivedAtMs + DEADLINE_MS,
+    response: response as unknown as ServerResponse,
+    signal: new AbortController().signal,
+    mayHaveRun: false,
+    isConvicted: false,
+    isTrial: false,
+    version: null,
+    sentVersion: null,
+    content: () => 'content',
+    sends: 0,
+    prefills: 0,
+    retries: null,
+    failedTargets: new Set(),
+    firstEventMs: null,
+    lastTarget: '',
+  } as unknown as Exchange;
+  return { exchange, received };
+}
+
+const FAILURE: Script = [
+  [700, head(500)],
+  [701, bytes('a failure')],
+  [702, end],
+];
+
+describe('a request whose targets fall silent', () => {
+  describe('if it is plain', () => {
+    it('gets the answer of a target that goes on while another is silent', async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [10, head(200)],
+        [500, bytes('whole')],
+        [510, end],
+      ];
+      await forwardPlain(exchange, createServices({ first, second: FAILURE }));
+      assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
+    });
+
+    it('gets an answer of which only the end was held back', RED, async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [10, head(200)],
+        [11, bytes('whole')],
+        [500, end],
+      ];
+      await forwardPlain(exchange, createServices({ first, second: FAILURE }));
+      assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
+    });
+
+    it('gets the answer of a target that goes on while another is chosen', RED, async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [10, head(200)],
+        [300, bytes('whole')],
+        [320, end],
+      ];
+      const services = createServices({ first, second: FAILURE }, { second: 300 });
+      await forwardPlain(exchange, services);
+      assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
+    });
+  });
+
+  describe('if it is a resumable stream', () => {
+    const first: Script = [
+      [10, head(200)],
+      [11, bytes('id: 1\ndata: a\n\n')],
+      [2200, bytes('id: 2\ndata: b\n\n')],
+      [2210, end],
+    ];
+    const whole = { status: 200, text: 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n', isWhole: true };
+
+    it('goes on at the first one after another has failed', async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Stream);
+      const early: Script = [
+        [100, head(500)],
+        [101, end],
+      ];
+      await forwardStream(exchange, createServices({ first, second: early }));
+      assert.deepEqual(received, whole);
+    });
+
+    it('goes on at the first one after another has failed after a silence', RED, async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Stream);
+      const late: Script = [
+        [1000, head(500)],
+        [1001, bytes('a failure')],
+        [1002, end],
+      ];
+      await forwardStream(exchange, createServices({ first, second: late }));
+      assert.deepEqual(received, whole);
+    });
+  });
+});
