Follow the mended drivers in the silence world

Cause: the world, its mutants and the tests of the race were written for an earlier interface of the race; three faults that they found are fixed since.

Reading forwardPlain showed a second one: a target that was chosen while the overdue attempt broke off is dropped, and the request gets 502.

Change: drivers, oracle and unit tests follow the race (older attempts stop 300 ms after a newer one was sent to run; what must not run twice waits). The oracle also sees a plain request that is given up although it may be tried elsewhere. The drivers are simulated as if the two faults were fixed; they are the mutants unsplit-runs-again and choice-is-dropped, and two cases of silent-attempts.test.ts that are red, run as todo and stand in KNOWN-RED.txt. New mutants too: older-run-on-beside-an-accepted, runs-beside-a-run, runs-are-forgotten (instead of readers-go-on-beside-a-run, whose guard is gone). The todo marks and the entry of the three fixed faults go. The case 'goes on at the first one after another has failed after a silence' expected what the product no longer promises: the first engine is stopped once the second has had the request for 300 ms. It is replaced by a third engine that must go on while the second one fails after a silence; with failures counted as signs again (trial in dist, taken back) it fails, as the old one did.

--- a/packages/daemon/test/gateway/forwarding-stand-ins.ts
+++ b/packages/daemon/test/gateway/forwarding-stand-ins.ts
@@ -4,6 +4,8 @@
 export const NO_CRASHES = {
   recordCompletion: (): void => undefined,
   recordUnanswered: (): void => undefined,
+  recordSilence: (): void => undefined,
+  noteAnswer: (): void => undefined,
   whenDecided: (): Promise<void> => Promise.resolve(),
 };
 
@@ -14,3 +16,6 @@
   refusal: (): null => null,
   otherVersions: (): readonly string[] => [],
 };
+
+/** No silent target is down. */
+export const NONE_DOWN = { isDown: (): Promise<boolean> => Promise.resolve(false) };
--- a/packages/fuzz/src/worlds/silence/simulation.ts
+++ b/packages/fuzz/src/worlds/silence/simulation.ts
@@ -5,6 +5,8 @@
   addAttempt,
   areAllOverdue,
   endAttempt,
+  isRunElsewhere,
+  recordAttemptAccepted,
   recordAttemptAnswer,
   recordAttemptOverdue,
   recordAttemptRead,
@@ -22,6 +24,8 @@
 export interface SilenceOptions {
   readonly addAttempt: typeof addAttempt;
   readonly recordRun: typeof recordAttemptRun;
+  readonly recordAccepted: typeof recordAttemptAccepted;
+  readonly isRunElsewhere: typeof isRunElsewhere;
   readonly recordRead: typeof recordAttemptRead;
   readonly recordAnswer: typeof recordAttemptAnswer;
   readonly recordOverdue: typeof recordAttemptOverdue;
@@ -33,8 +37,12 @@
   readonly heedsFailureBody: boolean;
   /** Whether a plain attempt begins although an overdue answer went on while a target was chosen. */
   readonly beginsBesideAnswers: boolean;
+  /** Whether a target is dropped if the overdue answer broke off while it was chosen. */
+  readonly dropsChoice: boolean;
   /** Whether the end of a plain answer stops the other attempts, as its other parts do. */
   readonly heedsPlainEnd: boolean;
+  /** Whether a turn that reads no prompt elsewhere also waits until it may run. */
+  readonly waitsUnsplit: boolean;
 }
 
 /** How a request may be delivered. */
@@ -116,7 +124,8 @@
   readonly beganAtMs: number;
   /** Null while the gateway has it open. */
   end: SendEnd | null;
-  isSent: boolean;
+  /** When the request was written to the target; null before. */
+  sentAtMs: number | null;
   /** Whether the target works on it. */
   isWorking: boolean;
   /** When the gateway heard that another target goes on with the request. */
@@ -174,6 +183,10 @@
   attempts: number;
   /** Times that it was sent to be run. */
   runs: number;
+  /** Whether a target that is over may have run it. */
+  mayHaveRun: boolean;
+  /** Number of changes of its attempts. */
+  changes: number;
   /** How the last attempt ended. */
   lastResult: AttemptResult | null;
   /** Caller or deadline ended it. */
