Turn the review's demonstrations around silent targets into tests

Cause: the review showed what failed around silent targets by scripts that print; nothing kept the mended ones mended.

--- a/packages/daemon/test/gateway/silent-attempts.test.ts
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -24,7 +24,10 @@
 
 const RED = { todo: 'KNOWN-RED.txt' };
 const SERVICE = 's';
+const REJECTED = 503;
 const DEADLINE_MS = 60_000;
+/** More than is buffered of a plain answer. */
+const LARGE = 'a'.repeat(300 * 1024);
 /** Plain answers are overdue after twice that. */
 const TARGET_LATENCY_MS = 100;
 const SILENT_LOG = { info: () => undefined, warn: () => undefined, lifecycle: () => undefined };
@@ -52,6 +55,8 @@
   readonly permitMs?: Readonly<Record<string, number>>;
   /** The engine that streams, if it only reads the prompt. */
   readonly streamAt?: Readonly<Record<string, string>>;
+  /** Time until a decision on a crash. */
+  readonly decisionMs?: number;
 }
 
 const breakOff = (handlers: HttpStreamHandlers): void => {
@@ -62,7 +67,7 @@
 /** Targets that are tried in the order of their scripts, and send nothing else. */
 function createServices(
   scripts: Readonly<Record<string, Script>>,
-  { permitMs = {}, streamAt = {} }: Choices = {},
+  { permitMs = {}, streamAt = {}, decisionMs = 0 }: Choices = {},
 ): ForwardingServices {
   const view = createFleetView();
   const targets = Object.keys(scripts).map((id) => ({
@@ -90,7 +95,7 @@
       readAnswer: (status: number) => ({
         status,
         attemptId: null,
-        notRun: false,
+        notRun: status === REJECTED,
         encoded: false,
         hasKnownEnd: true,
         ...NOTHING_ANNOUNCED,
@@ -124,7 +129,8 @@
     },
     limits: { take: ({ id }: { id: string }) => wait(permitMs[id] ?? 0).then(() => 0) },
     scheduling: {
-      take: () => {
+      take: (_: string, _job: unknown, signal: AbortSignal) => {
+        if (signal.aborted) return Promise.resolve(null);
         const id = granted.shift() ?? null;
         const plan = { readAt: id, fetchFrom: null, predictedReadMs: 0, waitedMs: 0 };
         const refusal = { kind: DecisionKind.Refuse, reason: 'no engine', retryAfterMs: 1 };
@@ -136,7 +142,7 @@
       },
       report: () => undefined,
     },
-    crashes: NO_CRASHES,
+    crashes: { ...NO_CRASHES, whenDecided: () => wait(decisionMs) },
     versions: ANY_VERSION,
     probes: NONE_DOWN,
     pulse: { recordBytes: () => undefined, isInactive: () => true, lastBytesAtMs: () => -1 },
@@ -265,6 +271,62 @@
       const services = createServices({ first, second: FAILURE }, { permitMs: { second: 300 } });
       await forwardPlain(exchange, services);
       assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
+      // The second target would work on a request that is answered.
+      assert.equal(exchange.sends, 1);
+    });
+
+    // A part of the first answer was at the caller when the second one began.
+    it('gets a large answer that goes on while another is chosen, and nothing else', async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [240, head(200)],
+        [241, bytes(LARGE)],
+        [600, bytes('rest')],
+        [601, end],
+      ];
+      const second: Script = [
+        [20, head(200)],
+        [21, bytes('another answer')],
+        [22, end],
+      ];
+      const services = createServices({ first, second }, { permitMs: { second: 100 } });
+      await forwardPlain(exchange, services);
+      assert.deepEqual(received, { status: 200, text: `${LARGE}rest`, isWhole: true });
+      assert.equal(exchange.sends, 1);
+    });
+
+    // A rejection ended a request whose answer had begun.
+    it('gets an answer that paused after its first part although another rejects', async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [20, head(200)],
+        [21, bytes('who')],
+        [450, bytes('le')],
+        [451, end],
+      ];
+      const second: Script = [
+        [20, head(REJECTED)],
+        [21, end],
+      ];
+      await forwardPlain(exchange, createServices({ first, second }));
+      assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
+    });
+
+    // The head of the failure was at the caller when the answer came.
+    it('gets the answer of a target while another sends a large failure', async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Idempotent);
+      const first: Script = [
+        [250, head(500)],
+        [251, bytes(LARGE)],
+        [252, end],
+      ];
+      const second: Script = [
+        [150, head(200)],
+        [151, bytes('whole')],
+        [152, end],
+      ];
+      await forwardPlain(exchange, createServices({ first, second }));
+      assert.deepEqual(received, { status: 200, text: 'whole', isWhole: true });
     });
   });
 
@@ -327,6 +389,29 @@
     });
   });
 
+  describe('if it is a stream that ends while a decision on a crash is awaited', () => {
+    // A caller that reads slowly keeps the answer open: a second engine was granted, and its events
+    // written after the end.
+    it('is not sent to another engine', RED, async () => {
+      const { exchange, received } = createExchange(DeliveryKind.Stream);
+      const first: Script = [
+        [10, head(200)],
+        [11, bytes('id: 1\ndata: a\n\n')],
+        [900, bytes('id: 2\ndata: b\n\n')],
+        [901, end],
+      ];
+      const second: Script = [
+        [20, head(200)],
+        [21, bytes('id: 3\ndata: too much\n\n')],
+        [22, end],
+      ];
+      await forwardStream(exchange, createServices({ first, second }, { decisionMs: 400 }));
+      const text = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+      assert.deepEqual(received, { status: 200, text, isWhole: true });
+      assert.equal(exchange.sends, 1);
+    });
+  });
+
   describe('if it is a stream that must not run twice', () => {
     // Its first prompt is not read, and the second engine may have run it before it failed.
     it('is not sent to a third one after another has failed', RED, async () => {
