Quarantine a part of prompts that crashes engines

Cause: a crash was counted by host, method, path and body. No two requests with the part are alike, so each crash began at zero. The class: a fact that is counted by less than what requests share. A prefill that fails is no sign against parts, as they crash engines that write. A trial is made only with a single suspect.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -2,12 +2,14 @@
  * Tracks which request contents crashed which targets, across all gateways. A request that crashes
  * every target that runs it would otherwise take down one target after another, because its caller
  * retries it through any gateway. Requests are identified by a hash of their content, since each
- * attempt has its own id.
+ * attempt has its own id, and by the parts of their prompts, since requests that are not alike may
+ * share the part that crashes targets.
  */
+import { crashesUntilQuarantine, harmlessForMs } from './crash-content.js';
 
 /** Records that a target crashed while it ran a request with this content. */
 export interface CrashNote {
-  /** Hash of the request content. */
+  /** Name of what was run: a hash of the whole request, or a part of its prompt. */
   readonly content: string;
   /** Id of the target that crashed; each start of a target has its own id. */
   readonly target: string;
@@ -85,11 +87,6 @@
 
 /** Names under which the trials of a rejected content are noted; no target has such a name. */
 export const TRIAL_NAMES: readonly string[] = ['~trial-1', '~trial-2'];
-/**
- * Number of distinct targets that must crash on a content before it is rejected. One or two crashes
- * can be a coincidence while targets crash for other reasons.
- */
-const CONVICTING_TARGETS = 3;
 /**
  * A crash that another gateway told of is written after this time, as that gateway goes on trying to
  * write it.
@@ -107,13 +104,6 @@
 const MAX_ANSWERING_TARGETS = 1024;
 /** Most contents kept as harmless; the oldest are evicted first. */
 const MAX_HARMLESS_CONTENTS = 1024;
-/**
- * A crash that becomes known within this time after a target ran the content to completion had
- * another cause. It covers the time that a note takes to reach all gateways, and no more: a content
- * that was harmless may crash every target of a later release.
- */
-export const HARMLESS_FOR_MS = 5000;
-
 /** Creates an empty crash memory. */
 export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
   return {
@@ -148,8 +138,7 @@
     known.isStored ||= isStored;
     return;
   }
-  const completedAtMs = memory.completedAtMs.get(content) ?? -Infinity;
-  if (nowMs - completedAtMs < HARMLESS_FOR_MS) {
+  if (isKnownHarmless(memory, content, nowMs)) {
     const excused = { ...note, source, removal: null, targets: [...crashes.keys()] };
     memory.onChange({ ...excused, kind: CrashChangeKind.Excused });
     return;
@@ -161,7 +150,7 @@
   memory.crashesByContent.set(content, crashes);
   const change = { ...note, source, removal: null, targets: [...crashes.keys()] };
   memory.onChange({ ...change, kind: CrashChangeKind.Noted });
-  if (countTargets(crashes) === CONVICTING_TARGETS && !TRIAL_NAMES.includes(target)) {
+  if (countTargets(crashes) === crashesUntilQuarantine(content) && !TRIAL_NAMES.includes(target)) {
     memory.onChange({ ...change, kind: CrashChangeKind.Convicted });
   }
 }
@@ -212,6 +201,11 @@
   return notes;
 }
 
+/** Returns whether a target ran a content to completion lately, so that a crash now is excused. */
+export function isKnownHarmless(memory: CrashMemory, content: string, nowMs: number): boolean {
+  return nowMs - (memory.completedAtMs.get(content) ?? -Infinity) < harmlessForMs(content);
+}
+
 /** Returns whether a crash counts against its content. */
 export function countsCrash(memory: CrashMemory, { content, target }: CrashNote): boolean {
   return memory.crashesByContent.get(content)?.has(target) === true;
@@ -273,12 +267,12 @@
  * gateway receives the retry.
  */
 export function isConvictedContent(memory: CrashMemory, content: string): boolean {
-  return countTargets(memory.crashesByContent.get(content)) >= CONVICTING_TARGETS;
+  return countTargets(memory.crashesByContent.get(content)) >= crashesUntilQuarantine(content);
 }
 
 /** Returns whether one more crash rules a content out. */
 export function isNearConviction(memory: CrashMemory, content: string): boolean {
-  return countTargets(memory.crashesByContent.get(content)) === CONVICTING_TARGETS - 1;
+  return countTargets(memory.crashesByContent.get(content)) === crashesUntilQuarantine(content) - 1;
 }
 
 /**
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -77,6 +77,7 @@
 export * from './core/retries/retries.js';
 export * from './core/forwarding/allowance-share.js';
 export * from './core/forwarding/attempt-race.js';
+export * from './core/forwarding/crash-content.js';
 export * from './core/forwarding/crash-evidence.js';
 export * from './core/forwarding/crash-memory.js';
 export * from './core/forwarding/crash-trials.js';
--- a/packages/daemon/src/gateway/answer-watch.ts
+++ b/packages/daemon/src/gateway/answer-watch.ts
@@ -71,7 +71,7 @@
     count('overdue_answers_total');
     log.info('answer overdue', { request: exchange.id, target: target.id, overdueAfterMs });
     services.health.recordFailure(target);
-    services.crashes.recordSilence(exchange, target);
+    services.crashes.recordSilence(exchange, target, false);
     progress.noteOverdue();
     void stopWhenDown();
   }
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -31,7 +31,8 @@
   createCrashPublisher,
 } from './crash-publisher.js';
 import { createCrashSuspicions } from './crash-suspicions.js';
-import { type Exchange, callerLeft } from './exchange.js';
+import { type Exchange, callerLeft, contentsOf } from './exchange.js';
+import type { LogFields } from './gateway-log.js';
 import { type SendOutcome, SendOutcomeKind } from './send-to-target.js';
 import type { TargetActivity } from './target-activity.js';
 
@@ -55,20 +56,19 @@
 
 /** Records crashes, shares them with other gateways and answers which requests they rule out. */
 export interface CrashReports {
-  /** Records an attempt that ended without a complete answer, if its target may have crashed. */
-  readonly recordUnanswered: (
-    exchange: Exchange,
-    target: TargetEntry,
-    outcome: SendOutcome,
-  ) => void;
-  /** Records that a target is silent while it has a request, which may go elsewhere meanwhile. */
-  readonly recordSilence: (exchange: Exchange, target: TargetEntry) => void;
-  /** Records that a target ran the request to completion. */
-  readonly recordCompletion: (
-    exchange: Exchange,
-    target: TargetEntry,
-    outcome: SendOutcome,
-  ) => void;
+  /**
+   * Records an attempt to have the prompt of a request read, if its target may have crashed. It does
+   * not count against the parts of the prompt, which crash targets when they write the answer.
+   */
+  readonly recordPrefill: (exchange: Exchange, target: TargetEntry, outcome: SendOutcome) => void;
+  /** Records what the end of an attempt says about its target, its content and its prompt. */
+  readonly recordRun: (exchange: Exchange, target: TargetEntry, outcome: SendOutcome) => void;
+  /**
+   * Records that a target is silent while it has a request, which may go elsewhere meanwhile.
+   *
+   * @param readOnly - Whether the target only reads the prompt.
+   */
+  readonly recordSilence: (exchange: Exchange, target: TargetEntry, readOnly: boolean) => void;
   /** Records how a target's availability changed. */
   readonly noteTransition: (transition: TargetTransition, target: TargetEntry) => void;
   /** Records an answer of a target to a request that was sent `ageMs` ago. */
@@ -98,17 +98,6 @@
   readonly stop: () => void;
 }
 
-/** Records what the end of one attempt says about its target and its content. */
-export function recordCrashOutcome(
-  exchange: Exchange,
-  { crashes }: { readonly crashes: CrashReports },
-  target: TargetEntry,
-  outcome: SendOutcome,
-): void {
-  if (outcome.ranWhole) crashes.recordCompletion(exchange, target, outcome);
-  else crashes.recordUnanswered(exchange, target, outcome);
-}
-
 /** Returns how an attempt ended during which the target may have crashed; null for any other end. */
 function suspiciousEnd(
   exchange: Exchange,
@@ -172,6 +161,36 @@
     });
   }
 
+  /** Suspects these contents of a request, if its target may have crashed. */
+  function suspectAll(
+    contents: readonly string[],
+    exchange: Exchange,
+    target: TargetEntry,
+    outcome: SendOutcome,
+  ): void {
+    const end = suspiciousEnd(exchange, outcome);
+    if (end === null) return;
+    for (const content of contents) {
+      const isNew = suspicions.suspect(content, target, end);
+      if (isNew && end !== AttemptEnd.Abandoned) logSuspicion(exchange, content, target, outcome);
+    }
+  }
+
+  /** Withdraws the crashes of a content that a target ran to completion. */
+  function clear(content: string, target: string, fields: LogFields): void {
+    const notes = markContentHarmless(view.crashes, content, nowMs());
+    if (notes.length === 0) return;
+    const crashed = notes.map((note) => note.target);
+    count('contents_cleared_total');
+    log.info('content cleared', { ...fields, content, target, crashed });
+    publisher.forget(notes);
+  }
+
+  function convictedOf(exchange: Exchange): readonly string[] {
+    if (view.crashes.crashesByContent.size === 0) return [];
+    return contentsOf(exchange).filter((content) => isConvictedContent(view.crashes, content));
+  }
+
   /** The first rejection of each content is logged whatever the volume of the log. */
   function logRejection({ id }: Exchange, content: string, crashed: readonly string[]): void {
     const isFirst = !rejected.has(content);
@@ -195,19 +214,25 @@
   }
 
   return {
-    recordUnanswered: (exchange, target, outcome) => {
-      const end = suspiciousEnd(exchange, outcome);
-      if (end === null) return;
-      const content = exchange.content();
-      const isNew = suspicions.suspect(content, target, end);
-      if (isNew && end !== AttemptEnd.Abandoned) {
-        logSuspicion(exchange, content, target, outcome);
+    recordPrefill: (exchange, target, outcome) => {
+      // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
+      if (outcome.kind === SendOutcomeKind.Complete) return;
+      suspectAll([exchange.content()], exchange, target, outcome);
+    },
+    recordRun: (exchange, target, outcome) => {
+      if (!outcome.ranWhole) {
+        suspectAll(contentsOf(exchange), exchange, target, outcome);
+        return;
+      }
+      for (const content of contentsOf(exchange)) {
+        clear(content, target.id, { request: exchange.id, detail: outcome.detail });
       }
     },
-    recordSilence: (exchange, target) => {
-      const content = exchange.content();
-      const isNew = suspicions.suspect(content, target, AttemptEnd.Unanswered);
-      if (isNew) logSuspicion(exchange, content, target, SILENT);
+    recordSilence: (exchange, target, readOnly) => {
+      for (const content of readOnly ? [exchange.content()] : contentsOf(exchange)) {
+        const isNew = suspicions.suspect(content, target, AttemptEnd.Unanswered);
+        if (isNew) logSuspicion(exchange, content, target, SILENT);
+      }
     },
     noteTransition: (transition, target) => {
       if (transition === TargetTransition.Replaced) suspicions.noteReplaced(target);
@@ -222,33 +247,18 @@
       suspicions.noteAnswer(target.id, sentAtMs);
       publisher.forget(recordAnswerOf(view.crashes, target.id, sentAtMs));
     },
-    recordCompletion: (exchange, target, { detail }) => {
-      const content = exchange.content();
-      const notes = markContentHarmless(view.crashes, content, nowMs());
-      if (notes.length === 0) return;
-      const crashed = notes.map((note) => note.target);
-      count('contents_cleared_total');
-      log.info('content cleared', {
-        request: exchange.id,
-        content,
-        target: target.id,
-        detail,
-        crashed,
-      });
-      publisher.forget(notes);
-    },
     rejects: (exchange) => {
-      if (view.crashes.crashesByContent.size === 0) return false;
-      const content = exchange.content();
-      if (!isConvictedContent(view.crashes, content)) return false;
+      const [content] = convictedOf(exchange);
+      if (content === undefined) return false;
       const crashed = crashesOf(view.crashes, content).map(({ target }) => target);
       count('requests_convicted_total');
       logRejection(exchange, content, crashed);
       return true;
     },
     tryAgain: async (exchange) => {
-      if (view.crashes.crashesByContent.size === 0) return false;
-      const content = exchange.content();
+      // With several, nobody could tell which of them a crash of the trial is due to.
+      const [content, ...others] = convictedOf(exchange);
+      if (content === undefined || others.length > 0) return false;
       const trial = dueTrial(view.crashes, content, nowMs());
       // One gateway tries for all, as each trial may cost a target.
       if (trial === null || !isLongestAnnounced() || trialsBegun.has(content)) return false;
@@ -263,8 +273,9 @@
       return true;
     },
     whenDecided: async (exchange) => {
-      if (view.crashes.crashesByContent.size === 0) return;
-      if (!isNearConviction(view.crashes, exchange.content())) return;
+      const { crashes } = view;
+      if (crashes.crashesByContent.size === 0) return;
+      if (!contentsOf(exchange).some((content) => isNearConviction(crashes, content))) return;
       await suspicions.whenProbed(exchange.lastTarget);
     },
     receiveCrashes: (crashes) => {
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -14,7 +14,6 @@
   sendToTarget,
 } from './send-to-target.js';
 import { announcementFields } from './announcement-fields.js';
-import { recordCrashOutcome } from './crash-reports.js';
 import { type ForwardingServices, availableTarget } from './forwarding-services.js';
 import { type Exchange, retriesOf } from './exchange.js';
 import { type SilenceWatch, watchSilence } from './silence-watch.js';
@@ -46,8 +45,7 @@
     { readOnly: true, from: null, allowedMs },
     collected.sink,
   );
-  // A completed prefill doesn't prove the request harmless: it may still crash the decode engine.
-  services.crashes.recordUnanswered(exchange, prefillTarget, outcome);
+  services.crashes.recordPrefill(exchange, prefillTarget, outcome);
   logSend(turn, prefillTarget, 'read prompt', outcome);
   const handle =
     outcome.kind === SendOutcomeKind.Complete ? services.wire.readHandle(collected.body()) : null;
@@ -90,7 +88,7 @@
   const outcome = await send(turn, target, { readOnly: false, from, allowedMs }, sink);
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
   const ranWhole = outcome.ranWhole && !part.endedInsideEvent();
-  recordCrashOutcome(exchange, turn.services, target, { ...outcome, ranWhole });
+  turn.services.crashes.recordRun(exchange, target, { ...outcome, ranWhole });
   logSend(turn, target, 'sent to target', outcome);
   const end = concludeTurn(turn, target, outcome, part);
   // A prefill was already sent, so another turn sends a further one.
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -22,6 +22,8 @@
   readonly body: Buffer;
   /** Returns a hash of what the request asks a target to run. */
   readonly content: () => string;
+  /** Names of the parts of its prompt that other requests may share. */
+  readonly sharedParts: readonly string[];
   readonly receivedAtMs: number;
   /** The caller's deadline or the end of the route's timeout, whichever is earlier. */
   readonly endsAtMs: number;
@@ -53,6 +55,11 @@
   lastTarget: string;
 }
 
+/** Returns the names of all that a target runs with a request and that may crash it. */
+export function contentsOf({ content, sharedParts }: Exchange): readonly string[] {
+  return [content(), ...sharedParts];
+}
+
 /** Returns whether the caller's connection is closed. */
 export function callerLeft(exchange: Exchange): boolean {
   return exchange.response.destroyed;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -9,6 +9,7 @@
   type RouteTable,
   chooseService,
   findRoute,
+  sharedPartsOf,
   type Address,
 } from '@cassiamast/coordination';
 import {
@@ -19,7 +20,7 @@
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
-import { type Exchange, replaceRetries } from './exchange.js';
+import { type Exchange, contentsOf, replaceRetries } from './exchange.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
 import { OwnStatus, convictedAnswer, sendOwnAnswer } from './own-answer.js';
 import { forwardPlain } from './plain-forwarding.js';
@@ -153,7 +154,7 @@
     },
     stopConvicted: (content) => {
       for (const { exchange, end } of [...admission.running]) {
-        if (exchange?.content() !== content) continue;
+        if (exchange === null || !contentsOf(exchange).includes(content)) continue;
         exchange.isConvicted = true;
         services.count('requests_convicted_total');
         services.log.warn('request stopped, it crashes targets', {
@@ -288,6 +289,7 @@
     rawHeaders: request.rawHeaders,
     body,
     content: lazyContentHash({ host: route.host, method, path, body }),
+    sharedParts: sharedPartsOf(head.parts),
     receivedAtMs,
     endsAtMs,
     response,
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -11,7 +11,6 @@
   sendToTarget,
 } from './send-to-target.js';
 import { announcementFields } from './announcement-fields.js';
-import { recordCrashOutcome } from './crash-reports.js';
 import { type Exchange, replaceRetries, retriesOf } from './exchange.js';
 import { watchAnswer } from './answer-watch.js';
 import { type BufferedAnswer, bufferAnswer } from './buffered-answer.js';
@@ -147,7 +146,7 @@
   if (outcome.kind === SendOutcomeKind.Withheld) services.count('requests_withheld_total');
   if (outcome.kind === SendOutcomeKind.NotSent) state.unreachable += 1;
   recordHealth(state, target, outcome);
-  recordCrashOutcome(exchange, services, target, outcome);
+  services.crashes.recordRun(exchange, target, outcome);
   services.log.info('sent to target', {
     request: exchange.id,
     target: target.id,
--- a/packages/daemon/src/gateway/silence-watch.ts
+++ b/packages/daemon/src/gateway/silence-watch.ts
@@ -58,7 +58,7 @@
       return;
     }
     reportFailed(turn, target, JobEventKind.Failed);
-    services.crashes.recordSilence(exchange, target);
+    services.crashes.recordSilence(exchange, target, readOnly);
     progress.noteOverdue();
     void stopWhenDown();
   }
--- a/packages/daemon/test/gateway/crash-trials.test.ts
+++ b/packages/daemon/test/gateway/crash-trials.test.ts
@@ -60,7 +60,12 @@
   }
 
   function request(): Exchange {
-    return { id: 'r1', isTrial: false, content: () => 'c' } as Exchange;
+    return {
+      id: 'r1',
+      isTrial: false,
+      content: () => 'c',
+      sharedParts: [] as readonly string[],
+    } as Exchange;
   }
 
   it('tries it once more, after the store has noted that', async () => {
--- a/packages/daemon/test/gateway/forwarding-stand-ins.ts
+++ b/packages/daemon/test/gateway/forwarding-stand-ins.ts
@@ -2,8 +2,8 @@
 
 /** No request has crashed a target. */
 export const NO_CRASHES = {
-  recordCompletion: (): void => undefined,
-  recordUnanswered: (): void => undefined,
+  recordPrefill: (): void => undefined,
+  recordRun: (): void => undefined,
   recordSilence: (): void => undefined,
   noteAnswer: (): void => undefined,
   whenDecided: (): Promise<void> => Promise.resolve(),
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -183,6 +183,7 @@
     version: null,
     sentVersion: null,
     content: () => 'content',
+    sharedParts: [],
     sends: 0,
     prefills: 0,
     retries: null,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -100,6 +100,7 @@
   version: null,
   sentVersion: null,
   content: () => 'content',
+  sharedParts: [],
   sends: 0,
   prefills: 0,
   retries: null,
