Decide by its target's life whether an answer without a known end was complete

Cause: an answer with neither a length nor chunks ends with its connection, and so does one whose target crashes. Such an end was neither a suspicion nor a whole run: it hid crashes, and cleared nothing where all answers are like that. A stream of this kind without an event looked complete to its caller. Change: such an answer is a suspicion, which the target's next bytes or answers turn into a whole run and a refused connection into a crash. A connection is opened only for contents in doubt. A stream that ends so before its first event has broken off.

--- a/packages/coordination/src/core/forwarding/crash-content.ts
+++ b/packages/coordination/src/core/forwarding/crash-content.ts
@@ -23,7 +23,7 @@
  * later release.
  */
 export const HARMLESS_FOR_MS = 5000;
-export const HARMLESS_PART_FOR_MS = 10_000;
+const HARMLESS_PART_FOR_MS = 10_000;
 
 /** Returns the names of the parts of a prompt that other requests may share. */
 export function sharedPartsOf(parts: readonly PromptPart[]): readonly string[] {
--- a/packages/coordination/src/core/forwarding/crash-evidence.ts
+++ b/packages/coordination/src/core/forwarding/crash-evidence.ts
@@ -15,6 +15,11 @@
   Unanswered = 'unanswered',
   /** The caller left. */
   Abandoned = 'abandoned',
+  /**
+   * The answer ended with its connection, and nothing in it tells whether it is complete: a target
+   * that crashes closes its connections, too.
+   */
+  Closed = 'closed',
 }
 
 /** An attempt during which the target may have crashed. */
@@ -165,6 +170,34 @@
   );
 }
 
+/**
+ * Takes the answers without a known end whose targets have sent something since: these answers were
+ * complete.
+ *
+ * @param lastBytesAtMs - Time at which the last byte of a target was read.
+ */
+export function takeSurvivedAnswers(
+  evidence: CrashEvidence,
+  lastBytesAtMs: (target: string) => number,
+  nowMs: number,
+): readonly CrashSuspicion[] {
+  const hasSentSince = sentSince(lastBytesAtMs);
+  return takeOutlived(
+    evidence,
+    (each) =>
+      each.end === AttemptEnd.Closed &&
+      nowMs - each.endedAtMs >= CONFIRM_AFTER_MS &&
+      hasSentSince(each),
+    nowMs - CONFIRM_AFTER_MS,
+  );
+}
+
+function sentSince(
+  lastBytesAtMs: (target: string) => number,
+): (suspicion: CrashSuspicion) => boolean {
+  return ({ target, endedAtMs }) => lastBytesAtMs(target) > endedAtMs + IN_FLIGHT_MS;
+}
+
 /**
  * Decides the suspicions whose time is over.
  *
@@ -176,8 +209,7 @@
   nowMs: number,
 ): DecidedSuspicions {
   const ageMs = ({ endedAtMs }: CrashSuspicion): number => nowMs - endedAtMs;
-  const hasSentSince = ({ target, endedAtMs }: CrashSuspicion): boolean =>
-    lastBytesAtMs(target) > endedAtMs + IN_FLIGHT_MS;
+  const hasSentSince = sentSince(lastBytesAtMs);
   const isBroken = ({ end }: CrashSuspicion): boolean => end === AttemptEnd.Broken;
   const refuted = takeOutlived(
     evidence,
--- a/packages/daemon/src/gateway/crash-reports.ts
+++ b/packages/daemon/src/gateway/crash-reports.ts
@@ -17,6 +17,8 @@
   refuteCrashes,
   recordAnswerOf,
   isConvictedContent,
+  isKnownHarmless,
+  isPromptPart,
   isNearConviction,
   addCrash,
   countsCrash,
@@ -101,8 +103,9 @@
 /** Returns how an attempt ended during which the target may have crashed; null for any other end. */
 function suspiciousEnd(
   exchange: Exchange,
-  { kind, sent, brokeOff }: SendOutcome,
+  { kind, sent, brokeOff, endedWithConnection }: SendOutcome,
 ): AttemptEnd | null {
+  if (endedWithConnection) return AttemptEnd.Closed;
   if (brokeOff) return AttemptEnd.Broken;
   if (!sent) return null;
   if (kind === SendOutcomeKind.Silent) return AttemptEnd.Unanswered;
@@ -119,7 +122,13 @@
   /** Contents whose trial is being noted. */
   const trialsBegun = new Set<string>();
   const publisher = createCrashPublisher(options);
-  const suspicions = createCrashSuspicions({ ...options, onCrash: recordCrash });
+  const suspicions = createCrashSuspicions({
+    ...options,
+    onCrash: recordCrash,
+    onSurvived: ({ content, target }) => {
+      clear(content, target, {});
+    },
+  });
 
   function recordCrash(note: CrashNote, reason: string): void {
     count('crashes_found_total');
@@ -170,12 +179,20 @@
   ): void {
     const end = suspiciousEnd(exchange, outcome);
     if (end === null) return;
+    const isOrdinary = end === AttemptEnd.Abandoned || end === AttemptEnd.Closed;
+    const mustProbe = end === AttemptEnd.Closed ? contents.some(isInDoubt) : !isOrdinary;
     for (const content of contents) {
-      const isNew = suspicions.suspect(content, target, end);
-      if (isNew && end !== AttemptEnd.Abandoned) logSuspicion(exchange, content, target, outcome);
+      const isNew = suspicions.suspect(content, target, end, mustProbe);
+      if (isNew && !isOrdinary) logSuspicion(exchange, content, target, outcome);
     }
   }
 
+  /** Returns whether a content has crashed a target, or is a part that no target ran lately. */
+  function isInDoubt(content: string): boolean {
+    if (view.crashes.crashesByContent.has(content)) return true;
+    return isPromptPart(content) && !isKnownHarmless(view.crashes, content, nowMs());
+  }
+
   /** Withdraws the crashes of a content that a target ran to completion. */
   function clear(content: string, target: string, fields: LogFields): void {
     const notes = markContentHarmless(view.crashes, content, nowMs());
@@ -230,7 +247,7 @@
     },
     recordSilence: (exchange, target, readOnly) => {
       for (const content of readOnly ? [exchange.content()] : contentsOf(exchange)) {
-        const isNew = suspicions.suspect(content, target, AttemptEnd.Unanswered);
+        const isNew = suspicions.suspect(content, target, AttemptEnd.Unanswered, true);
         if (isNew) logSuspicion(exchange, content, target, SILENT);
       }
     },
--- a/packages/daemon/src/gateway/crash-suspicions.ts
+++ b/packages/daemon/src/gateway/crash-suspicions.ts
@@ -17,6 +17,7 @@
   recordLife,
   recordReached,
   suspect,
+  takeSurvivedAnswers,
 } from '@cassiamast/coordination';
 import type { IsReachable } from '../node/reachable.js';
 import type { GatewayLog } from './gateway-log.js';
@@ -41,15 +42,24 @@
   readonly count: (name: string) => void;
   /** Called for each crash that is found. */
   readonly onCrash: (note: CrashNote, reason: string) => void;
+  /** Called for each answer without a known end whose target has lived on. */
+  readonly onSurvived: (note: CrashNote) => void;
 }
 
 /** Decides suspicions. */
 export interface CrashSuspicions {
   /**
-   * Records that an attempt at a target ended without a complete answer. Returns whether no like
-   * attempt was suspected before.
+   * Records that an attempt at a target ended without an answer that is known to be complete. Returns
+   * whether no like attempt was suspected before.
+   *
+   * @param mustProbe - Whether a connection is opened to find out whether the target is down.
    */
-  readonly suspect: (content: string, target: TargetEntry, end: AttemptEnd) => boolean;
+  readonly suspect: (
+    content: string,
+    target: TargetEntry,
+    end: AttemptEnd,
+    mustProbe: boolean,
+  ) => boolean;
   /** Records an answer of a target to a request that was sent at a time. */
   readonly noteAnswer: (target: string, sentAtMs: number) => void;
   /** Records that a target's entry disappeared although it did not announce its departure. */
@@ -75,7 +85,7 @@
 
 /** Creates the suspicions. */
 export function createCrashSuspicions(options: CrashSuspicionsOptions): CrashSuspicions {
-  const { view, pulse, isReachable, nowMs, log, count, onCrash } = options;
+  const { view, pulse, isReachable, nowMs, log, count, onCrash, onSurvived } = options;
   const evidence = createCrashEvidence();
   const probes = new Map<string, Probes>();
 
@@ -83,11 +93,17 @@
     for (const { content, target } of suspicions) onCrash({ content, target }, reason);
   }
 
+  function survive(suspicions: readonly CrashSuspicion[]): void {
+    for (const { content, target, end } of suspicions) {
+      if (end === AttemptEnd.Closed) onSurvived({ content, target });
+    }
+  }
+
   function drop(suspicions: readonly CrashSuspicion[], reason: string): void {
     for (const { content, target, end } of suspicions) {
+      // These ends are ordinary and only of interest if the target crashes.
+      if (end === AttemptEnd.Abandoned || end === AttemptEnd.Closed) continue;
       count('crash_suspicions_dropped_total');
-      // Callers leave all the time; their requests are only of interest if the target crashes.
-      if (end === AttemptEnd.Abandoned) continue;
       log.info('crash suspicion dropped', { content, target, reason });
     }
   }
@@ -132,7 +148,7 @@
   }
 
   return {
-    suspect: (content, target, end) => {
+    suspect: (content, target, end, mustProbe) => {
       const endedAtMs = nowMs();
       if (endedAtMs < (probes.get(target.id)?.downUntilMs ?? 0)) {
         onCrash({ content, target: target.id }, 'accepts no connection');
@@ -140,13 +156,14 @@
       }
       const { isNew, dropped } = suspect(evidence, { content, target: target.id, end, endedAtMs });
       if (dropped !== null) count('crash_suspicions_lost_total');
-      const isAbandoned = end === AttemptEnd.Abandoned && view.targets.has(target.id);
-      if (!isAbandoned) probe(target, PROBE_DELAY_MS);
+      if (mustProbe || !view.targets.has(target.id)) probe(target, PROBE_DELAY_MS);
       return isNew;
     },
     noteAnswer: (target, sentAtMs) => {
       if (evidence.suspicions.length === 0) return;
-      drop(recordLife(evidence, target, sentAtMs), 'the target answers');
+      const outlived = recordLife(evidence, target, sentAtMs);
+      survive(outlived);
+      drop(outlived, 'the target answers');
     },
     noteGone: (target) => {
       if (isSuspected(evidence, target.id, -Infinity)) probe(target, PROBE_DELAY_MS);
@@ -156,7 +173,9 @@
       await probes.get(target)?.latest;
     },
     tick: () => {
-      const { confirmed, refuted } = decideSuspicions(evidence, pulse.lastBytesAtMs, nowMs());
+      const { lastBytesAtMs } = pulse;
+      survive(takeSurvivedAnswers(evidence, lastBytesAtMs, nowMs()));
+      const { confirmed, refuted } = decideSuspicions(evidence, lastBytesAtMs, nowMs());
       confirm(confirmed, 'sends nothing');
       drop(refuted, 'the target sent something, or its entry is still there');
       forgetProbes();
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -87,14 +87,28 @@
     STREAM_SILENCE_MS + (from === null ? plan.predictedReadMs * PREFILL_SLACK_RATIO : 0);
   const outcome = await send(turn, target, { readOnly: false, from, allowedMs }, sink);
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
-  const ranWhole = outcome.ranWhole && !part.endedInsideEvent();
-  turn.services.crashes.recordRun(exchange, target, { ...outcome, ranWhole });
+  turn.services.crashes.recordRun(exchange, target, withStreamEnd(outcome, part));
   logSend(turn, target, 'sent to target', outcome);
   const end = concludeTurn(turn, target, outcome, part);
   // A prefill was already sent, so another turn sends a further one.
   return end === TurnEnd.NotServing && from !== null ? TurnEnd.NotRun : end;
 }
 
+/**
+ * Returns whether a stream has broken off although its connection ended in order: it stops inside an
+ * event, or before its first one, and its framing does not say that this is its end.
+ */
+function isCutOff({ endedWithConnection }: SendOutcome, part: StreamPart): boolean {
+  return part.endedInsideEvent() || (endedWithConnection && !part.hasEvents());
+}
+
+/** Returns the outcome with what the events of its stream tell. */
+function withStreamEnd(outcome: SendOutcome, part: StreamPart): SendOutcome {
+  if (!isCutOff(outcome, part)) return outcome;
+  const brokeOff = outcome.brokeOff || outcome.endedWithConnection;
+  return { ...outcome, brokeOff, ranWhole: false, endedWithConnection: false };
+}
+
 function concludeTurn(
   turn: Turn,
   target: TargetEntry,
@@ -108,7 +122,7 @@
     case SendOutcomeKind.OverBudget:
       return TurnEnd.OverBudget;
     case SendOutcomeKind.Complete:
-      if (!isDeliverable(turn, part)) {
+      if (!isDeliverable(turn, outcome, part)) {
         reportFailed(turn, target, JobEventKind.Broke);
         return TurnEnd.Broken;
       }
@@ -136,8 +150,12 @@
  * Returns whether an answer may be passed on: a stream must not look complete inside an event or
  * after a failure, and a failure must not end an answer that another target may still bring.
  */
-function isDeliverable({ exchange, progress }: Turn, part: StreamPart): boolean {
-  if (part.endedInsideEvent()) return false;
+function isDeliverable(
+  { exchange, progress }: Turn,
+  outcome: SendOutcome,
+  part: StreamPart,
+): boolean {
+  if (isCutOff(outcome, part)) return false;
   return !part.hasFailed() || (!exchange.response.headersSent && progress.isAlone());
 }
 
--- a/packages/daemon/src/gateway/send-to-target.ts
+++ b/packages/daemon/src/gateway/send-to-target.ts
@@ -58,6 +58,8 @@
    * from in front of the run, and a body that ends with its connection may be cut off.
    */
   readonly ranWhole: boolean;
+  /** Whether a success ended with its connection, so that its framing does not tell its end. */
+  readonly endedWithConnection: boolean;
   /** What the answer says about the target. */
   readonly announced: TargetAnnouncement;
 }
@@ -150,8 +152,10 @@
       signal.removeEventListener('abort', onAbort);
       stream?.stop();
       noteArrived();
-      const ranWhole = kind === SendOutcomeKind.Complete && head !== null && isWholeSuccess(head);
-      resolve({ kind, sent, detail, brokeOff, ranWhole, announced });
+      const hasSucceeded = kind === SendOutcomeKind.Complete && head !== null && isSuccess(head);
+      const ranWhole = hasSucceeded && head?.hasKnownEnd === true;
+      const endedWithConnection = hasSucceeded && !ranWhole;
+      resolve({ kind, sent, detail, brokeOff, ranWhole, endedWithConnection, announced });
     };
     const onAbort = (): void => {
       finish(SendOutcomeKind.Stopped, 'stopped');
@@ -224,11 +228,12 @@
 
 function notBegun(kind: SendOutcomeKind, detail: string): SendOutcome {
   const announced = NOTHING_ANNOUNCED;
-  return { kind, sent: false, detail, brokeOff: false, ranWhole: false, announced };
+  const ended = { brokeOff: false, ranWhole: false, endedWithConnection: false };
+  return { kind, sent: false, detail, ...ended, announced };
 }
 
-function isWholeSuccess({ status, hasKnownEnd }: AnswerHead): boolean {
-  return status < FIRST_FAILURE_STATUS && hasKnownEnd;
+function isSuccess({ status }: AnswerHead): boolean {
+  return status < FIRST_FAILURE_STATUS;
 }
 
 /**
--- a/packages/daemon/src/gateway/stream-relay.ts
+++ b/packages/daemon/src/gateway/stream-relay.ts
@@ -13,6 +13,8 @@
   readonly sink: AnswerSink;
   /** Returns whether the target answered with a failure, which is buffered. */
   readonly hasFailed: () => boolean;
+  /** Returns whether the target sent a complete event. */
+  readonly hasEvents: () => boolean;
   /** Returns whether the target's stream stopped in the middle of an event. */
   readonly endedInsideEvent: () => boolean;
   /** Ends the answer as complete, or sends the buffered failure answer of the target. */
@@ -95,6 +97,7 @@
         },
       },
       hasFailed,
+      hasEvents: () => !isFirstEvent,
       endedInsideEvent: () => hasPartialEvent(framing),
       end: () => {
         if (response.destroyed) return;
