--- a/packages/fuzz/src/worlds/silence/simulation.ts
+++ b/packages/fuzz/src/worlds/silence/simulation.ts
@@ -41,6 +41,8 @@
   readonly dropsChoice: boolean;
   /** Whether the end of a plain answer stops the other attempts, as its other parts do. */
   readonly heedsPlainEnd: boolean;
+  /** Whether a turn is asked for although the answer was delivered while a decision was awaited. */
+  readonly asksAfterEnd: boolean;
   /** Whether a turn that reads no prompt elsewhere also waits until it may run. */
   readonly waitsUnsplit: boolean;
 }
@@ -196,6 +198,8 @@
   lastEvent: number;
   /** Whether an engine is being asked for. */
   isAsking: boolean;
+  /** Whether a decision on a crash is awaited. */
+  isDeciding: boolean;
   isWithdrawnByAnswer: boolean;
   /** Withdraws the pending question. */
   withdraw: (() => void) | null;
--- a/packages/fuzz/src/worlds/silence/streams.ts
+++ b/packages/fuzz/src/worlds/silence/streams.ts
@@ -2,6 +2,7 @@
  * Forwards streams as the gateway's `stream-forwarding` and `engine-requests` do: most turns read
  * the prompt at one engine and stream from another.
  */
+import { schedule } from '../../kit/scheduler.js';
 import {
   aloneToRun,
   ask,
@@ -16,7 +17,7 @@
   noteRead,
   relayEvent,
 } from './attempts.js';
-import type { Routine } from './routines.js';
+import { type Routine, atGateway } from './routines.js';
 import {
   type Attempt,
   AttemptEnd,
@@ -37,6 +38,9 @@
 const MAX_TURNS = 4;
 const GRANT_MS = 20;
 const RETRY_AFTER_MS = 300;
+/** A decision on a crash is awaited for up to that, in some of the turns. */
+const DECISION_MS = 500;
+const DECISION_SHARE = 0.3;
 /** Share of turns whose prompt is read at another engine than the one that streams. */
 const SPLIT_SHARE = 0.75;
 /** Allowed for a prefill that is predicted to take 100 ms, and for a stream without events. */
@@ -57,12 +61,34 @@
     if (result?.end === AttemptEnd.Stopped) break;
     needsTurn = mayTakeAnotherTurn(simulation, request, result);
     if (!needsTurn && open.size === 0) break;
+    if (needsTurn) yield* decided(simulation, request);
+    if (isAnswered(simulation, request)) return;
   }
   const result = yield* finalResult(request);
   if (result?.end === AttemptEnd.Delivered) return;
   giveUp(simulation, request);
 }
 
+/** Waits for the decision on a crash. */
+function* decided(simulation: Simulation, request: SimulatedRequest): Routine<void> {
+  const { scheduler, random } = simulation;
+  if (random() >= DECISION_SHARE) return;
+  const waitMs = drawMs(simulation, 1, DECISION_MS);
+  const untilMs = scheduler.nowMs + waitMs;
+  schedule(scheduler, waitMs, () => {
+    atGateway(simulation, () => undefined);
+  });
+  request.isDeciding = true;
+  yield () => scheduler.nowMs >= untilMs || request.abortedBy !== null;
+  request.isDeciding = false;
+}
+
+/** Whether the answer was delivered while a decision was awaited. */
+function isAnswered({ options }: Simulation, { race, lastResult }: SimulatedRequest): boolean {
+  if (options.asksAfterEnd || race.open.size > 0) return false;
+  return lastResult?.end === AttemptEnd.Delivered;
+}
+
 function* askForEngines(
   simulation: Simulation,
   request: SimulatedRequest,
--- a/packages/fuzz/src/worlds/silence/world.ts
+++ b/packages/fuzz/src/worlds/silence/world.ts
@@ -71,6 +71,7 @@
   dropsChoice: false,
   heedsPlainEnd: true,
   waitsUnsplit: true,
+  asksAfterEnd: false,
 };
 
 /** Guards that can be taken away. */
@@ -103,6 +104,7 @@
   'begins-beside-answers': { ...GUARDED, beginsBesideAnswers: true },
   'plain-end-is-no-sign': { ...GUARDED, heedsPlainEnd: false },
   'choice-is-dropped': { ...GUARDED, dropsChoice: true },
+  'asks-after-the-end': { ...GUARDED, asksAfterEnd: true },
   'unsplit-runs-again': { ...GUARDED, waitsUnsplit: false },
   'over-is-open': { ...GUARDED, endAttempt: (race, attempt) => race.open.has(attempt) },
 };
@@ -147,6 +149,7 @@
     hasHead: false,
     lastEvent: 0,
     isAsking: false,
+    isDeciding: false,
     isWithdrawnByAnswer: false,
     withdraw: null,
   };
