Log when the store comes back from an older copy

Cause: neither a log line nor a counter told whether the store's revisions had gone back, so a late update of the fleet could not be told from one that was dropped. No decision depends on it yet. start.test.js and configuration-relay.test.js pass.

--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -88,6 +88,8 @@
   let stopped = true;
   let isStoreLost = false;
   let needsListing = true;
+  /** The store's era as of the last answer; null before the first. */
+  let era: number | null = null;
   /** Ends the wait for the answer to the pending call. */
   let interruptWait: () => void = () => undefined;
   const loggedFaults = new Set<string>();
@@ -103,6 +105,19 @@
     isStoreLost = false;
   }
 
+  function noteEra(batch: FleetChangeBatch): void {
+    if (era !== null && batch.era !== era) {
+      options.count('store_restores_total');
+      log.lifecycle('store came back from an older copy', {
+        era: batch.era,
+        eraBefore: era,
+        revision: batch.revision,
+        revisionBefore: view.revision,
+      });
+    }
+    era = batch.era;
+  }
+
   /** Logs an invalid entry once, since its writer may write it again with each heartbeat. */
   function recordFault({ key }: InvalidEntry): void {
     options.count('fleet_entries_ignored_total');
@@ -126,7 +141,9 @@
     applyBatch(batch, isListing);
   }
 
-  function applyBatch({ changes, faults, revision }: FleetChangeBatch, isListing: boolean): void {
+  function applyBatch(batch: FleetChangeBatch, isListing: boolean): void {
+    const { changes, faults, revision } = batch;
+    noteEra(batch);
     for (const fault of faults) recordFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
     for (const change of changes) {
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -17,6 +17,11 @@
   readonly changes: readonly FleetChange[];
   readonly faults: readonly InvalidEntry[];
   readonly revision: number;
+  /**
+   * Rises each time the store comes back from an older copy of itself, without what was written since
+   * that copy; 0 for a store that does not tell.
+   */
+  readonly era: number;
 }
 
 /** Calls to the fleet store. None of them retries. */
