Keep crashes that a store lost with an older copy, and write them again

Cause: a gateway that lists the store drops each crash that the store had and the listing lacks. A store that came back from an older copy has lost them, so all gateways forgot them within one listing.

Change: the first listing of another era withdraws no crash; what it lacks is written again, by each gateway at a moment of its own within a second, unless another one was earlier. A watch that is answered in another era leads to a listing.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -67,7 +67,7 @@
 interface KnownCrash {
   readonly notedAtMs: number;
   /** When this gateway writes it to the store unless the store has it by then. */
-  readonly writeAtMs: number;
+  writeAtMs: number;
   /** Whether the store has it. Only then does its absence from the store withdraw it. */
   isStored: boolean;
 }
@@ -199,6 +199,28 @@
   }
 }
 
+/**
+ * Plans to write the crashes again that a store which came back from an older copy has lost. Every
+ * gateway that knows them does so, unless another one was earlier.
+ *
+ * @param listed - The crashes in a complete listing of that store.
+ * @param writeAtMs - When this gateway writes them.
+ */
+export function rewriteLostCrashes(
+  memory: CrashMemory,
+  listed: readonly CrashNote[],
+  writeAtMs: number,
+): void {
+  const present = new Set(listed.map(keyOf));
+  for (const [content, crashes] of memory.crashesByContent) {
+    for (const [target, known] of crashes) {
+      if (!known.isStored || present.has(keyOf({ content, target }))) continue;
+      known.isStored = false;
+      known.writeAtMs = writeAtMs;
+    }
+  }
+}
+
 /**
  * Records that a target ran a content to completion and returns the crashes recorded for it, so
  * that the caller can delete them for all gateways. Contents without crashes are recorded too: many
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -13,6 +13,7 @@
   createCrashMemory,
   removeCrash,
   retainListedCrashes,
+  rewriteLostCrashes,
   addCrash,
 } from './crash-memory.js';
 import type { FleetConfiguration, TargetEntry } from './fleet.js';
@@ -185,12 +186,24 @@
   view.outageFromMs = nowMs + nextAnswerInMs + OUTAGE_DELAY_MS;
 }
 
-/** Applies a complete listing and removes the targets and gateways that it does not contain. */
+/** A store that came back from an older copy. */
+export interface StoreRestore {
+  /** When this gateway writes again what gateways had written since that copy. */
+  readonly rewriteAtMs: number;
+}
+
+/**
+ * Applies a complete listing and removes the targets and gateways that it does not contain.
+ *
+ * @param restore - Set if the store has come back from an older copy since the last reading. What
+ * such a listing lacks may have been lost rather than removed.
+ */
 export function applyListing(
   view: FleetView,
   changes: readonly FleetChange[],
   revision: number,
   nowMs: number,
+  restore: StoreRestore | null = null,
 ): void {
   const names = new Set<string>();
   const gateways = new Set<string>();
@@ -206,7 +219,8 @@
   for (const id of view.gateways.keys()) {
     if (!gateways.has(id)) view.gateways.delete(id);
   }
-  retainListedCrashes(view.crashes, crashes);
+  if (restore === null) retainListedCrashes(view.crashes, crashes);
+  else rewriteLostCrashes(view.crashes, crashes, restore.rewriteAtMs);
   applyChanges(view, changes, revision, nowMs);
 }
 
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -18,6 +18,8 @@
   refuteCrashes,
   recordAnswerOf,
   retainListedCrashes,
+  rewriteLostCrashes,
+  unstoredCrashes,
 } from '../../../src/index.js';
 
 const NOW_MS = 1000;
@@ -53,6 +55,33 @@
     assert.equal(isQuarantinedContent(memory, 'h'), false);
   });
 
+  // A store that comes back from an older copy has lost crashes, and every gateway lists it anew.
+  describe('a store that came back from an older copy', () => {
+    const REWRITE_AT_MS = NOW_MS + 500;
+    const lost = { content: 'h', target: 't2' };
+
+    beforeEach(() => {
+      addCrash(memory, { content: 'h', target: 't1' }, CrashSource.Store, NOW_MS);
+      addCrash(memory, lost, CrashSource.Store, NOW_MS);
+      rewriteLostCrashes(memory, [{ content: 'h', target: 't1' }], REWRITE_AT_MS);
+    });
+
+    it('does not withdraw the crashes that it lost', () => {
+      retainListedCrashes(memory, [{ content: 'h', target: 't1' }]);
+      assert.equal(crashesOf(memory, 'h').length, 2);
+    });
+
+    it('gets the lost ones again, after a while', () => {
+      assert.deepEqual(unstoredCrashes(memory, REWRITE_AT_MS - 1), []);
+      assert.deepEqual(unstoredCrashes(memory, REWRITE_AT_MS), [lost]);
+    });
+
+    it('does not get what another gateway has written again', () => {
+      addCrash(memory, lost, CrashSource.Store, NOW_MS);
+      assert.deepEqual(unstoredCrashes(memory, REWRITE_AT_MS), []);
+    });
+  });
+
   describe('a crash that was excused', () => {
     const note = { content: 'r', target: 't1' };
     const isCountedAgain = (source: CrashSource): boolean => {
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -40,6 +40,11 @@
 const READ_NOW_TIMEOUT_MS = 1000;
 /** Time limit of a listing, which takes one or more pages. */
 const LISTING_TIMEOUT_MS = 1500;
+/**
+ * Gateways spread over this time what they write again after the store came back from an older copy,
+ * since each of them knows the same and only the first write is needed.
+ */
+const REWRITE_SPREAD_MS = 1000;
 /** Maximum number of invalid entries remembered as logged; beyond it, entries are logged again. */
 const MAX_LOGGED_FAULTS = 256;
 
@@ -105,17 +110,19 @@
     isStoreLost = false;
   }
 
-  function noteEra(batch: FleetChangeBatch): void {
-    if (era !== null && batch.era !== era) {
-      options.count('store_restores_total');
-      log.lifecycle('store came back from an older copy', {
-        era: batch.era,
-        eraBefore: era,
-        revision: batch.revision,
-        revisionBefore: view.revision,
-      });
-    }
-    era = batch.era;
+  /** Returns whether the store has come back from an older copy since the last answer. */
+  function isRestored(batch: FleetChangeBatch): boolean {
+    return era !== null && batch.era !== era;
+  }
+
+  function logRestore(batch: FleetChangeBatch): void {
+    options.count('store_restores_total');
+    log.lifecycle('store came back from an older copy', {
+      era: batch.era,
+      eraBefore: era,
+      revision: batch.revision,
+      revisionBefore: view.revision,
+    });
   }
 
   /** Logs an invalid entry once, since its writer may write it again with each heartbeat. */
@@ -143,16 +150,27 @@
 
   function applyBatch(batch: FleetChangeBatch, isListing: boolean): void {
     const { changes, faults, revision } = batch;
-    noteEra(batch);
+    const restored = isRestored(batch);
+    if (restored && !isListing) {
+      // The changes since the copy are no continuation of what is known.
+      needsListing = true;
+      return;
+    }
+    if (restored) logRestore(batch);
+    const rewriteAtMs = nowMs() + random() * REWRITE_SPREAD_MS;
     for (const fault of faults) recordFault(fault);
     const versionBefore = view.table?.configuration.version ?? 0;
     for (const change of changes) {
       logTargetRestart(change);
       if (change.kind === FleetChangeKind.Gateway) options.onGateway(change.gateway.id);
     }
-    if (isListing) applyListing(view, changes, revision, nowMs());
+    if (isListing)
+      applyListing(view, changes, revision, nowMs(), restored ? { rewriteAtMs } : null);
     else applyChanges(view, changes, revision, nowMs());
-    if (isListing) needsListing = false;
+    if (isListing) {
+      needsListing = false;
+      era = batch.era;
+    }
     const version = view.table?.configuration.version ?? 0;
     if (version !== versionBefore) log.info('configuration in force', { version, revision });
     options.onChanged();
