Compare revisions over the eras of a store that came back from an older copy

Cause: the store gives out revisions again after it came back, and the view compares them with those of before: newer entries count as older, and the next watch asks after a revision that the store does not have, or has passed again with other changes.

Change: the adapter reads the store's era from each answer and translates its revisions into ones that continue over the eras, so whatever is written later has the higher one; a watch from an earlier era ends in a listing. A history that is gone right after a listing is asked for with a pause. Log lines show era/revision.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -45,7 +45,7 @@
   CrashRemoved = 'crash-forgotten',
 }
 
-/** A change of the fleet. `revision` is the store's revision, which only increases. */
+/** A change of the fleet. `revision` is the store's revision; a later change has a higher one. */
 export type FleetChange =
   | {
       readonly kind: FleetChangeKind.Configuration;
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -27,6 +27,7 @@
 export * from './core/model/configuration.js';
 export * from './core/model/member.js';
 export * from './core/model/outcome.js';
+export * from './core/model/store-revision.js';
 export * from './core/placement/absence.js';
 export * from './core/placement/placement.js';
 export * from './core/placement/placed-members.js';
--- a/packages/daemon/src/gateway/configuration-relay.ts
+++ b/packages/daemon/src/gateway/configuration-relay.ts
@@ -9,6 +9,7 @@
   type FleetView,
   type Random,
   applyChanges,
+  describeRevision,
 } from '@cassiamast/coordination';
 import { createPeriodic } from '../node/timers.js';
 import type { RpcClient } from '../node/rpc-client.js';
@@ -56,7 +57,8 @@
     const change = { kind: FleetChangeKind.Configuration, revision, configuration } as const;
     applyChanges(view, [change], revision, nowMs());
     count('configurations_relayed_total');
-    log.info('configuration in force', { version: configuration.version, revision, from });
+    const { version } = configuration;
+    log.info('configuration in force', { version, revision: describeRevision(revision), from });
     options.onChanged();
   }
 
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -14,6 +14,8 @@
   applyChanges,
   applyListing,
   createPollInterval,
+  describeRevision,
+  eraOf,
   recordStoreAnswer,
   pauseAfterFailureMs,
   pauseAfterAnswerMs,
@@ -93,35 +95,35 @@
   let stopped = true;
   let isStoreLost = false;
   let needsListing = true;
-  /** The store's era as of the last answer; null before the first. */
-  let era: number | null = null;
+  /** Number of listings since the last answer with changes. */
+  let listingsInARow = 0;
   /** Ends the wait for the answer to the pending call. */
   let interruptWait: () => void = () => undefined;
   const loggedFaults = new Set<string>();
 
+  const known = (): string => describeRevision(view.revision);
+
   function noteStoreLost(cause: string): void {
-    if (!isStoreLost) log.warn('store lost', { cause, revision: view.revision });
+    if (!isStoreLost) log.warn('store lost', { cause, revision: known() });
     isStoreLost = true;
   }
 
   function noteStoreRegained(pauseMs: number): void {
     recordStoreAnswer(view, nowMs(), pauseMs + WATCH_WAIT_MS);
-    if (isStoreLost) log.info('store regained', { revision: view.revision });
+    if (isStoreLost) log.info('store regained', { revision: known() });
     isStoreLost = false;
   }
 
   /** Returns whether the store has come back from an older copy since the last answer. */
-  function isRestored(batch: FleetChangeBatch): boolean {
-    return era !== null && batch.era !== era;
+  function isRestored({ revision }: FleetChangeBatch): boolean {
+    return view.revision > 0 && eraOf(revision) > eraOf(view.revision);
   }
 
-  function logRestore(batch: FleetChangeBatch): void {
+  function logRestore({ revision }: FleetChangeBatch): void {
     options.count('store_restores_total');
     log.lifecycle('store came back from an older copy', {
-      era: batch.era,
-      eraBefore: era,
-      revision: batch.revision,
-      revisionBefore: view.revision,
+      revision: describeRevision(revision),
+      before: describeRevision(view.revision),
     });
   }
 
@@ -139,7 +141,8 @@
     const { id, name } = change.target;
     const before = view.idsByName.get(name);
     if (before === undefined || before === id) return;
-    log.info('target started again', { target: id, before, revision: change.revision });
+    const revision = describeRevision(change.revision);
+    log.info('target started again', { target: id, before, revision });
   }
 
   /** Applies an answer, after which the store is not called for `pauseMs`. */
@@ -151,11 +154,6 @@
   function applyBatch(batch: FleetChangeBatch, isListing: boolean): void {
     const { changes, faults, revision } = batch;
     const restored = isRestored(batch);
-    if (restored && !isListing) {
-      // The changes since the copy are no continuation of what is known.
-      needsListing = true;
-      return;
-    }
     if (restored) logRestore(batch);
     const rewriteAtMs = nowMs() + random() * REWRITE_SPREAD_MS;
     for (const fault of faults) recordFault(fault);
@@ -167,12 +165,11 @@
     if (isListing)
       applyListing(view, changes, revision, nowMs(), restored ? { rewriteAtMs } : null);
     else applyChanges(view, changes, revision, nowMs());
-    if (isListing) {
-      needsListing = false;
-      era = batch.era;
-    }
+    if (isListing) needsListing = false;
+    listingsInARow = isListing ? listingsInARow + 1 : 0;
     const version = view.table?.configuration.version ?? 0;
-    if (version !== versionBefore) log.info('configuration in force', { version, revision });
+    if (version !== versionBefore)
+      log.info('configuration in force', { version, revision: known() });
     options.onChanged();
   }
 
@@ -223,7 +220,7 @@
   /** Requests a new listing if the store no longer has the changes after the known revision. */
   function relistIfHistoryGone(failure: Failure): boolean {
     if (!FLEET_HISTORY_GONE.is(failure)) return false;
-    log.warn('fleet listed again', { cause: failure.message, revision: view.revision });
+    log.warn('fleet listed again', { cause: failure.message, revision: known() });
     needsListing = true;
     return true;
   }
@@ -244,7 +241,10 @@
       return pauseAfterFailureMs(pace, random);
     }
     if (answer.isErr()) {
-      if (relistIfHistoryGone(answer.error)) return 0;
+      // A history that is gone right after a listing may be gone after the next one as well.
+      if (relistIfHistoryGone(answer.error)) {
+        return listingsInARow > 1 ? pauseAfterFailureMs(pace, random) : 0;
+      }
       noteStoreLost(answer.error.message);
       return pauseAfterFailureMs(pace, random);
     }
--- a/packages/daemon/src/gateway/target-availability.ts
+++ b/packages/daemon/src/gateway/target-availability.ts
@@ -11,6 +11,7 @@
   type TargetEntry,
   UnavailableReason,
   availableInMs,
+  describeRevision,
   dropOldAnnouncements,
   recordBackOff,
   recordLeaving,
@@ -94,7 +95,8 @@
     if (!recordLeaving(announced, target, elapsedMs())) return;
     const { id, service } = target;
     count('targets_announced_leaving_total');
-    log.info('target announces that it leaves', { target: id, service, revision: view.revision });
+    const revision = describeRevision(view.revision);
+    log.info('target announces that it leaves', { target: id, service, revision });
     onLeaving(target);
   }
 
--- a/packages/daemon/src/gateway/target-transitions.ts
+++ b/packages/daemon/src/gateway/target-transitions.ts
@@ -2,7 +2,11 @@
  * Logs and counts the changes of targets' availability, so that a request to a leaving target can be
  * traced to what the gateway knew of that target.
  */
-import { type OnTargetTransition, TargetTransition } from '@cassiamast/coordination';
+import {
+  type OnTargetTransition,
+  TargetTransition,
+  describeRevision,
+} from '@cassiamast/coordination';
 import type { GatewayLog } from './gateway-log.js';
 
 /** A replaced target has no line of its own: the follower logs both of its starts together. */
@@ -21,6 +25,7 @@
   return (transition, { id, service }, revision) => {
     count(`targets_${transition}_total`);
     const message = MESSAGES[transition];
-    if (message !== undefined) log.info(message, { target: id, service, revision });
+    if (message === undefined) return;
+    log.info(message, { target: id, service, revision: describeRevision(revision) });
   };
 }
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -17,11 +17,6 @@
   readonly changes: readonly FleetChange[];
   readonly faults: readonly InvalidEntry[];
   readonly revision: number;
-  /**
-   * Rises each time the store comes back from an older copy of itself, without what was written since
-   * that copy; 0 for a store that does not tell.
-   */
-  readonly era: number;
 }
 
 /** Calls to the fleet store. None of them retries. */
@@ -30,7 +25,8 @@
   readonly list: () => ResultAsync<FleetChangeBatch, Failure>;
   /**
    * Long poll: returns the changes after a revision as soon as there are any, at the latest after
-   * `waitMs`. Fails with FLEET_HISTORY_GONE if the store no longer has them; `list` is needed then.
+   * `waitMs`. Fails with FLEET_HISTORY_GONE if the store no longer has them, or has come back from an
+   * older copy since; `list` is needed then.
    */
   readonly changesAfter: (
     revision: number,
--- a/packages/ports/src/key-value/port.ts
+++ b/packages/ports/src/key-value/port.ts
@@ -6,7 +6,10 @@
 import type { Failure } from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
 
-/** A stored value. Revisions increase monotonically across the whole service. */
+/**
+ * A stored value. Revisions increase monotonically across the whole service, also when it comes back
+ * from an older copy of itself.
+ */
 export interface KeyValueEntry {
   readonly key: string;
   readonly value: string;
