Keep targets whose entries a store lost with an older copy

Callers would be rejected for a second or two: a store that comes back from an older copy lacks the targets that were written since, and a gateway removed them with its next listing though they serve on. Its first listing now opens the grace period that an outage has; targets that are not written again go at its end. 'keeps a target whose entry was lost' of fleet-view.test.ts failed before.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -129,7 +129,7 @@
   outageFromMs: number;
   /**
    * End of the grace period after the last outage, in which a missing entry may merely have
-   * expired.
+   * expired, or was lost as the store came back from an older copy.
    */
   graceUntilMs: number;
   /** Removal revision by name of removed targets, so that a stale change does not restore them. */
@@ -205,6 +205,10 @@
   nowMs: number,
   restore: StoreRestore | null = null,
 ): void {
+  if (restore !== null) {
+    view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
+    view.steadySinceMs = nowMs;
+  }
   const names = new Set<string>();
   const gateways = new Set<string>();
   const crashes: CrashNote[] = [];
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -15,6 +15,7 @@
   hasRestarted,
   livesSinceMs,
   recordStoreAnswer,
+  revisionInEra,
   servingTarget,
   servingTargets,
   removeMissingTargets,
@@ -114,6 +115,41 @@
     });
   });
 
+  // A target is written after the copy from which the store comes back, and lives on. A gateway that
+  // removes it at once rejects requests until the target has noticed the loss.
+  describe('after the store came back from an older copy', () => {
+    const ERA = 1;
+    const BACK_AT_MS = 500;
+    const RESTORE = { rewriteAtMs: BACK_AT_MS };
+
+    beforeEach(() => {
+      applyListing(
+        view,
+        [target('a', revisionInEra(ERA, 1))],
+        revisionInEra(ERA, 1),
+        BACK_AT_MS,
+        RESTORE,
+      );
+    });
+
+    it('keeps a target whose entry was lost', () => {
+      assert.deepEqual(serving(BACK_AT_MS), ['a', 'b']);
+    });
+
+    it('removes it if it is not written again', () => {
+      const endsAtMs = BACK_AT_MS + EXPIRY_GRACE_MS;
+      assert.deepEqual(serving(endsAtMs), ['a']);
+      removeMissingTargets(view, endsAtMs);
+      assert.equal(view.targets.has('b'), false);
+    });
+
+    it('keeps it for good if it is written again', () => {
+      const revision = revisionInEra(ERA, 2);
+      applyChanges(view, [target('b', revision)], revision, BACK_AT_MS + 400);
+      assert.deepEqual(serving(BACK_AT_MS + EXPIRY_GRACE_MS), ['a', 'b']);
+    });
+  });
+
   // Entries expire during a store outage. A gateway that removes every target with a missing entry
   // has no targets left and rejects all requests for two seconds after the store returns.
   describe('after a store outage', () => {
