Do not use a target again that a restored store lists after it left

Callers' requests would reach a target that had left: a store that comes back from an older copy lists it as ready again, with a higher revision than its removal, so each gateway that had taken it out used it again. Such an entry is now believed only once it is written again, or if it is still there after 6 s.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -78,6 +78,13 @@
       readonly id: string;
     };
 
+/** A target's entry was written. */
+interface TargetWritten {
+  readonly kind: FleetChangeKind.Target;
+  readonly revision: number;
+  readonly target: TargetEntry;
+}
+
 /** How a target's availability changed in a gateway's view. */
 export enum TargetTransition {
   /** It reported that it is shutting down. */
@@ -90,6 +97,8 @@
   Removed = 'removed',
   /** Another start has taken its name. */
   Replaced = 'replaced',
+  /** It is listed again after it had left, by a store that came back from an older copy. */
+  Doubted = 'doubted',
 }
 
 /** Called with each transition of a target, and the store revision that caused it. */
@@ -112,6 +121,13 @@
   goneAtMs: number | null;
 }
 
+/** The entry of a target that had left, in a store that came back from an older copy. */
+interface DoubtedEntry {
+  readonly change: TargetWritten;
+  /** From then on the target counts as one that serves, unless its entry was removed. */
+  readonly untilMs: number;
+}
+
 /** What one gateway knows of the fleet. */
 export interface FleetView {
   table: RouteTable | null;
@@ -134,6 +150,8 @@
   graceUntilMs: number;
   /** Removal revision by name of removed targets, so that a stale change does not restore them. */
   readonly removedAtRevision: Map<string, number>;
+  /** Entries by name that are not believed yet. */
+  readonly doubted: Map<string, DoubtedEntry>;
   /** Request contents that crashed targets. */
   readonly crashes: CrashMemory;
   readonly onTransition: OnTargetTransition;
@@ -147,6 +165,11 @@
 export const EXPIRY_GRACE_MS = 1500;
 /** An answer that is late by more than this counts as the end of a store outage. */
 export const OUTAGE_DELAY_MS = 400;
+/**
+ * How long a target is not used that had left and is listed again by a store that came back from an
+ * older copy. Entries of targets that are gone disappear within this time.
+ */
+export const DOUBT_MS = 6000;
 /** Most removed targets whose removal revision is kept. */
 const MAX_REMOVED_NAMES = 4096;
 
@@ -166,6 +189,7 @@
     outageFromMs: Infinity,
     graceUntilMs: 0,
     removedAtRevision: new Map(),
+    doubted: new Map(),
     crashes: createCrashMemory(onCrashChange),
     onTransition,
   };
@@ -223,9 +247,42 @@
   for (const id of view.gateways.keys()) {
     if (!gateways.has(id)) view.gateways.delete(id);
   }
+  for (const name of view.doubted.keys()) {
+    if (!names.has(name)) view.doubted.delete(name);
+  }
   if (restore === null) retainListedCrashes(view.crashes, crashes);
   else rewriteLostCrashes(view.crashes, crashes, restore.rewriteAtMs);
-  applyChanges(view, changes, revision, nowMs);
+  const believed = changes.filter((change) => !doubtEntry(view, change, restore !== null, nowMs));
+  applyChanges(view, believed, revision, nowMs);
+}
+
+/**
+ * Returns whether a listed entry is not believed: the target had left, and its entry may come from
+ * before that. Nobody but the gateways that knew of it can tell.
+ */
+function doubtEntry(
+  view: FleetView,
+  change: FleetChange,
+  isRestored: boolean,
+  nowMs: number,
+): boolean {
+  if (change.kind !== FleetChangeKind.Target || change.target.draining) return false;
+  const { name } = change.target;
+  const isNew = isRestored && view.removedAtRevision.has(name);
+  if (isNew) {
+    view.doubted.set(name, { change, untilMs: nowMs + DOUBT_MS });
+    view.onTransition(TargetTransition.Doubted, change.target, change.revision);
+  }
+  return isNew || view.doubted.get(name)?.change.revision === change.revision;
+}
+
+/** Adds the targets whose entries were doubted and are still there when the doubt ends. */
+export function admitDoubtedTargets(view: FleetView, nowMs: number): void {
+  for (const [name, { change, untilMs }] of [...view.doubted]) {
+    if (nowMs < untilMs) continue;
+    view.doubted.delete(name);
+    putTarget(view, change.target, change.revision, nowMs);
+  }
 }
 
 /** Applies all changes up to a revision. */
@@ -245,9 +302,11 @@
       view.table = newerRouteTable(view.table, change.configuration);
       return;
     case FleetChangeKind.Target:
+      view.doubted.delete(change.target.name);
       putTarget(view, change.target, change.revision, nowMs);
       return;
     case FleetChangeKind.TargetRemoved:
+      view.doubted.delete(change.name);
       removeTarget(view, change.name, change.revision, nowMs);
       return;
     case FleetChangeKind.Gateway:
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -8,7 +8,9 @@
   type FleetView,
   TargetTransition,
   EXPIRY_GRACE_MS,
+  DOUBT_MS,
   OUTAGE_DELAY_MS,
+  admitDoubtedTargets,
   applyChanges,
   applyListing,
   createFleetView,
@@ -143,6 +145,49 @@
       assert.equal(view.targets.has('b'), false);
     });
 
+    describe('a target that had left', () => {
+      const LEFT_AT_MS = 5000;
+      const BACK_AGAIN_MS = 6000;
+      const listed = target('a', revisionInEra(ERA + 1, 1));
+
+      beforeEach(() => {
+        const { revision } = listed;
+        applyChanges(
+          view,
+          [removed('a', revisionInEra(ERA, 2))],
+          revisionInEra(ERA, 2),
+          LEFT_AT_MS,
+        );
+        applyListing(view, [listed], revision, BACK_AGAIN_MS, RESTORE);
+      });
+
+      it('is not used again', () => {
+        assert.deepEqual(serving(BACK_AGAIN_MS), []);
+        applyListing(view, [listed], listed.revision, BACK_AGAIN_MS + 100);
+        assert.deepEqual(serving(BACK_AGAIN_MS + 100), []);
+      });
+
+      it('is used again if its entry lasts', () => {
+        admitDoubtedTargets(view, BACK_AGAIN_MS + DOUBT_MS - 1);
+        assert.deepEqual(serving(BACK_AGAIN_MS), []);
+        admitDoubtedTargets(view, BACK_AGAIN_MS + DOUBT_MS);
+        assert.deepEqual(serving(BACK_AGAIN_MS), ['a']);
+      });
+
+      it('is used again if its entry is written again', () => {
+        const revision = listed.revision + 1;
+        applyChanges(view, [target('a', revision)], revision, BACK_AGAIN_MS);
+        assert.deepEqual(serving(BACK_AGAIN_MS), ['a']);
+      });
+
+      it('is not used again if its entry is removed', () => {
+        const revision = listed.revision + 1;
+        applyChanges(view, [removed('a', revision)], revision, BACK_AGAIN_MS);
+        admitDoubtedTargets(view, BACK_AGAIN_MS + DOUBT_MS);
+        assert.deepEqual(serving(BACK_AGAIN_MS), []);
+      });
+    });
+
     it('keeps it for good if it is written again', () => {
       const revision = revisionInEra(ERA, 2);
       applyChanges(view, [target('b', revision)], revision, BACK_AT_MS + 400);
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -11,6 +11,7 @@
   type FleetView,
   type PollIntervalOptions,
   type Random,
+  admitDoubtedTargets,
   applyChanges,
   applyListing,
   createPollInterval,
@@ -258,6 +259,7 @@
   async function poll(): Promise<void> {
     const pauseMs = await readOnce();
     removeMissingTargets(view, nowMs());
+    admitDoubtedTargets(view, nowMs());
     await sleep(pauseMs);
   }
 
--- a/packages/daemon/src/gateway/target-transitions.ts
+++ b/packages/daemon/src/gateway/target-transitions.ts
@@ -15,6 +15,7 @@
   [TargetTransition.Missing]: 'target entry missing',
   [TargetTransition.Reappeared]: 'target entry back',
   [TargetTransition.Removed]: 'target removed',
+  [TargetTransition.Doubted]: 'target listed again after it left',
 };
 
 /** Returns a listener that writes one line for each transition. */
