Give up a lease over a restored store until its key was read again

Two gateways could give orders to one engine, or report one window of usage: a store that comes back from an older copy may have a holder's lease without its key. The holder went on renewing the lease while another gateway took the key; and the fence of its successor was lower. Found by looking for the cause of DRAIN elsewhere.

Change: a renewal that is answered in another era ends the authority until the key was read; it is regained with the key's new revision, which continues over the eras, and after the delay of a new holder. A lease id that was granted to another process counts as lost.

--- a/packages/coordination/src/core/authority/lease-holder.ts
+++ b/packages/coordination/src/core/authority/lease-holder.ts
@@ -39,7 +39,10 @@
   ReadingKey = 'looking',
   Granting = 'granting',
   Taking = 'taking',
-  /** The answer to creating the key was lost; the key is read to find out who holds it. */
+  /**
+   * The answer to creating the key was lost, or the store came back from an older copy; the key is
+   * read to find out who holds it.
+   */
   ReadingBack = 'reading-back',
   Held = 'held',
 }
@@ -78,6 +81,13 @@
   guards: { stopsBeforeExpiry: true, waitsForOldTickets: true },
 };
 
+/** A lease as the key-value service answers. */
+export interface GrantedLease {
+  readonly ttlMs: number;
+  /** Rises when the service comes back from an older copy, which may lack the lease or its keys. */
+  readonly era?: number;
+}
+
 /** The inputs of each step of the lease state machine. */
 export interface LeaseContext {
   readonly nowMs: number;
@@ -92,6 +102,8 @@
   readonly selfId: string;
   phase: LeasePhase;
   leaseId: string | null;
+  /** The era of the key-value service in which the key was last known to be there. */
+  era: number;
   fence: number;
   sentAtMs: number;
   renewing: boolean;
@@ -109,6 +121,7 @@
     selfId,
     phase: LeasePhase.Idle,
     leaseId: null,
+    era: 0,
     fence: 0,
     sentAtMs: nowMs,
     renewing: false,
@@ -223,20 +236,23 @@
     return [{ kind: LeaseEffectKind.GrantLease, ttlMs: state.options.ttlMs }];
   }
   if (state.phase !== LeasePhase.ReadingBack || state.leaseId === null) return [];
-  if (entry !== null && parseLeaseKey(entry.value)?.leaseId === state.leaseId) {
-    return gainLease(state, entry.createRevision, context);
-  }
-  return abandonAttempt(state, context);
+  const key = entry === null ? null : parseLeaseKey(entry.value);
+  if (entry === null || key?.leaseId !== state.leaseId) return abandonAttempt(state, context);
+  if (key.planner === state.selfId) return gainLease(state, entry.createRevision, context);
+  // A service that came back from an older copy has granted this lease id to another process.
+  resetToIdle(state, context);
+  return [];
 }
 
 /** Handles a granted lease, whose validity counts from before the request was sent. */
 export function leaseGranted(
   state: LeaseState,
-  lease: { readonly leaseId: string; readonly ttlMs: number },
+  lease: GrantedLease & { readonly leaseId: string },
 ): LeaseEffect[] {
   if (state.phase !== LeasePhase.Granting) return [];
   const { leaseId } = lease;
   state.leaseId = leaseId;
+  state.era = lease.era ?? 0;
   state.validUntilMs = state.sentAtMs + lease.ttlMs - state.options.safetyMs;
   state.phase = LeasePhase.Taking;
   return [{ kind: LeaseEffectKind.TakeKey, leaseId, value: keyValue(state.selfId, leaseId) }];
@@ -256,18 +272,34 @@
 /** Handles the answer to a renewal; null if the key-value service no longer knows the lease. */
 export function leaseKeptAlive(
   state: LeaseState,
-  lease: { readonly ttlMs: number } | null,
+  lease: GrantedLease | null,
   context: LeaseContext,
 ): LeaseEffect[] {
   if (state.phase !== LeasePhase.Held) return [];
   state.renewing = false;
   if (lease === null)
     return loseLease(state, 'the key-value service no longer knows the lease', context);
+  if ((lease.era ?? 0) !== state.era) return readKeyOfCopy(state, lease);
   state.validUntilMs = state.sentAtMs + lease.ttlMs - state.options.safetyMs;
   state.renewAtMs = state.sentAtMs + state.options.renewIntervalMs;
   return [];
 }
 
+/**
+ * Stops acting until the key was read: the service came back from an older copy, which may have the
+ * lease without the key. Another process could take the key while this one renews the lease.
+ */
+function readKeyOfCopy(state: LeaseState, { ttlMs, era = 0 }: GrantedLease): LeaseEffect[] {
+  const reason = 'the key-value service came back from an older copy';
+  state.phase = LeasePhase.ReadingBack;
+  state.era = era;
+  state.validUntilMs = state.sentAtMs + ttlMs - state.options.safetyMs;
+  return [
+    { kind: LeaseEffectKind.Lost, fence: state.fence, reason },
+    { kind: LeaseEffectKind.ReadKey },
+  ];
+}
+
 /** Handles a failed call or a lost answer. Whether the call had an effect is not assumed. */
 export function leaseCallFailed(state: LeaseState, context: LeaseContext): LeaseEffect[] {
   switch (state.phase) {
--- a/packages/coordination/test/core/authority/lease-holder.test.ts
+++ b/packages/coordination/test/core/authority/lease-holder.test.ts
@@ -1,7 +1,7 @@
 /** Acquiring, renewing and losing the planner's lease. */
 import assert from 'node:assert/strict';
-import { describe, it } from 'node:test';
-import type { LeaseContext, LeaseState } from '../../../src/index.js';
+import { beforeEach, describe, it } from 'node:test';
+import type { LeaseContext, LeaseEffect, LeaseState } from '../../../src/index.js';
 import {
   LEASE_OPTIONS,
   LeaseEffectKind,
@@ -119,6 +119,45 @@
       assert.equal(state.validUntilMs, 4_000 + 8_000);
     });
 
+    // The copy has the lease, but not the key, so another process can take it meanwhile.
+    describe('after the key-value service came back from an older copy', () => {
+      const ERA = 1;
+      let state: LeaseState;
+      let effects: readonly LeaseEffect[];
+
+      beforeEach(() => {
+        state = heldLease();
+        tickLease(state, at(4_000));
+        effects = leaseKeptAlive(state, { ttlMs: 10_000, era: ERA }, at(4_010));
+      });
+
+      it('is reported, and the key is read', () => {
+        const kinds = effects.map((effect) => effect.kind);
+        assert.deepEqual(kinds, [LeaseEffectKind.Lost, LeaseEffectKind.ReadKey]);
+        assert.equal(holdsAuthority(state, 4_010), false);
+      });
+
+      it('is undone with a new fence if the key is still there', () => {
+        const value = JSON.stringify({ planner: 'a:1', leaseId: LEASE.leaseId });
+        const [gained] = leaseKeyRead(state, { value, createRevision: 1_007 }, at(4_020));
+        assert.deepEqual(gained, { kind: LeaseEffectKind.Gained, fence: 1_007 });
+        tickLease(state, at(8_000));
+        assert.deepEqual(leaseKeptAlive(state, { ttlMs: 10_000, era: ERA }, at(8_010)), []);
+      });
+
+      it('is final if the key is lost', () => {
+        leaseKeyRead(state, null, at(4_020));
+        assert.equal(state.phase, LeasePhase.Idle);
+      });
+
+      it('is final if another process was granted the same lease id', () => {
+        const value = JSON.stringify({ planner: 'b:1', leaseId: LEASE.leaseId });
+        const after = leaseKeyRead(state, { value, createRevision: 1_007 }, at(4_020));
+        assert.deepEqual(after, []);
+        assert.equal(state.phase, LeasePhase.Idle);
+      });
+    });
+
     it('is reported at once when the lease is given up, and the lease is revoked', () => {
       const effects = giveUpLease(heldLease(), at(5_000));
       const kinds = effects.map((effect) => effect.kind);
--- a/packages/ports/src/key-value/client.ts
+++ b/packages/ports/src/key-value/client.ts
@@ -175,7 +175,7 @@
 }
 
 function readLease(answer: JsonObject): KeyValueLease {
-  return { leaseId: asText(answer.ID, '0'), ttlMs: asNumber(answer.TTL) * MS_PER_S };
+  return { leaseId: asText(answer.ID, '0'), ttlMs: asNumber(answer.TTL) * MS_PER_S, era: 0 };
 }
 
 function isNotFound(failure: Failure): boolean {
--- a/packages/ports/src/key-value/port.ts
+++ b/packages/ports/src/key-value/port.ts
@@ -47,6 +47,11 @@
 export interface KeyValueLease {
   readonly leaseId: string;
   readonly ttlMs: number;
+  /**
+   * Rises when the service comes back from an older copy of itself, which may lack keys attached to the
+   * lease; 0 for a service that does not.
+   */
+  readonly era: number;
 }
 
 /** A change reported by a watch; `entry` is null if the key was deleted. */
