Write a crash again whose write was answered before a restore

A crash would be forgotten by the gateway that saw it: an answer from before the store came back has a lower revision than the listing after it, and the gateway took the crash for deleted by another one. 'gets one again whose write was answered before' (crash-memory.test.ts) fails without the change.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -5,6 +5,7 @@
  * attempt has its own id, and by the parts of their prompts, since requests that are not alike may
  * share the part that crashes targets.
  */
+import { eraOf } from '../model/store-revision.js';
 import { crashesUntilQuarantine, harmlessForMs } from './crash-content.js';
 
 /** Records that a target crashed while it ran a request with this content. */
@@ -297,6 +298,8 @@
   for (const note of notes) {
     const known = memory.crashesByContent.get(note.content)?.get(note.target);
     if (known === undefined) outdated.push(note);
+    // The store came back from an older copy after this write, so it may have lost it.
+    else if (eraOf(revision) < eraOf(readRevision)) continue;
     else if (known.isStored || revision > readRevision) known.isStored = true;
     else removeCrash(memory, note, CrashRemoval.Store);
   }
--- a/packages/coordination/test/core/forwarding/crash-memory.test.ts
+++ b/packages/coordination/test/core/forwarding/crash-memory.test.ts
@@ -9,6 +9,7 @@
   CrashSource,
   HARMLESS_FOR_MS,
   markContentHarmless,
+  markCrashesStored,
   createCrashMemory,
   removeCrash,
   isQuarantinedContent,
@@ -18,6 +19,7 @@
   refuteCrashes,
   recordAnswerOf,
   retainListedCrashes,
+  revisionInEra,
   rewriteLostCrashes,
   unstoredCrashes,
 } from '../../../src/index.js';
@@ -76,6 +78,15 @@
       assert.deepEqual(unstoredCrashes(memory, REWRITE_AT_MS), [lost]);
     });
 
+    // The write was carried out before the copy's return, and its answer read after the listing.
+    it('gets one again whose write was answered before', () => {
+      const note = { content: 'new', target: 't1' };
+      addCrash(memory, note, CrashSource.Observed, NOW_MS);
+      const outdated = markCrashesStored(memory, [note], revisionInEra(0, 9), revisionInEra(1, 1));
+      assert.deepEqual(outdated, []);
+      assert.deepEqual(unstoredCrashes(memory, NOW_MS), [note]);
+    });
+
     it('does not get what another gateway has written again', () => {
       addCrash(memory, lost, CrashSource.Store, NOW_MS);
       assert.deepEqual(unstoredCrashes(memory, REWRITE_AT_MS), []);
