Recognize an announcement from before a restore as the one it is

Several gateways could schedule the same engines for a moment: after the store came back from an older copy, a scheduler that had listed it anew rejected requests of those that had not, as their revision of its announcement is lower, and they chose another.

--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -11,6 +11,8 @@
   JobEventKind,
   type TargetEntry,
   chooseScheduler,
+  eraOf,
+  storeRevisionOf,
 } from '@cassiamast/coordination';
 import { type Result, err } from 'neverthrow';
 import { withResolvers } from '../node/http-body.js';
@@ -246,7 +248,9 @@
 
   return {
     confirmAnnouncement: (announcedAtRevision) => {
-      const isValid = announcementRevision(selfId) <= announcedAtRevision;
+      const ownRevision = announcementRevision(selfId);
+      const isValid =
+        ownRevision <= announcedAtRevision || isFromCopy(ownRevision, announcedAtRevision);
       if (isValid) lastAskedAtMs = nowMs();
       return isValid;
     },
@@ -282,6 +286,15 @@
   };
 }
 
+/**
+ * Returns whether an announcement is the one that another gateway knows from before the store came
+ * back from an older copy, which has it.
+ */
+function isFromCopy(ownRevision: number, knownRevision: number): boolean {
+  const isOlderEra = eraOf(knownRevision) < eraOf(ownRevision);
+  return isOlderEra && storeRevisionOf(knownRevision) === storeRevisionOf(ownRevision);
+}
+
 /** Resolves when a signal is aborted; `stop` removes the listener. */
 function whenAborted(signal: AbortSignal): {
   readonly aborted: Promise<undefined>;
