Send usage counts once all gateways know them, and never others after that

The platform would get two reports of one window with different counts: a store that comes back from an older copy lacks counts that were reported, and the holder or its successor fixed them anew with what had come in since.

Change: each gateway remembers the fixed counts that it reads from the store, which the watch brings anyway; whoever reports writes these again. The counts are sent once all gateways have read them, as the holder may be killed with the loss. Counts that differ from known ones are not sent.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -17,6 +17,8 @@
   addCrash,
 } from './crash-memory.js';
 import type { FleetConfiguration, TargetEntry } from './fleet.js';
+import { type FixedUsage, rememberFixedUsage } from '../usage/fixed-usage.js';
+import type { UsageCounts } from '../usage/ledger.js';
 import { type RouteTable, newerRouteTable } from './route-table.js';
 
 /** A live gateway. */
@@ -43,6 +45,7 @@
   GatewayRemoved = 'gateway-removed',
   Crash = 'crash',
   CrashRemoved = 'crash-forgotten',
+  UsageFixed = 'usage-fixed',
 }
 
 /** A change of the fleet. `revision` is the store's revision; a later change has a higher one. */
@@ -67,6 +70,12 @@
       readonly revision: number;
       readonly crash: CrashNote;
     }
+  | {
+      readonly kind: FleetChangeKind.UsageFixed;
+      readonly revision: number;
+      readonly window: number;
+      readonly counts: UsageCounts;
+    }
   | {
       readonly kind: FleetChangeKind.TargetRemoved;
       readonly revision: number;
@@ -154,6 +163,7 @@
   readonly doubted: Map<string, DoubtedEntry>;
   /** Request contents that crashed targets. */
   readonly crashes: CrashMemory;
+  readonly fixedUsage: FixedUsage;
   readonly onTransition: OnTargetTransition;
 }
 
@@ -191,6 +201,7 @@
     removedAtRevision: new Map(),
     doubted: new Map(),
     crashes: createCrashMemory(onCrashChange),
+    fixedUsage: new Map(),
     onTransition,
   };
 }
@@ -324,6 +335,9 @@
     case FleetChangeKind.CrashRemoved:
       removeCrash(view.crashes, change.crash, CrashRemoval.Store);
       return;
+    case FleetChangeKind.UsageFixed:
+      rememberFixedUsage(view.fixedUsage, change.window, change.counts);
+      return;
   }
 }
 
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -92,6 +92,7 @@
 export * from './core/forwarding/route-table.js';
 export * from './core/forwarding/slot-counts.js';
 export * from './core/usage/collection.js';
+export * from './core/usage/fixed-usage.js';
 export * from './core/usage/ledger.js';
 export * from './core/usage/true-time.js';
 export * from './core/availability/announced-availability.js';
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -275,6 +275,7 @@
           name: settings.name,
           source: `${selfId}/${String(randomInt(MAX_SEED))}`,
           settings: settings.usage,
+          maxUpdateDelayMs: settings.maxUpdateDelayMs,
           duties: platform.duties,
           store: fleet,
           view,
--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -1,12 +1,17 @@
 /**
  * Reports the usage of each window to the platform, from one gateway at a time. The counts of a
  * window are fixed in the store before they are sent, under the lease of the one that fixes them, so
- * that whoever repeats a report sends the very same counts.
+ * that whoever repeats a report sends the very same counts. They are sent once all gateways have read
+ * them there, as the store may come back from an older copy without them.
  */
 import {
+  type FleetView,
   type LeaseOptions,
   type Random,
   type UsageCounts,
+  fixedUsageKey,
+  isSameUsage,
+  rememberFixedUsage,
   trueTimeMs,
   usageWindowAt,
 } from '@cassiamast/coordination';
@@ -19,7 +24,6 @@
 import type { UsageMeter } from './usage-meter.js';
 
 const LEASE_KEY = 'cassiamast/duties/usage';
-const REPORT_PREFIX = 'cassiamast/usage/';
 
 const TICK_MS = 500;
 const MIN_COLLECT_INTERVAL_MS = 1000;
@@ -56,6 +60,13 @@
 
 const NOT_COLLECTED: Collected = { fromMs: -Infinity, missing: [] };
 
+/** The counts of a window that are fixed in the store. */
+interface FixedCounts {
+  readonly counts: UsageCounts;
+  /** From then on all gateways know them, so that none contradicts a report that was sent. */
+  readonly sendAtMs: number;
+}
+
 /** What the operators ask of reports. */
 export interface UsageSettings {
   readonly windowMs: number;
@@ -69,8 +80,11 @@
   /** The name under which this gateway makes calls to the platform. */
   readonly name: string;
   readonly settings: UsageSettings;
+  /** Time within which all gateways have read a change of the store. */
+  readonly maxUpdateDelayMs: number;
   readonly duties: DutyPort;
   readonly store: LeaseStore;
+  readonly view: Pick<FleetView, 'fixedUsage'>;
   readonly meter: UsageMeter;
   readonly collector: UsageCollector;
   /** Whether this gateway may become the reporter. */
@@ -87,8 +101,11 @@
 /** Creates the reporter. */
 export function createUsageReporter(options: UsageReporterOptions): Child {
   const { settings, duties, store, meter, collector, log, nowMs, count } = options;
+  const { fixedUsage } = options.view;
   const { windowMs, dueMs } = settings;
   const reported = new Set<number>();
+  /** Fixed counts of windows that are not reported yet. */
+  const unreported = new Map<number, FixedCounts>();
   let collected: Collected = NOT_COLLECTED;
   let isLeaving = false;
   const lease: LeaseDriver = createLeaseDriver({
@@ -105,6 +122,7 @@
     },
     onLost: (fence, reason) => {
       collected = NOT_COLLECTED;
+      unreported.clear();
       log.warn('duty lost', { duty: 'usage', fence, reason });
     },
   });
@@ -141,10 +159,11 @@
     return collected.missing.length === 0 || collected.fromMs > endOf(window) + WAIT_FOR_MISSING_MS;
   }
 
-  /** Resolves with the counts that are fixed in the store; null if the store does not say. */
-  async function fixCounts(window: number): Promise<UsageCounts | null> {
-    const key = reportKey(window);
-    const counts = collector.total(window);
+  /** Resolves with the counts that are fixed in the store; null if they must not be reported. */
+  async function fixCounts(window: number): Promise<FixedCounts | null> {
+    const key = fixedUsageKey(window);
+    // A store that came back from an older copy may lack counts that were reported already.
+    const counts = fixedUsage.get(window) ?? collector.total(window);
     const fixed = await store.transact(
       [
         { key, modRevision: 0 },
@@ -152,7 +171,7 @@
       ],
       [
         { key, value: JSON.stringify(counts) },
-        { key: reportKey(window - KEPT_REPORTS), value: null },
+        { key: fixedUsageKey(window - KEPT_REPORTS), value: null },
       ],
     );
     if (fixed.isErr()) {
@@ -161,29 +180,47 @@
     }
     if (fixed.value.succeeded) {
       log.info('usage fixed', { window, gateways: options.gatewayCount(), ...collected });
-      return counts;
+      rememberFixedUsage(fixedUsage, window, counts);
+      return { counts, sendAtMs: nowMs() + options.maxUpdateDelayMs };
     }
-    const earlier = fixed.value.current.find((entry) => entry.key === key);
-    return earlier === undefined ? null : (parseJsonObject(earlier.value) as UsageCounts | null);
+    const entry = fixed.value.current.find((each) => each.key === key);
+    const earlier = entry === undefined ? null : earlierCounts(window, entry.value);
+    return earlier === null ? null : { counts: earlier, sendAtMs: nowMs() };
+  }
+
+  /** Returns the counts that the store has; null if others may have been reported before. */
+  function earlierCounts(window: number, value: string): UsageCounts | null {
+    const counts = parseJsonObject(value) as UsageCounts | null;
+    if (counts === null) return null;
+    if (isSameUsage(fixedUsage.get(window) ?? counts, counts)) return counts;
+    log.warn('usage not reported, it was fixed twice', { window });
+    reported.add(window);
+    return null;
   }
 
   async function report(window: number): Promise<void> {
-    const counts = await fixCounts(window);
+    const fixed = unreported.get(window) ?? (await fixCounts(window));
     // Checked again right before sending: the lease may have expired meanwhile.
-    if (counts === null || !lease.mayOrder()) return;
+    if (fixed === null || !lease.mayOrder()) return;
+    unreported.set(window, fixed);
+    if (nowMs() < fixed.sendAtMs) return;
     const { fence } = lease.state;
-    const sent = await duties.reportUsage(window, counts, { holder: options.name, fence });
+    const sent = await duties.reportUsage(window, fixed.counts, { holder: options.name, fence });
     count(sent.isOk() ? 'usage_reports_total' : 'usage_reports_failed_total');
     const outcome = sent.isOk() ? 'accepted' : sent.error.message;
     const lateMs = Math.round(nowTrueMs() - endOf(window) - dueMs);
     log.info('usage reported', { window, fence, outcome, lateMs, isLate: lateMs > 0 });
-    if (sent.isOk()) reported.add(window);
+    if (sent.isErr()) return;
+    reported.add(window);
+    unreported.delete(window);
   }
 
   async function tick(): Promise<void> {
     lease.tick();
-    for (const window of reported) {
-      if (endOf(window) + 2 * dueMs < nowTrueMs()) reported.delete(window);
+    for (const windows of [reported, unreported]) {
+      for (const window of windows.keys()) {
+        if (endOf(window) + 2 * dueMs < nowTrueMs()) windows.delete(window);
+      }
     }
     if (!lease.holds()) return;
     await collect();
@@ -216,7 +253,3 @@
     },
   };
 }
-
-function reportKey(window: number): string {
-  return `${REPORT_PREFIX}${String(window)}`;
-}
