Record the first start again when the store lost its key

A gateway that starts after the store came back from a copy older than the first start would take it for the first start, and use a share of retries that the processes before it may have used.

--- a/packages/daemon/src/gateway/first-start.ts
+++ b/packages/daemon/src/gateway/first-start.ts
@@ -5,18 +5,25 @@
  * A key in the store that is never removed tells whether any gateway may have used an allowance. A
  * gateway that was announced before the key existed is seen by every gateway that has read the fleet
  * as of that key, so these may divide the allowance among them at once. Gateways that find the key
- * wait.
+ * wait. A store that comes back from an older copy may have lost the key; gateways that know it write
+ * it again.
  */
 import { setTimeout as sleep } from 'node:timers/promises';
+import { type Random, eraOf } from '@cassiamast/coordination';
 import type { FleetPort } from '@cassiamast/ports';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayCount } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
 const FIRST_START_KEY = 'allowances/first-start';
+const FIRST_VALUE = '{}';
+/** Tells that the first start was before the store came back from an older copy. */
+const AGAIN_VALUE = '{"again":true}';
 /** Time for gateways that start together to announce themselves before the key is written. */
 const SETTLE_MS = 3000;
 const POLL_MS = 200;
+/** Gateways look for the lost key at different moments within this time. */
+const REWRITE_SPREAD_MS = 1000;
 
 /** Dependencies of the first start. */
 export interface FirstStartOptions {
@@ -24,27 +31,43 @@
   readonly gateways: Pick<GatewayCount, 'announcement' | 'joinFirstStart'>;
   /** Returns the revision of the store up to which the fleet was read. */
   readonly readRevision: () => number;
+  readonly random: Random;
   readonly log: GatewayLog;
 }
 
-/** Creates the part of a gateway that takes part in the first start of its deployment. */
-export function createFirstStart(options: FirstStartOptions): Child {
-  const { store, gateways, readRevision, log } = options;
+/** The part of a gateway that takes part in the first start of its deployment. */
+export interface FirstStart {
+  readonly child: Child;
+  /** Must be called when the store has come back from an older copy. */
+  readonly noteRestored: () => Promise<void>;
+}
+
+/** Creates that part. */
+export function createFirstStart(options: FirstStartOptions): FirstStart {
+  const { store, gateways, readRevision, random, log } = options;
   let stopped = true;
+  /** Whether the key was in the store. */
+  let isKeyKnown = false;
 
   async function waitFor(isMet: () => boolean): Promise<void> {
     while (!stopped && !isMet()) await sleep(POLL_MS);
   }
 
-  /** Returns the revision at which the key was written, or null if the store does not tell. */
-  async function writeKey(): Promise<number | null> {
+  /**
+   * Writes the key unless it is there. Returns the revision at which it was written for the first time,
+   * or null if the store does not tell, or the first start was before.
+   */
+  async function writeKey(value: string): Promise<number | null> {
     const written = await store.transact(
       [{ key: FIRST_START_KEY, modRevision: 0 }],
-      [{ key: FIRST_START_KEY, value: '{}' }],
+      [{ key: FIRST_START_KEY, value }],
     );
     return written.match(
-      ({ succeeded, revision, current }) =>
-        succeeded ? revision : (current[0]?.modRevision ?? null),
+      ({ succeeded, revision, current: [found] }) => {
+        isKeyKnown = true;
+        if (succeeded) return revision;
+        return found?.value === FIRST_VALUE ? found.modRevision : null;
+      },
       ({ message }) => {
         log.warn('first start not recorded', { cause: message });
         return null;
@@ -56,16 +79,27 @@
     await waitFor(() => gateways.announcement() !== null);
     const announcement = gateways.announcement();
     const found = await store.get(FIRST_START_KEY);
-    if (stopped || announcement === null || found.isErr() || found.value !== null) return;
+    isKeyKnown = found.isOk() && found.value !== null;
+    if (stopped || announcement === null || found.isErr() || isKeyKnown) return;
     await sleep(SETTLE_MS);
     if (stopped) return;
-    const revision = await writeKey();
+    const revision = await writeKey(FIRST_VALUE);
     if (revision === null) return;
     await waitFor(() => readRevision() >= revision);
-    if (!stopped) gateways.joinFirstStart(announcement);
+    // In another era, announcements from before the key may be lost.
+    const isSameEra = eraOf(readRevision()) === eraOf(revision);
+    if (!stopped && isSameEra) gateways.joinFirstStart(announcement);
+  }
+
+  async function writeKeyAgain(): Promise<void> {
+    if (!isKeyKnown) return;
+    await sleep(random() * REWRITE_SPREAD_MS);
+    if (stopped) return;
+    const found = await store.get(FIRST_START_KEY);
+    if (found.isOk() && found.value === null) await writeKey(AGAIN_VALUE);
   }
 
-  return {
+  const child: Child = {
     name: 'first-start',
     start: () => {
       stopped = false;
@@ -77,4 +111,5 @@
       return Promise.resolve();
     },
   };
+  return { child, noteRestored: writeKeyAgain };
 }
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -69,6 +69,8 @@
   readonly beginRead: BeginCall;
   /** Called for each gateway whose announcement was read. */
   readonly onGateway: (id: string) => void;
+  /** Called when the store has come back from an older copy of itself. */
+  readonly onRestored: () => void;
   readonly onChanged: () => void;
 }
 
@@ -168,6 +170,7 @@
     else applyChanges(view, changes, revision, nowMs());
     if (isListing) needsListing = false;
     listingsInARow = isListing ? listingsInARow + 1 : 0;
+    if (restored) options.onRestored();
     const version = view.table?.configuration.version ?? 0;
     if (version !== versionBefore)
       log.info('configuration in force', { version, revision: known() });
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -298,6 +298,13 @@
     front.applyLimits();
     front.stopRevoked();
   };
+  const firstStart = createFirstStart({
+    store: fleet,
+    gateways,
+    readRevision: () => view.revision,
+    random,
+    log,
+  });
   const follower = createFleetFollower({
     fleet,
     view,
@@ -309,6 +316,7 @@
     beforeFirstListing: () => Promise.race([presence.firstAttempt, sleep(MAX_ANNOUNCE_WAIT_MS)]),
     beginRead: gateways.beginRead,
     onGateway: gateways.noteAnnounced,
+    onRestored: () => void firstStart.noteRestored(),
     onChanged: onViewChanged,
   });
   const configurations = createConfigurationRelay({
@@ -417,7 +425,7 @@
         return telemetry.metricsText();
       }),
       presence.child,
-      createFirstStart({ store: fleet, gateways, readRevision: () => view.revision, log }),
+      firstStart.child,
       limits.child,
       ...crashes.children,
       availability.child,
