Do not count a crash again that a restored store lists after it was withdrawn

A harmless content could be rejected for seconds: the copy from which the store came back has crashes that were refuted or removed since, and every gateway counted them again. Such a crash is left out of the first listing and removed from the store; one that is found or written again counts. 'does not count a crash again that counted no more' (fleet-view.test.ts) fails without the change.

--- a/packages/coordination/src/core/forwarding/crash-memory.ts
+++ b/packages/coordination/src/core/forwarding/crash-memory.ts
@@ -85,6 +85,8 @@
   readonly completedAtMs: Map<string, number>;
   /** Crashes that count no more whoever tells of them again, oldest first. */
   readonly excused: Set<string>;
+  /** Crashes that count no more unless they are found again, oldest first. */
+  readonly withdrawn: Set<string>;
   readonly onChange: OnCrashChange;
 }
 
@@ -107,7 +109,7 @@
 const MAX_ANSWERING_TARGETS = 1024;
 /** Most contents kept as harmless; the oldest are evicted first. */
 const MAX_HARMLESS_CONTENTS = 1024;
-/** Most crashes kept as excused; the oldest are evicted first. */
+/** Most crashes kept as excused, and most kept as withdrawn; the oldest are evicted first. */
 const MAX_EXCUSED = 4096;
 /** Creates an empty crash memory. */
 export function createCrashMemory(onChange: OnCrashChange = () => undefined): CrashMemory {
@@ -117,6 +119,7 @@
     answeredAtMsByTarget: new Map(),
     completedAtMs: new Map(),
     excused: new Set(),
+    withdrawn: new Set(),
     onChange,
   };
 }
@@ -150,6 +153,7 @@
     memory.onChange({ ...excused, kind: CrashChangeKind.Excused });
     return;
   }
+  memory.withdrawn.delete(keyOf(note));
   const writeAtMs = nowMs + (source === CrashSource.Peer ? WRITE_FOR_PEER_AFTER_MS : 0);
   crashes.set(target, { notedAtMs, writeAtMs, isStored });
   memory.notedAtMsByTarget.set(target, notedAtMs);
@@ -167,12 +171,15 @@
  * to the store and tell others, long after the content ran to completion.
  */
 function excuse({ excused }: CrashMemory, note: CrashNote): void {
-  if (TRIAL_NAMES.includes(note.target)) return;
+  if (!TRIAL_NAMES.includes(note.target)) rememberKey(excused, note);
+}
+
+function rememberKey(keys: Set<string>, note: CrashNote): void {
   const key = keyOf(note);
-  excused.delete(key);
-  excused.add(key);
-  const [oldest] = excused;
-  if (excused.size > MAX_EXCUSED && oldest !== undefined) excused.delete(oldest);
+  keys.delete(key);
+  keys.add(key);
+  const [oldest] = keys;
+  if (keys.size > MAX_EXCUSED && oldest !== undefined) keys.delete(oldest);
 }
 
 /** Removes a crash that counts no more. */
@@ -182,6 +189,7 @@
   if (removal === CrashRemoval.Excused) excuse(memory, note);
   if (crashes?.delete(target) !== true) return;
   if (crashes.size === 0) memory.crashesByContent.delete(content);
+  if (removal !== CrashRemoval.Evicted) rememberKey(memory.withdrawn, note);
   const change = { ...note, source: null, removal, targets: [...crashes.keys()] };
   memory.onChange({ ...change, kind: CrashChangeKind.Removed });
 }
@@ -200,6 +208,18 @@
   }
 }
 
+/**
+ * Returns whether a crash counted no more before the store came back from an older copy, which lists
+ * it; has it removed there again.
+ */
+export function rejectWithdrawnCrash(memory: CrashMemory, note: CrashNote): boolean {
+  if (!memory.withdrawn.has(keyOf(note))) return false;
+  const targets = crashesOf(memory, note.content).map(({ target }) => target);
+  const change = { ...note, source: CrashSource.Store, removal: null, targets };
+  memory.onChange({ ...change, kind: CrashChangeKind.Excused });
+  return true;
+}
+
 /**
  * Plans to write the crashes again that a store which came back from an older copy has lost. Every
  * gateway that knows them does so, unless another one was earlier.
--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -12,6 +12,7 @@
   type OnCrashChange,
   createCrashMemory,
   removeCrash,
+  rejectWithdrawnCrash,
   retainListedCrashes,
   rewriteLostCrashes,
   addCrash,
@@ -263,7 +264,11 @@
   }
   if (restore === null) retainListedCrashes(view.crashes, crashes);
   else rewriteLostCrashes(view.crashes, crashes, restore.rewriteAtMs);
-  const believed = changes.filter((change) => !doubtEntry(view, change, restore !== null, nowMs));
+  const isRestored = restore !== null;
+  const believed = changes.filter(
+    (change) =>
+      !doubtEntry(view, change, isRestored, nowMs) && !(isRestored && isWithdrawn(view, change)),
+  );
   applyChanges(view, believed, revision, nowMs);
 }
 
@@ -287,6 +292,10 @@
   return isNew || view.doubted.get(name)?.change.revision === change.revision;
 }
 
+function isWithdrawn({ crashes }: FleetView, change: FleetChange): boolean {
+  return change.kind === FleetChangeKind.Crash && rejectWithdrawnCrash(crashes, change.crash);
+}
+
 /** Adds the targets whose entries were doubted and are still there when the doubt ends. */
 export function admitDoubtedTargets(view: FleetView, nowMs: number): void {
   for (const [name, { change, untilMs }] of [...view.doubted]) {
--- a/packages/coordination/test/core/forwarding/fleet-view.test.ts
+++ b/packages/coordination/test/core/forwarding/fleet-view.test.ts
@@ -2,6 +2,7 @@
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
 import {
+  CrashRemoval,
   EnginePhase,
   FleetChangeKind,
   type FleetChange,
@@ -13,10 +14,12 @@
   admitDoubtedTargets,
   applyChanges,
   applyListing,
+  crashesOf,
   createFleetView,
   hasRestarted,
   livesSinceMs,
   recordStoreAnswer,
+  removeCrash,
   revisionInEra,
   servingTarget,
   servingTargets,
@@ -188,6 +191,22 @@
       });
     });
 
+    // The copy has a crash that was refuted since; with it, a harmless content would be rejected.
+    it('does not count a crash again that counted no more', () => {
+      const crash = { content: 'harmless', target: 'a' };
+      const listed = (era: number): FleetChange => ({
+        kind: FleetChangeKind.Crash,
+        revision: revisionInEra(era, 1),
+        crash,
+      });
+      applyChanges(view, [listed(ERA)], revisionInEra(ERA, 2), BACK_AT_MS);
+      removeCrash(view.crashes, crash, CrashRemoval.Refuted);
+      applyListing(view, [listed(ERA + 1)], revisionInEra(ERA + 1, 1), BACK_AT_MS, RESTORE);
+      assert.deepEqual(crashesOf(view.crashes, 'harmless'), []);
+      applyChanges(view, [listed(ERA + 1)], revisionInEra(ERA + 1, 2), BACK_AT_MS);
+      assert.deepEqual(crashesOf(view.crashes, 'harmless'), [crash]);
+    });
+
     it('keeps it for good if it is written again', () => {
       const revision = revisionInEra(ERA, 2);
       applyChanges(view, [target('b', revision)], revision, BACK_AT_MS + 400);
