--- a/packages/fuzz/src/worlds/departures/simulation.ts
+++ b/packages/fuzz/src/worlds/departures/simulation.ts
@@ -43,6 +43,8 @@
   leftAtMs: number | null;
   /** Whether it left without an entry that says so. */
   isVanished: boolean;
+  /** Whether the gateway has used it. */
+  isKnown: boolean;
   /** Whether the gateway knew from the store that it is draining or gone. */
   isKnownGone: boolean;
   /** When the gateway first received an answer that announced its departure. */
--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -121,6 +121,7 @@
     backOffMs: 0,
     leftAtMs: null,
     isVanished: false,
+    isKnown: false,
     isKnownGone: false,
     toldLeavingAtMs: null,
     backOffUntilMs: 0,
