Name the known revision and the doubt of entries as they read

Reading the diff as a newcomer: known() did not say what is known, and doubtEntry's comment hid that it records the doubt. Names and comments only.

--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -160,7 +160,7 @@
   graceUntilMs: number;
   /** Removal revision by name of removed targets, so that a stale change does not restore them. */
   readonly removedAtRevision: Map<string, number>;
-  /** Entries by name that are not believed yet. */
+  /** Entries by name that may come from before their targets left. */
   readonly doubted: Map<string, DoubtedEntry>;
   /** Request contents that crashed targets. */
   readonly crashes: CrashMemory;
@@ -273,8 +273,8 @@
 }
 
 /**
- * Returns whether a listed entry is not believed: the target had left, and its entry may come from
- * before that. Nobody but the gateways that knew of it can tell.
+ * Puts a listed entry in doubt whose target had left, as it may come from before that. Returns whether
+ * the entry is in doubt. Nobody but the gateways that knew of the departure can tell.
  */
 function doubtEntry(
   view: FleetView,
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -104,16 +104,16 @@
   let interruptWait: () => void = () => undefined;
   const loggedFaults = new Set<string>();
 
-  const known = (): string => describeRevision(view.revision);
+  const knownRevision = (): string => describeRevision(view.revision);
 
   function noteStoreLost(cause: string): void {
-    if (!isStoreLost) log.warn('store lost', { cause, revision: known() });
+    if (!isStoreLost) log.warn('store lost', { cause, revision: knownRevision() });
     isStoreLost = true;
   }
 
   function noteStoreRegained(pauseMs: number): void {
     recordStoreAnswer(view, nowMs(), pauseMs + WATCH_WAIT_MS);
-    if (isStoreLost) log.info('store regained', { revision: known() });
+    if (isStoreLost) log.info('store regained', { revision: knownRevision() });
     isStoreLost = false;
   }
 
@@ -173,7 +173,7 @@
     if (restored) options.onRestored();
     const version = view.table?.configuration.version ?? 0;
     if (version !== versionBefore)
-      log.info('configuration in force', { version, revision: known() });
+      log.info('configuration in force', { version, revision: knownRevision() });
     options.onChanged();
   }
 
@@ -224,7 +224,7 @@
   /** Requests a new listing if the store no longer has the changes after the known revision. */
   function relistIfHistoryGone(failure: Failure): boolean {
     if (!FLEET_HISTORY_GONE.is(failure)) return false;
-    log.warn('fleet listed again', { cause: failure.message, revision: known() });
+    log.warn('fleet listed again', { cause: failure.message, revision: knownRevision() });
     needsListing = true;
     return true;
   }
