--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -33,6 +33,8 @@
 const COUNTED_WITHIN_MS = 1500;
 /** Gateways that give no answer are waited for until this long after a window's end. */
 const WAIT_FOR_MISSING_MS = 4000;
+/** A report is sent this long before it is due, though some gateways may not know its counts yet. */
+const LAST_SEND_MS = 1500;
 /** Reports that are kept in the store, for a successor that repeats them. */
 const KEPT_REPORTS = 6;
 
@@ -181,13 +183,19 @@
     if (fixed.value.succeeded) {
       log.info('usage fixed', { window, gateways: options.gatewayCount(), ...collected });
       rememberFixedUsage(fixedUsage, window, counts);
-      return { counts, sendAtMs: nowMs() + options.maxUpdateDelayMs };
+      return { counts, sendAtMs: nowMs() + waitUntilKnownMs(window) };
     }
     const entry = fixed.value.current.find((each) => each.key === key);
     const earlier = entry === undefined ? null : earlierCounts(window, entry.value);
     return earlier === null ? null : { counts: earlier, sendAtMs: nowMs() };
   }
 
+  /** Returns how long to wait until all gateways know the counts, but not beyond the due time. */
+  function waitUntilKnownMs(window: number): number {
+    const leftMs = endOf(window) + dueMs - LAST_SEND_MS - nowTrueMs();
+    return Math.max(0, Math.min(options.maxUpdateDelayMs, leftMs));
+  }
+
   /** Returns the counts that the store has; null if others may have been reported before. */
   function earlierCounts(window: number, value: string): UsageCounts | null {
     const counts = parseJsonObject(value) as UsageCounts | null;
