--- a/packages/fuzz/src/worlds/departures/simulation.ts
+++ b/packages/fuzz/src/worlds/departures/simulation.ts
@@ -8,6 +8,7 @@
   FleetView,
   PollInterval,
   Random,
+  applyListing,
   recordBackOff,
 } from '@cassiamast/coordination';
 import type { FaultCounts } from '../../kit/faults.js';
@@ -19,6 +20,9 @@
 /** The guards of the gateway. */
 export interface DeparturesOptions {
   readonly recordBackOff: typeof recordBackOff;
+  readonly applyListing: typeof applyListing;
+  /** The era that the gateway takes the store's answers for. */
+  readonly eraOfStore: (store: SimulatedStore) => number;
   /** Called after each answer of the store was recorded. */
   readonly afterStoreAnswer: (simulation: Simulation) => void;
   /** Called when the store tells that an entry was removed. */
@@ -37,6 +41,10 @@
   backOffMs: number;
   /** When the store acknowledged that it is draining or gone; null while it is listed as ready. */
   leftAtMs: number | null;
+  /** Whether it left without an entry that says so. */
+  isVanished: boolean;
+  /** Whether the gateway knew from the store that it is draining or gone. */
+  isKnownGone: boolean;
   /** When the gateway first received an answer that announced its departure. */
   toldLeavingAtMs: number | null;
   /** End of the last back-off that the gateway was asked for. */
@@ -52,12 +60,15 @@
   readonly backOffLeftMs: number;
   /** Time since the store acknowledged the departure; null if it did not, or does not answer. */
   readonly leftForMs: number | null;
+  readonly isKnownGone: boolean;
 }
 
-/** The store: its changes by revision, and whether it answers. */
+/** The store: its changes by its own revisions, and whether it answers. */
 export interface SimulatedStore {
   revision: number;
-  readonly changes: FleetChange[];
+  /** Rises with each return from an older copy. */
+  era: number;
+  changes: FleetChange[];
   isDown: boolean;
   /** When it last began to answer. */
   upSinceMs: number;
--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -2,11 +2,13 @@
  * The departures world: a target that has left, or that asked for a back-off, receives nothing more
  * from a gateway, over the real fleet view, poll interval and announcements. Targets drain, vanish
  * from the store, announce their departure before the store shows it, and turn requests away; the
- * store fails, and entries expire and come back meanwhile.
+ * store fails, entries expire and come back meanwhile, and it comes back from older copies.
  */
 import {
   EnginePhase,
+  type FleetChange,
   FleetChangeKind,
+  applyListing,
   createFleetView,
   createPollInterval,
   pollIntervalOptions,
@@ -32,12 +34,18 @@
 /** Entries that expired during an outage are back within this time. */
 const REAPPEAR_MS = 1400;
 const MAX_BACK_OFF_MS = 4000;
+/** Most changes that the store loses when it comes back from an older copy. */
+const MAX_LOST_CHANGES = 8;
+/** What targets had written since that copy is written again after this time. */
+const REWRITE_MS = 400;
 /** A leaving target ends this long after the store shows its departure. */
 const SERVES_ON_MS = 9000;
 const SETTLE_MS = 12_000;
 
 const GUARDED: DeparturesOptions = {
   recordBackOff,
+  applyListing,
+  eraOfStore: ({ era }) => era,
   afterStoreAnswer: () => undefined,
   afterRemoval: () => undefined,
   backOffFromMs: (_, receivedAtMs) => receivedAtMs,
@@ -55,6 +63,14 @@
       }
     },
   },
+  'trusts-the-copy': {
+    ...GUARDED,
+    applyListing: (view, ...listing) => {
+      view.removedAtRevision.clear();
+      applyListing(view, ...listing);
+    },
+  },
+  'ignores-eras': { ...GUARDED, eraOfStore: () => 0 },
   'back-off-from-send': { ...GUARDED, backOffFromMs: (sentAtMs) => sentAtMs },
   'forgets-with-entry': {
     ...GUARDED,
@@ -73,7 +89,14 @@
     random,
     counts: setup.counts,
     options: (setup.mutant === null ? undefined : DEPARTURES_MUTANTS[setup.mutant]) ?? GUARDED,
-    store: { revision: 1, changes: [], isDown: false, upSinceMs: 0, notify: () => undefined },
+    store: {
+      revision: 1,
+      era: 0,
+      changes: [],
+      isDown: false,
+      upSinceMs: 0,
+      notify: () => undefined,
+    },
     targets: [],
     view: createFleetView(),
     availability: new Map(),
@@ -97,6 +120,8 @@
     turnsAwayUntilMs: 0,
     backOffMs: 0,
     leftAtMs: null,
+    isVanished: false,
+    isKnownGone: false,
     toldLeavingAtMs: null,
     backOffUntilMs: 0,
   };
@@ -122,7 +147,11 @@
   store.notify();
 }
 
-function removeEntry({ store }: Simulation, { name }: SimulatedTarget): void {
+function removeEntry(simulation: Simulation, { name }: SimulatedTarget): void {
+  removeNamed(simulation, name);
+}
+
+function removeNamed({ store }: Simulation, name: string): void {
   store.revision += 1;
   store.changes.push({ kind: FleetChangeKind.TargetRemoved, revision: store.revision, name });
   store.notify();
@@ -154,6 +183,32 @@
   }
 }
 
+/** Loses the last changes; what is true of the targets concerned is written again soon. */
+function comeBackFromCopy(simulation: Simulation): void {
+  const { store, scheduler, random } = simulation;
+  const lost = store.changes.slice(-Math.ceil(random() * MAX_LOST_CHANGES));
+  store.changes = store.changes.slice(0, -lost.length);
+  store.revision = store.changes.at(-1)?.revision ?? 1;
+  store.era += 1;
+  store.upSinceMs = scheduler.nowMs;
+  store.notify();
+  const names = new Set(lost.flatMap(nameOf));
+  schedule(scheduler, REWRITE_MS, () => {
+    for (const name of names) writeAgain(simulation, name);
+  });
+}
+
+function nameOf(change: FleetChange): readonly string[] {
+  if (change.kind === FleetChangeKind.Target) return [change.target.name];
+  return change.kind === FleetChangeKind.TargetRemoved ? [change.name] : [];
+}
+
+function writeAgain(simulation: Simulation, name: string): void {
+  const target = simulation.targets.find((each) => each.name === name);
+  if (target === undefined || target.isVanished) removeNamed(simulation, name);
+  else writeEntry(simulation, target, target.leftAtMs !== null);
+}
+
 type Command = WorldCommand<Simulation>;
 
 const stepMs = fc.constantFrom(0, 100, 700, 1450, 2900, 5000);
@@ -183,6 +238,7 @@
   }),
   onTarget('vanishes from the store', (simulation, target) => {
     leave(simulation, target, () => {
+      target.isVanished = true;
       removeEntry(simulation, target);
     });
   }),
@@ -200,6 +256,9 @@
     store.isDown = true;
   }),
   onTarget('finds its store again', endOutage),
+  onTarget('finds its store as an older copy', (simulation) => {
+    if (!simulation.store.isDown) comeBackFromCopy(simulation);
+  }),
 ];
 
 function check(simulation: Simulation): void {
@@ -209,9 +268,10 @@
 
 function checkSend(
   { applyWithinMs }: Simulation,
-  { target, toldForMs, backOffLeftMs, leftForMs }: Send,
+  { target, toldForMs, backOffLeftMs, leftForMs, isKnownGone }: Send,
 ): void {
   const { name } = target;
+  holds(!isKnownGone, 'remembers-departure', () => `${name}, which the gateway knew to have left`);
   holds(toldForMs === null, 'heeds-departure', () => `${name}, ${String(toldForMs)} ms after it`);
   holds(backOffLeftMs <= 0, 'heeds-back-off', () => `${name}, ${String(backOffLeftMs)} ms early`);
   holds(
