--- a/packages/fuzz/src/worlds/crashes/simulation.ts
+++ b/packages/fuzz/src/worlds/crashes/simulation.ts
@@ -12,6 +12,7 @@
   refuteCrashes,
   recordAnswerOf,
   retainListedCrashes,
+  rewriteLostCrashes,
 } from '@cassiamast/coordination';
 import type { FaultCounts } from '../../kit/faults.js';
 import type { Scheduler } from '../../kit/scheduler.js';
@@ -45,6 +46,7 @@
   readonly refuteCrashes: typeof refuteCrashes;
   readonly recordAnswerOf: typeof recordAnswerOf;
   readonly retainListedCrashes: typeof retainListedCrashes;
+  readonly rewriteLostCrashes: typeof rewriteLostCrashes;
   /** The ends of attempts that make their content suspect. */
   readonly suspiciousEnds: readonly AttemptEnd[];
   /** Whether an answer clears its content. */
@@ -115,6 +117,7 @@
 
 /** The store. */
 export interface SimulatedStore {
+  /** Continues over the eras of the store. */
   revision: number;
   readonly crashes: Map<string, CrashNote>;
   changes: StoredChange[];
--- a/packages/fuzz/src/worlds/crashes/world.ts
+++ b/packages/fuzz/src/worlds/crashes/world.ts
@@ -1,7 +1,8 @@
 /**
  * The crashes world: a content that crashed three targets reaches hardly any more, and no harmless
  * one is rejected, over the real evidence and memory of gateways. Gateways are killed, paused and cut
- * off from the store; the store fails, is slow and drops its history; targets crash for other
+ * off from the store; the store fails, is slow, drops its history and comes back from older copies;
+ * targets crash for other
  * reasons, lose answers, fail on their own and are lost with their machines; the culprit stays away
  * for any time.
  */
@@ -11,15 +12,19 @@
   isQuarantinedContent,
   refuteCrashes,
   recordAnswerOf,
+  eraOf,
   retainListedCrashes,
+  revisionInEra,
+  rewriteLostCrashes,
   seededRandom,
+  storeRevisionOf,
 } from '@cassiamast/coordination';
 import fc from 'fast-check';
 import { countFault } from '../../kit/faults.js';
 import { advance, createScheduler, schedule } from '../../kit/scheduler.js';
 import { holds } from '../../kit/violation.js';
 import type { World, WorldCommand, WorldSetup } from '../../kit/world.js';
-import { createPlace, killGateway } from './gateway.js';
+import { createPlace, killGateway, noteLossOfStore } from './gateway.js';
 import { CONTACT_MS, CRASHES_UNTIL_QUARANTINE, REFUTED_AFTER_MS, request } from './sending.js';
 import {
   CULPRIT,
@@ -49,12 +54,15 @@
 /** Shorter than any target works on a request. */
 const IN_FLIGHT_MS = 5;
 const CUT_MS = 400;
+/** Most changes that the store loses when it comes back from an older copy. */
+const MAX_LOST_CHANGES = 6;
 
 const GUARDED: CrashesOptions = {
   addCrash,
   refuteCrashes,
   recordAnswerOf,
   retainListedCrashes,
+  rewriteLostCrashes,
   suspiciousEnds: Object.values(AttemptEnd),
   clears: (isSuccess) => isSuccess,
   writeDelayMs: 0,
@@ -78,6 +86,7 @@
     },
   },
   'never-refuted': { ...GUARDED, refuteCrashes: () => [], recordAnswerOf: () => [] },
+  'believes-an-older-copy': { ...GUARDED, rewriteLostCrashes: retainListedCrashes },
   'keeps-what-is-not-listed': { ...GUARDED, retainListedCrashes: () => undefined },
 };
 
@@ -249,6 +258,9 @@
     store.steadySinceMs = Infinity;
   }),
   command('the store is well', healStore),
+  command('the store comes back from an older copy', (simulation) => {
+    if (!simulation.store.isDown) comeBackFromCopy(simulation);
+  }),
   command('the store drops its history', ({ store }) => {
     store.droppedRevision = store.revision;
     store.changes = [];
@@ -287,6 +299,20 @@
   }),
 ];
 
+/** Undoes the last changes of the store, which gives out their revisions again. */
+function comeBackFromCopy(simulation: Simulation): void {
+  const { store, random } = simulation;
+  const lost = store.changes.splice(-Math.ceil(random() * MAX_LOST_CHANGES));
+  for (const { content, target, isRemoved } of lost.reverse()) {
+    const key = `${content}/${target}`;
+    if (isRemoved) store.crashes.set(key, { content, target });
+    else store.crashes.delete(key);
+  }
+  const { revision } = store;
+  store.revision = revisionInEra(eraOf(revision) + 1, storeRevisionOf(revision) - lost.length);
+  noteLossOfStore(simulation);
+}
+
 function healStore({ store, scheduler }: Simulation): void {
   store.isDown = false;
   store.delayMs = FAST_STORE_MS;
