Review a correct text for entries without effect and contradictory limits

A text without faults can hold a model that no request reaches, a dependency whose targets are all withdrawn, or limits that contradict each other. Nothing says so before requests are refused. reviewText returns such findings with line and column; each rule is a pure function of the validated text. compileText returns the same as before.

--- a/packages/config-text/src/core/compile/compile.ts
+++ b/packages/config-text/src/core/compile/compile.ts
@@ -12,10 +12,11 @@
 import { err, ok, type Result } from 'neverthrow';
 import type { TextFault, UnlocatedFault } from '../faults/fault.js';
 import { DOCUMENT_TOO_LARGE, MORE_FAULTS } from '../faults/failures.js';
-import { locateFault, type IndexedDocument } from '../faults/locate.js';
+import { locateFault } from '../faults/locate.js';
 import { structureFaults } from '../faults/schema-issues.js';
+import { sortAndLimit } from '../faults/sort-and-limit.js';
 import { nameFaults } from '../names/names.js';
-import { defaultFloor, serviceFaults } from '../names/service-rules.js';
+import { countServingTargets, defaultFloor, serviceFaults } from '../names/service-rules.js';
 import {
   serviceSchema,
   textSchema,
@@ -23,32 +24,46 @@
   type ValidatedText,
   type ValidatedWorkspace,
 } from '../schema/schema.js';
-import { ENVELOPE_BYTES, MAX_DOCUMENT_BYTES, MAX_FAULTS } from './limits.js';
-import { parseText } from './parse.js';
+import { ENVELOPE_BYTES, MAX_DOCUMENT_BYTES } from './limits.js';
+import { parseText, type ParsedText } from './parse.js';
+
+/** A text without faults, in the forms from which its findings are determined and located. */
+export interface ValidatedDocument {
+  readonly parsed: ParsedText;
+  readonly validated: ValidatedText;
+  readonly configuration: Configuration;
+}
 
 /**
  * Validates and compiles a text. Never throws and has no side effects.
  *
- * @returns the configuration, or at most {@link MAX_FAULTS} faults ordered by line and column.
+ * @returns the configuration, or at most `MAX_FAULTS` faults ordered by line and column.
  */
 export function compileText(text: string): Result<Configuration, readonly TextFault[]> {
+  return validateText(text).map(({ configuration }) => configuration);
+}
+
+/** Like {@link compileText}, but returns the parsed and the validated text as well. */
+export function validateText(text: string): Result<ValidatedDocument, readonly TextFault[]> {
   return parseText(text)
-    .andThen((parsed) => checkParsed(parsed, parsed.raw))
-    .andThen((configuration) => checkDocumentSize(text, configuration))
-    .mapErr(sortAndLimitFaults);
+    .andThen(checkParsed)
+    .andThen((document) => checkDocumentSize(text, document))
+    .mapErr((faults) =>
+      sortAndLimit(faults, (omitted, at) => ({ ...MORE_FAULTS.of({ omitted }), ...at })),
+    );
 }
 
-function checkParsed(
-  indexed: IndexedDocument,
-  raw: unknown,
-): Result<Configuration, readonly TextFault[]> {
-  const validated = textSchema.safeParse(raw);
-  const structural = validated.success
+function checkParsed(parsed: ParsedText): Result<ValidatedDocument, readonly TextFault[]> {
+  const { raw } = parsed;
+  const result = textSchema.safeParse(raw);
+  const structural = result.success
     ? []
-    : validated.error.issues.flatMap((issue) => structureFaults(raw, issue));
+    : result.error.issues.flatMap((issue) => structureFaults(raw, issue));
   const faults = [...structural, ...nameFaults(raw), ...serviceRuleFaults(raw)];
-  if (validated.success && faults.length === 0) return ok(toConfiguration(validated.data));
-  return err(faults.map(({ failure, path, atKey }) => locateFault(indexed, failure, path, atKey)));
+  if (result.success && faults.length === 0) {
+    return ok({ parsed, validated: result.data, configuration: toConfiguration(result.data) });
+  }
+  return err(faults.map(({ failure, path, atKey }) => locateFault(parsed, failure, path, atKey)));
 }
 
 /** Applies the service rules to each well-formed service, even if other services are malformed. */
@@ -63,24 +78,15 @@
 
 function checkDocumentSize(
   text: string,
-  configuration: Configuration,
-): Result<Configuration, readonly TextFault[]> {
-  const storedJson = JSON.stringify({ text, compiled: configuration });
+  document: ValidatedDocument,
+): Result<ValidatedDocument, readonly TextFault[]> {
+  const storedJson = JSON.stringify({ text, compiled: document.configuration });
   const sizeBytes = Buffer.byteLength(storedJson, 'utf8') + ENVELOPE_BYTES;
-  if (sizeBytes <= MAX_DOCUMENT_BYTES) return ok(configuration);
+  if (sizeBytes <= MAX_DOCUMENT_BYTES) return ok(document);
   const failure = DOCUMENT_TOO_LARGE.of({ sizeBytes, maxBytes: MAX_DOCUMENT_BYTES });
   return err([{ ...failure, line: 1, column: 1, path: '' }]);
 }
 
-function sortAndLimitFaults(faults: readonly TextFault[]): readonly TextFault[] {
-  const ordered = [...faults].sort((a, b) => a.line - b.line || a.column - b.column);
-  if (ordered.length <= MAX_FAULTS) return ordered;
-  const listed = ordered.slice(0, MAX_FAULTS - 1);
-  const lastPosition = { line: 1, column: 1, ...listed.at(-1), path: '' };
-  const more = MORE_FAULTS.of({ omitted: ordered.length - listed.length });
-  return [...listed, { ...more, line: lastPosition.line, column: lastPosition.column, path: '' }];
-}
-
 function toConfiguration(text: ValidatedText): Configuration {
   return {
     services: text.services.map(toServiceSpec),
@@ -107,7 +113,7 @@
       firstTokenMs: service.goals.firstToken,
       interTokenMs: service.goals.interToken,
     },
-    floorTargets: service.floor ?? defaultFloor(service),
+    floorTargets: service.floor ?? defaultFloor(countServingTargets(service)),
     rolesMayChange: service.kind === TargetKind.ModelEngine && service.rolesMayChange !== false,
     priority: service.priority,
     deadlineMs: service.deadline,
--- a/packages/config-text/src/core/names/service-rules.ts
+++ b/packages/config-text/src/core/names/service-rules.ts
@@ -19,12 +19,11 @@
 }
 
 /**
- * Returns the floor for a service without one: three quarters of its serving targets, rounded down,
- * but at least one if any target serves.
+ * Returns the floor for a service without one: three quarters of the targets, rounded down, but at
+ * least one if there is any.
  */
-export function defaultFloor(service: ValidatedService): number {
-  const serving = countServingTargets(service);
-  return Math.min(serving, Math.max(1, Math.floor(serving * DEFAULT_FLOOR_RATIO)));
+export function defaultFloor(targets: number): number {
+  return Math.min(targets, Math.max(1, Math.floor(targets * DEFAULT_FLOOR_RATIO)));
 }
 
 /** Returns the rule faults of the service at `index` in the list of services. */
--- a/packages/config-text/src/index.ts
+++ b/packages/config-text/src/index.ts
@@ -12,4 +12,6 @@
   type Difference,
 } from './core/diff/difference.js';
 export type { TextFault, TextPosition } from './core/faults/fault.js';
+export { FindingKind, type TextFinding } from './core/review/finding.js';
+export { reviewText, type ReviewedText } from './core/review/review.js';
 export { textJsonSchema } from './core/schema/json-schema.js';
