Show warnings and differences in cassiamast check

check prints the findings of reviewText as warnings with line and column and exits with 8 if there are only warnings. Without findings and flags, output and exit code are as before.

Reading the text to compare with moves from diff to the base class, as both commands need it.

--- a/packages/cli/src/core/process/command.ts
+++ b/packages/cli/src/core/process/command.ts
@@ -4,7 +4,8 @@
  */
 import { readFile, writeFile } from 'node:fs/promises';
 import { Command, Flags, ux } from '@oclif/core';
-import { FailureError, type Failure } from '@cassiamast/coordination';
+import { FailureError, type Configuration, type Failure } from '@cassiamast/coordination';
+import { differenceText, type Difference } from '@cassiamast/config-text';
 import { createKeyValueClient, type KeyValueClient } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import {
@@ -14,6 +15,8 @@
   type Connection,
   type ConnectionFlags,
 } from '../connection/connection.js';
+import { compileFile } from '../configuration/compile-file.js';
+import { readVersion } from '../configuration/read.js';
 import type { Entries } from '../fleet/gather.js';
 import { createMemberClient, type CallMember } from '../fleet/member-client.js';
 import { failureLines } from '../output/faults.js';
@@ -46,6 +49,14 @@
   readonly 'secret-file'?: string | undefined;
 }
 
+/** Flags that select the configuration a text is compared with. */
+export interface BaselineFlags extends ParsedConnectionFlags {
+  /** Another file; without it, the key-value service is read. */
+  readonly against?: string | undefined;
+  /** A version of the history; without it, the version in force. */
+  readonly version?: number | undefined;
+}
+
 /** Returns the value of a result. Throws a `FailureError`, which ends the command, on failure. */
 export function unwrapOrThrow<Value>(result: Result<Value, Failure>): Value {
   if (result.isOk()) return result.value;
@@ -66,6 +77,21 @@
     return client;
   }
 
+  /** Reads the configuration that a text is compared with. Throws a failure that ends the command. */
+  protected async readBaseline(flags: BaselineFlags): Promise<Configuration> {
+    const { against, version } = flags;
+    if (against !== undefined)
+      return unwrapOrThrow(compileFile(against, await this.readText(against)));
+    const port = await this.openKeyValue(flags);
+    return unwrapOrThrow(await readVersion(port, version ?? null)).compiled;
+  }
+
+  /** Prints the differences, one per line. */
+  protected logDifferences(differences: readonly Difference[]): void {
+    if (differences.length === 0) this.log('No differences.');
+    for (const difference of differences) this.log(differenceText(difference));
+  }
+
   /** Creates a client for the processes, and returns it with the entries that list the members. */
   protected async openFleet(
     flags: ParsedConnectionFlags,
--- a/packages/cli/src/core/process/exit-code.ts
+++ b/packages/cli/src/core/process/exit-code.ts
@@ -32,6 +32,8 @@
   Unreachable = 6,
   /** Some processes could not be reached, or have not applied the version yet. */
   Partial = 7,
+  /** The text has no faults, but settings that have no effect or contradict each other. */
+  Warnings = 8,
 }
 
 const CODES: ReadonlyMap<string, ExitCode> = new Map([
--- a/packages/cli/test/commands/configuration.test.ts
+++ b/packages/cli/test/commands/configuration.test.ts
@@ -71,6 +71,40 @@
       assert.match(run.err, /deployment\.yaml:9:17: /);
     });
 
+    /* Scripts that apply a text only after a check must be able to tell warnings from faults. */
+    it('reports warnings with file, line and column and a dedicated code', async () => {
+      const path = writeText(WITH_DEADLINE.replace('30 s', '300 ms'));
+      const run = await runCommand('check', [path]);
+      assert.equal(run.code, ExitCode.Warnings);
+      assert.match(run.out, /is correct: 1 services, 2 targets/);
+      assert.match(run.err, /deployment\.yaml:7:15: warning: A goal is longer than the deadline: /);
+    });
+
+    it('writes one document with warnings and differences', async () => {
+      const other = join(folder, 'other.yaml');
+      writeFileSync(other, TEXT);
+      const path = writeText(WITH_DEADLINE.replace('30 s', '300 ms'));
+      const run = await runCommand('check', [path, '--against', other, '--json']);
+      assert.equal(run.code, ExitCode.Warnings);
+      const { warnings, differences } = run.json as Record<string, Record<string, unknown>[]>;
+      assert.deepEqual(
+        warnings?.map(({ name, line, column }) => [name, line, column]),
+        [['goal-beyond-deadline', 7, 15]],
+      );
+      assert.deepEqual(
+        differences?.map(({ field, after: value }) => [field, value]),
+        [['deadline', '300 ms']],
+      );
+    });
+
+    it('compares with the version in force, where differences alone are no warning', async () => {
+      await apply(TEXT, '--from-version', '0');
+      const path = writeText(WITH_DEADLINE);
+      const run = await runCommand('check', [path, '--in-force', ...connection]);
+      assert.match(run.out, /\nservice portal: deadline 10 min → 30 s$/);
+      assert.equal(run.code, ExitCode.Done);
+    });
+
     it('reports a missing file', async () => {
       const run = await runCommand('check', [join(folder, 'none.yaml')]);
       assert.equal(run.code, ExitCode.BadUsage);
