Keep the latency of prefills apart from the time that they occupy an engine

The time from a prompt's assignment to the report of its prefill counted as time for which the engine is occupied, also the ways there and back and the wait of reports. Engines that prefill a prompt in 20 ms were taken for busy for 75 ms and were idle while prompts waited; callers were refused. Each engine also began with the speed of an assumed engine type, a quarter of the real one.

A model now fits two lines with a common slope: prefills on an idle engine, and prefills behind another one, which show the occupancy. Engines start from what is known of the others in their phase.

--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -18,6 +18,7 @@
 import { countCachedParts, recordPrompt } from './prompt-cache.js';
 import { type ServiceEstimate, compareRank } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
+import { prefillLatencyMs } from './prefill-time.js';
 import { rateLimitRefusal } from './rate-limit-refusal.js';
 import { recordDecision } from './load-shedding.js';
 import type { QueuedJob, Scheduler } from './scheduler-state.js';
@@ -185,7 +186,7 @@
       streamAt: decodeEngine === load ? null : decodeEngine.entry.id,
       fetchFrom: cost.fetchFrom?.entry.id ?? null,
       missingTokens: cost.missingTokens,
-      predictedReadMs: cost.serviceMs,
+      predictedReadMs: cost.serviceMs + prefillLatencyMs(load.prefillTimeModel),
       waitedMs: nowMs - queuedJob.submittedAtMs,
     },
   };
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -9,6 +9,7 @@
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
 import { type ServiceEstimate, type Standing, compareRank } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
+import { prefillLatencyMs } from './prefill-time.js';
 import type { CachedCost, QueuedJob, Scheduler } from './scheduler-state.js';
 import { isStarved } from './size-fairness.js';
 import { isWorkspaceStarved } from './workspace-fairness.js';
@@ -207,12 +208,13 @@
   startAtMs: number,
 ): ServiceEstimate {
   const { handoverMs, firstEventMs } = scheduler.options;
+  const latencyMs = prefillLatencyMs(load.prefillTimeModel);
   const afterPrefillMs = canDecode(load) ? firstEventMs : firstEventMs + handoverMs;
   return {
     standing: standingOf(scheduler, queuedJob),
     serviceMs,
     copiedTokens,
-    firstEventAtMs: startAtMs + serviceMs + afterPrefillMs,
+    firstEventAtMs: startAtMs + latencyMs + serviceMs + afterPrefillMs,
     aimAtMs: queuedJob.job.aimAtMs,
   };
 }
--- a/packages/coordination/src/core/scheduling/prefill-time.ts
+++ b/packages/coordination/src/core/scheduling/prefill-time.ts
@@ -1,10 +1,12 @@
 /**
- * Predicts the prefill time on an engine as a start-up time plus a time per token. The model is
- * fitted to the engine's measured prefills by least squares with exponential decay.
+ * Predicts prefills on an engine from its measured ones. Two times are kept apart: how long a prompt
+ * occupies the engine, which delays the prompts behind it, and the latency of an idle engine, in
+ * which requests and reports travel and the engine could work on other prompts. If the latency
+ * counted as occupancy, a fast engine would be left idle for most of the time while prompts wait.
  */
 
 /** Decayed sums over samples (x: tokens, y: milliseconds). */
-export interface PrefillTimeModel {
+interface SampleSums {
   count: number;
   sumTokens: number;
   sumMs: number;
@@ -12,12 +14,43 @@
   sumTokensMs: number;
 }
 
+/** Times of prefills: a line for each of two kinds of samples, with a common slope. */
+interface FittedTimes {
+  readonly perTokenMs: number;
+  /** Time of a prompt without tokens behind another one, and on an idle engine. */
+  readonly queuedStartMs: number;
+  readonly idleStartMs: number;
+}
+
+/** A model of the prefills of one engine, or of all engines of one phase. */
+export interface PrefillTimeModel {
+  /** The model of all engines of the same phase, which counts as a few samples; null for that one. */
+  readonly pooled: PrefillTimeModel | null;
+  /** Prefills that began while the engine was idle. */
+  readonly idle: SampleSums;
+  /** Prefills that reached the engine while it worked on an earlier prompt. */
+  readonly queued: SampleSums;
+  readonly priorTokensPerMs: number;
+  fitted: FittedTimes;
+  /** Number of samples in the pooled model when `fitted` was computed. */
+  pooledSamples: number;
+  samples: number;
+}
+
+/** One measured prefill. */
+export interface PrefillSample {
+  readonly tokens: number;
+  /** Time since its start, or since the end of the prefill before it if that came later. */
+  readonly durationMs: number;
+  /** Time that it spent behind an earlier prefill; 0 on an idle engine. */
+  readonly queuedMs: number;
+}
+
 /** Weight that a sample keeps with each new one; it halves after about 35 samples. */
 const SAMPLE_DECAY = 0.98;
-/** Number of samples that the prior counts as; small, so that a few measurements outweigh it. */
-const PRIOR_SAMPLES = 1;
-/** Prior for the current engine type: 22 ms to the first token according to its data sheet. */
-const PRIOR_START_MS = 22;
+/** Prior for an unknown engine type: 22 ms to the first token, 4 ms of which a step takes. */
+const PRIOR_IDLE_START_MS = 22;
+const PRIOR_QUEUED_START_MS = 4;
 /** Token count of the second sample of the prior; a typical prompt size. */
 const PRIOR_TOKENS = 8000;
 /**
@@ -27,54 +60,132 @@
 const MAX_SLOPE_RATIO = 6;
 /** Longer samples are ignored, because a stalled engine says nothing about its speed. */
 const MAX_SAMPLE_MS = 5000;
+/** Number of samples of other engines after which the prior of an engine is computed again. */
+const POOLED_REFRESH_SAMPLES = 8;
 
-/**
- * Prefill speed of the current engine type in tokens per millisecond, according to its data sheet.
- */
+/** Prefill speed that is assumed of an unknown engine type, in tokens per millisecond. */
 export const PREFILL_TOKENS_PER_MS = 36;
 
-/** Returns a model that contains only the prior. */
-export function createPrefillTimeModel(priorTokensPerMs: number): PrefillTimeModel {
+/**
+ * Returns a model without samples. `priorTokensPerMs` is the speed that is assumed until samples of
+ * this engine or of others in `pooled` are known.
+ */
+export function createPrefillTimeModel(
+  priorTokensPerMs: number,
+  pooled: PrefillTimeModel | null = null,
+): PrefillTimeModel {
   const model: PrefillTimeModel = {
-    count: 0,
-    sumTokens: 0,
-    sumMs: 0,
-    sumTokensSquared: 0,
-    sumTokensMs: 0,
+    pooled,
+    idle: createSums(),
+    queued: createSums(),
+    priorTokensPerMs,
+    fitted: {
+      perTokenMs: 1 / priorTokensPerMs,
+      queuedStartMs: PRIOR_QUEUED_START_MS,
+      idleStartMs: PRIOR_IDLE_START_MS,
+    },
+    pooledSamples: 0,
+    samples: 0,
   };
-  for (let index = 0; index < PRIOR_SAMPLES; index += 1) {
-    addSample(model, 0, PRIOR_START_MS);
-    addSample(model, PRIOR_TOKENS, PRIOR_START_MS + PRIOR_TOKENS / priorTokensPerMs);
-  }
+  refit(model);
   return model;
 }
 
-/** Adds the measured duration of a prefill to the model. */
-export function recordPrefill(model: PrefillTimeModel, tokens: number, durationMs: number): void {
+/** Adds a measured prefill to the model of its engine and to the pooled one. */
+export function recordPrefill(model: PrefillTimeModel, sample: PrefillSample): void {
+  const { tokens, durationMs, queuedMs } = sample;
   if (durationMs > MAX_SAMPLE_MS) return;
-  model.count *= SAMPLE_DECAY;
-  model.sumTokens *= SAMPLE_DECAY;
-  model.sumMs *= SAMPLE_DECAY;
-  model.sumTokensSquared *= SAMPLE_DECAY;
-  model.sumTokensMs *= SAMPLE_DECAY;
-  addSample(model, tokens, durationMs);
+  if (model.pooled !== null) recordPrefill(model.pooled, sample);
+  const isIdle = queuedMs <= 0;
+  // One that arrived while the prompt before it was nearly done shows neither of the two times.
+  if (!isIdle && queuedMs < prefillLatencyMs(model)) return;
+  const sums = isIdle ? model.idle : model.queued;
+  decay(sums);
+  addSample(sums, tokens, durationMs);
+  model.samples += 1;
+  refit(model);
 }
 
-/** Returns the predicted time to prefill the given number of tokens. */
+/** Returns how long a prompt occupies the engine, in milliseconds. */
 export function predictPrefillMs(model: PrefillTimeModel, tokens: number): number {
-  const scaledVariance = model.count * model.sumTokensSquared - model.sumTokens ** 2;
-  const fitted = (model.count * model.sumTokensMs - model.sumTokens * model.sumMs) / scaledVariance;
+  const { queuedStartMs, perTokenMs } = currentFit(model);
+  return queuedStartMs + perTokenMs * tokens;
+}
+
+/** Returns the latency of a prefill in addition to the time for which it occupies the engine. */
+export function prefillLatencyMs(model: PrefillTimeModel): number {
+  const { idleStartMs, queuedStartMs } = currentFit(model);
+  return Math.max(0, idleStartMs - queuedStartMs);
+}
+
+function currentFit(model: PrefillTimeModel): FittedTimes {
+  const pooledSamples = model.pooled?.samples ?? 0;
+  if (pooledSamples - model.pooledSamples >= POOLED_REFRESH_SAMPLES) refit(model);
+  return model.fitted;
+}
+
+function refit(model: PrefillTimeModel): void {
+  const prior = model.pooled?.fitted ?? {
+    perTokenMs: 1 / model.priorTokensPerMs,
+    queuedStartMs: PRIOR_QUEUED_START_MS,
+    idleStartMs: PRIOR_IDLE_START_MS,
+  };
+  const idle = withPrior(model.idle, prior.idleStartMs, prior.perTokenMs);
+  const queued = withPrior(model.queued, prior.queuedStartMs, prior.perTokenMs);
   const slowest = MAX_SLOPE_RATIO / PREFILL_TOKENS_PER_MS;
   const fastest = 1 / (MAX_SLOPE_RATIO * PREFILL_TOKENS_PER_MS);
-  const perTokenMs = Math.min(slowest, Math.max(fastest, scaledVariance > 0 ? fitted : fastest));
-  const startMs = Math.max(0, (model.sumMs - perTokenMs * model.sumTokens) / model.count);
-  return startMs + perTokenMs * tokens;
+  const slope = (covariance(idle) + covariance(queued)) / (variance(idle) + variance(queued));
+  // A prefill cannot take less than no time to start, however similar the sizes of all prompts are.
+  const steepest = Math.min(slowest, meanPerTokenMs(idle), meanPerTokenMs(queued));
+  const perTokenMs = Math.max(fastest, Math.min(steepest, slope));
+  const queuedStartMs = startOf(queued, perTokenMs);
+  model.fitted = {
+    perTokenMs,
+    queuedStartMs,
+    idleStartMs: Math.max(queuedStartMs, startOf(idle, perTokenMs)),
+  };
+  model.pooledSamples = model.pooled?.samples ?? 0;
+}
+
+function createSums(): SampleSums {
+  return { count: 0, sumTokens: 0, sumMs: 0, sumTokensSquared: 0, sumTokensMs: 0 };
+}
+
+function withPrior(sums: SampleSums, startMs: number, perTokenMs: number): SampleSums {
+  const extended = { ...sums };
+  addSample(extended, 0, startMs);
+  addSample(extended, PRIOR_TOKENS, startMs + PRIOR_TOKENS * perTokenMs);
+  return extended;
+}
+
+function decay(sums: SampleSums): void {
+  sums.count *= SAMPLE_DECAY;
+  sums.sumTokens *= SAMPLE_DECAY;
+  sums.sumMs *= SAMPLE_DECAY;
+  sums.sumTokensSquared *= SAMPLE_DECAY;
+  sums.sumTokensMs *= SAMPLE_DECAY;
+}
+
+function addSample(sums: SampleSums, tokens: number, durationMs: number): void {
+  sums.count += 1;
+  sums.sumTokens += tokens;
+  sums.sumMs += durationMs;
+  sums.sumTokensSquared += tokens * tokens;
+  sums.sumTokensMs += tokens * durationMs;
+}
+
+function variance({ count, sumTokens, sumTokensSquared }: SampleSums): number {
+  return sumTokensSquared - sumTokens ** 2 / count;
+}
+
+function covariance({ count, sumTokens, sumMs, sumTokensMs }: SampleSums): number {
+  return sumTokensMs - (sumTokens * sumMs) / count;
+}
+
+function meanPerTokenMs({ sumTokens, sumMs }: SampleSums): number {
+  return sumMs / sumTokens;
 }
 
-function addSample(model: PrefillTimeModel, tokens: number, durationMs: number): void {
-  model.count += 1;
-  model.sumTokens += tokens;
-  model.sumMs += durationMs;
-  model.sumTokensSquared += tokens * tokens;
-  model.sumTokensMs += tokens * durationMs;
+function startOf({ count, sumTokens, sumMs }: SampleSums, perTokenMs: number): number {
+  return Math.max(0, (sumMs - perTokenMs * sumTokens) / count);
 }
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -13,7 +13,12 @@
 import { type RefusedRequests, createRefusedRequests } from './refused-requests.js';
 import { type SizeClass, type SizeFairness, createSizeFairness } from './size-fairness.js';
 import { type WorkspaceFairness, createWorkspaceFairness } from './workspace-fairness.js';
-import { type TargetLoad, createTargetLoad, updateEntry } from './target-load.js';
+import {
+  type PrefillTimes,
+  type TargetLoad,
+  createTargetLoad,
+  updateEntry,
+} from './target-load.js';
 
 /** A job in the queue of an engine. */
 export interface QueuedJob {
@@ -53,6 +58,7 @@
   /** Whether engines that announce a rate limit may be sent another request. */
   readonly permits: Permits;
   readonly targets: Map<string, TargetLoad>;
+  readonly prefillTimes: PrefillTimes;
   readonly queuedJobs: Map<string, QueuedJob>;
   /** The same jobs by the engine in whose queue they are. */
   readonly queues: Map<string, Set<QueuedJob>>;
@@ -78,6 +84,7 @@
     options,
     permits,
     targets: new Map(),
+    prefillTimes: new Map(),
     queuedJobs: new Map(),
     queues: new Map(),
     decided: new Map(),
@@ -105,8 +112,9 @@
   for (const entry of entries) {
     const load = scheduler.targets.get(entry.id);
     if (load === undefined) {
-      scheduler.targets.set(entry.id, createTargetLoad(entry, spec, scheduler.permits));
-    } else updateEntry(load, entry);
+      const created = createTargetLoad(entry, spec, scheduler.permits, scheduler.prefillTimes);
+      scheduler.targets.set(entry.id, created);
+    } else updateEntry(load, entry, scheduler.prefillTimes);
   }
 }
 
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -130,5 +130,9 @@
   }
   const startedAtMs = Math.max(prefill.startedAtMs, load.lastPrefillEndAtMs);
   load.lastPrefillEndAtMs = nowMs;
-  recordPrefill(load.prefillTimeModel, prefill.tokens, nowMs - startedAtMs);
+  recordPrefill(load.prefillTimeModel, {
+    tokens: prefill.tokens,
+    durationMs: nowMs - startedAtMs,
+    queuedMs: startedAtMs - prefill.startedAtMs,
+  });
 }
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -11,6 +11,7 @@
   PREFILL_TOKENS_PER_MS,
   type PrefillTimeModel,
   createPrefillTimeModel,
+  prefillLatencyMs,
 } from './prefill-time.js';
 import type { SchedulerOptions } from './options.js';
 
@@ -55,13 +56,14 @@
   entry: TargetEntry,
   spec: EngineSpec,
   permits: Permits,
+  prefillTimes: PrefillTimes,
 ): TargetLoad {
   return {
     entry,
     permits,
     cache: createPromptCache(spec.kvCapacityTokens),
     transferMsPerToken: transferMsPerToken(spec),
-    prefillTimeModel: createPrefillTimeModel(priorTokensPerMs(entry.phase)),
+    prefillTimeModel: createEngineModel(prefillTimes, entry.phase),
     prefills: new Map(),
     pendingParts: new Map(),
     streaming: new Map(),
@@ -82,6 +84,16 @@
   return (kvTokenBytes * BITS_PER_BYTE * MS_PER_S) / (linkMbps * BITS_PER_MEGABIT);
 }
 
+/** What is known of the prefills of all engines, by their phase. */
+export type PrefillTimes = Map<EnginePhase | null, PrefillTimeModel>;
+
+/** Returns a model for one engine that starts from what is known of the others in its phase. */
+function createEngineModel(times: PrefillTimes, phase: EnginePhase | null): PrefillTimeModel {
+  const pooled = times.get(phase) ?? createPrefillTimeModel(priorTokensPerMs(phase));
+  times.set(phase, pooled);
+  return createPrefillTimeModel(priorTokensPerMs(phase), pooled);
+}
+
 /** Decode engines prefill at half speed while decoding, according to their data sheet. */
 const DECODE_PREFILL_SPEED_RATIO = 0.5;
 
@@ -91,18 +103,19 @@
     : PREFILL_TOKENS_PER_MS;
 }
 
-/** Returns the predicted time to finish the prefills assigned to an engine. */
+/**
+ * Returns how long a prompt that is given to an engine now waits there for the prefills before it.
+ * The latency of the way there is not included, as the engine works on other prompts meanwhile.
+ */
 export function pendingPrefillMs(load: TargetLoad, nowMs: number): number {
-  let pendingMs = 0;
-  let isFirst = true;
-  for (const prefill of load.prefills.values()) {
-    // Prefills run in order, so only the first one has made progress.
-    const startedAtMs = Math.max(prefill.startedAtMs, load.lastPrefillEndAtMs);
-    const spentMs = isFirst ? Math.max(0, nowMs - startedAtMs) : 0;
-    pendingMs += Math.max(0, prefill.predictedMs - spentMs);
-    isFirst = false;
+  const latencyMs = prefillLatencyMs(load.prefillTimeModel);
+  let endsAtMs = load.lastPrefillEndAtMs;
+  for (const { startedAtMs, predictedMs } of load.prefills.values()) {
+    endsAtMs = Math.max(endsAtMs, startedAtMs + latencyMs) + predictedMs;
+    // A prefill that is overdue may end at any moment.
+    endsAtMs = Math.max(endsAtMs, nowMs);
   }
-  return pendingMs;
+  return Math.max(0, endsAtMs - nowMs - latencyMs);
 }
 
 /**
@@ -211,9 +224,13 @@
 /**
  * Updates the announced entry of a target and resets the prefill time model if its phase changed.
  */
-export function updateEntry(load: TargetLoad, entry: TargetEntry): void {
+export function updateEntry(
+  load: TargetLoad,
+  entry: TargetEntry,
+  prefillTimes: PrefillTimes,
+): void {
   if (load.entry.phase !== entry.phase) {
-    load.prefillTimeModel = createPrefillTimeModel(priorTokensPerMs(entry.phase));
+    load.prefillTimeModel = createEngineModel(prefillTimes, entry.phase);
     load.suspendedUntilMs = 0;
   }
   load.entry = entry;
