Rank jobs of starved sizes and workspaces by their value, also when late

The replay of large prompts took each prefill for the time that the scheduler had predicted and forgot the first of two that an engine was given, so it passed for any order.

--- a/packages/coordination/src/core/scheduling/ranking.ts
+++ b/packages/coordination/src/core/scheduling/ranking.ts
@@ -90,7 +90,7 @@
 export function valuePerMs(estimate: ServiceEstimate): number {
   const { value, isRetry, isStarved } = estimate.standing;
   const lateFactor = isRetry ? LATE_RETRY_VALUE_FACTOR : LATE_VALUE_FACTOR;
-  const timelinessFactor = isOnTime(estimate) ? 1 : lateFactor;
+  const timelinessFactor = isOnTime(estimate) || isStarved ? 1 : lateFactor;
   const starvationFactor = isStarved ? STARVED_VALUE_FACTOR : 1;
   return (value * timelinessFactor * starvationFactor) / Math.max(1, estimate.serviceMs);
 }
--- a/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
@@ -17,6 +17,9 @@
 } from '../../../src/index.js';
 import { SPEC, engine, job, reportPrefilled, startedJobIds } from '../../fixtures/scheduling.js';
 
+/** Time that an engine of the data sheet needs for a prompt that it prefills alone. */
+const prefillMs = (tokens: number): number => 22 + tokens / 36;
+
 describe('a scheduler', () => {
   let scheduler: Scheduler;
 
@@ -142,8 +145,9 @@
       const served = { all: 0, large: 0 };
       const submitted = { all: 0, large: 0 };
       const openJobs = new Map<string, { isLarge: boolean }>();
-      let prefillEndsAtMs = 0;
-      let activePrefill: { id: string; target: string } | null = null;
+      // The engine prefills in order at the speed of its data sheet.
+      let engineFreeAtMs = 0;
+      const prefills: { readonly id: string; readonly endsAtMs: number }[] = [];
       const handleDecisions = (decisions: readonly Decision[], nowMs: number): void => {
         for (const decision of decisions) {
           const openJob = openJobs.get(decision.jobId);
@@ -151,8 +155,8 @@
           if (decision.kind !== DecisionKind.Run || openJob === undefined) continue;
           served.all += 1;
           if (openJob.isLarge) served.large += 1;
-          activePrefill = { id: decision.jobId, target: decision.plan.readAt };
-          prefillEndsAtMs = Math.max(prefillEndsAtMs, nowMs) + decision.plan.predictedReadMs;
+          engineFreeAtMs = Math.max(engineFreeAtMs, nowMs) + prefillMs(decision.plan.missingTokens);
+          prefills.push({ id: decision.jobId, endsAtMs: engineFreeAtMs });
         }
       };
       for (let nowMs = 0; nowMs < 60_000; nowMs += 10) {
@@ -168,13 +172,10 @@
           handleDecisions(submitJob(scheduler, next, nowMs), nowMs);
         }
         for (const queuedJob of scheduler.queuedJobs.values()) queuedJob.lastPolledAtMs = nowMs;
-        const finished: { id: string; target: string } | null = activePrefill;
-        if (finished !== null && nowMs >= prefillEndsAtMs) {
-          activePrefill = null;
-          handleDecisions(
-            reportPrefilled(scheduler, (finished as { id: string }).id, 'reader-1', nowMs),
-            nowMs,
-          );
+        while ((prefills[0]?.endsAtMs ?? Infinity) <= nowMs) {
+          const finished = prefills.shift();
+          if (finished === undefined) break;
+          handleDecisions(reportPrefilled(scheduler, finished.id, 'reader-1', nowMs), nowMs);
         }
         handleDecisions(tickScheduler(scheduler, nowMs), nowMs);
       }
