--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -21,6 +21,8 @@
 import { type FixedUsage, rememberFixedUsage } from '../usage/fixed-usage.js';
 import type { UsageCounts } from '../usage/ledger.js';
 import { type RouteTable, newerRouteTable } from './route-table.js';
+import { type StoredOrigins, type StreamAssignment, noteStoredOrigins } from './stored-origins.js';
+import { type VersionRecords, putVersionRecord, removeVersionRecord } from './version-record.js';
 
 /** A live gateway. */
 export interface GatewayEntry {
@@ -47,6 +49,11 @@
   Crash = 'crash',
   CrashRemoved = 'crash-forgotten',
   UsageFixed = 'usage-fixed',
+  /** The version record of a service was written. */
+  Versions = 'versions',
+  VersionsRemoved = 'versions-removed',
+  /** Origins of streams were written. They expire, which is no change: they stay true. */
+  Streams = 'streams',
 }
 
 /** A change of the fleet. `revision` is the store's revision; a later change has a higher one. */
@@ -77,6 +84,22 @@
       readonly window: number;
       readonly counts: UsageCounts;
     }
+  | {
+      readonly kind: FleetChangeKind.Versions;
+      readonly revision: number;
+      readonly service: string;
+      readonly versions: readonly string[];
+    }
+  | {
+      readonly kind: FleetChangeKind.VersionsRemoved;
+      readonly revision: number;
+      readonly service: string;
+    }
+  | {
+      readonly kind: FleetChangeKind.Streams;
+      readonly revision: number;
+      readonly streams: readonly StreamAssignment[];
+    }
   | {
       readonly kind: FleetChangeKind.TargetRemoved;
       readonly revision: number;
@@ -165,6 +188,8 @@
   /** Request contents that crashed targets. */
   readonly crashes: CrashMemory;
   readonly fixedUsage: FixedUsage;
+  readonly versionRecords: VersionRecords;
+  readonly storedOrigins: StoredOrigins;
   readonly onTransition: OnTargetTransition;
 }
 
@@ -203,6 +228,8 @@
     doubted: new Map(),
     crashes: createCrashMemory(onCrashChange),
     fixedUsage: new Map(),
+    versionRecords: new Map(),
+    storedOrigins: new Map(),
     onTransition,
   };
 }
@@ -262,6 +289,9 @@
   for (const name of view.doubted.keys()) {
     if (!names.has(name)) view.doubted.delete(name);
   }
+  // The listing has those that are left. A record that was lost must not keep its revision, with
+  // which no further write of it would succeed.
+  view.versionRecords.clear();
   if (restore === null) retainListedCrashes(view.crashes, crashes);
   else rewriteLostCrashes(view.crashes, crashes, restore.rewriteAtMs);
   const isRestored = restore !== null;
@@ -347,6 +377,15 @@
     case FleetChangeKind.UsageFixed:
       rememberFixedUsage(view.fixedUsage, change.window, change.counts);
       return;
+    case FleetChangeKind.Versions:
+      putVersionRecord(view.versionRecords, change.service, change);
+      return;
+    case FleetChangeKind.VersionsRemoved:
+      removeVersionRecord(view.versionRecords, change.service, change.revision);
+      return;
+    case FleetChangeKind.Streams:
+      noteStoredOrigins(view.storedOrigins, change.streams, nowMs);
+      return;
   }
 }
 
--- a/packages/coordination/src/core/forwarding/stream-origins.ts
+++ b/packages/coordination/src/core/forwarding/stream-origins.ts
@@ -17,6 +17,8 @@
   readonly source: OriginSource;
   /** The gateway that forwards the stream, which knows best. */
   readonly gateway: string;
+  /** The turn that a grant was for; absent if it began, and from gateways of the last release. */
+  readonly turn?: number;
 }
 
 /** The origins of recent streams, in two generations. */
--- a/packages/coordination/src/core/forwarding/version-history.ts
+++ b/packages/coordination/src/core/forwarding/version-history.ts
@@ -4,6 +4,8 @@
 /** The versions of each service, with the time at which each was last seen. */
 export interface VersionHistory {
   readonly lastSeenMs: Map<string, Map<string, number>>;
+  /** The versions that the version record of each service listed last. */
+  readonly recorded: Map<string, readonly string[]>;
   /** Since when the fleet has been followed; null before its first listing. */
   followedSinceMs: number | null;
 }
@@ -13,7 +15,7 @@
 
 /** Creates an empty history. */
 export function createVersionHistory(): VersionHistory {
-  return { lastSeenMs: new Map(), followedSinceMs: null };
+  return { lastSeenMs: new Map(), recorded: new Map(), followedSinceMs: null };
 }
 
 /** Records the versions of all targets that are listed now. */
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -3,9 +3,15 @@
  * targets and the live gateways. Every call can fail, and a write whose response is lost may have
  * taken effect.
  */
-import type { CrashNote, Failure, FleetChange, GatewayEntry } from '@cassiamast/coordination';
+import type {
+  CrashNote,
+  Failure,
+  FleetChange,
+  GatewayEntry,
+  StreamAssignment,
+} from '@cassiamast/coordination';
 import type { ResultAsync } from 'neverthrow';
-import type { LeaseStore } from '../key-value/port.js';
+import type { LeaseStore, TransactionResult } from '../key-value/port.js';
 
 /** An entry whose value does not have the form that its key requires; another program wrote it. */
 export interface InvalidEntry {
@@ -41,5 +47,23 @@
   readonly recordCrashes: (crashes: readonly CrashNote[]) => ResultAsync<number, Failure>;
   /** Deletes published crash notes. */
   readonly deleteCrashes: (crashes: readonly CrashNote[]) => ResultAsync<null, Failure>;
+  /**
+   * Publishes origins of streams to all gateways until the lease expires. Each batch needs an id of
+   * its own. Fails with KEY_VALUE_LEASE_GONE if the lease has ended.
+   */
+  readonly recordStreams: (
+    batchId: string,
+    streams: readonly StreamAssignment[],
+    leaseId: string,
+  ) => ResultAsync<null, Failure>;
+  /**
+   * Replaces the version record of a service if its revision is still `modRevision`, with 0 for a
+   * record that does not exist.
+   */
+  readonly recordVersions: (
+    service: string,
+    versions: readonly string[],
+    modRevision: number,
+  ) => ResultAsync<TransactionResult, Failure>;
   readonly close: () => Promise<void>;
 }
