Resume streams after all gateways were lost while two versions serve

Cause: gateways kept the versions of streams in memory only. Change: the scheduling gateway keeps the version record and publishes its assignments while several versions are recent; resumption reads them from the store; a turn at another version than an earlier one is sent once its own origin is stored, and not while an attempt at another version is open. An assignment that no first event confirms counts only together with the store, unless its version is the only one. Jobs name the version that their stream must keep to.

--- a/packages/daemon/src/gateway/engine-job.ts
+++ b/packages/daemon/src/gateway/engine-job.ts
@@ -46,6 +46,7 @@
         ...services.versions.otherVersions(exchange),
       ]),
     ],
+    keptVersion: services.versions.keptVersion(exchange),
     avoidForMs: Math.ceil(availability.availableInMs(service)),
   };
 }
--- a/packages/daemon/src/gateway/exchange.ts
+++ b/packages/daemon/src/gateway/exchange.ts
@@ -1,6 +1,6 @@
 /** The state of one caller's request, from its last received byte to the end of its answer. */
 import type { ServerResponse } from 'node:http';
-import type { Route } from '@cassiamast/coordination';
+import type { Route, TurnVersions } from '@cassiamast/coordination';
 import type { RequestHead } from '@cassiamast/ports';
 import { NO_RETRIES, type RetryReservation } from './retry-budgets.js';
 
@@ -46,6 +46,8 @@
   version: string | null;
   /** Software version of the target that the request was last sent to. */
   sentVersion: string | null;
+  /** Versions of the engines that its turns were assigned. */
+  readonly turnVersions: TurnVersions;
   /** Whether a target may have run the request. If so, it must not be rejected as not run. */
   mayHaveRun: boolean;
   /** Whether it is counted as one that a target began to run. */
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -11,6 +11,7 @@
   chooseService,
   sharedPartsOf,
   type Address,
+  createTurnVersions,
 } from '@cassiamast/coordination';
 import type { GatewayResponse } from '@cassiamast/ports';
 import {
@@ -327,6 +328,7 @@
     isTrial: false,
     version: null,
     sentVersion: null,
+    turnVersions: createTurnVersions(),
     mayHaveRun: false,
     isCounted: false,
     sends: 0,
--- a/packages/daemon/src/gateway/member-handlers.ts
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -62,8 +62,8 @@
       return versions.find(attempt);
     },
     [RpcMethod.StreamsTell]: (params) => {
-      const [streams, gateway] = params as Parameters<StreamVersions['receive']>;
-      versions.receive(streams, gateway);
+      const told = params as Parameters<StreamVersions['receive']>;
+      versions.receive(...told);
       return null;
     },
     [RpcMethod.ConfigurationRead]: (params) => {
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -75,6 +75,8 @@
 export interface SchedulingAnswer {
   readonly decision: Decision;
   readonly schedulerId: string;
+  /** Whether the answer to an earlier call for the job was lost, which may have granted an engine too. */
+  readonly hasLostAnswer: boolean;
 }
 
 /** Requests engines from the scheduling gateway and reports the progress of jobs to it. */
@@ -183,6 +185,7 @@
     gateway: string,
     service: string,
     job: JobRequest,
+    onLost: () => void,
   ): Promise<Decision | null | undefined> {
     if (gateway === selfId) return local.take(service, job, DECISION_WAIT_MS);
     const revision = announcementRevision(gateway);
@@ -202,6 +205,7 @@
       staleRevisions.set(gateway, revision);
       return undefined;
     }
+    onLost();
     suspectGateway(gateway, service, outcome.error);
     return undefined;
   }
@@ -257,17 +261,20 @@
     schedulerOf,
     take: async (service, job, signal) => {
       let gateway = '';
+      let hasLostAnswer = false;
       let pendingCall: Promise<unknown> = Promise.resolve();
       // The wait ends with the signal, since a busy scheduler may answer much later.
       const abort = whenAborted(signal);
       while (!signal.aborted) {
         gateway = schedulerOf(service);
-        const answer = requestDecision(gateway, service, job());
+        const answer = requestDecision(gateway, service, job(), () => {
+          hasLostAnswer = true;
+        });
         pendingCall = answer;
         const decision = await Promise.race([answer, abort.aborted]);
         if (!decision || signal.aborted) continue;
         abort.stop();
-        return { decision, schedulerId: gateway };
+        return { decision, schedulerId: gateway, hasLostAnswer };
       }
       // Releases the engine of a caller that has disconnected. Without this report the engine would
       // stay idle until the caller's deadline while other requests wait. The report is sent after
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -26,6 +26,7 @@
 } from '@cassiamast/coordination';
 import type { EngineControlPort } from '@cassiamast/ports';
 import type { GatewayLog } from './gateway-log.js';
+import type { EngineGrant } from './stream-versions.js';
 
 /** A job as sent between processes. Times are relative because clocks differ between VMs. */
 export interface JobRequest extends Omit<
@@ -36,6 +37,8 @@
   readonly deadlineInMs: number;
   /** Absent in requests of gateways that run an earlier version. */
   readonly avoidForMs?: number;
+  /** The version that the stream must keep to; absent from gateways that run an earlier version. */
+  readonly keptVersion?: string | null;
   /** Absent in requests of gateways that run an earlier version. */
   readonly workspace?: string | null;
 }
@@ -72,7 +75,7 @@
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   /** Called with the engine that streams each job that is given one. */
-  readonly onGranted: (jobId: string, gateway: string, engine: string) => void;
+  readonly onGranted: (grant: EngineGrant) => void;
 }
 
 /** Creates the service. */
@@ -149,7 +152,8 @@
     take: (service, request, waitMs) => {
       if (view.table === null) return noDecision(waitMs);
       const now = nowMs();
-      const { aimInMs, deadlineInMs, avoidForMs = 0, workspace = null, ...rest } = request;
+      const { aimInMs, deadlineInMs, avoidForMs = 0, ...others } = request;
+      const { workspace = null, keptVersion = null, ...rest } = others;
       const job: Job = {
         ...rest,
         workspace,
@@ -166,7 +170,8 @@
       const noteGranted = (decision: Decision | null): void => {
         if (decision?.kind !== DecisionKind.Run) return;
         const { readAt, streamAt } = decision.plan;
-        onGranted(job.id, job.gateway, streamAt ?? readAt);
+        const engine = streamAt ?? readAt;
+        onGranted({ jobId: job.id, gateway: job.gateway, engine, keptVersion });
       };
       noteGranted(own);
       if (own !== null) return Promise.resolve(own);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -211,8 +211,8 @@
     permits: limits.permits,
     nowMs: monotonicMs,
     log,
-    onGranted: (jobId, gateway, engine) => {
-      versions.noteGranted(jobId, gateway, engine);
+    onGranted: (grant) => {
+      versions.noteGranted(grant);
     },
   });
   const presence = createPresence({
@@ -263,7 +263,12 @@
     rpc,
     recent,
     schedulerOf: scheduling.schedulerOf,
+    fleet,
+    readChanges: () => follower.readChanges(),
+    firstSequence: wallMs(),
+    random,
     nowMs: monotonicMs,
+    sleep,
     log,
     count: telemetry.count,
   });
@@ -452,7 +457,7 @@
   log.lifecycle('gateway started', { selfId, failureDomain: settings.failureDomain });
 
   async function close(): Promise<void> {
-    await Promise.all([scheduling.flushReports(), usage.tellLast()]);
+    await Promise.all([scheduling.flushReports(), usage.tellLast(), versions.stop()]);
     schedulers.stop();
     crashes.stop();
     await root.stop();
--- a/packages/daemon/src/gateway/stream-forwarding.ts
+++ b/packages/daemon/src/gateway/stream-forwarding.ts
@@ -115,19 +115,34 @@
     turns.untilAnswer(),
   );
   if (answer === null) return null;
-  const { decision, schedulerId } = answer;
+  const { decision, schedulerId, hasLostAnswer } = answer;
+  if (hasLostAnswer) exchange.turnVersions.assigned.add(null);
   if (decision.kind === DecisionKind.Refuse) {
     logRefusal(exchange, services, schedulerId, decision);
     return decision;
   }
   stream.turnsTaken += 1;
+  const { readAt, streamAt } = decision.plan;
+  noteAssigned(exchange, services, streamAt ?? readAt);
   const grant = { exchange, services, relay, jobId, schedulerId, plan: decision.plan };
   turns.begin((progress) => takeTurn({ ...grant, progress }));
   return null;
 }
 
+/** Records the version of the engine that a turn was assigned, which may not be known here. */
+function noteAssigned(
+  { turnVersions }: Exchange,
+  { view }: ForwardingServices,
+  engine: string,
+): void {
+  turnVersions.assigned.add(view.targets.get(engine)?.entry.version ?? null);
+}
+
 async function takeTurn(turn: Turn): Promise<TurnEnd> {
-  const end = await runTurn(turn);
+  const { exchange, services, jobId } = turn;
+  const end = await runTurn(turn).finally(() => {
+    services.versions.endTurn(exchange, jobId);
+  });
   const kind = end === TurnEnd.Delivered ? JobEventKind.Served : JobEventKind.Ended;
   report(turn, kind, turn.plan.streamAt ?? turn.plan.readAt);
   return end;
@@ -164,8 +179,13 @@
     plan.streamAt === null ? prefillTarget : availableTarget(services, plan.streamAt);
   if (prefillTarget === null || decodeTarget === null) return rejectGrant(turn);
   for (const target of [prefillTarget, decodeTarget]) {
-    if (!fitsVersion(exchange, target)) return rejectVersion(turn, target);
+    if (!fitsVersion(exchange, target)) {
+      const reason = `the stream began at version ${String(exchange.version)}, not ${target.version}`;
+      return rejectVersion(turn, target, reason);
+    }
   }
+  const rejection = await services.versions.beginTurn(exchange, turn.jobId, decodeTarget);
+  if (rejection !== null) return rejectVersion(turn, decodeTarget, rejection);
   services.log.info('engine granted', {
     request: exchange.id,
     scheduler: turn.schedulerId,
@@ -226,16 +246,20 @@
 }
 
 /**
- * Rejects a grant of an engine of another version than the one that began the stream. A scheduler
- * may know engines that this gateway did not name when it asked.
+ * Rejects a grant of an engine at whose version the turn must not run. A scheduler may know engines
+ * that this gateway did not name when it asked.
  */
-function rejectVersion({ exchange, services, schedulerId }: Turn, target: TargetEntry): TurnEnd {
+function rejectVersion(
+  { exchange, services, schedulerId }: Turn,
+  target: TargetEntry,
+  reason: string,
+): TurnEnd {
   exchange.failedTargets.add(target.id);
   services.log.warn('grant rejected', {
     request: exchange.id,
     scheduler: schedulerId,
     target: target.id,
-    reason: `the stream began at version ${String(exchange.version)}, not ${target.version}`,
+    reason,
     newsAgeMs: newsAgeMs(services),
   });
   return TurnEnd.NotServing;
--- a/packages/daemon/src/gateway/stream-versions.ts
+++ b/packages/daemon/src/gateway/stream-versions.ts
@@ -1,28 +1,47 @@
 /**
  * Finds out at which software version a stream began, so that it goes on there only. The gateway
  * that forwarded it knows, and so does the one that schedules its service. A gateway that is both
- * tells another one of its streams while several versions are about.
+ * tells another one of its streams while several versions are about. What the scheduling gateway
+ * assigned is also in the platform's store then, for the case that all gateways are lost.
  */
 import {
   type FleetView,
   OriginSource,
   type StreamOrigin,
+  type AssignmentLog,
+  type Random,
+  type StreamAssignment,
+  type TargetEntry,
+  type TurnOrigin,
   agreedVersion,
   createStreamOrigins,
   createVersionHistory,
   isHistoryLong,
+  isVersionChange,
+  latestOrigin,
+  logAssignment,
+  mayRunAt,
   noteOrigin,
+  noteRecordedVersions,
+  noteStoredOrigins,
   noteVersions,
+  openVersion,
   originOf,
-  recentVersions,
+  recentAssignments,
   servingTargets,
+  storedOriginOf,
+  versionsInUse,
   EnginePhase,
 } from '@cassiamast/coordination';
+import type { FleetPort } from '@cassiamast/ports';
 import type { RecentGateways } from './recent-gateways.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
+import { shareReads } from './share-reads.js';
+import { createStreamPublisher } from './stream-publisher.js';
+import { createVersionRecorder } from './version-recorder.js';
 
 /** Other gateways are asked for at most this time; a caller is waiting. */
 const ASK_TIMEOUT_MS = 200;
@@ -44,6 +63,7 @@
   Scheduler = 'the scheduling gateway',
   OnlyVersion = 'the only version seen lately',
   Gateways = 'other gateways',
+  Stored = 'the store',
   OnlyInView = 'the only version known here',
 }
 
@@ -60,7 +80,14 @@
   readonly rpc: RpcClient;
   readonly recent: RecentGateways;
   readonly schedulerOf: (service: string) => string;
+  readonly fleet: Pick<FleetPort, 'grantLease' | 'recordStreams' | 'recordVersions'>;
+  /** Applies all changes of the store up to now; resolves with whether it has answered. */
+  readonly readChanges: () => Promise<boolean>;
+  /** Higher than any number of batches that an earlier start of this gateway has written. */
+  readonly firstSequence: number;
+  readonly random: Random;
   readonly nowMs: () => number;
+  readonly sleep: (delayMs: number) => Promise<unknown>;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
 }
@@ -70,7 +97,20 @@
   /** Records the versions of the targets in the view; must be called with each change of it. */
   readonly refresh: () => void;
   /** Records that this process granted an engine for a turn of a gateway. */
-  readonly noteGranted: (jobId: string, gateway: string, engine: string) => void;
+  readonly noteGranted: (grant: EngineGrant) => void;
+  /**
+   * Begins a turn that the scheduler gave an engine. Resolves with why it must not be sent to the engine,
+   * or null if it may.
+   */
+  readonly beginTurn: (
+    exchange: Exchange,
+    jobId: string,
+    target: TargetEntry,
+  ) => Promise<string | null>;
+  /** Records that a turn is over. */
+  readonly endTurn: (exchange: Exchange, jobId: string) => void;
+  /** Returns the version that a further turn must keep to now; null if there is none. */
+  readonly keptVersion: (exchange: Exchange) => string | null;
   /** Records the version that brought the first event of a stream, and keeps the stream to it. */
   readonly noteBegun: (exchange: Exchange) => void;
   /** Finds the version of a stream that is taken up. Returns why it can't go on, or null. */
@@ -82,7 +122,31 @@
   /** Answers another gateway. */
   readonly find: (attempt: string) => StreamOrigin | null;
   /** Records streams that another gateway forwards. */
-  readonly receive: (streams: readonly (readonly [string, string])[], gateway: string) => void;
+  readonly receive: (
+    streams: readonly (readonly [string, string])[],
+    gateway: string,
+    /** Origins that the other gateway has failed to write; absent from one of the last release. */
+    unwritten?: readonly StreamAssignment[],
+  ) => void;
+  /** Writes what is queued for the store, and nothing more. */
+  readonly stop: () => Promise<void>;
+}
+
+/** An engine that was granted to a job. */
+export interface EngineGrant {
+  readonly jobId: string;
+  /** The gateway that forwards the stream. */
+  readonly gateway: string;
+  readonly engine: string;
+  /** The version that the stream must keep to; null if it has none yet. */
+  readonly keptVersion: string | null;
+}
+
+/** A version and how it was learned. */
+type Found = readonly [string, VersionSource];
+
+function isBegun({ source }: StreamOrigin): boolean {
+  return source === OriginSource.Begun;
 }
 
 /** Creates the versions of streams. */
@@ -90,6 +154,12 @@
   const { selfId, view, rpc, recent, schedulerOf, nowMs, log, count } = options;
   const origins = createStreamOrigins();
   const history = createVersionHistory();
+  const assignments: AssignmentLog = new Map();
+  const publisher = createStreamPublisher(options);
+  const recorder = createVersionRecorder({ ...options, history });
+  const readStore = shareReads(options.readChanges);
+  /** Services with several versions, whose assignments are written to the store. */
+  const severalVersions = new Set<string>();
   let notedAtMs = -Infinity;
   /** Streams that another gateway is to be told of, with their versions. */
   let untold: (readonly [string, string])[] = [];
@@ -108,12 +178,27 @@
     const listed = [...view.targets.values()].filter(({ goneAtMs }) => goneAtMs === null);
     const entries = listed.map(({ entry }) => entry);
     noteVersions(history, entries, notedAtMs);
+    for (const [service, { versions }] of view.versionRecords) {
+      noteRecordedVersions(history, service, versions, notedAtMs);
+    }
+    for (const service of history.lastSeenMs.keys()) noteSeveralVersions(service);
+  }
+
+  /** Publishes the assignments of the last seconds of a service that gets a second version. */
+  function noteSeveralVersions(service: string): void {
+    if (versionsInUse(history, view.versionRecords.get(service), service, nowMs()).length < 2) {
+      severalVersions.delete(service);
+      return;
+    }
+    if (severalVersions.has(service)) return;
+    severalVersions.add(service);
+    publisher.publish(recentAssignments(assignments, service, nowMs()));
   }
 
   /** Returns the versions that a service had lately. Those of targets in the view still count. */
   function versionsOf(service: string): readonly string[] {
     if (nowMs() - notedAtMs > NOTE_INTERVAL_MS) noteTargets();
-    return recentVersions(history, service, nowMs());
+    return versionsInUse(history, view.versionRecords.get(service), service, nowMs());
   }
 
   /** Tells another gateway, as the loss of this one would lose both who know. */
@@ -166,34 +251,69 @@
     return origin;
   }
 
-  /** Asks the gateway that forwarded a stream, as the engine that was granted may have failed. */
-  async function confirm(attempt: string, origin: StreamOrigin): Promise<string> {
+  /** Returns the version that a gateway saw begin: the one that remembers it, or that forwarded it. */
+  async function confirm(attempt: string, origin: StreamOrigin): Promise<string | null> {
     const { source, gateway, version } = origin;
-    if (source === OriginSource.Begun || gateway === selfId) return version;
+    if (source === OriginSource.Begun) return version;
+    if (gateway === selfId) return null;
     const [better] = await ask(gateway, attempt);
-    return better?.source === OriginSource.Begun ? better.version : version;
+    return better?.source === OriginSource.Begun ? better.version : null;
   }
 
-  async function askAll(attempt: string): Promise<string | null> {
+  async function askAll(attempt: string): Promise<readonly StreamOrigin[]> {
     const answers = await Promise.all(recent.others().map((gateway) => ask(gateway, attempt)));
-    return agreedVersion(answers.flat());
+    return answers.flat();
   }
 
-  /** Finds the version of a stream, beginning with what is cheap and sure. */
-  async function findVersion(
+  /**
+   * Finds the latest assignment, among those that gateways remember and those in the store. Without the
+   * store an assignment proves nothing, as a later turn may have begun the stream at another version.
+   */
+  async function findAssigned(
+    attempt: string,
+    granted: readonly StreamOrigin[],
+  ): Promise<string | null> {
+    if (attempt === '' || !(await readStore())) return null;
+    const stored = storedOriginOf(view.storedOrigins, attempt, nowMs());
+    const remembered = granted.map(({ turn = 0, version }): TurnOrigin => ({ turn, version }));
+    return latestOrigin(stored === null ? remembered : [...remembered, stored])?.version ?? null;
+  }
+
+  /** Finds the version of a stream of which a gateway knows only what it assigned. */
+  async function findOfGrant(
     service: string,
     attempt: string,
-  ): Promise<readonly [string, VersionSource] | null> {
+    origin: StreamOrigin,
+    source: VersionSource,
+  ): Promise<Found | null> {
+    const begun = await confirm(attempt, origin);
+    if (begun !== null) return [begun, source];
+    if (onlyVersion(service) === origin.version) return [origin.version, source];
+    const assigned = await findAssigned(attempt, [origin]);
+    if (assigned !== null) return [assigned, VersionSource.Stored];
+    const told = agreedVersion((await askAll(attempt)).filter(isBegun));
+    return told === null ? null : [told, VersionSource.Gateways];
+  }
+
+  /** Finds the version of a stream, beginning with what is cheap and sure. */
+  async function findVersion(service: string, attempt: string): Promise<Found | null> {
     const own = originOf(origins, attempt);
-    if (own !== null) return [await confirm(attempt, own), VersionSource.Own];
+    if (own !== null) return findOfGrant(service, attempt, own, VersionSource.Own);
     const scheduled = await askScheduler(service, attempt);
-    if (scheduled !== null) return [await confirm(attempt, scheduled), VersionSource.Scheduler];
+    if (scheduled !== null) {
+      return findOfGrant(service, attempt, scheduled, VersionSource.Scheduler);
+    }
     const only = onlyVersion(service);
     if (only !== null && knowsAllVersions()) return [only, VersionSource.OnlyVersion];
     const told = await askAll(attempt);
-    if (told !== null) return [told, VersionSource.Gateways];
-    // Nobody knows the stream: whoever forwarded and scheduled it is gone.
-    return only === null ? null : [only, VersionSource.OnlyInView];
+    const begun = told.filter(isBegun);
+    const agreed = agreedVersion(begun);
+    if (agreed !== null) return [agreed, VersionSource.Gateways];
+    const assigned = begun.length > 0 ? null : await findAssigned(attempt, told);
+    if (assigned !== null) return [assigned, VersionSource.Stored];
+    // The reading may have brought another version.
+    const left = onlyVersion(service);
+    return left === null ? null : [left, VersionSource.OnlyInView];
   }
 
   function refusal({ service, version }: Exchange): VersionRefusal | null {
@@ -222,13 +342,35 @@
     refresh: () => {
       noteTargets();
       recent.note();
+      recorder.update();
+    },
+    noteGranted: ({ jobId, gateway, engine, keptVersion }) => {
+      const entry = view.targets.get(engine)?.entry;
+      if (entry === undefined) return;
+      const [attempt, turn] = splitJobId(jobId);
+      // An engine of another version is not used, and its grant must not count as the latest one.
+      const version = keptVersion ?? entry.version;
+      remember(attempt, { version, source: OriginSource.Granted, gateway, turn });
+      const assignment: StreamAssignment = [attempt, turn, version];
+      logAssignment(assignments, entry.service, assignment, nowMs());
+      if (versionsOf(entry.service).length > 1) publisher.publish([assignment]);
+    },
+    beginTurn: async (exchange, jobId, { service, version }) => {
+      const { turnVersions } = exchange;
+      if (!mayRunAt(turnVersions, version)) {
+        return `an attempt at version ${String(openVersion(turnVersions))} is open`;
+      }
+      turnVersions.open.set(jobId, version);
+      if (exchange.version !== null || !isVersionChange(turnVersions, version)) return null;
+      if (versionsOf(service).length < 2) return null;
+      count('stream_versions_changed_total');
+      const isStored = await publisher.publishNow([...splitJobId(jobId), version]);
+      return isStored ? null : 'the store has not taken the change of version';
     },
-    noteGranted: (jobId, gateway, engine) => {
-      const version = view.targets.get(engine)?.entry.version;
-      const attempt = jobId.slice(0, jobId.lastIndexOf('/'));
-      if (version === undefined) return;
-      remember(attempt, { version, source: OriginSource.Granted, gateway });
+    endTurn: ({ turnVersions }, jobId) => {
+      turnVersions.open.delete(jobId);
     },
+    keptVersion,
     noteBegun: (exchange) => {
       const version = exchange.version ?? exchange.sentVersion;
       if (version === null) return;
@@ -255,17 +397,32 @@
       return refused === null ? null : refuse(exchange, refused);
     },
     refusal,
-    otherVersions: ({ service, version }) => {
+    otherVersions: (exchange) => {
+      const version = keptVersion(exchange);
       if (version === null) return [];
       return [...view.targets.values()]
-        .filter(({ entry }) => entry.service === service && entry.version !== version)
+        .filter(({ entry }) => entry.service === exchange.service && entry.version !== version)
         .map(({ entry }) => entry.id);
     },
     find: (attempt) => originOf(origins, attempt),
-    receive: (streams, gateway) => {
+    receive: (streams, gateway, unwritten = []) => {
       for (const [attempt, version] of streams) {
         remember(attempt, { version, source: OriginSource.Begun, gateway });
       }
+      noteStoredOrigins(view.storedOrigins, unwritten, nowMs());
+      publisher.publishForPeer(unwritten);
     },
+    stop: publisher.stop,
   };
 }
+
+/** Returns the version that began a stream, or that an open attempt at it runs at. */
+function keptVersion({ version, turnVersions }: Exchange): string | null {
+  return version ?? openVersion(turnVersions);
+}
+
+/** Returns the attempt and the turn of a job; attempts may contain slashes. */
+function splitJobId(jobId: string): readonly [attempt: string, turn: number] {
+  const end = jobId.lastIndexOf('/');
+  return [jobId.slice(0, end), Number(jobId.slice(end + 1))];
+}
--- a/packages/daemon/test/gateway/forwarding-stand-ins.ts
+++ b/packages/daemon/test/gateway/forwarding-stand-ins.ts
@@ -15,6 +15,9 @@
   noteBegun: (): void => undefined,
   refusal: (): null => null,
   otherVersions: (): readonly string[] => [],
+  keptVersion: (): null => null,
+  beginTurn: (): Promise<null> => Promise.resolve(null),
+  endTurn: (): void => undefined,
 };
 
 /** No silent target is down. */
--- a/packages/daemon/test/gateway/held-retries.test.ts
+++ b/packages/daemon/test/gateway/held-retries.test.ts
@@ -10,6 +10,7 @@
   ShareState,
   applyChanges,
   createFleetView,
+  createTurnVersions,
 } from '@cassiamast/coordination';
 import { type HttpRequest, type HttpStreamHandlers, NOTHING_ANNOUNCED } from '@cassiamast/ports';
 import type { Exchange } from '../../src/gateway/exchange.js';
@@ -191,6 +192,7 @@
     priority: 0,
     version: null,
     sentVersion: null,
+    turnVersions: createTurnVersions(),
     content: () => 'content',
     sharedParts: [],
     sends: 0,
--- a/packages/daemon/test/gateway/leaving-engine.test.ts
+++ b/packages/daemon/test/gateway/leaving-engine.test.ts
@@ -16,6 +16,7 @@
   createFleetView,
   servingTarget,
   servingTargets,
+  createTurnVersions,
 } from '@cassiamast/coordination';
 import { type CallerWire, type HttpTransport, NOTHING_ANNOUNCED } from '@cassiamast/ports';
 import type { Exchange } from '../../src/gateway/exchange.js';
@@ -106,6 +107,7 @@
   priority: 0,
   version: null,
   sentVersion: null,
+  turnVersions: createTurnVersions(),
   content: () => 'content',
   sharedParts: [],
   sends: 0,
--- a/packages/daemon/test/gateway/silent-attempts.test.ts
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -10,6 +10,7 @@
   JobEventKind,
   applyChanges,
   createFleetView,
+  createTurnVersions,
 } from '@cassiamast/coordination';
 import {
   ExchangeFailureKind,
@@ -225,6 +226,7 @@
     isTrial: false,
     version: null,
     sentVersion: null,
+    turnVersions: createTurnVersions(),
     content: () => 'content',
     sends: 0,
     prefills: 0,
