--- a/packages/daemon/src/gateway/stream-versions.ts
+++ b/packages/daemon/src/gateway/stream-versions.ts
@@ -1,8 +1,8 @@
 /**
- * Finds out at which software version a stream began, so that it goes on there only. The gateway
- * that forwarded it knows, and so does the one that schedules its service. A gateway that is both
- * tells another one of its streams while several versions are about. What the scheduling gateway
- * assigned is also in the platform's store then, for the case that all gateways are lost.
+ * Keeps each stream to the software version that began it, and remembers these versions. The gateway
+ * that forwarded a stream knows its version, and so does the one that schedules its service. A gateway
+ * that is both tells another one of its streams while several versions are about. What the scheduling
+ * gateway assigned is also in the platform's store then, for the case that all gateways are lost.
  */
 import {
   type FleetView,
@@ -12,13 +12,9 @@
   type Random,
   type StreamAssignment,
   type TargetEntry,
-  type TurnOrigin,
-  agreedVersion,
   createStreamOrigins,
   createVersionHistory,
-  isHistoryLong,
   isVersionChange,
-  latestOrigin,
   logAssignment,
   mayRunAt,
   noteOrigin,
@@ -26,10 +22,8 @@
   noteStoredOrigins,
   noteVersions,
   openVersion,
-  originOf,
   recentAssignments,
   servingTargets,
-  storedOriginOf,
   versionsInUse,
   EnginePhase,
 } from '@cassiamast/coordination';
@@ -39,17 +33,13 @@
 import { RpcMethod } from '../protocol/methods.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
-import { shareReads } from './share-reads.js';
+import { type StreamKnowledge, createStreamLookup } from './stream-lookup.js';
 import { createStreamPublisher } from './stream-publisher.js';
 import { createVersionRecorder } from './version-recorder.js';
 
-/** Other gateways are asked for at most this time; a caller is waiting. */
-const ASK_TIMEOUT_MS = 200;
 /** Streams that begin within this time are told to the other gateway together. */
 const TELL_AFTER_MS = 50;
 const TELL_TIMEOUT_MS = 500;
-/** With older news, engines of another version may serve that are not known here. */
-const FRESH_NEWS_MS = 1500;
 /** The fleet may not change for long, and a gateway without the store learns of no change. */
 const NOTE_INTERVAL_MS = 1000;
 /** Retry-after time while nobody knows the version; those who do may be back then. */
@@ -57,19 +47,6 @@
 /** Retry-after time while no engine of the version serves. */
 const GONE_RETRY_MS = 3000;
 
-/** Stands for the gateway that forwards a stream where only its origin in the store is known. */
-const UNKNOWN_GATEWAY = '';
-
-/** How the version of a stream was learned; the values are logged. */
-export enum VersionSource {
-  Own = 'own memory',
-  Scheduler = 'the scheduling gateway',
-  OnlyVersion = 'the only version seen lately',
-  Gateways = 'other gateways',
-  Stored = 'the store',
-  OnlyInView = 'the only version known here',
-}
-
 /** Why a stream can't go on, and when its caller may ask again. */
 export interface VersionRefusal {
   readonly reason: string;
@@ -135,15 +112,6 @@
   readonly stop: () => Promise<void>;
 }
 
-/** What a gateway knows of a stream, and the versions that its service had recently. */
-export interface StreamKnowledge {
-  readonly origin: StreamOrigin | null;
-  readonly versions: readonly string[];
-}
-
-/** The answer of a gateway of the last release has the origin only. */
-type FindAnswer = StreamKnowledge | StreamOrigin | null;
-
 /** An engine that was granted to a job. */
 export interface EngineGrant {
   readonly jobId: string;
@@ -154,19 +122,6 @@
   readonly keptVersion: string | null;
 }
 
-/** What all other gateways know of a stream and of the versions of its service. */
-interface ToldByAll {
-  readonly origins: readonly StreamOrigin[];
-  readonly versions: readonly string[];
-}
-
-/** A version and how it was learned. */
-type Found = readonly [string, VersionSource];
-
-function isBegun({ source }: StreamOrigin): boolean {
-  return source === OriginSource.Begun;
-}
-
 /** Creates the versions of streams. */
 export function createStreamVersions(options: StreamVersionsOptions): StreamVersions {
   const { selfId, view, rpc, recent, schedulerOf, nowMs, log, count } = options;
@@ -175,7 +130,7 @@
   const assignments: AssignmentLog = new Map();
   const publisher = createStreamPublisher(options);
   const recorder = createVersionRecorder({ ...options, history });
-  const readStore = shareReads(options.readChanges);
+  const lookup = createStreamLookup({ ...options, origins, history, versionsOf });
   /** Services with several versions, whose assignments are written to the store. */
   const severalVersions = new Set<string>();
   let notedAtMs = -Infinity;
@@ -243,116 +198,6 @@
       });
   }
 
-  async function ask(gateway: string, attempt: string, service: string): Promise<StreamKnowledge> {
-    const params = [attempt, service];
-    const timeoutMs = ASK_TIMEOUT_MS;
-    const answer = await rpc.call<FindAnswer>(gateway, RpcMethod.StreamsFind, params, {
-      timeoutMs,
-    });
-    const known = answer.unwrapOr(null);
-    return known !== null && 'versions' in known ? known : { origin: known, versions: [] };
-  }
-
-  function onlyVersion(service: string): string | null {
-    const [version = null, ...others] = versionsOf(service);
-    return others.length === 0 ? version : null;
-  }
-
-  /** Returns whether a second version would be known here. */
-  function knowsAllVersions(): boolean {
-    const hasFreshNews = nowMs() - view.confirmedAtMs < FRESH_NEWS_MS;
-    return hasFreshNews && isHistoryLong(history, nowMs());
-  }
-
-  async function askScheduler(service: string, attempt: string): Promise<StreamOrigin | null> {
-    const scheduler = schedulerOf(service);
-    if (scheduler === selfId) return null;
-    return (await ask(scheduler, attempt, service)).origin;
-  }
-
-  /** Returns the version that a gateway saw begin: the one that remembers it, or that forwarded it. */
-  async function confirm(attempt: string, origin: StreamOrigin): Promise<string | null> {
-    const { source, gateway, version } = origin;
-    if (source === OriginSource.Begun) return version;
-    if (gateway === selfId || gateway === UNKNOWN_GATEWAY) return null;
-    const { origin: better } = await ask(gateway, attempt, '');
-    return better?.source === OriginSource.Begun ? better.version : null;
-  }
-
-  async function askAll(attempt: string, service: string): Promise<ToldByAll> {
-    const answers = await Promise.all(
-      recent.others().map((gateway) => ask(gateway, attempt, service)),
-    );
-    return {
-      origins: answers.flatMap(({ origin }) => origin ?? []),
-      versions: answers.flatMap(({ versions }) => versions),
-    };
-  }
-
-  /**
-   * Finds the latest assignment, among those that gateways remember and those in the store. Without the
-   * store an assignment proves nothing, as a later turn may have begun the stream at another version.
-   */
-  async function findAssigned(
-    attempt: string,
-    granted: readonly StreamOrigin[],
-  ): Promise<string | null> {
-    if (attempt === '' || !(await readStore())) return null;
-    const stored = storedOriginOf(view.storedOrigins, attempt, nowMs());
-    const remembered = granted.map(({ turn = 0, version }): TurnOrigin => ({ turn, version }));
-    return latestOrigin(stored === null ? remembered : [...remembered, stored])?.version ?? null;
-  }
-
-  /** Finds the version of a stream of which a gateway knows only what it assigned. */
-  async function findOfGrant(
-    service: string,
-    attempt: string,
-    origin: StreamOrigin,
-    source: VersionSource,
-  ): Promise<Found | null> {
-    const begun = await confirm(attempt, origin);
-    if (begun !== null) return [begun, source];
-    if (onlyVersion(service) === origin.version) return [origin.version, source];
-    const assigned = await findAssigned(attempt, [origin]);
-    if (assigned !== null) return [assigned, VersionSource.Stored];
-    const { origins: told } = await askAll(attempt, service);
-    const began = agreedVersion(told.filter(isBegun));
-    return began === null ? null : [began, VersionSource.Gateways];
-  }
-
-  /** Returns what this gateway knows of a stream: what it saw or assigned, or else what it has read. */
-  function find(attempt: string): StreamOrigin | null {
-    const own = originOf(origins, attempt);
-    const stored = own === null ? storedOriginOf(view.storedOrigins, attempt, nowMs()) : null;
-    if (stored === null || stored.version === null) return own;
-    const { turn, version } = stored;
-    return { version, source: OriginSource.Granted, gateway: UNKNOWN_GATEWAY, turn };
-  }
-
-  /** Finds the version of a stream, beginning with what is cheap and sure. */
-  async function findVersion(service: string, attempt: string): Promise<Found | null> {
-    const own = find(attempt);
-    if (own !== null) return findOfGrant(service, attempt, own, VersionSource.Own);
-    const scheduled = await askScheduler(service, attempt);
-    if (scheduled !== null) {
-      return findOfGrant(service, attempt, scheduled, VersionSource.Scheduler);
-    }
-    const only = onlyVersion(service);
-    if (only !== null && knowsAllVersions()) return [only, VersionSource.OnlyVersion];
-    const told = await askAll(attempt, service);
-    const begun = told.origins.filter(isBegun);
-    const agreed = agreedVersion(begun);
-    if (agreed !== null) return [agreed, VersionSource.Gateways];
-    // Without this check, a gateway that the store rejects would resume streams of a version that it
-    // does not know at the only one that it knows.
-    const named = [...told.versions, ...told.origins.map(({ version }) => version)];
-    if (only !== null && named.every((version) => version === only)) {
-      return [only, VersionSource.OnlyInView];
-    }
-    const assigned = begun.length > 0 ? null : await findAssigned(attempt, told.origins);
-    return assigned === null ? null : [assigned, VersionSource.Stored];
-  }
-
   function refusal({ service, version }: Exchange): VersionRefusal | null {
     if (version === null) return null;
     const decodes = servingTargets(view, service, nowMs()).some(
@@ -421,7 +266,7 @@
     takeUp: async (exchange) => {
       const { head, service } = exchange;
       if (head.resumes === null && head.lastEventId === null) return null;
-      const found = await findVersion(service, head.resumes ?? '');
+      const found = await lookup.findVersion(service, head.resumes ?? '');
       if (found === null) {
         const reason = 'the version that began the stream is not known';
         return refuse(exchange, { reason, retryAfterMs: UNKNOWN_RETRY_MS });
@@ -441,7 +286,7 @@
         .filter(({ entry }) => entry.service === exchange.service && entry.version !== version)
         .map(({ entry }) => entry.id);
     },
-    find: (attempt, service) => ({ origin: find(attempt), versions: versionsOf(service) }),
+    find: (attempt, service) => ({ origin: lookup.find(attempt), versions: versionsOf(service) }),
     receive: (streams, gateway, unwritten = []) => {
       for (const [attempt, version] of streams) {
         remember(attempt, { version, source: OriginSource.Begun, gateway });
