--- a/packages/daemon/src/gateway/stream-publisher.ts
+++ b/packages/daemon/src/gateway/stream-publisher.ts
@@ -118,11 +118,16 @@
 
   function dropExcess(): void {
     const keptFromMs = nowMs() - KEPT_MS;
-    const kept = queue.filter(({ atMs }) => atMs >= keptFromMs).slice(-MAX_QUEUED_ORIGINS);
-    for (let dropped = queue.length - kept.length; dropped > 0; dropped -= 1) {
+    let dropped = 0;
+    // The oldest are in front. Looking at all of them would cost each grant more than its scheduling.
+    while (
+      queue.length - dropped > MAX_QUEUED_ORIGINS ||
+      (queue[dropped]?.atMs ?? Infinity) < keptFromMs
+    ) {
+      dropped += 1;
       count('stream_origins_dropped_total');
     }
-    queue = kept;
+    if (dropped > 0) queue.splice(0, dropped);
   }
 
   async function run(): Promise<void> {
