--- a/packages/daemon/src/gateway/stream-versions.ts
+++ b/packages/daemon/src/gateway/stream-versions.ts
@@ -1,36 +1,45 @@
 /**
- * Finds out at which software version a stream began, so that it goes on there only. The gateway
- * that forwarded it knows, and so does the one that schedules its service. A gateway that is both
- * tells another one of its streams while several versions are about.
+ * Keeps each stream to the software version that began it, and remembers these versions. The gateway
+ * that forwarded a stream knows its version, and so does the one that schedules its service. A gateway
+ * that is both tells another one of its streams while several versions are about. What the scheduling
+ * gateway assigned is also in the platform's store then, for the case that all gateways are lost.
  */
 import {
   type FleetView,
   OriginSource,
   type StreamOrigin,
-  agreedVersion,
+  type AssignmentLog,
+  type Random,
+  type StreamAssignment,
+  type TargetEntry,
   createStreamOrigins,
   createVersionHistory,
-  isHistoryLong,
+  isVersionChange,
+  logAssignment,
+  mayRunAt,
   noteOrigin,
+  noteRecordedVersions,
+  noteStoredOrigins,
   noteVersions,
-  originOf,
-  recentVersions,
+  openVersion,
+  recentAssignments,
   servingTargets,
+  versionsInUse,
   EnginePhase,
 } from '@cassiamast/coordination';
+import type { FleetPort } from '@cassiamast/ports';
 import type { RecentGateways } from './recent-gateways.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { Exchange } from './exchange.js';
 import type { GatewayLog } from './gateway-log.js';
+import { type StreamKnowledge, createStreamLookup } from './stream-lookup.js';
+import { createStreamPublisher } from './stream-publisher.js';
+import { createVersionRecorder } from './version-recorder.js';
 
-/** Other gateways are asked for at most this time; a caller is waiting. */
-const ASK_TIMEOUT_MS = 200;
 /** Streams that begin within this time are told to the other gateway together. */
 const TELL_AFTER_MS = 50;
 const TELL_TIMEOUT_MS = 500;
-/** With older news, engines of another version may serve that are not known here. */
-const FRESH_NEWS_MS = 1500;
 /** The fleet may not change for long, and a gateway without the store learns of no change. */
 const NOTE_INTERVAL_MS = 1000;
 /** Retry-after time while nobody knows the version; those who do may be back then. */
@@ -38,15 +47,6 @@
 /** Retry-after time while no engine of the version serves. */
 const GONE_RETRY_MS = 3000;
 
-/** How the version of a stream was learned; the values are logged. */
-export enum VersionSource {
-  Own = 'own memory',
-  Scheduler = 'the scheduling gateway',
-  OnlyVersion = 'the only version seen lately',
-  Gateways = 'other gateways',
-  OnlyInView = 'the only version known here',
-}
-
 /** Why a stream can't go on, and when its caller may ask again. */
 export interface VersionRefusal {
   readonly reason: string;
@@ -60,7 +60,14 @@
   readonly rpc: RpcClient;
   readonly recent: RecentGateways;
   readonly schedulerOf: (service: string) => string;
+  readonly fleet: Pick<FleetPort, 'grantLease' | 'recordStreams' | 'recordVersions'>;
+  /** Applies all changes of the store up to now; resolves with whether it has answered. */
+  readonly readChanges: () => Promise<boolean>;
+  /** Higher than any number of batches that an earlier start of this gateway has written. */
+  readonly firstSequence: number;
+  readonly random: Random;
   readonly nowMs: () => number;
+  readonly sleep: (delayMs: number) => Promise<unknown>;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
 }
@@ -70,7 +77,20 @@
   /** Records the versions of the targets in the view; must be called with each change of it. */
   readonly refresh: () => void;
   /** Records that this process granted an engine for a turn of a gateway. */
-  readonly noteGranted: (jobId: string, gateway: string, engine: string) => void;
+  readonly noteGranted: (grant: EngineGrant) => void;
+  /**
+   * Begins a turn that the scheduler gave an engine. Resolves with why it must not be sent to the engine,
+   * or null if it may.
+   */
+  readonly beginTurn: (
+    exchange: Exchange,
+    jobId: string,
+    target: TargetEntry,
+  ) => Promise<string | null>;
+  /** Records that a turn is over. */
+  readonly endTurn: (exchange: Exchange, jobId: string) => void;
+  /** Returns the version that a further turn must keep to now; null if there is none. */
+  readonly keptVersion: (exchange: Exchange) => string | null;
   /** Records the version that brought the first event of a stream, and keeps the stream to it. */
   readonly noteBegun: (exchange: Exchange) => void;
   /** Finds the version of a stream that is taken up. Returns why it can't go on, or null. */
@@ -80,9 +100,26 @@
   /** Returns the targets at which a stream must not go on. */
   readonly otherVersions: (exchange: Exchange) => readonly string[];
   /** Answers another gateway. */
-  readonly find: (attempt: string) => StreamOrigin | null;
+  readonly find: (attempt: string, service: string) => StreamKnowledge;
   /** Records streams that another gateway forwards. */
-  readonly receive: (streams: readonly (readonly [string, string])[], gateway: string) => void;
+  readonly receive: (
+    streams: readonly (readonly [string, string])[],
+    gateway: string,
+    /** Origins that the other gateway has failed to write; absent from one of the last release. */
+    unwritten?: readonly StreamAssignment[],
+  ) => void;
+  /** Writes what is queued for the store, and nothing more. */
+  readonly stop: () => Promise<void>;
+}
+
+/** An engine that was granted to a job. */
+export interface EngineGrant {
+  readonly jobId: string;
+  /** The gateway that forwards the stream. */
+  readonly gateway: string;
+  readonly engine: string;
+  /** The version that the stream must keep to; null if it has none yet. */
+  readonly keptVersion: string | null;
 }
 
 /** Creates the versions of streams. */
@@ -90,6 +127,12 @@
   const { selfId, view, rpc, recent, schedulerOf, nowMs, log, count } = options;
   const origins = createStreamOrigins();
   const history = createVersionHistory();
+  const assignments: AssignmentLog = new Map();
+  const publisher = createStreamPublisher(options);
+  const recorder = createVersionRecorder({ ...options, history });
+  const lookup = createStreamLookup({ ...options, origins, history, versionsOf });
+  /** Services with several versions, whose assignments are written to the store. */
+  const severalVersions = new Set<string>();
   let notedAtMs = -Infinity;
   /** Streams that another gateway is to be told of, with their versions. */
   let untold: (readonly [string, string])[] = [];
@@ -108,12 +151,27 @@
     const listed = [...view.targets.values()].filter(({ goneAtMs }) => goneAtMs === null);
     const entries = listed.map(({ entry }) => entry);
     noteVersions(history, entries, notedAtMs);
+    for (const [service, { versions }] of view.versionRecords) {
+      noteRecordedVersions(history, service, versions, notedAtMs);
+    }
+    for (const service of history.lastSeenMs.keys()) noteSeveralVersions(service);
+  }
+
+  /** Publishes the assignments of the last seconds of a service that gets a second version. */
+  function noteSeveralVersions(service: string): void {
+    if (versionsInUse(history, view.versionRecords.get(service), service, nowMs()).length < 2) {
+      severalVersions.delete(service);
+      return;
+    }
+    if (severalVersions.has(service)) return;
+    severalVersions.add(service);
+    publisher.publish(recentAssignments(assignments, service, nowMs()));
   }
 
   /** Returns the versions that a service had lately. Those of targets in the view still count. */
   function versionsOf(service: string): readonly string[] {
     if (nowMs() - notedAtMs > NOTE_INTERVAL_MS) noteTargets();
-    return recentVersions(history, service, nowMs());
+    return versionsInUse(history, view.versionRecords.get(service), service, nowMs());
   }
 
   /** Tells another gateway, as the loss of this one would lose both who know. */
@@ -140,62 +198,6 @@
       });
   }
 
-  async function ask(gateway: string, attempt: string): Promise<readonly StreamOrigin[]> {
-    const timeoutMs = ASK_TIMEOUT_MS;
-    const answer = await rpc.call<StreamOrigin | null>(gateway, RpcMethod.StreamsFind, [attempt], {
-      timeoutMs,
-    });
-    return answer.isOk() && answer.value !== null ? [answer.value] : [];
-  }
-
-  function onlyVersion(service: string): string | null {
-    const [version = null, ...others] = versionsOf(service);
-    return others.length === 0 ? version : null;
-  }
-
-  /** Returns whether a second version would be known here. */
-  function knowsAllVersions(): boolean {
-    const hasFreshNews = nowMs() - view.confirmedAtMs < FRESH_NEWS_MS;
-    return hasFreshNews && isHistoryLong(history, nowMs());
-  }
-
-  async function askScheduler(service: string, attempt: string): Promise<StreamOrigin | null> {
-    const scheduler = schedulerOf(service);
-    if (scheduler === selfId) return null;
-    const [origin = null] = await ask(scheduler, attempt);
-    return origin;
-  }
-
-  /** Asks the gateway that forwarded a stream, as the engine that was granted may have failed. */
-  async function confirm(attempt: string, origin: StreamOrigin): Promise<string> {
-    const { source, gateway, version } = origin;
-    if (source === OriginSource.Begun || gateway === selfId) return version;
-    const [better] = await ask(gateway, attempt);
-    return better?.source === OriginSource.Begun ? better.version : version;
-  }
-
-  async function askAll(attempt: string): Promise<string | null> {
-    const answers = await Promise.all(recent.others().map((gateway) => ask(gateway, attempt)));
-    return agreedVersion(answers.flat());
-  }
-
-  /** Finds the version of a stream, beginning with what is cheap and sure. */
-  async function findVersion(
-    service: string,
-    attempt: string,
-  ): Promise<readonly [string, VersionSource] | null> {
-    const own = originOf(origins, attempt);
-    if (own !== null) return [await confirm(attempt, own), VersionSource.Own];
-    const scheduled = await askScheduler(service, attempt);
-    if (scheduled !== null) return [await confirm(attempt, scheduled), VersionSource.Scheduler];
-    const only = onlyVersion(service);
-    if (only !== null && knowsAllVersions()) return [only, VersionSource.OnlyVersion];
-    const told = await askAll(attempt);
-    if (told !== null) return [told, VersionSource.Gateways];
-    // Nobody knows the stream: whoever forwarded and scheduled it is gone.
-    return only === null ? null : [only, VersionSource.OnlyInView];
-  }
-
   function refusal({ service, version }: Exchange): VersionRefusal | null {
     if (version === null) return null;
     const decodes = servingTargets(view, service, nowMs()).some(
@@ -222,13 +224,35 @@
     refresh: () => {
       noteTargets();
       recent.note();
+      recorder.update();
     },
-    noteGranted: (jobId, gateway, engine) => {
-      const version = view.targets.get(engine)?.entry.version;
-      const attempt = jobId.slice(0, jobId.lastIndexOf('/'));
-      if (version === undefined) return;
-      remember(attempt, { version, source: OriginSource.Granted, gateway });
+    noteGranted: ({ jobId, gateway, engine, keptVersion }) => {
+      const entry = view.targets.get(engine)?.entry;
+      if (entry === undefined) return;
+      const [attempt, turn] = splitJobId(jobId);
+      // An engine of another version is not used, and its grant must not count as the latest one.
+      const version = keptVersion ?? entry.version;
+      remember(attempt, { version, source: OriginSource.Granted, gateway, turn });
+      const assignment: StreamAssignment = [attempt, turn, version];
+      logAssignment(assignments, entry.service, assignment, nowMs());
+      if (versionsOf(entry.service).length > 1) publisher.publish([assignment]);
     },
+    beginTurn: async (exchange, jobId, { service, version }) => {
+      const { turnVersions } = exchange;
+      if (!mayRunAt(turnVersions, version)) {
+        return `an attempt at version ${String(openVersion(turnVersions))} is open`;
+      }
+      turnVersions.open.set(jobId, version);
+      if (exchange.version !== null || !isVersionChange(turnVersions, version)) return null;
+      if (versionsOf(service).length < 2) return null;
+      count('stream_versions_changed_total');
+      const isStored = await publisher.publishNow([...splitJobId(jobId), version]);
+      return isStored ? null : 'the store has not taken the change of version';
+    },
+    endTurn: ({ turnVersions }, jobId) => {
+      turnVersions.open.delete(jobId);
+    },
+    keptVersion,
     noteBegun: (exchange) => {
       const version = exchange.version ?? exchange.sentVersion;
       if (version === null) return;
@@ -242,7 +266,7 @@
     takeUp: async (exchange) => {
       const { head, service } = exchange;
       if (head.resumes === null && head.lastEventId === null) return null;
-      const found = await findVersion(service, head.resumes ?? '');
+      const found = await lookup.findVersion(service, head.resumes ?? '');
       if (found === null) {
         const reason = 'the version that began the stream is not known';
         return refuse(exchange, { reason, retryAfterMs: UNKNOWN_RETRY_MS });
@@ -255,17 +279,32 @@
       return refused === null ? null : refuse(exchange, refused);
     },
     refusal,
-    otherVersions: ({ service, version }) => {
+    otherVersions: (exchange) => {
+      const version = keptVersion(exchange);
       if (version === null) return [];
       return [...view.targets.values()]
-        .filter(({ entry }) => entry.service === service && entry.version !== version)
+        .filter(({ entry }) => entry.service === exchange.service && entry.version !== version)
         .map(({ entry }) => entry.id);
     },
-    find: (attempt) => originOf(origins, attempt),
-    receive: (streams, gateway) => {
+    find: (attempt, service) => ({ origin: lookup.find(attempt), versions: versionsOf(service) }),
+    receive: (streams, gateway, unwritten = []) => {
       for (const [attempt, version] of streams) {
         remember(attempt, { version, source: OriginSource.Begun, gateway });
       }
+      noteStoredOrigins(view.storedOrigins, unwritten, nowMs());
+      publisher.publishForPeer(unwritten);
     },
+    stop: publisher.stop,
   };
 }
+
+/** Returns the version that began a stream, or that an open attempt at it runs at. */
+function keptVersion({ version, turnVersions }: Exchange): string | null {
+  return version ?? openVersion(turnVersions);
+}
+
+/** Returns the attempt and the turn of a job; attempts may contain slashes. */
+function splitJobId(jobId: string): readonly [attempt: string, turn: number] {
+  const end = jobId.lastIndexOf('/');
+  return [jobId.slice(0, end), Number(jobId.slice(end + 1))];
+}
