Tell engines the priority of requests

Engines admit urgent requests first and preempt others when memory is short, if requests carry X-Cassiamast-Request-Priority.

--- a/packages/coordination/src/core/forwarding/route-table.ts
+++ b/packages/coordination/src/core/forwarding/route-table.ts
@@ -3,6 +3,7 @@
  * is built once per configuration, and a lookup takes one step per slash in the path.
  */
 import type { FleetConfiguration, Route, RoutedService } from './fleet.js';
+import { servicesWithPriorities } from './route-priorities.js';
 
 /** A configuration indexed for lookups. */
 export interface RouteTable {
@@ -10,6 +11,8 @@
   /** Routes by host, then by path prefix. */
   readonly routesByHost: ReadonlyMap<string, ReadonlyMap<string, Route>>;
   readonly servicesByName: ReadonlyMap<string, RoutedService>;
+  /** Names of the services whose routes differ in priority. */
+  readonly prioritizedServices: ReadonlySet<string>;
 }
 
 /** Builds the route table of a configuration. */
@@ -22,7 +25,8 @@
     routesByHost.set(host, routes);
   }
   const servicesByName = new Map(configuration.services.map((each) => [each.name, each]));
-  return { configuration, routesByHost, servicesByName };
+  const prioritizedServices = servicesWithPriorities(configuration.routes);
+  return { configuration, routesByHost, servicesByName, prioritizedServices };
 }
 
 /**
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -1,3 +1,5 @@
+import { Activation } from './activation.js';
+
 /** Tuning parameters of a scheduler, each with the load that it addresses. */
 export interface SchedulerOptions {
   /**
@@ -84,6 +86,11 @@
   readonly maxSuspendMs: number;
   /** Fraction of an engine's memory that running requests may use. */
   readonly maxRunningShare: number;
+  /**
+   * Whether requests to engines carry their priority. Engines admit urgent requests first and
+   * preempt others when memory is short; without it, urgent requests wait behind long prompts.
+   */
+  readonly enginePriority: Activation;
 }
 
 /** Default options; the reasons are documented with the fields. */
@@ -108,4 +115,5 @@
   initialSuspendMs: 500,
   maxSuspendMs: 2000,
   maxRunningShare: 0.8,
+  enginePriority: Activation.WhenPrioritiesDiffer,
 };
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -100,6 +100,7 @@
 export * from './core/rate-limits/announced-limits.js';
 export * from './core/rate-limits/rate-limiter.js';
 export * from './core/rate-limits/token-bucket.js';
+export * from './core/scheduling/activation.js';
 export * from './core/scheduling/job.js';
 export * from './core/scheduling/options.js';
 export * from './core/scheduling/phase-split.js';
--- a/packages/coordination/test/core/forwarding/route-table.test.ts
+++ b/packages/coordination/test/core/forwarding/route-table.test.ts
@@ -37,6 +37,20 @@
 }
 
 describe('a route table', () => {
+  // One workspace or another service must not change how a service is scheduled.
+  it('names the services whose own routes differ in priority', () => {
+    const shares = (service: string) => [{ service, weight: 1 }];
+    const table = createRouteTable(
+      configuration(1, [
+        route('a.example', '/1/', { shares: shares('mixed'), priority: 0 }),
+        route('a.example', '/2/', { shares: shares('mixed'), priority: 2 }),
+        route('a.example', '/3/', { shares: shares('even'), priority: 1 }),
+        route('a.example', '/4/', { shares: shares('even'), priority: 1 }),
+      ]),
+    );
+    assert.deepEqual([...table.prioritizedServices], ['mixed']);
+  });
+
   describe('a lookup', () => {
     const table = createRouteTable(
       configuration(1, [
--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -2,7 +2,13 @@
  * Sends the requests of one turn to its engines: a prefill to one engine, and the stream request to
  * another or the same one.
  */
-import { RequestedWork, JobEventKind, type TargetEntry } from '@cassiamast/coordination';
+import {
+  JobEventKind,
+  RequestedWork,
+  SCHEDULER_OPTIONS,
+  type TargetEntry,
+  isActive,
+} from '@cassiamast/coordination';
 import type { PromptHandle } from '@cassiamast/ports';
 import { type Result, err, ok } from 'neverthrow';
 import {
@@ -211,6 +217,7 @@
     lastEventId: relay.lastEventId() ?? exchange.head.lastEventId,
     workspace: exchange.workspace,
     hidesKey: exchange.hidesKey,
+    priority: enginePriority(exchange, services),
   });
   const { method, path, body, head } = exchange;
   const work = options.readOnly ? RequestedWork.Read : RequestedWork.Run;
@@ -247,6 +254,15 @@
   return outcome.kind === SendOutcomeKind.Stopped ? explainStop(turn, watch, outcome) : outcome;
 }
 
+/** Returns the priority that engines are told, or null where the service has only one. */
+function enginePriority(
+  { priority, service }: Exchange,
+  { view }: ForwardingServices,
+): number | null {
+  const prioritiesDiffer = view.table?.prioritizedServices.has(service) ?? false;
+  return isActive(SCHEDULER_OPTIONS.enginePriority, prioritiesDiffer) ? priority : null;
+}
+
 /** Suspends a watch while the caller reads too slowly for more bytes. */
 function pausing(watch: SilenceWatch, flow: FlowControl): FlowControl {
   return {
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -181,6 +181,7 @@
     lastEventId: head.lastEventId,
     workspace: exchange.workspace,
     hidesKey: exchange.hidesKey,
+    priority: null,
   });
   const hasAttemptsLeft = exchange.sends + 1 < route.maxAttempts;
   const overdueAfterMs =
--- a/packages/ports/src/caller-wire/port.ts
+++ b/packages/ports/src/caller-wire/port.ts
@@ -50,6 +50,11 @@
   readonly workspace: string | null;
   /** Whether the caller's key is for the system, which must not pass it on. */
   readonly hidesKey: boolean;
+  /**
+   * Priority at the target, 0 being the most urgent; implementations clamp it to the range that
+   * targets accept. Null if the target is not told any.
+   */
+  readonly priority: number | null;
 }
 
 /** What a response of a target says about the target itself. */
