Order jobs by urgency where the routes of a service differ in priority

By value per engine time, the most urgent type was late most often, as its prompts cost more than those of rate-line. JobOrder is a function type with two implementations, compareValue as before and compareUrgency; urgencyOrder selects. Routes that are served less than half as often as the service rank first.

The test of staggered retry times compared callers that arrive one after the other, which one fixed delay passes as well; it now refuses callers at the same time.

--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -7,16 +7,18 @@
 import { recordConnection } from './connections.js';
 import { chooseDecodeEngine } from './decode-engine.js';
 import { type Decision, DecisionKind, type Job } from './job.js';
+import { jobOrderOf } from './job-order.js';
 import {
   choosePlacement,
   copyPenaltyMs,
+  estimateQueuedService,
   estimateService,
   hasPrefillEngine,
   mayPrefill,
   predictPlacement,
 } from './placement.js';
 import { countCachedParts, recordPrompt } from './prompt-cache.js';
-import { type ServiceEstimate, compareRank } from './ranking.js';
+import type { ServiceEstimate } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
 import { rateLimitRefusal } from './rate-limit-refusal.js';
 import { recordDecision } from './load-shedding.js';
@@ -111,10 +113,11 @@
 
 function nextQueuedJob(scheduler: Scheduler, load: TargetLoad, nowMs: number): QueuedJob | null {
   const startAtMs = nowMs + pendingPrefillMs(load, nowMs);
+  const compare = jobOrderOf(scheduler);
   let best: { readonly queuedJob: QueuedJob; readonly estimate: ServiceEstimate } | null = null;
   for (const queuedJob of queueOf(scheduler, load.entry.id)) {
-    const estimate = estimateService(scheduler, load, queuedJob, startAtMs, nowMs);
-    if (best === null || compareRank(estimate, best.estimate) < 0) best = { queuedJob, estimate };
+    const estimate = estimateQueuedService(scheduler, load, queuedJob, startAtMs, nowMs);
+    if (best === null || compare(estimate, best.estimate) < 0) best = { queuedJob, estimate };
   }
   return best?.queuedJob ?? null;
 }
@@ -130,6 +133,7 @@
   candidates: Iterable<QueuedJob>,
   nowMs: number,
 ): QueuedJob | null {
+  const compare = jobOrderOf(scheduler);
   let best: { readonly queuedJob: QueuedJob; readonly estimate: ServiceEstimate } | null = null;
   for (const queuedJob of candidates) {
     if (!scheduler.queuedJobs.has(queuedJob.job.id)) continue;
@@ -143,7 +147,7 @@
       scheduler.options.recomputeWeight * extraMs +
       copyPenaltyMs(scheduler, move);
     if (scoreMs >= stay.estimate.firstEventAtMs + copyPenaltyMs(scheduler, stay.estimate)) continue;
-    if (best === null || compareRank(move, best.estimate) < 0) best = { queuedJob, estimate: move };
+    if (best === null || compare(move, best.estimate) < 0) best = { queuedJob, estimate: move };
   }
   return best?.queuedJob ?? null;
 }
@@ -161,6 +165,7 @@
   const cost: PrefillCost = prefillCost(holders, load, job);
   recordServedSize(scheduler.fairness, job.route, queuedJob.sizeClass);
   if (job.workspace !== null) recordWorkspaceServed(scheduler.workspaces, job.workspace);
+  recordWorkspaceServed(scheduler.routes, job.route);
   beginPrefill(load, {
     jobId: job.id,
     parts: job.parts,
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -97,6 +97,11 @@
    * together after `minRetryAfterMs`, and 1,100 to 1,700 per run were refused a second time.
    */
   readonly drainRateRetries: Activation;
+  /**
+   * Whether jobs rank by urgency instead of by value per engine time. By value, an expensive urgent
+   * type was late most often of all: 681 late and 148 refused of 4,650.
+   */
+  readonly urgencyOrder: Activation;
 }
 
 /** Default options; the reasons are documented with the fields. */
@@ -123,4 +128,5 @@
   maxRunningShare: 0.8,
   enginePriority: Activation.WhenPrioritiesDiffer,
   drainRateRetries: Activation.WhenPrioritiesDiffer,
+  urgencyOrder: Activation.WhenPrioritiesDiffer,
 };
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -7,7 +7,8 @@
 import { hasConnection } from './connections.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
-import { type ServiceEstimate, type Standing, compareRank } from './ranking.js';
+import { isRouteStarved, jobOrderOf } from './job-order.js';
+import type { ServiceEstimate, Standing } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
 import type { CachedCost, QueuedJob, Scheduler } from './scheduler-state.js';
 import { followsDrainRate, goalAtMs } from './retry-after.js';
@@ -136,11 +137,12 @@
   const pendingMs = pendingPrefillMs(load, nowMs);
   const startAtMs = nowMs + pendingMs;
   const immediate = toServiceEstimate(scheduler, load, queuedJob, cost, startAtMs);
+  const compare = jobOrderOf(scheduler);
   let aheadMs = pendingMs;
   for (const other of queueOf(scheduler, load.entry.id)) {
     if (other === queuedJob) continue;
     const otherEstimate = estimateQueuedService(scheduler, load, other, startAtMs, nowMs);
-    if (compareRank(otherEstimate, immediate) <= 0) aheadMs += otherEstimate.serviceMs;
+    if (compare(otherEstimate, immediate) <= 0) aheadMs += otherEstimate.serviceMs;
   }
   const estimate = { ...immediate, firstEventAtMs: immediate.firstEventAtMs + aheadMs - pendingMs };
   return { load, estimate, aheadMs };
@@ -222,7 +224,10 @@
   const { job, value, isRetry, sizeClass } = queuedJob;
   const { fairness, workspaces } = scheduler;
   const isSizeStarved = isStarved(fairness, job.route, sizeClass);
-  const isAnyStarved = isSizeStarved || isWorkspaceStarved(workspaces, job.workspace);
+  const isAnyStarved =
+    isSizeStarved ||
+    isWorkspaceStarved(workspaces, job.workspace) ||
+    isRouteStarved(scheduler, queuedJob);
   const precedesNewJobs = isRetry && followsDrainRate(scheduler);
   return { value, priority: job.priority, isRetry, precedesNewJobs, isStarved: isAnyStarved };
 }
--- a/packages/coordination/src/core/scheduling/ranking.ts
+++ b/packages/coordination/src/core/scheduling/ranking.ts
@@ -99,13 +99,12 @@
   return (value * timelinessFactor * starvationFactor) / Math.max(1, estimate.serviceMs);
 }
 
-/**
- * Sorts retries before new jobs of their priority and otherwise by descending value; negative if
- * `left` ranks first.
- */
-export function compareRank(left: ServiceEstimate, right: ServiceEstimate): number {
-  return compareRetries(left.standing, right.standing) || valuePerMs(right) - valuePerMs(left);
-}
+/** Compares two jobs for one engine; negative if `left` ranks first. */
+export type JobOrder = (left: ServiceEstimate, right: ServiceEstimate) => number;
+
+/** Sorts retries before new jobs of their priority and otherwise by descending value. */
+export const compareValue: JobOrder = (left, right) =>
+  compareRetries(left.standing, right.standing) || valuePerMs(right) - valuePerMs(left);
 
 function compareRetries(left: Standing, right: Standing): number {
   if (left.priority !== right.priority || left.isStarved !== right.isStarved) return 0;
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -62,6 +62,8 @@
   readonly sizes: RouteSizes;
   readonly fairness: SizeFairness;
   readonly workspaces: WorkspaceFairness;
+  /** Served shares by route; counted only if jobs rank by urgency. */
+  readonly routes: WorkspaceFairness;
   readonly refusedRequests: RefusedRequests;
   readonly connections: Connections;
   readonly retryTimes: RetryTimes;
@@ -88,6 +90,7 @@
     sizes: createRouteSizes(),
     fairness: createSizeFairness(),
     workspaces: createWorkspaceFairness(),
+    routes: createWorkspaceFairness(),
     refusedRequests: createRefusedRequests(),
     connections: createConnections(),
     retryTimes: createRetryTimes(),
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -7,6 +7,7 @@
  */
 import { dispatch } from './dispatch.js';
 import { type Decision, type Job, type JobEvent, JobEventKind, RefusalReason } from './job.js';
+import { recordRouteRequest } from './job-order.js';
 import { choosePlacement } from './placement.js';
 import { recordPrompt, removeParts } from './prompt-cache.js';
 import { jobSize, jobValue, recordSize } from './ranking.js';
@@ -80,6 +81,7 @@
 function createQueuedJob(scheduler: Scheduler, job: Job, nowMs: number): QueuedJob {
   recordSize(scheduler.sizes, job);
   const isRetry = wasRecentlyRefused(scheduler.refusedRequests, job, nowMs);
+  if (!isRetry) recordRouteRequest(scheduler, job.route, nowMs);
   if (job.workspace !== null && !isRetry) {
     recordWorkspaceRequest(scheduler.workspaces, job.workspace, nowMs);
   }
--- a/packages/coordination/test/core/scheduling/retry-after.test.ts
+++ b/packages/coordination/test/core/scheduling/retry-after.test.ts
@@ -7,6 +7,7 @@
   EnginePhase,
   RefusalReason,
   SCHEDULER_OPTIONS,
+  type Scheduler,
   createScheduler,
   submitJob,
   syncEngines,
@@ -17,39 +18,29 @@
 
 const ALWAYS = { ...SCHEDULER_OPTIONS, drainRateRetries: Activation.Always };
 const MIN_RETRY_MS = 300;
-const WINDOW_MS = 100;
-const TOGETHER_MS = 5;
-const MAX_TOGETHER = 2;
+const MIN_APART_MS = 1;
+const CALLERS = 30;
+
+function startScheduler(): Scheduler {
+  const scheduler = createScheduler(ALWAYS);
+  const engines = [engine('reader-1', EnginePhase.Prefill), engine('streamer', EnginePhase.Decode)];
+  syncEngines(scheduler, engines, SPEC);
+  return scheduler;
+}
 
 describe('refused callers', () => {
   describe('that all retry', () => {
     const { requests } = replayLoad(ALL_RETRY, ALWAYS);
     const refused = requests.flatMap(({ type, receivedAtMs, refusals }) =>
-      refusals.slice(0, 1).map((refusal) => ({
-        ...refusal,
-        returnsAtMs: refusal.atMs + refusal.retryAfterMs,
-        maxRetryMs: (receivedAtMs + type.deadlineMs - refusal.atMs) / 3,
+      refusals.slice(0, 1).map(({ atMs, retryAfterMs }) => ({
+        retryAfterMs,
+        maxRetryMs: (receivedAtMs + type.deadlineMs - atMs) / 3,
       })),
     );
 
-    // Callers that are told the same time return together and are refused again.
-    it('are given staggered times', () => {
-      assert.ok(refused.length > 100, 'it is an overload');
-      for (const { atMs, returnsAtMs } of refused) {
-        const together = refused.filter(
-          (other) =>
-            Math.abs(other.atMs - atMs) <= WINDOW_MS &&
-            Math.abs(other.returnsAtMs - returnsAtMs) <= TOGETHER_MS,
-        );
-        assert.ok(
-          together.length <= MAX_TOGETHER + 1,
-          `${String(together.length)} return together`,
-        );
-      }
-    });
-
     // A later time exceeds what callers honor; an earlier one brings them back before capacity is.
     it('are given from 300 ms to a third of their remaining time', () => {
+      assert.ok(refused.length > 100, 'it is an overload');
       for (const { retryAfterMs, maxRetryMs } of refused) {
         assert.ok(retryAfterMs >= MIN_RETRY_MS);
         assert.ok(retryAfterMs <= Math.max(MIN_RETRY_MS, maxRetryMs));
@@ -63,13 +54,22 @@
     });
   });
 
+  // Callers that are told the same time return together, and most of them are refused again.
+  it('are given different times if they are refused at the same time', () => {
+    const scheduler = startScheduler();
+    submitJob(scheduler, job('a', 9000), 0);
+    const delaysMs = Array.from({ length: CALLERS }, () => {
+      const [refusal] = submitJob(scheduler, job('b', 3000, { aimAtMs: 100 }), 1);
+      assert.ok(refusal?.kind === DecisionKind.Refuse);
+      return refusal.retryAfterMs;
+    }).sort((left, right) => left - right);
+    delaysMs.slice(1).forEach((delayMs, index) => {
+      assert.ok(delayMs - (delaysMs[index] ?? 0) >= MIN_APART_MS, delaysMs.join(' '));
+    });
+  });
+
   describe('that retry while their engine is busy', () => {
-    const scheduler = createScheduler(ALWAYS);
-    syncEngines(
-      scheduler,
-      [engine('reader-1', EnginePhase.Prefill), engine('streamer', EnginePhase.Decode)],
-      SPEC,
-    );
+    const scheduler = startScheduler();
     const retried = job('a', 3000, { aimAtMs: 400, deadlineAtMs: 3000 });
 
     // A caller that has waited for its retry would otherwise wait in vain.
