Keep running requests within the memory of engines

maxRunningShare was declared and not used. Decode engines and engines that prefill and decode whose running requests would hold more than 0.8 of their memory with a job are chosen only if no other engine has room, and queued jobs move away from them; Infinity disables the limit.

--- a/packages/coordination/src/core/scheduling/decode-engine.ts
+++ b/packages/coordination/src/core/scheduling/decode-engine.ts
@@ -1,5 +1,6 @@
 /** Chooses the engine that decodes a prompt after another engine has prefilled it. */
 import { hasConnection } from './connections.js';
+import { memoryPenalty } from './engine-memory.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
 import type { Scheduler } from './scheduler-state.js';
@@ -47,6 +48,7 @@
     const cachedTokens = tokensBetween(job.parts, 0, countCachedParts(load.cache, job.parts));
     const score =
       load.streaming.size +
+      memoryPenalty(scheduler, load, job) +
       (isNear ? 0 : CROSS_DOMAIN_PENALTY_REQUESTS) -
       (isConnected ? connectedBonusRequests : 0) -
       cachedTokens / CACHED_TOKENS_PER_REQUEST;
--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -7,6 +7,7 @@
 import { recordConnection } from './connections.js';
 import { chooseDecodeEngine } from './decode-engine.js';
 import { type Decision, DecisionKind, type Job } from './job.js';
+import { lacksRoom, tokensInMemory } from './engine-memory.js';
 import { jobOrderOf } from './job-order.js';
 import { isDeferrable, isIdle } from './late-jobs.js';
 import {
@@ -29,6 +30,7 @@
 import {
   type TargetLoad,
   beginPrefill,
+  beginStream,
   canDecode,
   hasCapacity,
   isUsable,
@@ -50,6 +52,7 @@
       const candidates = isDecode ? decodeCandidates : scheduler.queuedJobs.values();
       const next = chooseNextJob(scheduler, load, canSteal ? candidates : [], nowMs);
       if (next === null) break;
+      if (moveToEngineWithRoom(scheduler, load, next, nowMs)) continue;
       const decision =
         startJob(scheduler, load, next, nowMs) ?? refusalOf(scheduler, next.job, nowMs);
       if (decision === null) break;
@@ -105,6 +108,24 @@
   return refusals;
 }
 
+/**
+ * Moves a job that its engine has no room for to another engine that has. Returns whether it was
+ * moved.
+ */
+function moveToEngineWithRoom(
+  scheduler: Scheduler,
+  load: TargetLoad,
+  queuedJob: QueuedJob,
+  nowMs: number,
+): boolean {
+  if (!lacksRoom(scheduler, load, queuedJob.job)) return false;
+  const placement = choosePlacement(scheduler, queuedJob, nowMs);
+  if (placement === null || placement.load === load) return false;
+  if (lacksRoom(scheduler, placement.load, queuedJob.job)) return false;
+  moveToQueue(scheduler, queuedJob, placement.load.entry.id);
+  return true;
+}
+
 /** Refuses a job that waiting does not help; returns null otherwise. */
 function refusalOf(scheduler: Scheduler, job: Job, nowMs: number): Decision | null {
   return rateLimitRefusal(scheduler, job, nowMs) ?? unavailableRefusal(scheduler, job, nowMs);
@@ -161,6 +182,7 @@
     if (!scheduler.queuedJobs.has(queuedJob.job.id)) continue;
     const currentEngine = scheduler.targets.get(queuedJob.target);
     if (currentEngine === undefined || !mayPrefill(scheduler, load, queuedJob.job, nowMs)) continue;
+    if (lacksRoom(scheduler, load, queuedJob.job)) continue;
     const stay = predictPlacement(scheduler, currentEngine, queuedJob, nowMs);
     const move = estimateService(scheduler, load, queuedJob, nowMs, nowMs);
     const extraMs = Math.max(0, move.serviceMs - stay.estimate.serviceMs);
@@ -199,8 +221,7 @@
   for (const { entry } of new Set([load, decodeEngine])) scheduler.permits.take(entry.id);
   // Recorded immediately so that jobs sharing these parts wait for this prefill.
   recordPrompt(load.cache, job.parts);
-  const totalTokens = job.parts.reduce((sum, part) => sum + part.tokens, job.outputTokens);
-  decodeEngine.streaming.set(job.id, totalTokens);
+  beginStream(decodeEngine, job.id, tokensInMemory(job));
   for (const { entry } of [load, decodeEngine]) {
     recordConnection(scheduler.connections, job.gateway, entry.id, nowMs);
   }
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -84,7 +84,10 @@
   /** Initial suspension of a failed target; doubles with each consecutive failure. */
   readonly initialSuspendMs: number;
   readonly maxSuspendMs: number;
-  /** Fraction of an engine's memory that running requests may use. */
+  /**
+   * Fraction of an engine's memory that running requests may use while another engine has room.
+   * `Infinity` disables the limit.
+   */
   readonly maxRunningShare: number;
   /**
    * Whether requests to engines carry their priority. Engines admit urgent requests first and
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -5,6 +5,7 @@
  */
 import { EnginePhase } from '../forwarding/fleet.js';
 import { hasConnection } from './connections.js';
+import { memoryPenalty } from './engine-memory.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
 import { isRouteStarved, jobOrderOf } from './job-order.js';
@@ -52,6 +53,7 @@
   const penalizedAtMs = ({ load, estimate }: PlacementOption): number =>
     estimate.firstEventAtMs +
     connectCostMs(scheduler, load, queuedJob.job, nowMs) +
+    memoryPenalty(scheduler, load, queuedJob.job) +
     scheduler.options.recomputeWeight * (estimate.serviceMs - leastServiceMs) +
     copyPenaltyMs(scheduler, estimate);
   let best: PlacementOption | null = null;
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -22,6 +22,7 @@
 import {
   type TargetLoad,
   endPrefill,
+  endStream,
   recordBrokenAnswer,
   recordFailure,
   recordSuccess,
@@ -116,7 +117,7 @@
   for (const load of scheduler.targets.values()) {
     const prefill = endPrefill(load, jobId);
     if (prefill !== null) removeParts(load.cache, uncachedPartsOf(prefill));
-    load.streaming.delete(jobId);
+    endStream(load, jobId);
   }
 }
 
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -41,6 +41,8 @@
   readonly pendingParts: Map<string, number>;
   /** Tokens in memory of the requests that this engine decodes, by job id. */
   readonly streaming: Map<string, number>;
+  /** Sum of these tokens. */
+  streamingTokens: number;
   lastPrefillEndAtMs: number;
   suspendedUntilMs: number;
   /** Whether it announced that it is shutting down, which the store may not show yet. */
@@ -65,6 +67,7 @@
     prefills: new Map(),
     pendingParts: new Map(),
     streaming: new Map(),
+    streamingTokens: 0,
     lastPrefillEndAtMs: 0,
     suspendedUntilMs: 0,
     isLeaving: false,
@@ -138,6 +141,19 @@
   return prefill;
 }
 
+/** Records that an engine decodes a job that holds this many tokens in its memory. */
+export function beginStream(load: TargetLoad, jobId: string, tokens: number): void {
+  endStream(load, jobId);
+  load.streaming.set(jobId, tokens);
+  load.streamingTokens += tokens;
+}
+
+/** Removes a job that an engine no longer decodes. */
+export function endStream(load: TargetLoad, jobId: string): void {
+  load.streamingTokens -= load.streaming.get(jobId) ?? 0;
+  load.streaming.delete(jobId);
+}
+
 /** Returns the parts of a prompt that were not in the engine's cache when it was given. */
 export function uncachedPartsOf(prefill: Prefill): readonly PromptPart[] {
   return prefill.parts.slice(prefill.cachedParts);
--- a/packages/coordination/test/core/scheduling/request-types.test.ts
+++ b/packages/coordination/test/core/scheduling/request-types.test.ts
@@ -5,7 +5,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import { Activation, SCHEDULER_OPTIONS, type SchedulerOptions } from '../../../src/index.js';
-import { ALL_RETRY, HALF_LOST, LONG_PROMPTS, URGENT_BURST } from '../../fixtures/load-patterns.js';
+import {
+  ALL_RETRY,
+  HALF_LOST,
+  LONG_PROMPTS,
+  MEMORY_NEARLY_FULL,
+  URGENT_BURST,
+} from '../../fixtures/load-patterns.js';
 import { type LoadPattern, type TypeShares, replayLoad } from '../../fixtures/load-replay.js';
 
 /** How much less often than a less urgent type a type may be served, and be on time. */
@@ -19,6 +25,7 @@
   'while long prompts occupy all engines': LONG_PROMPTS,
   'while all refused callers retry': ALL_RETRY,
   'while half of the capacity is lost': HALF_LOST,
+  'while memory is nearly full': MEMORY_NEARLY_FULL,
 };
 const ORDERS: Readonly<Record<string, SchedulerOptions>> = {
   urgency: { ...SCHEDULER_OPTIONS, urgencyOrder: Activation.Always },
