--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -101,7 +101,8 @@
   function refreshCaches(service: string, scheduler: Scheduler): void {
     const ids = enginesWithStaleCache(scheduler, nowMs());
     if (ids.length === 0) return;
-    log.info('scheduling begins', { service, engines: ids.length });
+    const { prioritiesDiffer } = scheduler;
+    log.info('scheduling begins', { service, engines: ids.length, prioritiesDiffer });
     for (const id of ids) void refreshCache(scheduler, id);
   }
 
