--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -95,11 +95,17 @@
    */
   readonly enginePriority: Activation;
   /**
-   * Whether retry delays follow the rate at which the engines drain their work, and retries precede
-   * new jobs of their priority until their deadline. Otherwise all callers of a burst return
-   * together after `minRetryAfterMs`, and 1,100 to 1,700 per run were refused a second time.
+   * Whether retry delays follow the rate at which the engines drain their work. Otherwise all callers
+   * of a burst return together after `minRetryAfterMs`.
    */
   readonly drainRateRetries: Activation;
+  /**
+   * Whether retries precede new jobs of their priority and count as on time until their deadline.
+   * Otherwise 1,100 to 1,700 callers per run were refused a second time. In an overload that outlasts
+   * the deadlines, new jobs of the least urgent type are then refused first and served as retries,
+   * late.
+   */
+  readonly retriesFirst: Activation;
   /**
    * Whether jobs rank by urgency instead of by value per engine time. By value, an expensive urgent
    * type was late most often of all: 681 late and 148 refused of 4,650.
@@ -136,6 +142,7 @@
   maxRunningShare: 0.8,
   enginePriority: Activation.WhenPrioritiesDiffer,
   drainRateRetries: Activation.WhenPrioritiesDiffer,
+  retriesFirst: Activation.WhenPrioritiesDiffer,
   urgencyOrder: Activation.WhenPrioritiesDiffer,
   lateJobsWait: Activation.WhenPrioritiesDiffer,
 };
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -12,7 +12,7 @@
 import type { ServiceEstimate, Standing } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
 import type { CachedCost, QueuedJob, Scheduler } from './scheduler-state.js';
-import { followsDrainRate, goalAtMs } from './retry-after.js';
+import { goalAtMs, precedesNewJobs } from './retry-after.js';
 import { isStarved } from './size-fairness.js';
 import { isWorkspaceStarved } from './workspace-fairness.js';
 import { type TargetLoad, canDecode, isUsable, pendingPrefillMs } from './target-load.js';
@@ -230,6 +230,11 @@
     isSizeStarved ||
     isWorkspaceStarved(workspaces, job.workspace) ||
     isRouteStarved(scheduler, queuedJob);
-  const precedesNewJobs = isRetry && followsDrainRate(scheduler);
-  return { value, priority: job.priority, isRetry, precedesNewJobs, isStarved: isAnyStarved };
+  return {
+    value,
+    priority: job.priority,
+    isRetry,
+    precedesNewJobs: precedesNewJobs(scheduler, queuedJob),
+    isStarved: isAnyStarved,
+  };
 }
--- a/packages/coordination/src/core/scheduling/retry-after.ts
+++ b/packages/coordination/src/core/scheduling/retry-after.ts
@@ -3,7 +3,7 @@
  * other. With one fixed delay for all, the callers of a burst return together and most of them are
  * refused again while engines are idle in between.
  */
-import { type Activation, isActive } from './activation.js';
+import { isActive } from './activation.js';
 import { EnginePhase } from '../forwarding/fleet.js';
 import type { Job } from './job.js';
 import type { QueuedJob, Scheduler } from './scheduler-state.js';
@@ -29,14 +29,17 @@
   return { occupiedUntilMs: -Infinity, limitedCallers: 0 };
 }
 
-/** Returns whether retry delays follow the drain rate and retries precede new jobs. */
-export function followsDrainRate({ options, prioritiesDiffer }: RetryRules): boolean {
+/** Returns whether retry delays follow the drain rate. */
+export function followsDrainRate({ options, prioritiesDiffer }: Scheduler): boolean {
   return isActive(options.drainRateRetries, prioritiesDiffer);
 }
 
-interface RetryRules {
-  readonly options: { readonly drainRateRetries: Activation };
-  readonly prioritiesDiffer: boolean;
+/** Returns whether a job precedes new jobs of its priority. */
+export function precedesNewJobs(
+  { options, prioritiesDiffer }: Scheduler,
+  { isRetry }: QueuedJob,
+): boolean {
+  return isRetry && isActive(options.retriesFirst, prioritiesDiffer);
 }
 
 /**
@@ -92,6 +95,7 @@
  * Returns the time until which a job counts as on time. A retry does until its deadline, so that a
  * caller is refused twice only if its answer cannot arrive in time.
  */
-export function goalAtMs(scheduler: Scheduler, { job, isRetry }: QueuedJob): number {
-  return isRetry && followsDrainRate(scheduler) ? job.deadlineAtMs : job.aimAtMs;
+export function goalAtMs(scheduler: Scheduler, queuedJob: QueuedJob): number {
+  const { job } = queuedJob;
+  return precedesNewJobs(scheduler, queuedJob) ? job.deadlineAtMs : job.aimAtMs;
 }
--- a/packages/coordination/test/core/scheduling/retry-after.test.ts
+++ b/packages/coordination/test/core/scheduling/retry-after.test.ts
@@ -16,7 +16,11 @@
 import { replayLoad } from '../../fixtures/load-replay.js';
 import { SPEC, engine, job, reportPrefilled, startedJobIds } from '../../fixtures/scheduling.js';
 
-const ALWAYS = { ...SCHEDULER_OPTIONS, drainRateRetries: Activation.Always };
+const ALWAYS = {
+  ...SCHEDULER_OPTIONS,
+  drainRateRetries: Activation.Always,
+  retriesFirst: Activation.Always,
+};
 const MIN_RETRY_MS = 300;
 const MIN_APART_MS = 1;
 const CALLERS = 30;
