Bound the queue of each engine

Jobs that may wait until their deadline fill the queues in a long overload, and each decision reads them.

--- a/packages/coordination/src/core/scheduling/load-shedding.ts
+++ b/packages/coordination/src/core/scheduling/load-shedding.ts
@@ -38,6 +38,8 @@
 ): RefusalReason | null {
   const { estimate } = placement;
   if (estimate.firstEventAtMs > queuedJob.job.deadlineAtMs) return RefusalReason.TooLate;
+  const { size } = queueOf(scheduler, placement.load.entry.id);
+  if (size >= scheduler.options.maxQueuedJobsPerEngine) return RefusalReason.Overload;
   if (isOnTime(estimate)) return null;
   if (lateJobsWait(scheduler)) {
     const hasRoom = hasRoomForLateJob(scheduler, queuedJob, placement, nowMs);
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -31,6 +31,13 @@
    * long after the handover of their prompts.
    */
   readonly maxDecodePrefillTokens: number;
+  /**
+   * Maximum number of jobs in the queue of an engine; further ones are refused. Each decision reads
+   * the queues, and jobs that may wait until their deadline fill them in a long overload. The value
+   * exceeds what an engine serves within the deadlines of the shortest prompts: at 100, retries were
+   * refused that could have been answered.
+   */
+  readonly maxQueuedJobsPerEngine: number;
   /**
    * Maximum predicted service time of the late jobs in the queue of an engine. With zero, a job
    * that would be late is refused immediately unless its engine is idle. Queued late jobs were
@@ -125,6 +132,7 @@
   recomputeWeight: 1,
   maxDecodePrefillTokens: 400,
   copyPenaltyMsPerThousand: 10,
+  maxQueuedJobsPerEngine: 1000,
   maxLateBacklogMs: 0,
   maxLateWaitMs: 50,
   stealIntervalMs: 10,
--- a/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
+++ b/packages/coordination/test/core/scheduling/scheduler-overload.test.ts
@@ -118,6 +118,21 @@
       assert.equal(decision.kind, DecisionKind.Refuse);
     });
 
+    // Each decision reads the queues, so a queue without bound stops a small gateway.
+    it('refuses further jobs once the queue of an engine is full', () => {
+      const maxQueuedJobsPerEngine = 5;
+      const bounded = createScheduler({ ...SCHEDULER_OPTIONS, maxQueuedJobsPerEngine });
+      syncEngines(bounded, single, SPEC);
+      const later = { aimAtMs: 1e6, deadlineAtMs: 1e6 };
+      submitJob(bounded, job('a', 9000, later), 0);
+      for (let count = 0; count < maxQueuedJobsPerEngine; count += 1) {
+        assert.deepEqual(submitJob(bounded, job('a', 9000, later), 1), []);
+      }
+      const [decision] = submitJob(bounded, job('a', 9000, later), 1);
+      assert.ok(decision?.kind === DecisionKind.Refuse);
+      assert.equal(decision.reason, RefusalReason.Overload);
+    });
+
     it('removes a queued job that has ended', () => {
       submitJob(scheduler, job('a', 9000), 0);
       const queuedJob = job('b', 1000, { aimAtMs: 2000 });
