--- /dev/null
+++ b/packages/daemon/test/gateway/usage-fleet.ts
@@ -0,0 +1,305 @@
+/**
+ * Runs the usage duty of several gateways on a virtual clock in one process, with a store in memory.
+ * Tests kill and replace gateways, cut them off, and take the store away.
+ */
+import { mock } from 'node:test';
+import {
+  type FleetChange,
+  FleetChangeKind,
+  type FleetView,
+  type UsageCounts,
+  applyListing,
+  createFleetView,
+  parseLeaseKey,
+  seededRandom,
+  windowOfKey,
+} from '@cassiamast/coordination';
+import { DUTY_CALL_FAILED, type DutyAuthority } from '@cassiamast/ports';
+import { ResultAsync, errAsync, okAsync } from 'neverthrow';
+import type { GatewayLog } from '../../src/gateway/gateway-log.js';
+import { createRecentGateways } from '../../src/gateway/recent-gateways.js';
+import { type UsageDuty, createUsageDuty } from '../../src/gateway/usage-duty.js';
+import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
+import type { RpcClient } from '../../src/node/rpc-client.js';
+import { RpcMethod } from '../../src/protocol/methods.js';
+import { type MemoryStore, createMemoryStore } from './usage-store.js';
+
+const STEP_MS = 10;
+const HOP_MS = 3;
+const POLL_MS = 1500;
+const RENEWAL_MS = 1000;
+const ANNOUNCEMENT_TTL_MS = 3000;
+const REQUEST_EVERY_MS = 200;
+const LEASE_KEY = 'cassiamast/duties/usage';
+const GATEWAY_PREFIX = 'gateways/';
+/** A multiple of the window's length. */
+const START_MS = 1_000_000_000;
+/** Window, due time and time within which changes are read, of the deployments with reports. */
+export const USAGE = { windowMs: 5000, dueMs: 10_000 };
+const MAX_UPDATE_DELAY_MS = 3000;
+
+/** A report as the platform got it, at a time of the fleet's clock. */
+export interface SeenReport extends DutyAuthority {
+  readonly window: number;
+  readonly counts: UsageCounts;
+  readonly atMs: number;
+}
+
+/** One gateway; a replaced one has lost what it knew. */
+export interface SimulatedGateway {
+  readonly id: string;
+  readonly view: FleetView;
+  readonly duty: UsageDuty;
+  isDead: boolean;
+  announcementLease: string | null;
+  confirmedAtMs: number;
+}
+
+/** The fleet. */
+export interface UsageFleet {
+  readonly store: MemoryStore;
+  readonly reports: SeenReport[];
+  readonly logLines: string[];
+  readonly counters: Map<string, number>;
+  /** Gateways that reach only each other. */
+  cutOff: Set<string>;
+  /** Whether these do not reach the store either. */
+  isStoreCutOff: boolean;
+  /** Answers calls between gateways instead of the gateway that is called, if not null. */
+  intercept: (to: string, method: string, params: unknown[]) => ResultAsync<unknown, never> | null;
+  /** Whether the platform rejects reports. */
+  rejectsReports: boolean;
+  /** Unix milliseconds by the true clock. */
+  readonly nowMs: () => number;
+  readonly runUntil: (atMs: number) => Promise<void>;
+  readonly gateway: (id: string) => SimulatedGateway;
+  /** The id of the gateway whose lease key is in the store. */
+  readonly holder: () => string | null;
+  readonly kill: (id: string) => void;
+  readonly start: (id: string) => void;
+  readonly close: () => void;
+}
+
+/** Starts a fleet; `seed` decides the phases of its timers. */
+export function startUsageFleet(size: number, seed: number): UsageFleet {
+  mock.timers.enable({ apis: ['setTimeout'] });
+  const random = seededRandom(seed);
+  let nowMs = 0;
+  const store = createMemoryStore(() => nowMs);
+  const gateways = new Map<string, SimulatedGateway>();
+  const ids = Array.from({ length: size }, (_, index) => `edge-${String(index)}`);
+
+  const isCut = (one: string, other: string): boolean =>
+    fleet.cutOff.has(one) !== fleet.cutOff.has(other);
+  const isStoreCut = (id: string): boolean => fleet.isStoreCutOff && fleet.cutOff.has(id);
+  const later = <Value>(value: () => Value, ms: number): Promise<Value> =>
+    new Promise((resolve) => {
+      setTimeout(() => {
+        resolve(value());
+      }, ms);
+    });
+
+  function callFrom(from: () => SimulatedGateway): RpcClient['call'] {
+    const call = (to: string, method: string, params: unknown[], { timeoutMs = 0 }) => {
+      const cause = { member: to, method, cause: 'no answer', mayHaveRun: true };
+      const failed = () => errAsync(MEMBER_UNREACHABLE.of(cause));
+      const isReached = () =>
+        !isCut(from().id, to) && !from().isDead && gateways.get(to)?.isDead === false;
+      if (!isReached())
+        return ResultAsync.fromSafePromise(later(() => 0, timeoutMs)).andThen(failed);
+      const answer = later(
+        () => fleet.intercept(to, method, params) ?? handle(to, method, params),
+        HOP_MS,
+      );
+      return ResultAsync.fromSafePromise(answer)
+        .andThen((result) => result)
+        .andThen((result) => ResultAsync.fromSafePromise(later(() => result, HOP_MS)))
+        .andThen((result) => (isReached() && result !== undefined ? okAsync(result) : failed()));
+    };
+    return call as unknown as RpcClient['call'];
+  }
+
+  /** Answers with undefined to a method that the gateway does not know. */
+  function handle(to: string, method: string, params: unknown[]): ResultAsync<unknown, never> {
+    const { duty } = fleet.gateway(to);
+    const handlers: Partial<Record<string, (...params: never[]) => unknown>> = {
+      [RpcMethod.UsageRead]: duty.onRead,
+      [RpcMethod.UsageTell]: duty.onTold,
+    };
+    return okAsync(handlers[method]?.(...(params as never[])));
+  }
+
+  const log: GatewayLog = {
+    info: (message, fields) => {
+      fleet.logLines.push(`${String(nowMs)} ${message} ${JSON.stringify(fields)}`);
+    },
+    warn: (message, fields) => {
+      log.info(message, fields);
+    },
+    lifecycle: () => undefined,
+  };
+
+  function oldest(view: FleetView): string | undefined {
+    const byAge = [...view.gateways.values()].sort(
+      (one, other) => one.announcedAtRevision - other.announcedAtRevision,
+    );
+    return byAge[0]?.id;
+  }
+
+  function start(id: string): void {
+    const view = createFleetView();
+    const isConfirmed = () => nowMs - gateway.confirmedAtMs < ANNOUNCEMENT_TTL_MS;
+    const duty = createUsageDuty({
+      selfId: id,
+      name: id,
+      source: `${id}/${String(nowMs)}`,
+      settings: USAGE,
+      maxUpdateDelayMs: MAX_UPDATE_DELAY_MS,
+      duties: { reportUsage, close: () => Promise.resolve() },
+      store: store.portOf(() => isStoreCut(id) || gateway.isDead),
+      view,
+      rpc: { call: callFrom(() => gateway) },
+      recent: createRecentGateways(view, id, () => nowMs),
+      isCandidate: () => isConfirmed() && oldest(view) === id,
+      gatewayCount: () => view.gateways.size,
+      random,
+      elapsedMs: () => nowMs,
+      wallMs: () => START_MS + nowMs,
+      nowMs: () => nowMs,
+      log: {
+        ...log,
+        info: (text, fields) => log.info(`${id} ${text}`, fields),
+        warn: (text, fields) => log.warn(`${id} ${text}`, fields),
+      },
+      count: (name) => fleet.counters.set(name, (fleet.counters.get(name) ?? 0) + 1),
+    });
+    const gateway: SimulatedGateway = {
+      id,
+      view,
+      duty,
+      isDead: false,
+      announcementLease: null,
+      confirmedAtMs: -Infinity,
+    };
+    gateways.set(id, gateway);
+    void duty.child?.start(() => undefined);
+    void repeat(gateway, RENEWAL_MS, announce);
+    void repeat(gateway, POLL_MS, readStore);
+    void repeat(gateway, REQUEST_EVERY_MS, () => {
+      duty.noteBegun({ workspace: `w${id.slice(-1)}`, isCounted: false }, nowMs);
+    });
+  }
+
+  async function repeat(
+    gateway: SimulatedGateway,
+    everyMs: number,
+    run: (one: SimulatedGateway) => unknown,
+  ) {
+    await later(() => 0, Math.floor(random() * everyMs));
+    while (!gateway.isDead) {
+      await run(gateway);
+      await later(() => 0, everyMs);
+    }
+  }
+
+  async function announce(gateway: SimulatedGateway): Promise<void> {
+    const port = store.portOf(() => isStoreCut(gateway.id) || gateway.isDead);
+    const sentAtMs = nowMs;
+    if (gateway.announcementLease !== null) {
+      const kept = await port.keepLeaseAlive(gateway.announcementLease);
+      if (kept.isOk() && kept.value.ttlMs > 0) gateway.confirmedAtMs = sentAtMs;
+      if (kept.isErr() || kept.value.ttlMs > 0) return;
+    }
+    const granted = await port.grantLease(ANNOUNCEMENT_TTL_MS);
+    if (granted.isErr()) return;
+    const { leaseId } = granted.value;
+    const written = await port.transact(
+      [],
+      [{ key: GATEWAY_PREFIX + gateway.id, value: '', leaseId }],
+    );
+    if (written.isErr()) return;
+    gateway.announcementLease = leaseId;
+    gateway.confirmedAtMs = sentAtMs;
+  }
+
+  function readStore({ id, view }: SimulatedGateway): void {
+    if (store.isAway || isStoreCut(id)) return;
+    const changes = store.entries().flatMap(({ key, value, modRevision }): FleetChange[] => {
+      const window = windowOfKey(key);
+      const revision = modRevision;
+      if (window !== null) {
+        const counts = JSON.parse(value) as UsageCounts;
+        return [{ kind: FleetChangeKind.UsageFixed, revision, window, counts }];
+      }
+      if (!key.startsWith(GATEWAY_PREFIX)) return [];
+      const gateway = { id: key.slice(GATEWAY_PREFIX.length), failureDomain: 'a', coreShare: 1 };
+      return [{ kind: FleetChangeKind.Gateway, revision, gateway }];
+    });
+    applyListing(view, changes, store.revision(), nowMs);
+  }
+
+  const reportUsage = (window: number, counts: UsageCounts, authority: DutyAuthority) => {
+    if (fleet.rejectsReports)
+      return errAsync(DUTY_CALL_FAILED.of({ call: '/usage', detail: '503' }));
+    fleet.reports.push({ window, counts, ...authority, atMs: START_MS + nowMs });
+    return ResultAsync.fromSafePromise(later(() => null, HOP_MS));
+  };
+
+  const fleet: UsageFleet = {
+    store,
+    reports: [],
+    logLines: [],
+    counters: new Map(),
+    cutOff: new Set(),
+    isStoreCutOff: false,
+    intercept: () => null,
+    rejectsReports: false,
+    nowMs: () => START_MS + nowMs,
+    runUntil: async (atMs) => {
+      while (START_MS + nowMs < atMs) {
+        nowMs += STEP_MS;
+        mock.timers.tick(STEP_MS);
+        await new Promise((resolve) => setImmediate(resolve));
+      }
+    },
+    gateway: (id) => {
+      const found = gateways.get(id);
+      if (found === undefined) throw new Error(`no gateway ${id}`);
+      return found;
+    },
+    holder: () => {
+      const key = store.entries().find((entry) => entry.key === LEASE_KEY);
+      return key === undefined ? null : (parseLeaseKey(key.value)?.planner ?? null);
+    },
+    kill: (id) => {
+      const killed = fleet.gateway(id);
+      killed.isDead = true;
+      void killed.duty.child?.stop();
+    },
+    start,
+    close: () => {
+      for (const id of gateways.keys()) fleet.kill(id);
+      mock.timers.reset();
+    },
+  };
+  for (const id of ids) start(id);
+  return fleet;
+}
+
+/** Returns what breaks a rule of the platform, one text each. */
+export function brokenRules(reports: readonly SeenReport[]): readonly string[] {
+  const counts = new Map<number, string>();
+  return reports.flatMap(({ window, counts: sent, holder, fence, atMs }, index) => {
+    const text = JSON.stringify(Object.entries(sent).sort());
+    const first = counts.get(window) ?? text;
+    counts.set(window, first);
+    const earlier = reports.slice(0, index);
+    const isTooSoon = ({ holder: other, atMs: at }: SeenReport) =>
+      other !== holder && atMs - at < 3000;
+    return [
+      ...(text === first ? [] : [`window ${String(window)}: ${text}, not ${first}`]),
+      ...(earlier.some((one) => one.fence > fence) ? [`fence ${String(fence)} came late`] : []),
+      ...(earlier.some(isTooSoon) ? [`${holder} sent within 3 s of another`] : []),
+    ];
+  });
+}
