Send usage reports once the other gateways know their counts

The holder tells the fixed counts to all announced gateways and sends the report when those that answer have acknowledged them, instead of 3 s after it has fixed them. Questions are asked as soon as a window can be whole, and again every 250 ms to those that did not answer. A successor learns fixed counts that the store lacks from the gateways that it asks, and these acknowledge nothing to an earlier holder after that.

Windows of a replaced holder were missed although a successor existed: it had to be the gateway that schedules, so it waited until the announcement of the dead one had lapsed and was read, and after an outage until its own was confirmed. The two gateways announced longest and a recent holder are candidates now, and read the key every 0.3 s instead of 0.8 s. The compare-and-swap of the store decides as before.

--- a/packages/daemon/src/gateway/member-handlers.ts
+++ b/packages/daemon/src/gateway/member-handlers.ts
@@ -20,7 +20,7 @@
   crashes: Pick<CrashReports, 'receiveCrashes'>,
   versions: Pick<StreamVersions, 'find' | 'receive'>,
   configurations: Pick<ConfigurationRelay, 'newerThan'>,
-  usage: Pick<UsageDuty, 'onRead' | 'onTold'>,
+  usage: Pick<UsageDuty, 'onRead' | 'onTold' | 'onFixed'>,
 ): ControlServerOptions['handlers'] {
   return {
     [RpcMethod.ScheduleTake]: (params) => {
@@ -71,13 +71,17 @@
       return configurations.newerThan(version);
     },
     [RpcMethod.UsageRead]: (params) => {
-      const [reader, sinceWindow, correction] = params as Parameters<UsageDuty['onRead']>;
-      return usage.onRead(reader, sinceWindow, correction);
+      const [reader, sinceWindow, question] = params as Parameters<UsageDuty['onRead']>;
+      return usage.onRead(reader, sinceWindow, question);
     },
     [RpcMethod.UsageTell]: (params) => {
       const [reading] = params as [UsageReading];
       usage.onTold(reading);
       return null;
     },
+    [RpcMethod.UsageFixed]: (params) => {
+      const [window, counts, fence] = params as Parameters<UsageDuty['onFixed']>;
+      return usage.onFixed(window, counts, fence);
+    },
   };
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -13,6 +13,7 @@
   hash32,
   pollIntervalOptions,
   seededRandom,
+  usageCandidates,
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
@@ -86,8 +87,6 @@
 const TARGET_KEEP_ALIVE_MS = 4000;
 /** A fixed value because gateways get no secret; only the allowed networks protect them. */
 const MEMBER_SECRET = 'gateway';
-/** The duty whose holder is chosen like the scheduler of a service. */
-const USAGE = 'usage';
 /** Grace period if the settings specify none. */
 const DEFAULT_GRACE_MS = 8000;
 
@@ -281,7 +280,7 @@
           view,
           rpc,
           recent,
-          isCandidate: () => presence.isConfirmed() && scheduling.schedulerOf(USAGE) === selfId,
+          isCandidate: () => usageCandidates([...view.gateways.values()]).includes(selfId),
           gatewayCount: () => view.gateways.size,
           random,
           elapsedMs,
--- a/packages/daemon/src/gateway/usage-collector.ts
+++ b/packages/daemon/src/gateway/usage-collector.ts
@@ -6,18 +6,25 @@
   type FleetView,
   type UsageCollection,
   type UsageCounts,
+  type UsageGuards,
+  type UsageReadings,
   certainDifferenceMs,
   createUsageCollection,
+  createUsageReadings,
   forgetUsageBefore,
   median,
+  recordReading,
   recordUsage,
+  rememberFixedUsage,
+  retainReadings,
   totalUsage,
   trueTimeMs,
 } from '@cassiamast/coordination';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { RecentGateways } from './recent-gateways.js';
-import type { TimeCorrection, UsageMeter, UsageReading } from './usage-meter.js';
+import type { UsageAnswer, UsageQuestion } from './usage-knowledge.js';
+import type { UsageMeter, UsageReading } from './usage-meter.js';
 
 const CALL_TIMEOUT_MS = 700;
 
@@ -30,8 +37,18 @@
 
 /** The counts of the fleet as one gateway has collected them. */
 export interface UsageCollector {
-  /** Asks all gateways once; resolves with the announced ones that did not answer. */
-  readonly collect: (sinceWindow: number) => Promise<readonly string[]>;
+  /**
+   * Asks all gateways once for a window and all later ones, under a fencing token; resolves with the
+   * announced ones that did not answer. Must not be called again before that.
+   */
+  readonly collect: (sinceWindow: number, fence: number) => Promise<readonly string[]>;
+  /** Asks some gateways for their counts alone. */
+  readonly askAgain: (
+    gateways: readonly string[],
+    sinceWindow: number,
+    fence: number,
+  ) => Promise<void>;
+  readonly readings: UsageReadings;
   readonly total: (window: number) => UsageCounts;
   /** Handles the last counts of a process that ends. */
   readonly onTold: (reading: UsageReading) => void;
@@ -46,6 +63,7 @@
   readonly recent: RecentGateways;
   readonly meter: UsageMeter;
   readonly nowMs: () => number;
+  readonly guards: Pick<UsageGuards, 'learnsFixedCounts'>;
 }
 
 /** Creates a collector. */
@@ -55,34 +73,53 @@
   /** What each gateway is told next time, by id. */
   const correctionsMs = new Map<string, number>();
 
-  function take({ source, usage }: UsageReading): void {
+  const readings = createUsageReadings();
+
+  function take({ source, usage, fixed = [] }: Partial<UsageAnswer> & UsageReading): void {
     recordUsage(collection, source, usage);
+    if (!options.guards.learnsFixedCounts) return;
+    for (const { window, counts } of fixed) rememberFixedUsage(view.fixedUsage, window, counts);
   }
 
   /** Resolves with how far a gateway's times are ahead of the own estimate; null without answer. */
-  async function ask(id: string, sinceWindow: number): Promise<Differences | null> {
-    const correction: TimeCorrection = { correctionMs: correctionsMs.get(id) ?? 0 };
-    const sentAtMs = trueTimeMs(meter.time, nowMs());
-    const params = [selfId, sinceWindow, correction];
-    const answer = await rpc.call<UsageReading | null>(id, RpcMethod.UsageRead, params, {
+  async function ask(
+    id: string,
+    sinceWindow: number,
+    question: UsageQuestion,
+  ): Promise<Differences | null> {
+    const askedAtMs = nowMs();
+    const sentAtMs = trueTimeMs(meter.time, askedAtMs);
+    const params = [selfId, sinceWindow, question];
+    const answer = await rpc.call<UsageAnswer | null>(id, RpcMethod.UsageRead, params, {
       timeoutMs: CALL_TIMEOUT_MS,
     });
-    if (answer.isErr() || answer.value === null) return null;
-    take(answer.value);
+    const reading = answer.unwrapOr(null);
+    recordReading(readings, id, askedAtMs, reading !== null);
+    if (reading === null) return null;
+    take(reading);
     const call = { sentAtMs, answeredAtMs: trueTimeMs(meter.time, nowMs()) };
-    const { wallMs, trueMs } = answer.value;
+    const { wallMs, trueMs } = reading;
     return {
       clockMs: certainDifferenceMs({ ...call, shownMs: wallMs }),
       estimateMs: certainDifferenceMs({ ...call, shownMs: trueMs }),
     };
   }
 
+  function questionOf(fence: number, correctionMs: number): UsageQuestion {
+    return { correctionMs, fence, fixedWindows: [...view.fixedUsage.keys()] };
+  }
+
   return {
-    collect: async (sinceWindow) => {
+    readings,
+    collect: async (sinceWindow, fence) => {
       const own = meter.read(sinceWindow);
-      take(own);
+      const others = recent.others();
+      retainReadings(readings, new Set(others));
       const asked = await Promise.all(
-        recent.others().map(async (id) => ({ id, ahead: await ask(id, sinceWindow) })),
+        others.map(async (id) => {
+          const question = questionOf(fence, correctionsMs.get(id) ?? 0);
+          return { id, ahead: await ask(id, sinceWindow, question) };
+        }),
       );
       const clocksMs = asked.flatMap(({ ahead }) => ahead?.clockMs ?? []);
       const ownCorrectionMs = median([own.wallMs - own.trueMs, ...clocksMs]);
@@ -95,7 +132,13 @@
         .filter(({ id, ahead }) => ahead === null && view.gateways.has(id))
         .map(({ id }) => id);
     },
-    total: (window) => totalUsage(collection, window),
+    askAgain: async (gateways, sinceWindow, fence) => {
+      await Promise.all(gateways.map((id) => ask(id, sinceWindow, questionOf(fence, 0))));
+    },
+    total: (window) => {
+      take(meter.read(window));
+      return totalUsage(collection, window);
+    },
     onTold: take,
     forgetBefore: (window) => {
       forgetUsageBefore(collection, window);
--- a/packages/daemon/src/gateway/usage-duty.ts
+++ b/packages/daemon/src/gateway/usage-duty.ts
@@ -2,11 +2,18 @@
  * The usage duty of a gateway: it counts what its requests use, and reports the usage of the whole
  * fleet while it holds the duty. Where the platform asks for no reports, it does nothing.
  */
+import { USAGE_GUARDS, UsageAcknowledgement, type UsageGuards } from '@cassiamast/coordination';
 import type { Child } from '../supervisor/supervisor.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { GatewayLog } from './gateway-log.js';
 import { type UsageCollectorOptions, createUsageCollector } from './usage-collector.js';
+import {
+  type UsageAnswer,
+  type UsageKnowledge,
+  type UsageQuestion,
+  createUsageKnowledge,
+} from './usage-knowledge.js';
 import { type UsageMeter, type UsageReading, createUsageMeter } from './usage-meter.js';
 import { type UsageReporterOptions, createUsageReporter } from './usage-reporter.js';
 
@@ -18,7 +25,13 @@
   readonly child: Child | null;
   readonly noteBegun: UsageMeter['noteBegun'];
   /** Answers the gateway that reports; null where no reports are asked for. */
-  readonly onRead: (...question: Parameters<UsageMeter['onRead']>) => UsageReading | null;
+  readonly onRead: (
+    reader: string,
+    sinceWindow: number,
+    question: Partial<UsageQuestion>,
+  ) => UsageAnswer | null;
+  /** Acknowledges the counts that the gateway that reports has fixed. */
+  readonly onFixed: UsageKnowledge['onFixed'];
   readonly onTold: (reading: UsageReading) => void;
   /** Tells the gateway that reports what it could not ask for any more. */
   readonly tellLast: () => Promise<void>;
@@ -26,12 +39,14 @@
 }
 
 /** Dependencies of the duty. */
-export type UsageDutyOptions = Omit<UsageReporterOptions, 'meter' | 'collector'> &
-  Omit<UsageCollectorOptions, 'meter'> & {
+export type UsageDutyOptions = Omit<UsageReporterOptions, 'meter' | 'collector' | 'guards'> &
+  Omit<UsageCollectorOptions, 'meter' | 'guards'> & {
     readonly source: string;
     readonly wallMs: () => number;
     readonly rpc: Pick<RpcClient, 'call'>;
     readonly log: GatewayLog;
+    /** Tests turn rules off; all are in force by default. */
+    readonly guards?: UsageGuards;
   };
 
 /** The duty where the platform asks for no reports. */
@@ -39,6 +54,7 @@
   child: null,
   noteBegun: () => undefined,
   onRead: () => null,
+  onFixed: () => UsageAcknowledgement.Outdated,
   onTold: () => undefined,
   tellLast: () => Promise.resolve(),
   close: () => Promise.resolve(),
@@ -47,12 +63,18 @@
 /** Creates the duty. */
 export function createUsageDuty(options: UsageDutyOptions): UsageDuty {
   const { windowMs } = options.settings;
+  const guards = options.guards ?? USAGE_GUARDS;
   const meter = createUsageMeter({ ...options, windowMs });
-  const collector = createUsageCollector({ ...options, meter });
+  const collector = createUsageCollector({ ...options, meter, guards });
+  const knowledge = createUsageKnowledge(options.view.fixedUsage, guards);
   return {
-    child: createUsageReporter({ ...options, meter, collector }),
+    child: createUsageReporter({ ...options, meter, collector, guards }),
     noteBegun: meter.noteBegun,
-    onRead: meter.onRead,
+    onRead: (reader, sinceWindow, question) => ({
+      ...meter.onRead(reader, sinceWindow, question),
+      fixed: knowledge.onQuestion(sinceWindow, question),
+    }),
+    onFixed: knowledge.onFixed,
     onTold: collector.onTold,
     tellLast: async () => {
       const reader = meter.lastReader();
--- a/packages/daemon/src/gateway/usage-meter.ts
+++ b/packages/daemon/src/gateway/usage-meter.ts
@@ -40,7 +40,7 @@
   readonly onRead: (
     reader: string,
     sinceWindow: number,
-    correction: Partial<TimeCorrection>,
+    question: Partial<TimeCorrection>,
   ) => UsageReading;
   /** The gateway that asked last; null before the first question. */
   readonly lastReader: () => string | null;
--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -1,72 +1,64 @@
 /**
  * Reports the usage of each window to the platform, from one gateway at a time. The counts of a
  * window are fixed in the store before they are sent, under the lease of the one that fixes them, so
- * that whoever repeats a report sends the very same counts. They are sent once all gateways have read
- * them there, as the store may come back from an older copy without them.
+ * that whoever repeats a report sends the very same counts. They are sent once the other gateways have
+ * acknowledged them or have read them there, as the store may come back from an older copy without
+ * them.
  */
 import {
   type FleetView,
   type LeaseOptions,
   type Random,
   type UsageCounts,
-  fixedUsageKey,
-  isSameUsage,
-  rememberFixedUsage,
+  type UsageGuards,
   trueTimeMs,
   usageWindowAt,
 } from '@cassiamast/coordination';
-import { type DutyPort, type LeaseStore, parseJsonObject } from '@cassiamast/ports';
+import type { DutyPort, LeaseStore } from '@cassiamast/ports';
 import { createPeriodic } from '../node/timers.js';
 import { type LeaseDriver, createLeaseDriver } from '../planning/lease-driver.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
+import type { RpcClient } from '../node/rpc-client.js';
+import { createUsageAcknowledgements } from './usage-acknowledgements.js';
 import type { UsageCollector } from './usage-collector.js';
+import { FixingOutcome, createUsageFixing } from './usage-fixing.js';
 import type { UsageMeter } from './usage-meter.js';
+import { createUsageRounds } from './usage-rounds.js';
 
 const LEASE_KEY = 'cassiamast/duties/usage';
 
-const TICK_MS = 500;
-const MIN_COLLECT_INTERVAL_MS = 1000;
-/** Keeps what the collection costs at the reporter the same in a large fleet. */
-const COLLECT_INTERVAL_PER_GATEWAY_MS = 10;
-/** A request that began in a window may be counted when its answer comes, this much later. */
-const COUNTED_WITHIN_MS = 1500;
-/** Gateways that give no answer are waited for until this long after a window's end. */
-const WAIT_FOR_MISSING_MS = 4000;
+const TICK_MS = 100;
+/** Pause after a call to the store or to the platform that failed. */
+const RETRY_PAUSE_MS = 500;
 /** A report is sent this long before it is due, though some gateways may not know its counts yet. */
 const LAST_SEND_MS = 1500;
-/** Reports that are kept in the store, for a successor that repeats them. */
-const KEPT_REPORTS = 6;
+/**
+ * Who has lost the lease stays a candidate for this long. After an outage of the store no gateway is
+ * announced at first, and reports would wait until one is.
+ */
+const CANDIDATE_AFTER_LOSS_MS = 30_000;
 
 /**
  * The lease of the reporter. It sends nothing later than two seconds after its last renewal, a call
  * takes two at most, and its successor begins three seconds after it has the key: no call of the one
  * comes after a call of the other, and no two take turns within the platform's three seconds.
  */
-const REPORTER_LEASE: LeaseOptions = {
+const REPORTER_LEASE: Omit<LeaseOptions, 'guards'> = {
   ttlMs: 4000,
   renewIntervalMs: 1000,
   safetyMs: 2000,
   takeoverDelayMs: 3000,
-  retryMs: 800,
-  guards: { stopsBeforeExpiry: true, waitsForOldTickets: true },
+  retryMs: 300,
 };
-
-/** The last collection of counts. */
-interface Collected {
-  /** When it began, in Unix milliseconds. */
-  readonly fromMs: number;
-  /** The gateways that did not answer. */
-  readonly missing: readonly string[];
-}
-
-const NOT_COLLECTED: Collected = { fromMs: -Infinity, missing: [] };
+/** The predecessor's lease is over this long after the key was taken: it was not renewed since. */
+const PREDECESSOR_SENDS_MS = REPORTER_LEASE.ttlMs - REPORTER_LEASE.safetyMs;
 
 /** The counts of a window that are fixed in the store. */
 interface FixedCounts {
   readonly counts: UsageCounts;
-  /** From then on all gateways know them, so that none contradicts a report that was sent. */
-  readonly sendAtMs: number;
+  /** From then on all gateways have read them in the store. */
+  readonly readByAllAtMs: number;
 }
 
 /** What the operators ask of reports. */
@@ -86,7 +78,8 @@
   readonly maxUpdateDelayMs: number;
   readonly duties: DutyPort;
   readonly store: LeaseStore;
-  readonly view: Pick<FleetView, 'fixedUsage'>;
+  readonly view: Pick<FleetView, 'fixedUsage' | 'gateways'>;
+  readonly rpc: Pick<RpcClient, 'call'>;
   readonly meter: UsageMeter;
   readonly collector: UsageCollector;
   /** Whether this gateway may become the reporter. */
@@ -98,33 +91,38 @@
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
+  readonly guards: UsageGuards;
 }
 
 /** Creates the reporter. */
 export function createUsageReporter(options: UsageReporterOptions): Child {
-  const { settings, duties, store, meter, collector, log, nowMs, count } = options;
-  const { fixedUsage } = options.view;
+  const { settings, duties, meter, collector, log, nowMs, count, guards } = options;
   const { windowMs, dueMs } = settings;
   const reported = new Set<number>();
   /** Fixed counts of windows that are not reported yet. */
   const unreported = new Map<number, FixedCounts>();
-  let collected: Collected = NOT_COLLECTED;
+  /** Times before which windows are not tried again after a failed call. */
+  const retryAtMs = new Map<number, number>();
   let isLeaving = false;
+  let lostAtMs = -Infinity;
   const lease: LeaseDriver = createLeaseDriver({
     selfId: options.selfId,
     key: LEASE_KEY,
     nowMs: options.elapsedMs,
     random: options.random,
-    keyValue: store,
+    keyValue: options.store,
     telemetry: { count },
-    leaseOptions: REPORTER_LEASE,
-    isCandidate: () => !isLeaving && options.isCandidate(),
+    leaseOptions: { ...REPORTER_LEASE, guards: guards.lease },
+    isCandidate: () =>
+      !isLeaving && (options.isCandidate() || nowMs() - lostAtMs < CANDIDATE_AFTER_LOSS_MS),
     onGained: (fence) => {
+      rounds.restart(nowMs() + PREDECESSOR_SENDS_MS);
       log.info('duty gained', { duty: 'usage', fence });
     },
     onLost: (fence, reason) => {
-      collected = NOT_COLLECTED;
+      lostAtMs = nowMs();
       unreported.clear();
+      acknowledgements.forgetAll();
       log.warn('duty lost', { duty: 'usage', fence, reason });
     },
   });
@@ -143,98 +141,124 @@
     return windows;
   }
 
-  async function collect(): Promise<void> {
-    const everyMs = Math.max(
-      MIN_COLLECT_INTERVAL_MS,
-      options.gatewayCount() * COLLECT_INTERVAL_PER_GATEWAY_MS,
-    );
-    const fromMs = nowTrueMs();
-    if (fromMs - collected.fromMs < everyMs) return;
-    const since = openWindows()[0] ?? usageWindowAt(fromMs, windowMs);
-    collector.forgetBefore(since);
-    collected = { fromMs, missing: await collector.collect(since) };
+  const acknowledgements = createUsageAcknowledgements({
+    ...options,
+    readings: collector.readings,
+  });
+  const rounds = createUsageRounds({
+    ...options,
+    fence: () => (lease.holds() ? lease.state.fence : null),
+    openWindows,
+    endMs: (window) => endOf(window) - meter.time.offsetMs,
+    currentWindow: () => usageWindowAt(nowTrueMs(), windowMs),
+  });
+  const fixCounts = createUsageFixing({
+    ...options,
+    leaseKey: LEASE_KEY,
+    total: collector.total,
+  });
+
+  function retryLater(window: number): void {
+    retryAtMs.set(window, nowMs() + RETRY_PAUSE_MS);
   }
 
-  /** Returns whether the counts of a window are as whole as they will be. */
-  function isCounted(window: number): boolean {
-    if (collected.fromMs < endOf(window) + COUNTED_WITHIN_MS) return false;
-    return collected.missing.length === 0 || collected.fromMs > endOf(window) + WAIT_FOR_MISSING_MS;
+  function withhold(window: number, knownBy: string): void {
+    log.warn('usage not reported, it was fixed twice', { window, knownBy });
+    reported.add(window);
+    unreported.delete(window);
   }
 
   /** Resolves with the counts that are fixed in the store; null if they must not be reported. */
-  async function fixCounts(window: number): Promise<FixedCounts | null> {
-    const key = fixedUsageKey(window);
-    // A store that came back from an older copy may lack counts that were reported already.
-    const counts = fixedUsage.get(window) ?? collector.total(window);
-    const fixed = await store.transact(
-      [
-        { key, modRevision: 0 },
-        { key: LEASE_KEY, modRevision: lease.state.fence },
-      ],
-      [
-        { key, value: JSON.stringify(counts) },
-        { key: fixedUsageKey(window - KEPT_REPORTS), value: null },
-      ],
-    );
-    if (fixed.isErr()) {
-      log.warn('usage not fixed', { window, cause: fixed.error.message });
+  async function fix(window: number): Promise<FixedCounts | null> {
+    const { fence } = lease.state;
+    const missing = rounds.missing(window);
+    const fixing = await fixCounts(window, fence);
+    if (fixing.outcome === FixingOutcome.NotFixed) {
+      log.warn('usage not fixed', { window, cause: fixing.cause });
+      retryLater(window);
       return null;
     }
-    if (fixed.value.succeeded) {
-      log.info('usage fixed', { window, gateways: options.gatewayCount(), ...collected });
-      rememberFixedUsage(fixedUsage, window, counts);
-      return { counts, sendAtMs: nowMs() + waitUntilKnownMs(window) };
+    if (fixing.outcome === FixingOutcome.Contradicted) {
+      withhold(window, options.selfId);
+      return null;
     }
-    const entry = fixed.value.current.find((each) => each.key === key);
-    const earlier = entry === undefined ? null : earlierCounts(window, entry.value);
-    return earlier === null ? null : { counts: earlier, sendAtMs: nowMs() };
+    const { outcome, counts } = fixing;
+    const afterMs = Math.round(nowTrueMs() - endOf(window));
+    const gateways = options.gatewayCount();
+    log.info('usage fixed', { window, outcome, gateways, missing, afterMs });
+    // An answer that comes after the lease was lost says nothing about the next one.
+    if (!lease.holds() || lease.state.fence !== fence) return null;
+    const waitMs = outcome === FixingOutcome.FixedEarlier ? 0 : waitUntilReadMs(window);
+    const fixed = { counts, readByAllAtMs: nowMs() + waitMs };
+    unreported.set(window, fixed);
+    return fixed;
   }
 
-  /** Returns how long to wait until all gateways know the counts, but not beyond the due time. */
-  function waitUntilKnownMs(window: number): number {
+  /** Returns how long to wait until all gateways read the counts, but not beyond the due time. */
+  function waitUntilReadMs(window: number): number {
     const leftMs = endOf(window) + dueMs - LAST_SEND_MS - nowTrueMs();
     return Math.max(0, Math.min(options.maxUpdateDelayMs, leftMs));
   }
 
-  /** Returns the counts that the store has; null if others may have been reported before. */
-  function earlierCounts(window: number, value: string): UsageCounts | null {
-    const counts = parseJsonObject(value) as UsageCounts | null;
-    if (counts === null) return null;
-    if (isSameUsage(fixedUsage.get(window) ?? counts, counts)) return counts;
-    log.warn('usage not reported, it was fixed twice', { window });
-    reported.add(window);
-    return null;
+  /** Returns whether enough others know the counts, and none knows others; tells them if not. */
+  function isKnown(window: number, { counts, readByAllAtMs }: FixedCounts): boolean {
+    if (nowMs() >= readByAllAtMs || !guards.waitsUntilKnown) return true;
+    if (acknowledgements.isAcknowledged(window)) return true;
+    acknowledgements.tell(window, counts, lease.state.fence);
+    return false;
   }
 
   async function report(window: number): Promise<void> {
-    const fixed = unreported.get(window) ?? (await fixCounts(window));
-    // Checked again right before sending: the lease may have expired meanwhile.
-    if (fixed === null || !lease.mayOrder()) return;
-    unreported.set(window, fixed);
-    if (nowMs() < fixed.sendAtMs) return;
+    const fixed = unreported.get(window) ?? (await fix(window));
+    if (fixed === null) return;
+    const isWaitOver = isKnown(window, fixed);
+    const contradictedBy = acknowledgements.contradictedBy(window);
+    if (contradictedBy !== null && guards.stopsOnContradiction) {
+      withhold(window, contradictedBy);
+      return;
+    }
+    // Checked right before sending: the lease may have expired meanwhile.
+    if (!isWaitOver || (guards.checksLeaseBeforeSend && !lease.mayOrder())) return;
+    await send(window, fixed.counts);
+  }
+
+  async function send(window: number, counts: UsageCounts): Promise<void> {
     const { fence } = lease.state;
-    const sent = await duties.reportUsage(window, fixed.counts, { holder: options.name, fence });
+    const acknowledged = acknowledgements.acknowledgedCount(window);
+    if (!acknowledgements.isAcknowledged(window)) count('usage_reports_unacknowledged_total');
+    const sent = await duties.reportUsage(window, counts, { holder: options.name, fence });
     count(sent.isOk() ? 'usage_reports_total' : 'usage_reports_failed_total');
     const outcome = sent.isOk() ? 'accepted' : sent.error.message;
     const lateMs = Math.round(nowTrueMs() - endOf(window) - dueMs);
-    log.info('usage reported', { window, fence, outcome, lateMs, isLate: lateMs > 0 });
-    if (sent.isErr()) return;
+    const isLate = lateMs > 0;
+    log.info('usage reported', { window, fence, outcome, lateMs, isLate, acknowledged });
+    if (sent.isErr()) {
+      retryLater(window);
+      return;
+    }
     reported.add(window);
     unreported.delete(window);
+    acknowledgements.forget(window);
   }
 
-  async function tick(): Promise<void> {
-    lease.tick();
-    for (const windows of [reported, unreported]) {
+  function forgetOldWindows(): void {
+    for (const windows of [reported, unreported, retryAtMs]) {
       for (const window of windows.keys()) {
-        if (endOf(window) + 2 * dueMs < nowTrueMs()) windows.delete(window);
+        if (endOf(window) + 2 * dueMs < nowTrueMs()) {
+          windows.delete(window);
+          acknowledgements.forget(window);
+        }
       }
     }
-    if (!lease.holds()) return;
-    await collect();
+  }
+
+  async function tick(): Promise<void> {
+    lease.tick();
+    forgetOldWindows();
     for (const window of openWindows()) {
-      if (!isCounted(window) || !lease.mayOrder()) return;
-      await report(window);
+      if (!lease.holds()) return;
+      if (nowMs() < (retryAtMs.get(window) ?? -Infinity)) continue;
+      if (unreported.has(window) || rounds.isCounted(window)) await report(window);
       lease.tick();
     }
   }
@@ -247,16 +271,15 @@
     },
   );
   const periodic = createPeriodic('usage-reporter', () => TICK_MS, tick);
+  const children = [renewal, rounds.child, periodic];
   return {
     name: periodic.name,
     start: async (onFailure) => {
-      await renewal.start(onFailure);
-      await periodic.start(onFailure);
+      for (const child of children) await child.start(onFailure);
     },
     stop: async () => {
       isLeaving = true;
-      await renewal.stop();
-      await periodic.stop();
+      for (const child of children) await child.stop();
       lease.giveUp();
     },
   };
--- a/packages/daemon/src/protocol/methods.ts
+++ b/packages/daemon/src/protocol/methods.ts
@@ -42,6 +42,7 @@
   ConfigurationRead = 'configuration.read',
   UsageRead = 'usage.read',
   UsageTell = 'usage.tell',
+  UsageFixed = 'usage.fixed',
 }
 
 /** HTTP path of calls with a single response. */
--- a/packages/daemon/test/gateway/usage-collector.test.ts
+++ b/packages/daemon/test/gateway/usage-collector.test.ts
@@ -1,7 +1,12 @@
 /** What the gateway that reports takes for the true time, and tells the others. */
 import assert from 'node:assert/strict';
 import { beforeEach, describe, it } from 'node:test';
-import { type FleetView, trueTimeMs } from '@cassiamast/coordination';
+import {
+  type FleetView,
+  USAGE_GUARDS,
+  createFleetView,
+  trueTimeMs,
+} from '@cassiamast/coordination';
 import { okAsync } from 'neverthrow';
 import { type UsageCollector, createUsageCollector } from '../../src/gateway/usage-collector.js';
 import { type UsageMeter, createUsageMeter } from '../../src/gateway/usage-meter.js';
@@ -30,11 +35,15 @@
     };
     return createUsageCollector({
       selfId: 'edge-0',
-      view: { gateways: new Map([...others].map(([id]) => [id, {}])) } as unknown as FleetView,
+      view: {
+        ...createFleetView(),
+        gateways: new Map([...others].map(([id]) => [id, {}])),
+      } as unknown as FleetView,
       rpc: { call: call as unknown as RpcClient['call'] },
       recent: { note: () => undefined, others: () => [...others.keys()] },
       meter: reporter,
       nowMs: () => nowMs,
+      guards: USAGE_GUARDS,
     });
   }
 
@@ -48,20 +57,20 @@
 
   // Its own clock was compared after the answers, so each slow round shifted the windows.
   it('does not shift the time when answers are slow', async () => {
-    await collectorOf(600).collect(0);
+    await collectorOf(600).collect(0, 1);
     assert.equal(errorMs(reporter), 0);
   });
 
   it('corrects a gateway whose clock is wrong', async () => {
     others.set('edge-2', meterOf('edge-2', 2000));
     const collector = collectorOf(0);
-    for (let round = 0; round < 2; round += 1) await collector.collect(0);
+    for (let round = 0; round < 2; round += 1) await collector.collect(0, 1);
     assert.deepEqual([...others.values(), reporter].map(errorMs), [0, 0, 0]);
   });
 
   it('names the gateways that give no answer', async () => {
     others.set('edge-2', meterOf('edge-2', 0));
     others.set('edge-1', { ...meterOf('edge-1', 0), onRead: () => null as never });
-    assert.deepEqual(await collectorOf(0).collect(0), ['edge-1']);
+    assert.deepEqual(await collectorOf(0).collect(0, 1), ['edge-1']);
   });
 });
--- a/packages/daemon/test/gateway/usage-fleet.ts
+++ b/packages/daemon/test/gateway/usage-fleet.ts
@@ -12,6 +12,7 @@
   createFleetView,
   parseLeaseKey,
   seededRandom,
+  usageCandidates,
   windowOfKey,
 } from '@cassiamast/coordination';
 import { DUTY_CALL_FAILED, type DutyAuthority } from '@cassiamast/ports';
@@ -52,7 +53,6 @@
   readonly duty: UsageDuty;
   isDead: boolean;
   announcementLease: string | null;
-  confirmedAtMs: number;
 }
 
 /** The fleet. */
@@ -125,6 +125,7 @@
     const handlers: Partial<Record<string, (...params: never[]) => unknown>> = {
       [RpcMethod.UsageRead]: duty.onRead,
       [RpcMethod.UsageTell]: duty.onTold,
+      [RpcMethod.UsageFixed]: duty.onFixed,
     };
     return okAsync(handlers[method]?.(...(params as never[])));
   }
@@ -139,16 +140,8 @@
     lifecycle: () => undefined,
   };
 
-  function oldest(view: FleetView): string | undefined {
-    const byAge = [...view.gateways.values()].sort(
-      (one, other) => one.announcedAtRevision - other.announcedAtRevision,
-    );
-    return byAge[0]?.id;
-  }
-
   function start(id: string): void {
     const view = createFleetView();
-    const isConfirmed = () => nowMs - gateway.confirmedAtMs < ANNOUNCEMENT_TTL_MS;
     const duty = createUsageDuty({
       selfId: id,
       name: id,
@@ -160,7 +153,7 @@
       view,
       rpc: { call: callFrom(() => gateway) },
       recent: createRecentGateways(view, id, () => nowMs),
-      isCandidate: () => isConfirmed() && oldest(view) === id,
+      isCandidate: () => usageCandidates([...view.gateways.values()]).includes(id),
       gatewayCount: () => view.gateways.size,
       random,
       elapsedMs: () => nowMs,
@@ -179,7 +172,6 @@
       duty,
       isDead: false,
       announcementLease: null,
-      confirmedAtMs: -Infinity,
     };
     gateways.set(id, gateway);
     void duty.child?.start(() => undefined);
@@ -204,10 +196,8 @@
 
   async function announce(gateway: SimulatedGateway): Promise<void> {
     const port = store.portOf(() => isStoreCut(gateway.id) || gateway.isDead);
-    const sentAtMs = nowMs;
     if (gateway.announcementLease !== null) {
       const kept = await port.keepLeaseAlive(gateway.announcementLease);
-      if (kept.isOk() && kept.value.ttlMs > 0) gateway.confirmedAtMs = sentAtMs;
       if (kept.isErr() || kept.value.ttlMs > 0) return;
     }
     const granted = await port.grantLease(ANNOUNCEMENT_TTL_MS);
@@ -219,7 +209,6 @@
     );
     if (written.isErr()) return;
     gateway.announcementLease = leaseId;
-    gateway.confirmedAtMs = sentAtMs;
   }
 
   function readStore({ id, view }: SimulatedGateway): void {
--- a/packages/daemon/test/gateway/usage-loss.test.ts
+++ b/packages/daemon/test/gateway/usage-loss.test.ts
@@ -7,7 +7,7 @@
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const { windowMs, dueMs } = USAGE;
 
-describe('usage reports that outlive a loss', { todo: 'hard-load.md, part 4' }, () => {
+describe('usage reports that outlive a loss', () => {
   let fleet: UsageFleet;
 
   /** Starts a fleet; resolves with the end of a window 30 s later, once a gateway reports. */
