Show each rule of usage reports by a run that breaks without it

Timers of the test run on an own clock: Node's mock lost some of them when it was used a second time in the process.

Gateways that were announced in the last 30 s and answer are waited for, and must acknowledge, also while they are not announced: after an outage of the store no announcement is left, so the next holder would have fixed counts without them.

--- a/packages/coordination/src/core/usage/acknowledgement.ts
+++ b/packages/coordination/src/core/usage/acknowledgement.ts
@@ -18,7 +18,7 @@
  * Returns whether all gateways that can be reached know the counts, and more than half of the fleet.
  * A lone gateway has nobody who would know them after it.
  *
- * @param others - The announced gateways without the one that asks.
+ * @param others - The gateways that were announced lately, without the one that asks.
  */
 export function isAcknowledged(
   others: readonly string[],
--- a/packages/daemon/src/gateway/usage-acknowledgements.ts
+++ b/packages/daemon/src/gateway/usage-acknowledgements.ts
@@ -1,5 +1,5 @@
 /**
- * Tells the fixed counts of a window to all announced gateways and records who has acknowledged them,
+ * Tells the fixed counts of a window to all gateways that were announced lately and records who has acknowledged them,
  * so that the report need not wait until all of them have read the counts from the store.
  */
 import {
@@ -12,6 +12,7 @@
 } from '@cassiamast/coordination';
 import type { RpcClient } from '../node/rpc-client.js';
 import { RpcMethod } from '../protocol/methods.js';
+import type { RecentGateways } from './recent-gateways.js';
 
 const CALL_TIMEOUT_MS = 700;
 /** A gateway that has not acknowledged is told again after this time. */
@@ -26,8 +27,8 @@
 
 /** Dependencies of the acknowledgements. */
 export interface UsageAcknowledgementsOptions {
-  readonly selfId: string;
   readonly view: Pick<FleetView, 'gateways'>;
+  readonly recent: Pick<RecentGateways, 'others'>;
   readonly rpc: Pick<RpcClient, 'call'>;
   readonly readings: UsageReadings;
   readonly nowMs: () => number;
@@ -52,10 +53,10 @@
 export function createUsageAcknowledgements(
   options: UsageAcknowledgementsOptions,
 ): UsageAcknowledgements {
-  const { selfId, view, rpc, readings, nowMs, count } = options;
+  const { view, recent, rpc, readings, nowMs, count } = options;
   const toldByWindow = new Map<number, Told>();
 
-  const others = (): readonly string[] => [...view.gateways.keys()].filter((id) => id !== selfId);
+  const isOutOfReach = (id: string): boolean => isSilent(readings, id);
 
   function toldOf(window: number): Told {
     const told = toldByWindow.get(window) ?? {
@@ -84,13 +85,14 @@
     tell: (window, counts, fence) => {
       const told = toldOf(window);
       const latestMs = nowMs() - TELL_INTERVAL_MS;
-      for (const id of others()) {
+      for (const id of recent.others()) {
+        if (!view.gateways.has(id) && isOutOfReach(id)) continue;
         if (told.acknowledged.has(id) || (told.toldAtMs.get(id) ?? -Infinity) > latestMs) continue;
         void tellOne(id, told, [window, counts, fence]);
       }
     },
     isAcknowledged: (window) =>
-      isAcknowledged(others(), toldOf(window).acknowledged, (id) => isSilent(readings, id)),
+      isAcknowledged(recent.others(), toldOf(window).acknowledged, isOutOfReach),
     acknowledgedCount: (window) => toldByWindow.get(window)?.acknowledged.size ?? 0,
     contradictedBy: (window) => toldByWindow.get(window)?.contradictedBy ?? null,
     forget: (window) => {
--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -20,6 +20,7 @@
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { RpcClient } from '../node/rpc-client.js';
+import type { RecentGateways } from './recent-gateways.js';
 import { createUsageAcknowledgements } from './usage-acknowledgements.js';
 import type { UsageCollector } from './usage-collector.js';
 import { FixingOutcome, createUsageFixing } from './usage-fixing.js';
@@ -79,6 +80,7 @@
   readonly duties: DutyPort;
   readonly store: LeaseStore;
   readonly view: Pick<FleetView, 'fixedUsage' | 'gateways'>;
+  readonly recent: Pick<RecentGateways, 'others'>;
   readonly rpc: Pick<RpcClient, 'call'>;
   readonly meter: UsageMeter;
   readonly collector: UsageCollector;
--- a/packages/daemon/src/gateway/usage-rounds.ts
+++ b/packages/daemon/src/gateway/usage-rounds.ts
@@ -7,10 +7,12 @@
   type FleetView,
   type UsageGuards,
   forgetReadings,
+  isSilent,
   unreadGateways,
 } from '@cassiamast/coordination';
 import { createPeriodic } from '../node/timers.js';
 import type { Child } from '../supervisor/supervisor.js';
+import type { RecentGateways } from './recent-gateways.js';
 import type { UsageCollector } from './usage-collector.js';
 
 const TICK_MS = 100;
@@ -25,8 +27,8 @@
 
 /** Dependencies of the rounds. */
 export interface UsageRoundsOptions {
-  readonly selfId: string;
   readonly view: Pick<FleetView, 'gateways'>;
+  readonly recent: Pick<RecentGateways, 'others'>;
   readonly collector: UsageCollector;
   readonly nowMs: () => number;
   /** Returns the fencing token while this gateway holds the lease, else null. */
@@ -47,13 +49,13 @@
   readonly restart: (fromMs: number) => void;
   /** Returns whether the counts of a window are as whole as they will be. */
   readonly isCounted: (window: number) => boolean;
-  /** Returns the announced gateways that have given no answer for a window. */
+  /** Returns the gateways that are waited for, as they have given no answer for a window. */
   readonly missing: (window: number) => readonly string[];
 }
 
 /** Creates the rounds. */
 export function createUsageRounds(options: UsageRoundsOptions): UsageRounds {
-  const { selfId, view, collector, nowMs, endMs } = options;
+  const { view, recent, collector, nowMs, endMs } = options;
   let startMs = -Infinity;
   let isRoundOpen = false;
   let roundAtMs = -Infinity;
@@ -66,9 +68,13 @@
   const countableAtMs = (window: number): number => notBefore(endMs(window) + COUNTED_WITHIN_MS);
   const givenUpAtMs = (window: number): number => notBefore(endMs(window) + WAIT_FOR_MISSING_MS);
 
+  /** After an outage of the store, gateways that answer are not announced yet. */
   function missing(window: number): readonly string[] {
-    const others = [...view.gateways.keys()].filter((id) => id !== selfId);
-    return unreadGateways(collector.readings, others, countableAtMs(window));
+    const { readings } = collector;
+    const awaited = recent
+      .others()
+      .filter((id) => view.gateways.has(id) || !isSilent(readings, id));
+    return unreadGateways(readings, awaited, countableAtMs(window));
   }
 
   function isCounted(window: number): boolean {
--- a/packages/daemon/test/gateway/usage-fleet.ts
+++ b/packages/daemon/test/gateway/usage-fleet.ts
@@ -2,12 +2,13 @@
  * Runs the usage duty of several gateways on a virtual clock in one process, with a store in memory.
  * Tests kill and replace gateways, cut them off, and take the store away.
  */
-import { mock } from 'node:test';
 import {
   type FleetChange,
   FleetChangeKind,
   type FleetView,
+  USAGE_GUARDS,
   type UsageCounts,
+  type UsageGuards,
   applyListing,
   createFleetView,
   parseLeaseKey,
@@ -20,10 +21,12 @@
 import type { GatewayLog } from '../../src/gateway/gateway-log.js';
 import { createRecentGateways } from '../../src/gateway/recent-gateways.js';
 import { type UsageDuty, createUsageDuty } from '../../src/gateway/usage-duty.js';
+import type { UsageSettings } from '../../src/gateway/usage-reporter.js';
 import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
 import { type MemoryStore, createMemoryStore } from './usage-store.js';
+import { startVirtualClock } from './virtual-clock.js';
 
 const STEP_MS = 10;
 const HOP_MS = 3;
@@ -31,7 +34,8 @@
 const RENEWAL_MS = 1000;
 const ANNOUNCEMENT_TTL_MS = 3000;
 const REQUEST_EVERY_MS = 200;
-const LEASE_KEY = 'cassiamast/duties/usage';
+/** The key of the reporter's lease. */
+export const LEASE_KEY = 'cassiamast/duties/usage';
 const GATEWAY_PREFIX = 'gateways/';
 /** A multiple of the window's length. */
 const START_MS = 1_000_000_000;
@@ -63,12 +67,12 @@
   readonly counters: Map<string, number>;
   /** Gateways that reach only each other. */
   cutOff: Set<string>;
-  /** Whether these do not reach the store either. */
-  isStoreCutOff: boolean;
-  /** Answers calls between gateways instead of the gateway that is called, if not null. */
-  intercept: (to: string, method: string, params: unknown[]) => ResultAsync<unknown, never> | null;
-  /** Whether the platform rejects reports. */
-  rejectsReports: boolean;
+  /** Gateways that do not reach the store. */
+  storeCutOff: Set<string>;
+  /** Whether a gateway does not know a method; it is called with each call between gateways. */
+  ignores: (to: string, method: string, params: unknown[]) => boolean;
+  /** Whether the platform accepts reports of a gateway. */
+  accepts: (holder: string) => boolean;
   /** Unix milliseconds by the true clock. */
   readonly nowMs: () => number;
   readonly runUntil: (atMs: number) => Promise<void>;
@@ -76,22 +80,28 @@
   /** The id of the gateway whose lease key is in the store. */
   readonly holder: () => string | null;
   readonly kill: (id: string) => void;
+  /** Ends the duty of a gateway gracefully, which gives up its lease. */
+  readonly stop: (id: string) => void;
   readonly start: (id: string) => void;
   readonly close: () => void;
 }
 
 /** Starts a fleet; `seed` decides the phases of its timers. */
-export function startUsageFleet(size: number, seed: number): UsageFleet {
-  mock.timers.enable({ apis: ['setTimeout'] });
+export function startUsageFleet(
+  size: number,
+  seed: number,
+  guards: UsageGuards = USAGE_GUARDS,
+  settings: UsageSettings = USAGE,
+): UsageFleet {
+  const clock = startVirtualClock();
   const random = seededRandom(seed);
-  let nowMs = 0;
-  const store = createMemoryStore(() => nowMs);
+  const store = createMemoryStore(clock.nowMs);
   const gateways = new Map<string, SimulatedGateway>();
   const ids = Array.from({ length: size }, (_, index) => `edge-${String(index)}`);
 
   const isCut = (one: string, other: string): boolean =>
     fleet.cutOff.has(one) !== fleet.cutOff.has(other);
-  const isStoreCut = (id: string): boolean => fleet.isStoreCutOff && fleet.cutOff.has(id);
+  const isStoreCut = (id: string): boolean => fleet.storeCutOff.has(id);
   const later = <Value>(value: () => Value, ms: number): Promise<Value> =>
     new Promise((resolve) => {
       setTimeout(() => {
@@ -107,32 +117,28 @@
         !isCut(from().id, to) && !from().isDead && gateways.get(to)?.isDead === false;
       if (!isReached())
         return ResultAsync.fromSafePromise(later(() => 0, timeoutMs)).andThen(failed);
-      const answer = later(
-        () => fleet.intercept(to, method, params) ?? handle(to, method, params),
-        HOP_MS,
-      );
-      return ResultAsync.fromSafePromise(answer)
-        .andThen((result) => result)
+      return ResultAsync.fromSafePromise(later(() => handle(to, method, params), HOP_MS))
         .andThen((result) => ResultAsync.fromSafePromise(later(() => result, HOP_MS)))
         .andThen((result) => (isReached() && result !== undefined ? okAsync(result) : failed()));
     };
     return call as unknown as RpcClient['call'];
   }
 
-  /** Answers with undefined to a method that the gateway does not know. */
-  function handle(to: string, method: string, params: unknown[]): ResultAsync<unknown, never> {
+  /** Returns undefined for a method that the gateway does not know. */
+  function handle(to: string, method: string, params: unknown[]): unknown {
+    if (fleet.ignores(to, method, params)) return undefined;
     const { duty } = fleet.gateway(to);
     const handlers: Partial<Record<string, (...params: never[]) => unknown>> = {
       [RpcMethod.UsageRead]: duty.onRead,
       [RpcMethod.UsageTell]: duty.onTold,
       [RpcMethod.UsageFixed]: duty.onFixed,
     };
-    return okAsync(handlers[method]?.(...(params as never[])));
+    return handlers[method]?.(...(params as never[]));
   }
 
   const log: GatewayLog = {
     info: (message, fields) => {
-      fleet.logLines.push(`${String(nowMs)} ${message} ${JSON.stringify(fields)}`);
+      fleet.logLines.push(`${String(clock.nowMs())} ${message} ${JSON.stringify(fields)}`);
     },
     warn: (message, fields) => {
       log.info(message, fields);
@@ -145,20 +151,21 @@
     const duty = createUsageDuty({
       selfId: id,
       name: id,
-      source: `${id}/${String(nowMs)}`,
-      settings: USAGE,
+      source: `${id}/${String(clock.nowMs())}`,
+      settings,
       maxUpdateDelayMs: MAX_UPDATE_DELAY_MS,
       duties: { reportUsage, close: () => Promise.resolve() },
       store: store.portOf(() => isStoreCut(id) || gateway.isDead),
       view,
+      guards,
       rpc: { call: callFrom(() => gateway) },
-      recent: createRecentGateways(view, id, () => nowMs),
+      recent: createRecentGateways(view, id, clock.nowMs),
       isCandidate: () => usageCandidates([...view.gateways.values()]).includes(id),
       gatewayCount: () => view.gateways.size,
       random,
-      elapsedMs: () => nowMs,
-      wallMs: () => START_MS + nowMs,
-      nowMs: () => nowMs,
+      elapsedMs: clock.nowMs,
+      wallMs: () => START_MS + clock.nowMs(),
+      nowMs: clock.nowMs,
       log: {
         ...log,
         info: (text, fields) => log.info(`${id} ${text}`, fields),
@@ -178,7 +185,7 @@
     void repeat(gateway, RENEWAL_MS, announce);
     void repeat(gateway, POLL_MS, readStore);
     void repeat(gateway, REQUEST_EVERY_MS, () => {
-      duty.noteBegun({ workspace: `w${id.slice(-1)}`, isCounted: false }, nowMs);
+      duty.noteBegun({ workspace: `w${id.slice(-1)}`, isCounted: false }, clock.nowMs());
     });
   }
 
@@ -224,13 +231,13 @@
       const gateway = { id: key.slice(GATEWAY_PREFIX.length), failureDomain: 'a', coreShare: 1 };
       return [{ kind: FleetChangeKind.Gateway, revision, gateway }];
     });
-    applyListing(view, changes, store.revision(), nowMs);
+    applyListing(view, changes, store.revision(), clock.nowMs());
   }
 
   const reportUsage = (window: number, counts: UsageCounts, authority: DutyAuthority) => {
-    if (fleet.rejectsReports)
+    if (!fleet.accepts(authority.holder))
       return errAsync(DUTY_CALL_FAILED.of({ call: '/usage', detail: '503' }));
-    fleet.reports.push({ window, counts, ...authority, atMs: START_MS + nowMs });
+    fleet.reports.push({ window, counts, ...authority, atMs: START_MS + clock.nowMs() });
     return ResultAsync.fromSafePromise(later(() => null, HOP_MS));
   };
 
@@ -240,17 +247,11 @@
     logLines: [],
     counters: new Map(),
     cutOff: new Set(),
-    isStoreCutOff: false,
-    intercept: () => null,
-    rejectsReports: false,
-    nowMs: () => START_MS + nowMs,
-    runUntil: async (atMs) => {
-      while (START_MS + nowMs < atMs) {
-        nowMs += STEP_MS;
-        mock.timers.tick(STEP_MS);
-        await new Promise((resolve) => setImmediate(resolve));
-      }
-    },
+    storeCutOff: new Set(),
+    ignores: () => false,
+    accepts: () => true,
+    nowMs: () => START_MS + clock.nowMs(),
+    runUntil: (atMs) => clock.advanceTo(atMs - START_MS, STEP_MS),
     gateway: (id) => {
       const found = gateways.get(id);
       if (found === undefined) throw new Error(`no gateway ${id}`);
@@ -261,14 +262,16 @@
       return key === undefined ? null : (parseLeaseKey(key.value)?.planner ?? null);
     },
     kill: (id) => {
-      const killed = fleet.gateway(id);
-      killed.isDead = true;
-      void killed.duty.child?.stop();
+      fleet.gateway(id).isDead = true;
+      fleet.stop(id);
+    },
+    stop: (id) => {
+      void fleet.gateway(id).duty.child?.stop();
     },
     start,
     close: () => {
       for (const id of gateways.keys()) fleet.kill(id);
-      mock.timers.reset();
+      clock.stop();
     },
   };
   for (const id of ids) start(id);
--- a/packages/daemon/test/gateway/usage-loss.test.ts
+++ b/packages/daemon/test/gateway/usage-loss.test.ts
@@ -48,10 +48,11 @@
         await fleet.runUntil(endMs - 10_000);
         fleet.start(replaced);
         await fleet.runUntil(endMs - 3000);
-        fleet.isStoreCutOff = isStoreCutOff;
         fleet.cutOff = new Set(others().slice(0, GATEWAYS / 3));
+        if (isStoreCutOff) fleet.storeCutOff = fleet.cutOff;
         await fleet.runUntil(endMs + 1000);
         fleet.cutOff = new Set();
+        fleet.storeCutOff = new Set();
         await fleet.runUntil(endMs + 3000);
         fleet.store.isAway = true;
         await fleet.runUntil(endMs + 11_000);
--- a/packages/daemon/test/gateway/usage-store.ts
+++ b/packages/daemon/test/gateway/usage-store.ts
@@ -26,8 +26,11 @@
   readonly portOf: (isCut: () => boolean) => LeaseStore;
   readonly entries: () => readonly KeyValueEntry[];
   readonly revision: () => number;
-  /** Returns a function that brings the store back as it is now, in a new era. */
-  readonly copy: () => () => void;
+  /**
+   * Returns a function that brings the store back as it is now, in a new era, with leases that last
+   * for their whole time to live, and without a key that was written right after the copy.
+   */
+  readonly copy: () => (withoutKey?: string) => void;
 }
 
 /** Creates an empty store. */
@@ -108,9 +111,11 @@
     revision: () => shown(content.revision),
     copy: () => {
       const { items, leases, revision } = content;
-      const kept = { items: new Map(items), leases: structuredClone(leases), revision };
-      return () => {
+      const kept = { items: new Map(items), leases: new Map(leases), revision };
+      return (withoutKey = '') => {
         content = kept;
+        kept.items.delete(withoutKey);
+        for (const [leaseId, { ttlMs }] of kept.leases) keep(leaseId, ttlMs);
         era += 1;
       };
     },
