Test usage reports after kills at any time, outages and earlier versions

The report of a window is in time whenever the holder is killed from 1 s before its end to 5 s after it; it has the counts of all gateways after an outage of the store; a lease that ends between fixing and sending leaves it to the next holder; and while a gateway does not know the new call, reports wait as before.

--- a/packages/coordination/test/core/usage/usage.test.ts
+++ b/packages/coordination/test/core/usage/usage.test.ts
@@ -7,12 +7,19 @@
   createTrueTime,
   createUsageCollection,
   createUsageLedger,
+  createUsageReadings,
   forgetUsageBefore,
+  isAcknowledged,
+  isSilent,
   median,
+  recordReading,
   recordUsage,
   recordUse,
+  retainReadings,
   totalUsage,
   trueTimeMs,
+  unreadGateways,
+  usageCandidates,
   usageSince,
 } from '../../../src/index.js';
 
@@ -90,3 +97,58 @@
     assert.equal(median([]), 0);
   });
 });
+
+describe('the gateways that were asked for their usage', () => {
+  // A slow failure of an earlier question made a gateway that had answered since count as silent.
+  it('are silent only if their last question failed', () => {
+    const readings = createUsageReadings();
+    recordReading(readings, 'b', 2000, true);
+    recordReading(readings, 'b', 1500, false);
+    recordReading(readings, 'c', 1500, true);
+    recordReading(readings, 'c', 2000, false);
+    assert.deepEqual(
+      ['a', 'b', 'c'].map((id) => isSilent(readings, id)),
+      [false, false, true],
+    );
+    assert.deepEqual(unreadGateways(readings, ['a', 'b', 'c'], 2000), ['a', 'c']);
+  });
+
+  it('are forgotten when they are gone for long', () => {
+    const readings = createUsageReadings();
+    for (let id = 0; id < 1000; id += 1) recordReading(readings, String(id), id, id % 2 === 0);
+    retainReadings(readings, new Set(['1', '2']));
+    assert.deepEqual([readings.answeredAtMs.size, readings.failedAtMs.size], [1, 1]);
+  });
+});
+
+describe('fixed counts', () => {
+  const known = (others: string[], acknowledged: string[], silent: string[] = []): boolean =>
+    isAcknowledged(others, new Set(acknowledged), (id) => silent.includes(id));
+
+  it('are acknowledged by all that can be reached', () => {
+    assert.equal(known(['b', 'c', 'd'], ['b', 'c', 'd']), true);
+    assert.equal(known(['b', 'c', 'd'], ['b', 'c']), false);
+    assert.equal(known(['b', 'c', 'd'], ['b', 'c'], ['d']), true);
+  });
+
+  // The next holder might be on the side of those that do not know them.
+  it('are not acknowledged by half of the fleet, nor by nobody', () => {
+    assert.equal(known(['b', 'c', 'd'], ['b'], ['c', 'd']), false);
+    assert.equal(known(['b'], [], ['b']), false);
+    assert.equal(known([], []), false);
+  });
+});
+
+describe('the candidates of the usage duty', () => {
+  const gateway = (id: string, announcedAtRevision: number, coreShare = 1) => {
+    return { id, failureDomain: 'a', coreShare, announcedAtRevision };
+  };
+
+  // A killed holder stays the one announced longest until its announcement has lapsed.
+  it('are the two that were announced longest, without small ones', () => {
+    const fleet = [gateway('a', 4), gateway('b', 2), gateway('c', 1, 0.25), gateway('d', 3)];
+    assert.deepEqual(usageCandidates(fleet), ['b', 'd']);
+    assert.deepEqual(usageCandidates([gateway('a', 4)]), ['a']);
+    assert.deepEqual(usageCandidates([]), []);
+  });
+});
--- a/packages/daemon/test/gateway/usage-fleet.ts
+++ b/packages/daemon/test/gateway/usage-fleet.ts
@@ -33,15 +33,17 @@
 const POLL_MS = 1500;
 const RENEWAL_MS = 1000;
 const ANNOUNCEMENT_TTL_MS = 3000;
-const REQUEST_EVERY_MS = 200;
+/** Interval between two requests of a gateway. */
+export const REQUEST_EVERY_MS = 200;
 /** The key of the reporter's lease. */
 export const LEASE_KEY = 'cassiamast/duties/usage';
 const GATEWAY_PREFIX = 'gateways/';
 /** A multiple of the window's length. */
 const START_MS = 1_000_000_000;
-/** Window, due time and time within which changes are read, of the deployments with reports. */
+/** Window and due time of the deployments with reports. */
 export const USAGE = { windowMs: 5000, dueMs: 10_000 };
-const MAX_UPDATE_DELAY_MS = 3000;
+/** Time within which all gateways read a change of the store. */
+export const MAX_UPDATE_DELAY_MS = 3000;
 
 /** A report as the platform got it, at a time of the fleet's clock. */
 export interface SeenReport extends DutyAuthority {
--- a/packages/daemon/test/gateway/usage-loss.test.ts
+++ b/packages/daemon/test/gateway/usage-loss.test.ts
@@ -1,11 +1,21 @@
 /** Usage reports while gateways and the store are lost, on a virtual clock. */
 import assert from 'node:assert/strict';
 import { afterEach, describe, it } from 'node:test';
-import { USAGE, type UsageFleet, brokenRules, startUsageFleet } from './usage-fleet.js';
+import { RpcMethod } from '../../src/protocol/methods.js';
+import {
+  MAX_UPDATE_DELAY_MS,
+  REQUEST_EVERY_MS,
+  USAGE,
+  type UsageFleet,
+  brokenRules,
+  startUsageFleet,
+} from './usage-fleet.js';
 
 const GATEWAYS = 9;
 const SEEDS = [1, 2, 3, 4, 5, 6];
 const { windowMs, dueMs } = USAGE;
+const REQUESTS_PER_WINDOW = windowMs / REQUEST_EVERY_MS;
+const EARLIEST_FIXING_MS = 1500;
 
 describe('usage reports that outlive a loss', () => {
   let fleet: UsageFleet;
@@ -63,4 +73,61 @@
       });
     }
   }
+
+  // Killed while it waited for 3 s with fixed counts, its successor could send them too late only.
+  it('are in time whenever the holder is killed', async () => {
+    for (let afterMs = -1000; afterMs <= 5000; afterMs += 500) {
+      const endMs = await startFleet(afterMs);
+      await fleet.runUntil(endMs + afterMs);
+      fleet.kill(fleet.holder() ?? '');
+      await fleet.runUntil(endMs + dueMs + 1000);
+      assertReported(endMs);
+      fleet.close();
+    }
+  });
+
+  /** Returns what is wrong with the counts of a window in which no gateway was lost. */
+  function wrongCounts(endMs: number): readonly string[] {
+    const report = fleet.reports.find(({ window }) => window === endMs / windowMs - 1);
+    const counts = Object.entries(report?.counts ?? {});
+    const wrong = counts.filter(([, count]) => Math.abs(count - REQUESTS_PER_WINDOW) > 1);
+    return [...wrong.flat().map(String), ...(counts.length === GATEWAYS ? [] : ['incomplete'])];
+  }
+
+  // No gateway is announced right after an outage, and counts were fixed without those that answer.
+  it('have the counts of all gateways after an outage of the store', async () => {
+    const endMs = await startFleet(1);
+    fleet.store.isAway = true;
+    await fleet.runUntil(endMs - 6000);
+    fleet.store.isAway = false;
+    await fleet.runUntil(endMs + dueMs);
+    for (const end of [endMs - windowMs, endMs]) assert.deepEqual(wrongCounts(end), []);
+    assertReported(endMs);
+  });
+
+  it('are sent by the next holder if the lease ends between fixing and sending', async () => {
+    const endMs = await startFleet(1);
+    const first = fleet.holder();
+    fleet.ignores = (_, method) => method === RpcMethod.UsageFixed;
+    await fleet.runUntil(endMs + 2000);
+    fleet.store.isAway = true;
+    await fleet.runUntil(endMs + 5000);
+    fleet.store.isAway = false;
+    await fleet.runUntil(endMs + dueMs);
+    const sent = fleet.reports.filter(({ window }) => window === endMs / windowMs - 1);
+    assert.equal(sent.length, 1);
+    assert.ok(fleet.logLines.some((line) => line.includes(`${String(first)} duty lost`)));
+    assertReported(endMs);
+  });
+
+  it('wait as before while a gateway runs the version before', async () => {
+    const endMs = await startFleet(1);
+    const earlier = others()[0];
+    fleet.ignores = (to, method) => to === earlier && method === RpcMethod.UsageFixed;
+    await fleet.runUntil(endMs + dueMs);
+    assertReported(endMs);
+    const sent = fleet.reports.find(({ window }) => window === endMs / windowMs - 1);
+    assert.ok((sent?.atMs ?? 0) >= endMs + EARLIEST_FIXING_MS + MAX_UPDATE_DELAY_MS);
+    assert.ok((fleet.counters.get('usage_reports_unacknowledged_total') ?? 0) > 0);
+  });
 });
