Read the usage lease only while no holder asks

A holder asks every gateway once a second, so candidates read the key only once no question has come for 2 s; the lease lasts for 3 to 4 s after the last question.

The case of two holders within 3 s now has a successor that was cut off from the holder, as others no longer read the key right after a holder has stopped.

--- a/packages/daemon/src/gateway/usage-meter.ts
+++ b/packages/daemon/src/gateway/usage-meter.ts
@@ -44,6 +44,8 @@
   ) => UsageReading;
   /** The gateway that asked last; null before the first question. */
   readonly lastReader: () => string | null;
+  /** Monotonic time of that question. */
+  readonly lastReadAtMs: () => number;
   readonly time: TrueTime;
 }
 
@@ -69,6 +71,7 @@
   const ledger = createUsageLedger(windowMs);
   const time = createTrueTime(wallMs(), nowMs());
   let lastReader: string | null = null;
+  let lastReadAtMs = -Infinity;
 
   function read(sinceWindow: number): UsageReading {
     const trueMs = trueTimeMs(time, nowMs());
@@ -85,9 +88,11 @@
     read,
     onRead: (reader, sinceWindow, { correctionMs = 0 }) => {
       lastReader = reader;
+      lastReadAtMs = nowMs();
       time.offsetMs += correctionMs;
       return read(sinceWindow);
     },
     lastReader: () => lastReader,
+    lastReadAtMs: () => lastReadAtMs,
   };
 }
--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -39,6 +39,11 @@
  * announced at first, and reports would wait until one is.
  */
 const CANDIDATE_AFTER_LOSS_MS = 30_000;
+/**
+ * A holder that asked within this time is alive, so candidates do not read the key of its lease. It
+ * asks once a second, and its lease lasts for 3 to 4 s after its last question.
+ */
+const HOLDER_QUIET_MS = 2000;
 
 /**
  * The lease of the reporter. It sends nothing later than two seconds after its last renewal, a call
@@ -107,6 +112,13 @@
   const retryAtMs = new Map<number, number>();
   let isLeaving = false;
   let lostAtMs = -Infinity;
+
+  function isCandidate(): boolean {
+    const isHolderQuiet = nowMs() - meter.lastReadAtMs() > HOLDER_QUIET_MS;
+    const wasHolder = nowMs() - lostAtMs < CANDIDATE_AFTER_LOSS_MS;
+    return !isLeaving && isHolderQuiet && (wasHolder || options.isCandidate());
+  }
+
   const lease: LeaseDriver = createLeaseDriver({
     selfId: options.selfId,
     key: LEASE_KEY,
@@ -115,8 +127,7 @@
     keyValue: options.store,
     telemetry: { count },
     leaseOptions: { ...REPORTER_LEASE, guards: guards.lease },
-    isCandidate: () =>
-      !isLeaving && (options.isCandidate() || nowMs() - lostAtMs < CANDIDATE_AFTER_LOSS_MS),
+    isCandidate,
     onGained: (fence) => {
       rounds.restart(nowMs() + PREDECESSOR_SENDS_MS);
       log.info('duty gained', { duty: 'usage', fence });
--- a/packages/daemon/test/gateway/usage-rules.test.ts
+++ b/packages/daemon/test/gateway/usage-rules.test.ts
@@ -105,10 +105,13 @@
     cutHolderFromStore,
   );
 
-  // It gives up its lease right after a report, so the successor has the key at once.
+  // It gives up its lease right after a report. The successor was cut off from it, so it reads the
+  // lease's key all the time and has it at once.
   async function stopHolder(scene: Scene): Promise<readonly string[]> {
+    fleet.cutOff = new Set([scene.successor]);
     await until(() => isReported(scene));
     fleet.stop(scene.holder);
+    fleet.cutOff = new Set();
     await fleet.runUntil(scene.endMs + dueMs + windowMs);
     return [];
   }
