--- a/packages/daemon/test/gateway/usage-loss.test.ts
+++ b/packages/daemon/test/gateway/usage-loss.test.ts
@@ -16,6 +16,7 @@
 const { windowMs, dueMs } = USAGE;
 const REQUESTS_PER_WINDOW = windowMs / REQUEST_EVERY_MS;
 const EARLIEST_FIXING_MS = 1500;
+const SOME_TICKS_MS = 500;
 
 describe('usage reports that outlive a loss', () => {
   let fleet: UsageFleet;
@@ -74,6 +75,31 @@
     }
   }
 
+  // Counts waited for the next round of questions, and then 3 s until all had read them.
+  it('are sent as soon as the counts of a window can be whole', async () => {
+    const endMs = await startFleet(1);
+    await fleet.runUntil(endMs + dueMs);
+    assertReported(endMs);
+    const sent = fleet.reports.find(({ window }) => window === endMs / windowMs - 1);
+    assert.ok((sent?.atMs ?? Infinity) < endMs + EARLIEST_FIXING_MS + SOME_TICKS_MS);
+  });
+
+  // The next round would come after the store is away.
+  for (const seed of SEEDS) {
+    it(`have the counts of gateways that are back just in time, seed ${String(seed)}`, async () => {
+      const endMs = await startFleet(seed);
+      await fleet.runUntil(endMs - 2000);
+      fleet.cutOff = new Set(others().slice(0, GATEWAYS / 3));
+      await fleet.runUntil(endMs + 2600);
+      fleet.cutOff = new Set();
+      await fleet.runUntil(endMs + 3000);
+      fleet.store.isAway = true;
+      await fleet.runUntil(endMs + dueMs);
+      assertReported(endMs);
+      assert.deepEqual(wrongCounts(endMs), []);
+    });
+  }
+
   // Killed while it waited for 3 s with fixed counts, its successor could send them too late only.
   it('are in time whenever the holder is killed', async () => {
     for (let afterMs = -1000; afterMs <= 5000; afterMs += 500) {
