--- a/packages/daemon/src/gateway/usage-reporter.ts
+++ b/packages/daemon/src/gateway/usage-reporter.ts
@@ -7,7 +7,6 @@
  */
 import {
   type FleetView,
-  type LeaseOptions,
   type Random,
   type UsageCounts,
   type UsageGuards,
@@ -16,7 +15,6 @@
 } from '@cassiamast/coordination';
 import type { DutyPort, LeaseStore } from '@cassiamast/ports';
 import { createPeriodic } from '../node/timers.js';
-import { type LeaseDriver, createLeaseDriver } from '../planning/lease-driver.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { GatewayLog } from './gateway-log.js';
 import type { RpcClient } from '../node/rpc-client.js';
@@ -24,41 +22,15 @@
 import { createUsageAcknowledgements } from './usage-acknowledgements.js';
 import type { UsageCollector } from './usage-collector.js';
 import { FixingOutcome, createUsageFixing } from './usage-fixing.js';
+import { USAGE_LEASE_KEY, createUsageLease } from './usage-lease.js';
 import type { UsageMeter } from './usage-meter.js';
 import { createUsageRounds } from './usage-rounds.js';
 
-const LEASE_KEY = 'cassiamast/duties/usage';
-
 const TICK_MS = 100;
 /** Pause after a call to the store or to the platform that failed. */
 const RETRY_PAUSE_MS = 500;
 /** A report is sent this long before it is due, though some gateways may not know its counts yet. */
 const LAST_SEND_MS = 1500;
-/**
- * Who has lost the lease stays a candidate for this long. After an outage of the store no gateway is
- * announced at first, and reports would wait until one is.
- */
-const CANDIDATE_AFTER_LOSS_MS = 30_000;
-/**
- * A holder that asked within this time is alive, so candidates do not read the key of its lease. It
- * asks once a second, and its lease lasts for 3 to 4 s after its last question.
- */
-const HOLDER_QUIET_MS = 2000;
-
-/**
- * The lease of the reporter. It sends nothing later than two seconds after its last renewal, a call
- * takes two at most, and its successor begins three seconds after it has the key: no call of the one
- * comes after a call of the other, and no two take turns within the platform's three seconds.
- */
-const REPORTER_LEASE: Omit<LeaseOptions, 'guards'> = {
-  ttlMs: 4000,
-  renewIntervalMs: 1000,
-  safetyMs: 2000,
-  takeoverDelayMs: 3000,
-  retryMs: 300,
-};
-/** The predecessor's lease is over this long after the key was taken: it was not renewed since. */
-const PREDECESSOR_SENDS_MS = REPORTER_LEASE.ttlMs - REPORTER_LEASE.safetyMs;
 
 /** The counts of a window that are fixed in the store. */
 interface FixedCounts {
@@ -110,33 +82,15 @@
   const unreported = new Map<number, FixedCounts>();
   /** Times before which windows are not tried again after a failed call. */
   const retryAtMs = new Map<number, number>();
-  let isLeaving = false;
-  let lostAtMs = -Infinity;
-
-  function isCandidate(): boolean {
-    const isHolderQuiet = nowMs() - meter.lastReadAtMs() > HOLDER_QUIET_MS;
-    const wasHolder = nowMs() - lostAtMs < CANDIDATE_AFTER_LOSS_MS;
-    return !isLeaving && isHolderQuiet && (wasHolder || options.isCandidate());
-  }
-
-  const lease: LeaseDriver = createLeaseDriver({
-    selfId: options.selfId,
-    key: LEASE_KEY,
-    nowMs: options.elapsedMs,
-    random: options.random,
-    keyValue: options.store,
-    telemetry: { count },
-    leaseOptions: { ...REPORTER_LEASE, guards: guards.lease },
-    isCandidate,
-    onGained: (fence) => {
-      rounds.restart(nowMs() + PREDECESSOR_SENDS_MS);
-      log.info('duty gained', { duty: 'usage', fence });
+  const lease = createUsageLease({
+    ...options,
+    lastReadAtMs: meter.lastReadAtMs,
+    onGained: (earlierSendsUntilMs) => {
+      rounds.restart(earlierSendsUntilMs);
     },
-    onLost: (fence, reason) => {
-      lostAtMs = nowMs();
+    onLost: () => {
       unreported.clear();
       acknowledgements.forgetAll();
-      log.warn('duty lost', { duty: 'usage', fence, reason });
     },
   });
 
@@ -167,7 +121,7 @@
   });
   const fixCounts = createUsageFixing({
     ...options,
-    leaseKey: LEASE_KEY,
+    leaseKey: USAGE_LEASE_KEY,
     total: collector.total,
   });
 
@@ -291,7 +245,7 @@
       for (const child of children) await child.start(onFailure);
     },
     stop: async () => {
-      isLeaving = true;
+      lease.leave();
       for (const child of children) await child.stop();
       lease.giveUp();
     },
--- a/packages/daemon/test/gateway/usage-fleet.ts
+++ b/packages/daemon/test/gateway/usage-fleet.ts
@@ -21,6 +21,7 @@
 import type { GatewayLog } from '../../src/gateway/gateway-log.js';
 import { createRecentGateways } from '../../src/gateway/recent-gateways.js';
 import { type UsageDuty, createUsageDuty } from '../../src/gateway/usage-duty.js';
+import { USAGE_LEASE_KEY } from '../../src/gateway/usage-lease.js';
 import type { UsageSettings } from '../../src/gateway/usage-reporter.js';
 import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
@@ -35,8 +36,6 @@
 const ANNOUNCEMENT_TTL_MS = 3000;
 /** Interval between two requests of a gateway. */
 export const REQUEST_EVERY_MS = 200;
-/** The key of the reporter's lease. */
-export const LEASE_KEY = 'cassiamast/duties/usage';
 const GATEWAY_PREFIX = 'gateways/';
 /** A multiple of the window's length. */
 const START_MS = 1_000_000_000;
@@ -260,7 +259,7 @@
       return found;
     },
     holder: () => {
-      const key = store.entries().find((entry) => entry.key === LEASE_KEY);
+      const key = store.entries().find((entry) => entry.key === USAGE_LEASE_KEY);
       return key === undefined ? null : (parseLeaseKey(key.value)?.planner ?? null);
     },
     kill: (id) => {
--- a/packages/daemon/test/gateway/usage-rules.test.ts
+++ b/packages/daemon/test/gateway/usage-rules.test.ts
@@ -10,8 +10,9 @@
   fixedUsageKey,
   usageCandidates,
 } from '@cassiamast/coordination';
+import { USAGE_LEASE_KEY } from '../../src/gateway/usage-lease.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
-import { LEASE_KEY, USAGE, type UsageFleet, brokenRules, startUsageFleet } from './usage-fleet.js';
+import { USAGE, type UsageFleet, brokenRules, startUsageFleet } from './usage-fleet.js';
 
 const GATEWAYS = 5;
 const SEEDS = [1, 2, 3, 4];
@@ -150,7 +151,7 @@
     const restore = fleet.store.copy();
     fleet.cutOff = new Set([successor]);
     await until(() => isReported(scene));
-    restore(LEASE_KEY);
+    restore(USAGE_LEASE_KEY);
     fleet.gateway(successor).view.fixedUsage.delete(window);
     fleet.kill(holder);
     fleet.storeCutOff = new Set(others.filter((id) => id !== successor));
