Choose plain targets by learned response time, local ones first

The choice counted requests in flight plus 0.5 for another failure domain, so a slow target got as many requests as a fast one. TargetHealthOptions.locality null keeps that behaviour. The price of leaving is the setting bounds.leavePriceMs, by default two round trips.

--- a/packages/coordination/src/core/locality/options.ts
+++ b/packages/coordination/src/core/locality/options.ts
@@ -34,12 +34,19 @@
 /** Round trips that leaving must save by default, in addition to the one that it takes. */
 const PRICE_ROUND_TRIPS = 2;
 
-/** Returns default options for a one-way latency between failure domains. */
-export function localityOptions(hopMs: number = DEFAULT_HOP_MS): LocalityOptions {
-  const roundTripMs = ROUND_TRIP_HOPS * hopMs;
+/** Returns the default price of leaving for a one-way latency between failure domains. */
+export function defaultLeavePriceMs(hopMs: number = DEFAULT_HOP_MS): number {
+  return PRICE_ROUND_TRIPS * ROUND_TRIP_HOPS * hopMs;
+}
+
+/** Returns options for a one-way latency between failure domains; a null price is the default. */
+export function localityOptions(
+  hopMs: number = DEFAULT_HOP_MS,
+  leavePriceMs: number | null = null,
+): LocalityOptions {
   return {
-    roundTripMs,
-    leavePriceMs: PRICE_ROUND_TRIPS * roundTripMs,
+    roundTripMs: ROUND_TRIP_HOPS * hopMs,
+    leavePriceMs: leavePriceMs ?? defaultLeavePriceMs(hopMs),
     intervalMs: 500,
     shareStep: 0.05,
     maxShare: 0.6,
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -138,9 +138,9 @@
   const leftMs = Math.max(1, Math.floor(exchange.endsAtMs - startedAtMs));
   // No further attempt may choose it, also while this one is open.
   exchange.failedTargets.add(target.id);
-  services.health.noteSent(target);
+  const noteDone = services.health.noteSent(target);
   const outcome = await send(state, target, progress, answer, leftMs);
-  services.health.noteDone(target);
+  noteDone(tellsSpeed(outcome, answer));
   // Its head and body may have come before it was overdue, and its end after.
   if (outcome.kind === SendOutcomeKind.Complete && !hasFailed(answer)) progress.noteAnswer();
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
@@ -215,6 +215,13 @@
   return { ...outcome, kind, detail: kind };
 }
 
+/** Returns whether the duration of an attempt tells the speed of its target. */
+function tellsSpeed({ kind }: SendOutcome, answer: BufferedAnswer): boolean {
+  if (kind === SendOutcomeKind.Complete) return !hasFailed(answer);
+  // An overdue attempt took at least that long.
+  return kind === SendOutcomeKind.Silent || kind === SendOutcomeKind.Replaced;
+}
+
 function hasFailed(answer: BufferedAnswer): boolean {
   return (answer.head()?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
 }
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -26,6 +26,11 @@
   readonly leaseTtlMs: number;
   /** Maximum time until a change in the platform's store takes effect. */
   readonly maxUpdateDelayMs: number;
+  /**
+   * Cost of sending work to another failure domain, as the time that it must save; null for the
+   * default.
+   */
+  readonly leavePriceMs: number | null;
   /** Null if the platform asks for no usage reports. */
   readonly usage: UsageSettings | null;
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -7,10 +7,12 @@
 import {
   type ClockReading,
   CrashChangeKind,
+  DEFAULT_HOP_MS,
   type Failure,
   createElapsedClock,
   createFleetView,
   hash32,
+  localityOptions,
   pollIntervalOptions,
   seededRandom,
 } from '@cassiamast/coordination';
@@ -347,7 +349,9 @@
       log,
       count: telemetry.count,
     }),
-    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
+    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
+      locality: localityOptions(DEFAULT_HOP_MS, settings.leavePriceMs),
+    }),
     scheduling,
     crashes,
     versions,
--- a/packages/daemon/test/gateway/silent-attempts.test.ts
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -129,8 +129,7 @@
     health: {
       choose: (_: string, excluded: ReadonlySet<string>) =>
         targets.find(({ id }) => !excluded.has(id)) ?? null,
-      noteSent: () => undefined,
-      noteDone: () => undefined,
+      noteSent: () => () => undefined,
       recordSuccess: () => undefined,
       recordFailure: () => undefined,
     },
