Weigh failure domains of engines by transfer times, the way back and a price

The prefill engine was chosen regardless of the gateway's domain, and a fixed 4 requests kept the decode engine near the prefill engine. SchedulerOptions.locality null keeps that.

--- a/benchmark/src/scheduling/command.ts
+++ b/benchmark/src/scheduling/command.ts
@@ -22,7 +22,7 @@
   });
   const rows: (PlayFigures & { readonly engines: number; readonly load: number })[] = [];
   process.stdout.write(
-    'engines load requests on-time late unserved us/request longest-us waiting connections limit-used\n',
+    'engines load requests on-time late unserved us/request longest-us waiting connections limit-used crossings\n',
   );
   for (const engines of values.engines.split(',').map(Number)) {
     for (const load of values.loads.split(',').map(Number)) {
--- a/benchmark/src/scheduling/play.ts
+++ b/benchmark/src/scheduling/play.ts
@@ -28,7 +28,7 @@
   tickScheduler,
 } from '@cassiamast/coordination';
 import { EventQueue } from '../control/event-queue.js';
-import { type WorkloadOptions, makeWorkload } from './workload.js';
+import { DOMAINS, type WorkloadOptions, makeWorkload } from './workload.js';
 
 /** Sheet of an engine of today's kind. */
 const ENGINE_SPEC = {
@@ -49,7 +49,6 @@
 const IDLE_CONNECTION_MS = 4000;
 /** Part of the engines that make tokens. */
 const DECODE_SHARE = 0.2;
-const DOMAINS = 3;
 const US_PER_MS = 1000;
 
 /** What a play came to. */
@@ -69,6 +68,8 @@
   readonly connections: number;
   /** Most requests in four seconds at an engine that named a limit, in parts of what it named. */
   readonly limitUsed: number;
+  /** Ways between gateway, prefill and decode engine that cross failure domains, per request run. */
+  readonly crossings: number;
 }
 
 /** Engines that name rate limits for the whole of a play. */
@@ -99,6 +100,8 @@
   longestUs: number;
   mostWaiting: number;
   connections: number;
+  crossings: number;
+  runs: number;
 }
 
 /** Plays a workload to its end. */
@@ -132,6 +135,8 @@
     longestUs: 0,
     mostWaiting: 0,
     connections: 0,
+    crossings: 0,
+    runs: 0,
   };
   const arrivals = makeWorkload(options);
   for (const { atMs, job } of arrivals) {
@@ -152,6 +157,7 @@
     mostWaiting: play.mostWaiting,
     connections: play.connections,
     limitUsed: limitUsed(play, limits),
+    crossings: Math.round((play.crossings / Math.max(1, play.runs)) * 100) / 100,
   };
 }
 
@@ -261,6 +267,7 @@
 
 function run(play: Play, job: Job, plan: Plan): void {
   const { queue } = play;
+  countCrossings(play, job, plan);
   connect(play, job, plan.readAt);
   if (plan.streamAt !== null) connect(play, job, plan.streamAt);
   play.sentAtMs.get(plan.streamAt ?? plan.readAt)?.push(queue.nowMs);
@@ -283,6 +290,17 @@
   });
 }
 
+/** Counts the ways of a request that cross failure domains. */
+function countCrossings(play: Play, { failureDomain }: Job, { readAt, streamAt }: Plan): void {
+  const domainOf = (id: string): string =>
+    play.scheduler.targets.get(id)?.entry.failureDomain ?? '';
+  const decodeDomain = domainOf(streamAt ?? readAt);
+  play.runs += 1;
+  play.crossings += Number(domainOf(readAt) !== failureDomain);
+  play.crossings += Number(decodeDomain !== failureDomain);
+  play.crossings += Number(decodeDomain !== domainOf(readAt));
+}
+
 function report(play: Play, job: Job, kind: JobEventKind, target: string): void {
   const events = [{ kind, jobId: job.id, target }];
   decide(play, () => handleJobEvents(play.scheduler, events, play.queue.nowMs));
--- a/benchmark/src/scheduling/workload.ts
+++ b/benchmark/src/scheduling/workload.ts
@@ -80,6 +80,9 @@
   readonly job: Job;
 }
 
+/** Number of failure domains, over which gateways and engines are spread evenly. */
+export const DOMAINS = 3;
+
 /** Arrivals in the order of their time. */
 export function makeWorkload(options: WorkloadOptions): readonly Arrival[] {
   const random = seededRandom(options.seed);
@@ -89,8 +92,9 @@
   // Drawn apart, so that the prompts of a seed are the same for any number of gateways.
   const pick = seededRandom(options.seed + 1);
   return arrivals.map(({ atMs, job }) => {
-    const gateway = `gateway-${String(Math.floor(pick() * options.gateways))}`;
-    return { atMs, job: { ...job, gateway } };
+    const number = Math.floor(pick() * options.gateways);
+    const failureDomain = `domain-${String(number % DOMAINS)}`;
+    return { atMs, job: { ...job, gateway: `gateway-${String(number)}`, failureDomain } };
   });
 }
 
--- a/packages/coordination/src/core/scheduling/decode-engine.ts
+++ b/packages/coordination/src/core/scheduling/decode-engine.ts
@@ -1,6 +1,7 @@
 /** Chooses the engine that decodes a prompt after another engine has prefilled it. */
 import { hasConnection } from './connections.js';
 import { streamLoad } from './engine-speeds.js';
+import { decodeDomainCostMs, promptTokens } from './domain-cost.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
 import type { Scheduler } from './scheduler-state.js';
@@ -8,7 +9,7 @@
 
 /**
  * Penalty for an engine in another failure domain, in requests, because KV cache transfers between
- * failure domains are slow.
+ * failure domains are slow. Used if the costs of domains are not known.
  */
 const CROSS_DOMAIN_PENALTY_REQUESTS = 4;
 
@@ -19,9 +20,16 @@
  */
 const CACHED_TOKENS_PER_REQUEST = 2500;
 
+/**
+ * Time that weighs as much as one more request on an engine. With 1 ms, the failure domain outweighs
+ * existing connections, and 68 gateways open more than 0.8 times the connections that they open if
+ * connections do not count.
+ */
+const MS_PER_REQUEST = 2;
+
 /**
  * Returns the decode engine with the least load of running requests, favoring engines that already hold
- * the prompt, are in the failure domain of the prefill engine, or have a connection to the job's
+ * the prompt, are near the prefill engine and the gateway, or have a connection to the job's
  * gateway. Returns null if no engine is available.
  */
 export function chooseDecodeEngine(
@@ -31,13 +39,13 @@
   nowMs: number,
 ): TargetLoad | null {
   const { connectedBonusRequests, connectionKeepAliveMs } = scheduler.options;
+  const totalTokens = promptTokens(job);
   let best: TargetLoad | null = null;
   let lowestScore = Infinity;
   for (const load of scheduler.targets.values()) {
     if (!canDecode(load) || !isUsable(load, nowMs)) continue;
     if (job.avoid.includes(load.entry.id)) continue;
     if (isHalfOpen(load) && load.streaming.size > 0) continue;
-    const isNear = load.entry.failureDomain === prefillEngine.entry.failureDomain;
     const isConnected = hasConnection(
       scheduler.connections,
       job.gateway,
@@ -48,7 +56,7 @@
     const cachedTokens = tokensBetween(job.parts, 0, countCachedParts(load.cache, job.parts));
     const score =
       streamLoad(load.speed, load.streaming.size) +
-      (isNear ? 0 : CROSS_DOMAIN_PENALTY_REQUESTS) -
+      domainPenalty(scheduler, load, prefillEngine, job, totalTokens - cachedTokens) -
       (isConnected ? connectedBonusRequests : 0) -
       cachedTokens / CACHED_TOKENS_PER_REQUEST;
     if (score < lowestScore) {
@@ -58,3 +66,19 @@
   }
   return best;
 }
+
+/** Returns the penalty for the failure domain of a decode engine, in requests. */
+function domainPenalty(
+  { options }: Scheduler,
+  load: TargetLoad,
+  prefillEngine: TargetLoad,
+  job: Job,
+  missingTokens: number,
+): number {
+  if (options.locality !== null) {
+    const { locality } = options;
+    return decodeDomainCostMs(locality, load, prefillEngine, job, missingTokens) / MS_PER_REQUEST;
+  }
+  const isNear = load.entry.failureDomain === prefillEngine.entry.failureDomain;
+  return isNear ? 0 : CROSS_DOMAIN_PENALTY_REQUESTS;
+}
--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -6,6 +6,7 @@
 import { EnginePhase } from '../forwarding/fleet.js';
 import { recordConnection } from './connections.js';
 import { chooseDecodeEngine } from './decode-engine.js';
+import { prefillDomainCostMs } from './domain-cost.js';
 import { notePrefillGiven, refreshSpeed } from './engine-speeds.js';
 import { type Decision, DecisionKind, type Job } from './job.js';
 import {
@@ -145,10 +146,12 @@
       move.firstEventAtMs +
       scheduler.options.recomputeWeight * extraMs +
       copyPenaltyMs(scheduler, move) +
+      prefillDomainCostMs(scheduler, load, queuedJob.job, scheduler.decodeDomains) +
       load.speed.prefillBalanceMs;
     const stayMs =
       stay.estimate.firstEventAtMs +
       copyPenaltyMs(scheduler, stay.estimate) +
+      prefillDomainCostMs(scheduler, currentEngine, queuedJob.job, scheduler.decodeDomains) +
       currentEngine.speed.prefillBalanceMs;
     if (scoreMs >= stayMs) continue;
     if (best === null || compareRank(move, best.estimate) < 0) best = { queuedJob, estimate: move };
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -1,3 +1,6 @@
+import { localityOptions } from '../locality/options.js';
+import type { DomainCosts } from './domain-cost.js';
+
 /** Tuning parameters of a scheduler, each with the load that it addresses. */
 export interface SchedulerOptions {
   /**
@@ -88,6 +91,11 @@
    * chosen by their number of streams.
    */
   readonly learnsSpeeds: boolean;
+  /**
+   * Cost of another failure domain: network round trip and the price of leaving. With null, only a
+   * fixed penalty keeps the decode engine in the domain of the prefill engine.
+   */
+  readonly locality: DomainCosts | null;
   /** Fraction of an engine's memory that running requests may use. */
   readonly maxRunningShare: number;
 }
@@ -114,5 +122,6 @@
   initialSuspendMs: 500,
   maxSuspendMs: 2000,
   learnsSpeeds: true,
+  locality: localityOptions(),
   maxRunningShare: 0.8,
 };
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -5,6 +5,7 @@
  */
 import { EnginePhase } from '../forwarding/fleet.js';
 import { hasConnection } from './connections.js';
+import { prefillDomainCostMs } from './domain-cost.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
 import { type ServiceEstimate, type Standing, compareRank } from './ranking.js';
@@ -52,6 +53,7 @@
     connectCostMs(scheduler, option.load, queuedJob.job, nowMs) +
     scheduler.options.recomputeWeight * (averageWorkMs(option) - leastWorkMs) +
     copyPenaltyMs(scheduler, option.estimate) +
+    prefillDomainCostMs(scheduler, option.load, queuedJob.job, scheduler.decodeDomains) +
     option.load.speed.prefillBalanceMs;
   let best: PlacementOption | null = null;
   let lowestMs = Infinity;
--- a/packages/coordination/src/core/scheduling/prefill-cost.ts
+++ b/packages/coordination/src/core/scheduling/prefill-cost.ts
@@ -13,7 +13,7 @@
 } from './target-load.js';
 
 /** Transfers to another failure domain take this many times as long. */
-const CROSS_DOMAIN_TRANSFER_RATIO = 2;
+export const CROSS_DOMAIN_TRANSFER_RATIO = 2;
 /**
  * Shorter fetches are not worth it: prefilling fewer tokens is faster than requesting them from
  * another engine.
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -14,7 +14,7 @@
 import { type ServiceSpeeds, createServiceSpeeds } from './engine-speeds.js';
 import { type SizeClass, type SizeFairness, createSizeFairness } from './size-fairness.js';
 import { type WorkspaceFairness, createWorkspaceFairness } from './workspace-fairness.js';
-import { type TargetLoad, createTargetLoad, updateEntry } from './target-load.js';
+import { type TargetLoad, canDecode, createTargetLoad, updateEntry } from './target-load.js';
 
 /** A job in the queue of an engine. */
 export interface QueuedJob {
@@ -64,6 +64,8 @@
   readonly workspaces: WorkspaceFairness;
   readonly refusedRequests: RefusedRequests;
   readonly connections: Connections;
+  /** Failure domains that have an engine which decodes. */
+  readonly decodeDomains: Set<string>;
   /** Speed of an average engine; null if speeds are not learned. */
   readonly speeds: ServiceSpeeds | null;
   /** Time of the most recent request about a job. */
@@ -89,6 +91,7 @@
     workspaces: createWorkspaceFairness(),
     refusedRequests: createRefusedRequests(),
     connections: createConnections(),
+    decodeDomains: new Set(),
     speeds: options.learnsSpeeds ? createServiceSpeeds() : null,
     lastRequestAtMs: -Infinity,
     lastStealAtMs: -Infinity,
@@ -113,6 +116,12 @@
       scheduler.targets.set(entry.id, created);
     } else updateEntry(load, entry);
   }
+  scheduler.decodeDomains.clear();
+  for (const load of scheduler.targets.values()) {
+    if (canDecode(load) && !load.entry.draining) {
+      scheduler.decodeDomains.add(load.entry.failureDomain);
+    }
+  }
 }
 
 /**
--- a/packages/daemon/src/gateway/scheduling-service.ts
+++ b/packages/daemon/src/gateway/scheduling-service.ts
@@ -13,6 +13,7 @@
   type Permits,
   SCHEDULER_OPTIONS,
   type Scheduler,
+  type SchedulerOptions,
   createScheduler,
   engineRequests,
   enginesWithStaleCache,
@@ -69,6 +70,8 @@
   readonly view: FleetView;
   readonly control: EngineControlPort;
   readonly permits: Permits;
+  /** Default: `SCHEDULER_OPTIONS`. */
+  readonly scheduler?: SchedulerOptions;
   readonly nowMs: () => number;
   readonly log: GatewayLog;
   /** Called with the engine that streams each job that is given one. */
@@ -77,7 +80,8 @@
 
 /** Creates the service. */
 export function createSchedulingService(options: SchedulingServiceOptions): SchedulingService {
-  const { view, control, permits, nowMs, log, onGranted } = options;
+  const { view, control, permits, scheduler: schedulerOptions = SCHEDULER_OPTIONS } = options;
+  const { nowMs, log, onGranted } = options;
   const schedulers = new Map<string, Scheduler>();
   const pendingAnswers = new Map<string, DeliverDecision>();
   let timer: NodeJS.Timeout | null = null;
@@ -85,7 +89,7 @@
   function schedulerOf(service: string): Scheduler {
     const existing = schedulers.get(service);
     if (existing !== undefined) return existing;
-    const created = createScheduler(SCHEDULER_OPTIONS, permits);
+    const created = createScheduler(schedulerOptions, permits);
     schedulers.set(service, created);
     updateEngines(service, created);
     return created;
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -8,6 +8,7 @@
   type ClockReading,
   CrashChangeKind,
   DEFAULT_HOP_MS,
+  SCHEDULER_OPTIONS,
   type Failure,
   createElapsedClock,
   createFleetView,
@@ -207,10 +208,12 @@
     availability.noteAnswer(target, announced);
     limits.noteAnswer(target, announced.limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
+  const locality = localityOptions(DEFAULT_HOP_MS, settings.leavePriceMs);
   const schedulers = createSchedulingService({
     view,
     control,
     permits: limits.permits,
+    scheduler: { ...SCHEDULER_OPTIONS, locality },
     nowMs: monotonicMs,
     log,
     onGranted: (jobId, gateway, engine) => {
@@ -350,7 +353,7 @@
       count: telemetry.count,
     }),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
-      locality: localityOptions(DEFAULT_HOP_MS, settings.leavePriceMs),
+      locality,
     }),
     scheduling,
     crashes,
