Count and log what leaves the failure domain

Counters of sends, prompt tokens and handed over prompts, local and between domains; the share that may leave as a gauge; a log line when a service begins or ceases to leave its domain.

--- a/packages/daemon/src/gateway/engine-requests.ts
+++ b/packages/daemon/src/gateway/engine-requests.ts
@@ -16,6 +16,7 @@
 import { announcementFields } from './announcement-fields.js';
 import { type ForwardingServices, availableTarget } from './forwarding-services.js';
 import { type Exchange, retriesOfPrefill, retriesOfRun } from './exchange.js';
+import { countHandover, countSend } from './locality-counts.js';
 import { type SilenceWatch, watchSilence } from './silence-watch.js';
 import type { StreamPart } from './stream-relay.js';
 import { type Turn, TurnEnd, reportFailed, report } from './stream-turn.js';
@@ -213,9 +214,12 @@
     hidesKey: exchange.hidesKey,
   });
   const { method, path, body, head } = exchange;
+  const tokens = head.parts.reduce((sum, part) => sum + part.tokens, 0);
   const work = options.readOnly ? RequestedWork.Read : RequestedWork.Run;
   const retries = () => (options.readOnly ? retriesOfPrefill : retriesOfRun)(exchange);
   const onSent = (): void => {
+    countSend(services, target, tokens);
+    if (options.from !== null) countHandover(services, turn.plan.readAt, target, tokens);
     if (options.readOnly) {
       exchange.prefills += 1;
       return;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -23,6 +23,7 @@
   sendOwnAnswer,
 } from './own-answer.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
+import { countSend } from './locality-counts.js';
 import { type AttemptProgress, type OpenAttempts, createOpenAttempts } from './open-attempts.js';
 
 /** An idempotent request is retried elsewhere after this multiple of its route's target latency. */
@@ -190,6 +191,7 @@
   const onSent = (): void => {
     sentAtMs = services.nowMs();
     exchange.sends += 1;
+    countSend(services, target, 0);
     progress.noteRun();
   };
   const retries = () => retriesOfRun(exchange);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -54,6 +54,7 @@
 import { createGatewayLog } from './gateway-log.js';
 import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
+import { logLocality } from './locality-counts.js';
 import { LOG_LIMITS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMemberHandlers } from './member-handlers.js';
 import { createMetricsServer } from './metrics-server.js';
@@ -354,6 +355,7 @@
     }),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
       locality,
+      onLocality: logLocality(log, settings.failureDomain),
     }),
     scheduling,
     crashes,
@@ -427,6 +429,7 @@
       createMetricsServer(settings.metrics, () => {
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
+        telemetry.gaugeByTarget('leaving_share', services.health.leavingShares());
         limits.measure();
         availability.measure();
         return telemetry.metricsText();
--- a/packages/daemon/src/gateway/target-health.ts
+++ b/packages/daemon/src/gateway/target-health.ts
@@ -8,6 +8,7 @@
   DEFAULT_OUTLIER_OPTIONS,
   type FleetView,
   type LocalityOptions,
+  LocalityReason,
   type Outliers,
   type PlainTargets,
   type Random,
@@ -25,6 +26,7 @@
   recordTargetFailure,
   servingTargets,
 } from '@cassiamast/coordination';
+import type { LocalityState } from './locality-counts.js';
 
 /**
  * A gateway sends only a few requests per second to a small service, so two consecutive failures
@@ -48,6 +50,8 @@
    * to choose the target with the fewest requests in flight.
    */
   readonly locality: LocalityOptions | null;
+  /** Called with where the requests of a service go, at each choice. */
+  readonly onLocality?: (service: string, state: LocalityState) => void;
 }
 
 /** Default options. */
@@ -66,6 +70,8 @@
   readonly noteSent: (target: TargetEntry) => NoteDone;
   readonly recordSuccess: (target: TargetEntry) => void;
   readonly recordFailure: (target: TargetEntry) => void;
+  /** Returns the share that may leave the failure domain, by service. */
+  readonly leavingShares: () => ReadonlyMap<string, number>;
 }
 
 /** Creates the health tracking of all plain targets. */
@@ -74,7 +80,7 @@
   failureDomain: string,
   random: Random,
   nowMs: () => number,
-  { locality }: TargetHealthOptions = TARGET_HEALTH_OPTIONS,
+  { locality, onLocality }: TargetHealthOptions = TARGET_HEALTH_OPTIONS,
 ): TargetHealth {
   const outliersByService = new Map<string, Outliers>();
   const plainTargetsByService = new Map<string, PlainTargets>();
@@ -105,11 +111,14 @@
   function chooseByLocality(
     service: string,
     candidates: readonly TargetEntry[],
+    hasLocal: boolean,
     options: LocalityOptions,
   ): TargetEntry | null {
     const targets = plainTargetsOf(service);
     const now = nowMs();
     const decision = choosePlainTarget(targets, candidates, failureDomain, options, random, now);
+    const { share } = targets.leaving;
+    onLocality?.(service, { reason: stateOf(hasLocal, share), share });
     return decision?.candidate.target ?? null;
   }
 
@@ -139,21 +148,22 @@
 
   return {
     choose: (service, tried) => {
-      const entries = servingTargets(view, service, nowMs()).filter(
-        (entry) => !tried.has(entry.id),
-      );
+      const serving = servingTargets(view, service, nowMs());
+      const entries = serving.filter((entry) => !tried.has(entry.id));
       const outliers = outliersOf(service);
       setOutlierTargets(
         outliers,
-        servingTargets(view, service, nowMs()).map((entry) => entry.id),
+        serving.map((entry) => entry.id),
       );
       const excluded = excludedTargets(outliers, nowMs(), random);
       const healthy = entries.filter((entry) => !excluded.has(entry.id));
       // If all targets are ejected, trying one of them is better than refusing the request.
       const candidates = healthy.length > 0 ? healthy : entries;
-      return locality === null
-        ? chooseByRequests(candidates)
-        : chooseByLocality(service, candidates, locality);
+      if (locality === null) return chooseByRequests(candidates);
+      const hasLocal = serving.some(
+        (entry) => entry.failureDomain === failureDomain && !excluded.has(entry.id),
+      );
+      return chooseByLocality(service, candidates, hasLocal, locality);
     },
     noteSent: (target) => {
       adjustInFlight(target, 1);
@@ -165,6 +175,8 @@
         noteDone(target, sent, isMeasured);
       };
     },
+    leavingShares: () =>
+      new Map([...plainTargetsByService].map(([service, { leaving }]) => [service, leaving.share])),
     recordSuccess: (target) => {
       recordTargetAnswer(outliersOf(target.service), target.id, 1, nowMs());
     },
@@ -173,3 +185,9 @@
     },
   };
 }
+
+/** Returns where the requests of a service go; that one request has tried the local targets is none. */
+function stateOf(hasLocal: boolean, share: number): LocalityReason {
+  if (!hasLocal) return LocalityReason.NoLocalTarget;
+  return share > 0 ? LocalityReason.Sooner : LocalityReason.Local;
+}
--- a/packages/daemon/test/gateway/silent-attempts.test.ts
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -130,6 +130,7 @@
       choose: (_: string, excluded: ReadonlySet<string>) =>
         targets.find(({ id }) => !excluded.has(id)) ?? null,
       noteSent: () => () => undefined,
+      leavingShares: () => new Map(),
       recordSuccess: () => undefined,
       recordFailure: () => undefined,
     },
--- a/packages/daemon/test/gateway/target-health.test.ts
+++ b/packages/daemon/test/gateway/target-health.test.ts
@@ -4,13 +4,19 @@
 import {
   FleetChangeKind,
   type FleetView,
+  LocalityReason,
   type TargetEntry,
   applyChanges,
   createFleetView,
   localityOptions,
   seededRandom,
 } from '@cassiamast/coordination';
-import { type TargetHealth, createTargetHealth } from '../../src/gateway/target-health.js';
+import type { LocalityState } from '../../src/gateway/locality-counts.js';
+import {
+  TARGET_HEALTH_OPTIONS,
+  type TargetHealth,
+  createTargetHealth,
+} from '../../src/gateway/target-health.js';
 
 const SERVICE = 'portal';
 const NONE: ReadonlySet<string> = new Set();
@@ -100,6 +106,30 @@
     assert.ok(Math.max(...busyMs) <= 1.3 * meanMs, busyMs.join(' '));
   });
 
+  // A request that has tried the local targets must not be logged as a service without any.
+  it('reports when a service begins and ceases to leave the failure domain', () => {
+    const reasons: LocalityReason[] = [];
+    const onLocality = (_: string, { reason }: LocalityState): void => {
+      if (reasons.at(-1) !== reason) reasons.push(reason);
+    };
+    const options = { ...TARGET_HEALTH_OPTIONS, onLocality };
+    health = createTargetHealth(view, 'near', seededRandom(1), () => nowMs, options);
+    list([target('b', 'far')]);
+    health.choose(SERVICE, NONE);
+    list([target('a', 'near')]);
+    health.choose(SERVICE, new Set(['a']));
+    play(20_000, { a: 60, b: 60 });
+    play(20_000, { a: 400, b: 60 });
+    assert.ok((health.leavingShares().get(SERVICE) ?? 0) > 0);
+    play(40_000, { a: 60, b: 60 });
+    assert.deepEqual(reasons, [
+      LocalityReason.NoLocalTarget,
+      LocalityReason.Local,
+      LocalityReason.Sooner,
+      LocalityReason.Local,
+    ]);
+  });
+
   it('counts requests in flight if speeds are not learned', () => {
     const options = { locality: null };
     health = createTargetHealth(view, 'near', seededRandom(1), () => nowMs, options);
