--- a/packages/coordination/src/core/scheduling/dispatch.ts
+++ b/packages/coordination/src/core/scheduling/dispatch.ts
@@ -6,11 +6,14 @@
 import { EnginePhase } from '../forwarding/fleet.js';
 import { recordConnection } from './connections.js';
 import { chooseDecodeEngine } from './decode-engine.js';
+import { prefillDomainCostMs } from './domain-cost.js';
+import { notePrefillGiven, refreshSpeed } from './engine-speeds.js';
 import { type Decision, DecisionKind, type Job } from './job.js';
 import { lacksRoom, tokensInMemory } from './engine-memory.js';
 import { jobOrderOf } from './job-order.js';
 import { isDeferrable, isIdle } from './late-jobs.js';
 import {
+  averageWorkMs,
   choosePlacement,
   copyPenaltyMs,
   estimateQueuedService,
@@ -43,6 +46,7 @@
 /** Starts queued jobs on every engine with free capacity. */
 export function dispatch(scheduler: Scheduler, nowMs: number): readonly Decision[] {
   const decisions: Decision[] = [];
+  for (const { speed } of scheduler.targets.values()) refreshSpeed(speed, nowMs);
   decisions.push(...requeueFromUnusable(scheduler, nowMs));
   if (scheduler.queuedJobs.size === 0) return decisions;
   const canSteal = claimStealTurn(scheduler, nowMs);
@@ -186,12 +190,19 @@
     if (lacksRoom(scheduler, load, queuedJob.job)) continue;
     const stay = predictPlacement(scheduler, currentEngine, queuedJob, nowMs);
     const move = estimateService(scheduler, load, queuedJob, nowMs, nowMs);
-    const extraMs = Math.max(0, move.serviceMs - stay.estimate.serviceMs);
+    const extraMs = Math.max(0, averageWorkMs({ load, estimate: move }) - averageWorkMs(stay));
     const scoreMs =
       move.firstEventAtMs +
       scheduler.options.recomputeWeight * extraMs +
-      copyPenaltyMs(scheduler, move);
-    if (scoreMs >= stay.estimate.firstEventAtMs + copyPenaltyMs(scheduler, stay.estimate)) continue;
+      copyPenaltyMs(scheduler, move) +
+      prefillDomainCostMs(scheduler, load, queuedJob.job, scheduler.decodeDomains) +
+      load.speed.prefillBalanceMs;
+    const stayMs =
+      stay.estimate.firstEventAtMs +
+      copyPenaltyMs(scheduler, stay.estimate) +
+      prefillDomainCostMs(scheduler, currentEngine, queuedJob.job, scheduler.decodeDomains) +
+      currentEngine.speed.prefillBalanceMs;
+    if (scoreMs >= stayMs) continue;
     if (best === null || compare(move, best.estimate) < 0) best = { queuedJob, estimate: move };
   }
   return best;
@@ -217,8 +228,11 @@
     cachedParts: countCachedParts(load.cache, job.parts),
     tokens: cost.missingTokens,
     predictedMs: cost.serviceMs,
+    transferMs: cost.transferMs,
+    outputTokens: job.outputTokens,
     startedAtMs: nowMs,
   });
+  notePrefillGiven(load.speed, cost.serviceMs, nowMs);
   for (const { entry } of new Set([load, decodeEngine])) scheduler.permits.take(entry.id);
   // Recorded immediately so that jobs sharing these parts wait for this prefill.
   recordPrompt(load.cache, job.parts);
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -1,4 +1,6 @@
 import { Activation } from './activation.js';
+import { localityOptions } from '../locality/options.js';
+import type { DomainCosts } from './domain-cost.js';
 
 /** Tuning parameters of a scheduler, each with the load that it addresses. */
 export interface SchedulerOptions {
@@ -91,6 +93,17 @@
   /** Initial suspension of a failed target; doubles with each consecutive failure. */
   readonly initialSuspendMs: number;
   readonly maxSuspendMs: number;
+  /**
+   * Whether the speed of each engine is learned relative to its service, and work is distributed in
+   * proportion to it. Otherwise each engine has its own fit of prefill times, and decode engines are
+   * chosen by their number of streams.
+   */
+  readonly learnsSpeeds: boolean;
+  /**
+   * Cost of another failure domain: network round trip and the price of leaving. With null, only a
+   * fixed penalty keeps the decode engine in the domain of the prefill engine.
+   */
+  readonly locality: DomainCosts | null;
   /**
    * Fraction of an engine's memory that running requests may use while another engine has room.
    * `Infinity` disables the limit.
@@ -147,6 +160,8 @@
   maxConsecutiveBreaks: 2,
   initialSuspendMs: 500,
   maxSuspendMs: 2000,
+  learnsSpeeds: false,
+  locality: localityOptions(),
   maxRunningShare: 0.8,
   enginePriority: Activation.WhenPrioritiesDiffer,
   drainRateRetries: Activation.WhenPrioritiesDiffer,
--- a/packages/coordination/src/core/scheduling/scheduler-state.ts
+++ b/packages/coordination/src/core/scheduling/scheduler-state.ts
@@ -12,14 +12,10 @@
 import type { CacheHolders, PrefillCost } from './prefill-cost.js';
 import { type RetryTimes, createRetryTimes } from './retry-after.js';
 import { type RefusedRequests, createRefusedRequests } from './refused-requests.js';
+import { type ServiceSpeeds, createServiceSpeeds } from './engine-speeds.js';
 import { type SizeClass, type SizeFairness, createSizeFairness } from './size-fairness.js';
 import { type WorkspaceFairness, createWorkspaceFairness } from './workspace-fairness.js';
-import {
-  type PrefillTimes,
-  type TargetLoad,
-  createTargetLoad,
-  updateEntry,
-} from './target-load.js';
+import { type TargetLoad, canDecode, createTargetLoad, updateEntry } from './target-load.js';
 
 /** A job in the queue of an engine. */
 export interface QueuedJob {
@@ -59,7 +55,6 @@
   /** Whether engines that announce a rate limit may be sent another request. */
   readonly permits: Permits;
   readonly targets: Map<string, TargetLoad>;
-  readonly prefillTimes: PrefillTimes;
   readonly queuedJobs: Map<string, QueuedJob>;
   /** The same jobs by the engine in whose queue they are. */
   readonly queues: Map<string, Set<QueuedJob>>;
@@ -75,6 +70,10 @@
   readonly retryTimes: RetryTimes;
   /** Whether the routes of the service differ in priority. */
   prioritiesDiffer: boolean;
+  /** Failure domains that have an engine which decodes. */
+  readonly decodeDomains: Set<string>;
+  /** Speed of an average engine. */
+  readonly speeds: ServiceSpeeds;
   /** Time of the most recent request about a job. */
   lastRequestAtMs: number;
   /** Time at which idle engines last tried to steal work. */
@@ -90,7 +89,6 @@
     options,
     permits,
     targets: new Map(),
-    prefillTimes: new Map(),
     queuedJobs: new Map(),
     queues: new Map(),
     decided: new Map(),
@@ -102,6 +100,8 @@
     connections: createConnections(),
     retryTimes: createRetryTimes(),
     prioritiesDiffer: false,
+    decodeDomains: new Set(),
+    speeds: createServiceSpeeds(),
     lastRequestAtMs: -Infinity,
     lastStealAtMs: -Infinity,
   };
@@ -113,6 +113,7 @@
   entries: readonly TargetEntry[],
   spec: EngineSpec,
 ): void {
+  const { permits, speeds, options } = scheduler;
   const present = new Set(entries.map((entry) => entry.id));
   for (const id of scheduler.targets.keys()) {
     if (!present.has(id)) scheduler.targets.delete(id);
@@ -121,9 +122,15 @@
   for (const entry of entries) {
     const load = scheduler.targets.get(entry.id);
     if (load === undefined) {
-      const created = createTargetLoad(entry, spec, scheduler.permits, scheduler.prefillTimes);
+      const created = createTargetLoad(entry, spec, permits, speeds, options.learnsSpeeds);
       scheduler.targets.set(entry.id, created);
-    } else updateEntry(load, entry, scheduler.prefillTimes);
+    } else updateEntry(load, entry);
+  }
+  scheduler.decodeDomains.clear();
+  for (const load of scheduler.targets.values()) {
+    if (canDecode(load) && !load.entry.draining) {
+      scheduler.decodeDomains.add(load.entry.failureDomain);
+    }
   }
 }
 
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -6,12 +6,12 @@
  * return decisions.
  */
 import { dispatch } from './dispatch.js';
+import { beginStream, recordPrefillSpeed, recordStreamSpeed } from './engine-speeds.js';
 import { type Decision, type Job, type JobEvent, JobEventKind, RefusalReason } from './job.js';
 import { recordRouteRequest } from './job-order.js';
 import { choosePlacement } from './placement.js';
 import { recordPrompt, removeParts } from './prompt-cache.js';
 import { jobSize, jobValue, recordSize } from './ranking.js';
-import { recordPrefill } from './prefill-time.js';
 import { rateLimitRefusal } from './rate-limit-refusal.js';
 import { admissionRefusal, refuse, refuseForLoad, refuseUnservableJobs } from './load-shedding.js';
 import { unavailableRefusal } from './unavailable-refusal.js';
@@ -20,6 +20,7 @@
 import { recordRequestedSize } from './size-fairness.js';
 import { recordWorkspaceRequest } from './workspace-fairness.js';
 import {
+  type Prefill,
   type TargetLoad,
   endPrefill,
   endStream,
@@ -102,6 +103,9 @@
 function handleJobEvent(scheduler: Scheduler, event: JobEvent, nowMs: number): void {
   const load = scheduler.targets.get(event.target);
   const hasEnded = event.kind === JobEventKind.Ended || event.kind === JobEventKind.Served;
+  if (event.kind === JobEventKind.Served && load !== undefined) {
+    recordStreamSpeed(load.speed, event.jobId, nowMs);
+  }
   if (hasEnded) removeJob(scheduler, event.jobId);
   if (load === undefined) return;
   if (event.kind === JobEventKind.Served) recordSuccess(load);
@@ -118,6 +122,7 @@
     const prefill = endPrefill(load, jobId);
     if (prefill !== null) removeParts(load.cache, uncachedPartsOf(prefill));
     endStream(load, jobId);
+    load.speed.streams.delete(jobId);
   }
 }
 
@@ -130,15 +135,26 @@
   recordSuccess(load);
   const prefill = endPrefill(load, jobId);
   if (prefill === null) return;
+  noteStreamBegins(scheduler, prefill, nowMs);
   // The decode engine keeps the parts that it fetches, just like the parts that it prefills.
   for (const other of scheduler.targets.values()) {
     if (other !== load && other.streaming.has(jobId)) recordPrompt(other.cache, prefill.parts);
   }
   const startedAtMs = Math.max(prefill.startedAtMs, load.lastPrefillEndAtMs);
   load.lastPrefillEndAtMs = nowMs;
-  recordPrefill(load.prefillTimeModel, {
-    tokens: prefill.tokens,
-    durationMs: nowMs - startedAtMs,
-    queuedMs: startedAtMs - prefill.startedAtMs,
-  });
+  const queuedMs = startedAtMs - prefill.startedAtMs;
+  const durationMs = Math.max(0, nowMs - startedAtMs - prefill.transferMs);
+  recordPrefillSpeed(load, { tokens: prefill.tokens, durationMs, queuedMs }, nowMs);
+}
+
+/** Records that the decode engine of a prefilled prompt begins with its stream. */
+function noteStreamBegins(
+  scheduler: Scheduler,
+  { jobId, outputTokens }: Prefill,
+  nowMs: number,
+): void {
+  for (const { speed, streaming, entry } of scheduler.targets.values()) {
+    if (!streaming.has(jobId)) continue;
+    beginStream(speed, jobId, outputTokens, streaming.size, entry.slots, nowMs);
+  }
 }
--- a/packages/coordination/src/core/scheduling/target-load.ts
+++ b/packages/coordination/src/core/scheduling/target-load.ts
@@ -8,11 +8,12 @@
 import type { Permits } from '../rate-limits/rate-limiter.js';
 import { type PromptCache, countCachedParts, createPromptCache } from './prompt-cache.js';
 import {
-  PREFILL_TOKENS_PER_MS,
-  type PrefillTimeModel,
-  createPrefillTimeModel,
-  prefillLatencyMs,
-} from './prefill-time.js';
+  type EngineSpeed,
+  type ServiceSpeeds,
+  createEngineSpeed,
+  prefillModelOf,
+} from './engine-speeds.js';
+import { type PrefillTimeModel, predictPrefillMs, prefillLatencyMs } from './prefill-time.js';
 import type { SchedulerOptions } from './options.js';
 
 /** A prompt that an engine was given and has not finished prefilling. */
@@ -23,6 +24,9 @@
   readonly cachedParts: number;
   readonly tokens: number;
   readonly predictedMs: number;
+  /** Part of the predicted time in which cached parts are transferred. */
+  readonly transferMs: number;
+  readonly outputTokens: number;
   readonly startedAtMs: number;
 }
 
@@ -34,8 +38,10 @@
   readonly cache: PromptCache;
   /** Time to transfer the KV cache of one token over the engine's link. */
   readonly transferMsPerToken: number;
-  /** Prefill time model for the engine's current phase. */
+  /** Prefill times in the engine's current phase, of all engines of the service if those are learned. */
   prefillTimeModel: PrefillTimeModel;
+  /** Speed of the engine relative to its service. */
+  readonly speed: EngineSpeed;
   /** Unfinished prefills by job id, in the order in which they were assigned. */
   readonly prefills: Map<string, Prefill>;
   /** Parts that are not prefilled yet, with the number of unfinished prefills that include them. */
@@ -58,14 +64,16 @@
   entry: TargetEntry,
   spec: EngineSpec,
   permits: Permits,
-  prefillTimes: PrefillTimes,
+  speeds: ServiceSpeeds,
+  learnsSpeeds: boolean,
 ): TargetLoad {
   return {
     entry,
     permits,
     cache: createPromptCache(spec.kvCapacityTokens),
     transferMsPerToken: transferMsPerToken(spec),
-    prefillTimeModel: createEngineModel(prefillTimes, entry.phase),
+    prefillTimeModel: prefillModelOf(speeds, learnsSpeeds, entry.phase),
+    speed: createEngineSpeed(speeds, learnsSpeeds),
     prefills: new Map(),
     pendingParts: new Map(),
     streaming: new Map(),
@@ -87,23 +95,12 @@
   return (kvTokenBytes * BITS_PER_BYTE * MS_PER_S) / (linkMbps * BITS_PER_MEGABIT);
 }
 
-/** What is known of the prefills of all engines, by their phase. */
-export type PrefillTimes = Map<EnginePhase | null, PrefillTimeModel>;
-
-/** Returns a model for one engine that starts from what is known of the others in its phase. */
-function createEngineModel(times: PrefillTimes, phase: EnginePhase | null): PrefillTimeModel {
-  const pooled = times.get(phase) ?? createPrefillTimeModel(priorTokensPerMs(phase));
-  times.set(phase, pooled);
-  return createPrefillTimeModel(priorTokensPerMs(phase), pooled);
-}
-
-/** Decode engines prefill at half speed while decoding, according to their data sheet. */
-const DECODE_PREFILL_SPEED_RATIO = 0.5;
-
-function priorTokensPerMs(phase: EnginePhase | null): number {
-  return phase === EnginePhase.Decode
-    ? PREFILL_TOKENS_PER_MS * DECODE_PREFILL_SPEED_RATIO
-    : PREFILL_TOKENS_PER_MS;
+/** Returns how long a prompt of the given number of tokens occupies an engine. */
+export function predictEnginePrefillMs(
+  { speed, prefillTimeModel }: TargetLoad,
+  tokens: number,
+): number {
+  return speed.prefillSlowness * predictPrefillMs(prefillTimeModel, tokens);
 }
 
 /**
@@ -240,13 +237,9 @@
 /**
  * Updates the announced entry of a target and resets the prefill time model if its phase changed.
  */
-export function updateEntry(
-  load: TargetLoad,
-  entry: TargetEntry,
-  prefillTimes: PrefillTimes,
-): void {
+export function updateEntry(load: TargetLoad, entry: TargetEntry): void {
   if (load.entry.phase !== entry.phase) {
-    load.prefillTimeModel = createEngineModel(prefillTimes, entry.phase);
+    load.prefillTimeModel = prefillModelOf(load.speed.service, load.speed.isLearned, entry.phase);
     load.suspendedUntilMs = 0;
   }
   load.entry = entry;
--- a/packages/daemon/src/gateway/plain-forwarding.ts
+++ b/packages/daemon/src/gateway/plain-forwarding.ts
@@ -23,6 +23,7 @@
   sendOwnAnswer,
 } from './own-answer.js';
 import { type ForwardingServices, newsAgeMs } from './forwarding-services.js';
+import { countSend } from './locality-counts.js';
 import { type AttemptProgress, type OpenAttempts, createOpenAttempts } from './open-attempts.js';
 
 /** An idempotent request is retried elsewhere after this multiple of its route's target latency. */
@@ -138,9 +139,9 @@
   const leftMs = Math.max(1, Math.floor(exchange.endsAtMs - startedAtMs));
   // No further attempt may choose it, also while this one is open.
   exchange.failedTargets.add(target.id);
-  services.health.noteSent(target);
+  const noteDone = services.health.noteSent(target);
   const outcome = await send(state, target, progress, answer, leftMs);
-  services.health.noteDone(target);
+  noteDone(tellsSpeed(outcome, answer));
   // Its head and body may have come before it was overdue, and its end after.
   if (outcome.kind === SendOutcomeKind.Complete && !hasFailed(answer)) progress.noteAnswer();
   exchange.mayHaveRun ||= outcome.sent && outcome.kind !== SendOutcomeKind.NotRun;
@@ -191,6 +192,7 @@
   const onSent = (): void => {
     sentAtMs = services.nowMs();
     exchange.sends += 1;
+    countSend(services, target, 0);
     progress.noteRun();
   };
   const retries = () => retriesOfRun(exchange);
@@ -216,6 +218,13 @@
   return { ...outcome, kind, detail: kind };
 }
 
+/** Returns whether the duration of an attempt tells the speed of its target. */
+function tellsSpeed({ kind }: SendOutcome, answer: BufferedAnswer): boolean {
+  if (kind === SendOutcomeKind.Complete) return !hasFailed(answer);
+  // An overdue attempt took at least that long.
+  return kind === SendOutcomeKind.Silent || kind === SendOutcomeKind.Replaced;
+}
+
 function hasFailed(answer: BufferedAnswer): boolean {
   return (answer.head()?.status ?? 0) >= FIRST_SERVER_ERROR_STATUS;
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -7,10 +7,13 @@
 import {
   type ClockReading,
   CrashChangeKind,
+  DEFAULT_HOP_MS,
+  SCHEDULER_OPTIONS,
   type Failure,
   createElapsedClock,
   createFleetView,
   hash32,
+  localityOptions,
   pollIntervalOptions,
   seededRandom,
   usageCandidates,
@@ -52,6 +55,7 @@
 import { createGatewayLog } from './gateway-log.js';
 import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
+import { logLocality } from './locality-counts.js';
 import { LOG_LIMITS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMemberHandlers } from './member-handlers.js';
 import { createMetricsServer } from './metrics-server.js';
@@ -204,10 +208,12 @@
     availability.noteAnswer(target, announced);
     limits.noteAnswer(target, announced.limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
+  const locality = localityOptions(DEFAULT_HOP_MS, settings.leavePriceMs);
   const schedulers = createSchedulingService({
     view,
     control,
     permits: limits.permits,
+    scheduler: { ...SCHEDULER_OPTIONS, locality },
     nowMs: monotonicMs,
     log,
     onGranted: (grant) => {
@@ -351,7 +357,10 @@
       log,
       count: telemetry.count,
     }),
-    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
+    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
+      locality,
+      onLocality: logLocality(log, settings.failureDomain),
+    }),
     scheduling,
     crashes,
     versions,
@@ -424,6 +433,7 @@
       createMetricsServer(settings.metrics, () => {
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
+        telemetry.gaugeByTarget('leaving_share', services.health.leavingShares());
         limits.measure();
         availability.measure();
         return telemetry.metricsText();
--- a/packages/daemon/test/gateway/silent-attempts.test.ts
+++ b/packages/daemon/test/gateway/silent-attempts.test.ts
@@ -130,8 +130,8 @@
     health: {
       choose: (_: string, excluded: ReadonlySet<string>) =>
         targets.find(({ id }) => !excluded.has(id)) ?? null,
-      noteSent: () => undefined,
-      noteDone: () => undefined,
+      noteSent: () => () => undefined,
+      leavingShares: () => new Map(),
       recordSuccess: () => undefined,
       recordFailure: () => undefined,
     },
