--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -1,3 +1,7 @@
+import { Activation } from './activation.js';
+import { localityOptions } from '../locality/options.js';
+import type { DomainCosts } from './domain-cost.js';
+
 /** Tuning parameters of a scheduler, each with the load that it addresses. */
 export interface SchedulerOptions {
   /**
@@ -29,6 +33,13 @@
    * long after the handover of their prompts.
    */
   readonly maxDecodePrefillTokens: number;
+  /**
+   * Maximum number of jobs in the queue of an engine; further ones are refused. Each decision reads
+   * the queues, and jobs that may wait until their deadline fill them in a long overload. The value
+   * exceeds what an engine serves within the deadlines of the shortest prompts: at 100, retries were
+   * refused that could have been answered.
+   */
+  readonly maxQueuedJobsPerEngine: number;
   /**
    * Maximum predicted service time of the late jobs in the queue of an engine. With zero, a job
    * that would be late is refused immediately unless its engine is idle. Queued late jobs were
@@ -82,8 +93,49 @@
   /** Initial suspension of a failed target; doubles with each consecutive failure. */
   readonly initialSuspendMs: number;
   readonly maxSuspendMs: number;
-  /** Fraction of an engine's memory that running requests may use. */
+  /**
+   * Whether the speed of each engine is learned relative to its service, and work is distributed in
+   * proportion to it. Otherwise each engine has its own fit of prefill times, and decode engines are
+   * chosen by their number of streams.
+   */
+  readonly learnsSpeeds: boolean;
+  /**
+   * Cost of another failure domain: network round trip and the price of leaving. With null, only a
+   * fixed penalty keeps the decode engine in the domain of the prefill engine.
+   */
+  readonly locality: DomainCosts | null;
+  /**
+   * Fraction of an engine's memory that running requests may use while another engine has room.
+   * `Infinity` disables the limit.
+   */
   readonly maxRunningShare: number;
+  /**
+   * Whether requests to engines carry their priority. Engines admit urgent requests first and
+   * preempt others when memory is short; without it, urgent requests wait behind long prompts.
+   */
+  readonly enginePriority: Activation;
+  /**
+   * Whether retry delays follow the rate at which the engines drain their work. Otherwise all callers
+   * of a burst return together after `minRetryAfterMs`.
+   */
+  readonly drainRateRetries: Activation;
+  /**
+   * Whether retries precede new jobs of their priority and count as on time until their deadline.
+   * Otherwise 1,100 to 1,700 callers per run were refused a second time. In an overload that outlasts
+   * the deadlines, new jobs of the least urgent type are then refused first and served as retries,
+   * late.
+   */
+  readonly retriesFirst: Activation;
+  /**
+   * Whether jobs rank by urgency instead of by value per engine time. By value, an expensive urgent
+   * type was late most often of all: 681 late and 148 refused of 4,650.
+   */
+  readonly urgencyOrder: Activation;
+  /**
+   * Whether jobs that would be late wait until an engine has nothing else to do. Otherwise
+   * `maxLateBacklogMs` and `maxLateWaitMs` apply.
+   */
+  readonly lateJobsWait: Activation;
 }
 
 /** Default options; the reasons are documented with the fields. */
@@ -93,6 +145,7 @@
   recomputeWeight: 1,
   maxDecodePrefillTokens: 400,
   copyPenaltyMsPerThousand: 10,
+  maxQueuedJobsPerEngine: 1000,
   maxLateBacklogMs: 0,
   maxLateWaitMs: 50,
   stealIntervalMs: 10,
@@ -107,5 +160,12 @@
   maxConsecutiveBreaks: 2,
   initialSuspendMs: 500,
   maxSuspendMs: 2000,
+  learnsSpeeds: false,
+  locality: localityOptions(),
   maxRunningShare: 0.8,
+  enginePriority: Activation.WhenPrioritiesDiffer,
+  drainRateRetries: Activation.WhenPrioritiesDiffer,
+  retriesFirst: Activation.WhenPrioritiesDiffer,
+  urgencyOrder: Activation.WhenPrioritiesDiffer,
+  lateJobsWait: Activation.WhenPrioritiesDiffer,
 };
--- a/packages/coordination/src/core/scheduling/placement.ts
+++ b/packages/coordination/src/core/scheduling/placement.ts
@@ -5,12 +5,16 @@
  */
 import { EnginePhase } from '../forwarding/fleet.js';
 import { hasConnection } from './connections.js';
+import { prefillDomainCostMs } from './domain-cost.js';
+import { memoryPenalty } from './engine-memory.js';
 import type { Job } from './job.js';
 import { countCachedParts, tokensBetween } from './prompt-cache.js';
-import { type ServiceEstimate, type Standing, compareRank } from './ranking.js';
+import { isRouteStarved, jobOrderOf } from './job-order.js';
+import type { ServiceEstimate, Standing } from './ranking.js';
 import { type PrefillCost, findCacheHolders, prefillCost } from './prefill-cost.js';
 import { prefillLatencyMs } from './prefill-time.js';
 import type { CachedCost, QueuedJob, Scheduler } from './scheduler-state.js';
+import { goalAtMs, precedesNewJobs } from './retry-after.js';
 import { isStarved } from './size-fairness.js';
 import { isWorkspaceStarved } from './workspace-fairness.js';
 import { type TargetLoad, canDecode, isUsable, pendingPrefillMs } from './target-load.js';
@@ -47,19 +51,37 @@
       ),
     );
   }
-  const leastServiceMs = Math.min(...options.map((option) => option.estimate.serviceMs));
-  const penalizedAtMs = ({ load, estimate }: PlacementOption): number =>
-    estimate.firstEventAtMs +
-    connectCostMs(scheduler, load, queuedJob.job, nowMs) +
-    scheduler.options.recomputeWeight * (estimate.serviceMs - leastServiceMs) +
-    copyPenaltyMs(scheduler, estimate);
+  const leastWorkMs = Math.min(...options.map(averageWorkMs));
+  const penalizedAtMs = (option: PlacementOption): number =>
+    option.estimate.firstEventAtMs +
+    connectCostMs(scheduler, option.load, queuedJob.job, nowMs) +
+    memoryPenalty(scheduler, option.load, queuedJob.job) +
+    scheduler.options.recomputeWeight * (averageWorkMs(option) - leastWorkMs) +
+    copyPenaltyMs(scheduler, option.estimate) +
+    prefillDomainCostMs(scheduler, option.load, queuedJob.job, scheduler.decodeDomains) +
+    option.load.speed.prefillBalanceMs;
   let best: PlacementOption | null = null;
+  let lowestMs = Infinity;
   for (const option of options) {
-    if (best === null || penalizedAtMs(option) < penalizedAtMs(best)) best = option;
+    const optionMs = penalizedAtMs(option);
+    if (best !== null && optionMs >= lowestMs) continue;
+    best = option;
+    lowestMs = optionMs;
   }
   return best;
 }
 
+/**
+ * Returns the time that an engine of average speed would need in its place; more of it is work that
+ * another engine would have saved.
+ */
+export function averageWorkMs({
+  load,
+  estimate,
+}: Pick<PlacementOption, 'load' | 'estimate'>): number {
+  return estimate.serviceMs / load.speed.prefillSlowness;
+}
+
 /** Returns the time that the job's gateway needs to connect to an engine. */
 function connectCostMs(scheduler: Scheduler, load: TargetLoad, job: Job, nowMs: number): number {
   const { connectMs, connectionKeepAliveMs } = scheduler.options;
@@ -136,11 +158,12 @@
   const pendingMs = pendingPrefillMs(load, nowMs);
   const startAtMs = nowMs + pendingMs;
   const immediate = toServiceEstimate(scheduler, load, queuedJob, cost, startAtMs);
+  const compare = jobOrderOf(scheduler);
   let aheadMs = pendingMs;
   for (const other of queueOf(scheduler, load.entry.id)) {
     if (other === queuedJob) continue;
     const otherEstimate = estimateQueuedService(scheduler, load, other, startAtMs, nowMs);
-    if (compareRank(otherEstimate, immediate) <= 0) aheadMs += otherEstimate.serviceMs;
+    if (compare(otherEstimate, immediate) <= 0) aheadMs += otherEstimate.serviceMs;
   }
   const estimate = { ...immediate, firstEventAtMs: immediate.firstEventAtMs + aheadMs - pendingMs };
   return { load, estimate, aheadMs };
@@ -215,7 +238,7 @@
     serviceMs,
     copiedTokens,
     firstEventAtMs: startAtMs + latencyMs + serviceMs + afterPrefillMs,
-    aimAtMs: queuedJob.job.aimAtMs,
+    aimAtMs: goalAtMs(scheduler, queuedJob),
   };
 }
 
@@ -223,6 +246,15 @@
   const { job, value, isRetry, sizeClass } = queuedJob;
   const { fairness, workspaces } = scheduler;
   const isSizeStarved = isStarved(fairness, job.route, sizeClass);
-  const isAnyStarved = isSizeStarved || isWorkspaceStarved(workspaces, job.workspace);
-  return { value, isRetry, isStarved: isAnyStarved };
+  const isAnyStarved =
+    isSizeStarved ||
+    isWorkspaceStarved(workspaces, job.workspace) ||
+    isRouteStarved(scheduler, queuedJob);
+  return {
+    value,
+    priority: job.priority,
+    isRetry,
+    precedesNewJobs: precedesNewJobs(scheduler, queuedJob),
+    isStarved: isAnyStarved,
+  };
 }
--- a/packages/coordination/src/core/scheduling/prefill-time.ts
+++ b/packages/coordination/src/core/scheduling/prefill-time.ts
@@ -22,19 +22,21 @@
   readonly idleStartMs: number;
 }
 
-/** A model of the prefills of one engine, or of all engines of one phase. */
+/** A model of the prefills of one engine, or of all engines of a service in one phase. */
 export interface PrefillTimeModel {
-  /** The model of all engines of the same phase, which counts as a few samples; null for that one. */
+  /** The model of all engines in the same phase, from which this one starts; null for that one. */
   readonly pooled: PrefillTimeModel | null;
   /** Prefills that began while the engine was idle. */
   readonly idle: SampleSums;
   /** Prefills that reached the engine while it worked on an earlier prompt. */
   readonly queued: SampleSums;
   readonly priorTokensPerMs: number;
+  /** Weight that a sample keeps with each new one. */
+  readonly sampleDecay: number;
   fitted: FittedTimes;
+  samples: number;
   /** Number of samples in the pooled model when `fitted` was computed. */
   pooledSamples: number;
-  samples: number;
 }
 
 /** One measured prefill. */
@@ -46,7 +48,7 @@
   readonly queuedMs: number;
 }
 
-/** Weight that a sample keeps with each new one; it halves after about 35 samples. */
+/** Default decay: a sample has half its weight after about 35 others. */
 const SAMPLE_DECAY = 0.98;
 /** Prior for an unknown engine type: 22 ms to the first token, 4 ms of which a step takes. */
 const PRIOR_IDLE_START_MS = 22;
@@ -58,54 +60,57 @@
  * cannot distort the model.
  */
 const MAX_SLOPE_RATIO = 6;
+/** Number of samples of other engines after which an engine's prior is taken anew. */
+const POOLED_REFRESH_SAMPLES = 8;
 /** Longer samples are ignored, because a stalled engine says nothing about its speed. */
 const MAX_SAMPLE_MS = 5000;
-/** Number of samples of other engines after which the prior of an engine is computed again. */
-const POOLED_REFRESH_SAMPLES = 8;
 
 /** Prefill speed that is assumed of an unknown engine type, in tokens per millisecond. */
 export const PREFILL_TOKENS_PER_MS = 36;
 
 /**
- * Returns a model without samples. `priorTokensPerMs` is the speed that is assumed until samples of
- * this engine or of others in `pooled` are known.
+ * Returns a model without samples of its own. Its prior is the pooled model, or an engine with the
+ * given speed if there is none.
  */
 export function createPrefillTimeModel(
   priorTokensPerMs: number,
+  sampleDecay = SAMPLE_DECAY,
   pooled: PrefillTimeModel | null = null,
 ): PrefillTimeModel {
-  const model: PrefillTimeModel = {
+  const model = {
     pooled,
     idle: createSums(),
     queued: createSums(),
     priorTokensPerMs,
-    fitted: {
-      perTokenMs: 1 / priorTokensPerMs,
-      queuedStartMs: PRIOR_QUEUED_START_MS,
-      idleStartMs: PRIOR_IDLE_START_MS,
-    },
-    pooledSamples: 0,
+    sampleDecay,
+    fitted: { perTokenMs: 1 / priorTokensPerMs, queuedStartMs: 0, idleStartMs: 0 },
     samples: 0,
+    pooledSamples: 0,
   };
   refit(model);
   return model;
 }
 
-/** Adds a measured prefill to the model of its engine and to the pooled one. */
+/** Adds a measured prefill to a model and to the pooled one. */
 export function recordPrefill(model: PrefillTimeModel, sample: PrefillSample): void {
   const { tokens, durationMs, queuedMs } = sample;
-  if (durationMs > MAX_SAMPLE_MS) return;
+  if (durationMs > MAX_SAMPLE_MS || !isMeaningful(model, sample)) return;
   if (model.pooled !== null) recordPrefill(model.pooled, sample);
-  const isIdle = queuedMs <= 0;
-  // One that arrived while the prompt before it was nearly done shows neither of the two times.
-  if (!isIdle && queuedMs < prefillLatencyMs(model)) return;
-  const sums = isIdle ? model.idle : model.queued;
-  decay(sums);
+  const sums = queuedMs > 0 ? model.queued : model.idle;
+  decay(sums, model.sampleDecay);
   addSample(sums, tokens, durationMs);
   model.samples += 1;
   refit(model);
 }
 
+/**
+ * Returns whether a sample shows one of the two times: a prompt that arrived while the one before it
+ * was nearly done shows neither.
+ */
+export function isMeaningful(model: PrefillTimeModel, { queuedMs }: PrefillSample): boolean {
+  return queuedMs <= 0 || queuedMs >= prefillLatencyMs(model);
+}
+
 /** Returns how long a prompt occupies the engine, in milliseconds. */
 export function predictPrefillMs(model: PrefillTimeModel, tokens: number): number {
   const { queuedStartMs, perTokenMs } = currentFit(model);
@@ -132,6 +137,7 @@
   };
   const idle = withPrior(model.idle, prior.idleStartMs, prior.perTokenMs);
   const queued = withPrior(model.queued, prior.queuedStartMs, prior.perTokenMs);
+  model.pooledSamples = model.pooled?.samples ?? 0;
   const slowest = MAX_SLOPE_RATIO / PREFILL_TOKENS_PER_MS;
   const fastest = 1 / (MAX_SLOPE_RATIO * PREFILL_TOKENS_PER_MS);
   const slope = (covariance(idle) + covariance(queued)) / (variance(idle) + variance(queued));
@@ -144,7 +150,6 @@
     queuedStartMs,
     idleStartMs: Math.max(queuedStartMs, startOf(idle, perTokenMs)),
   };
-  model.pooledSamples = model.pooled?.samples ?? 0;
 }
 
 function createSums(): SampleSums {
@@ -158,12 +163,12 @@
   return extended;
 }
 
-function decay(sums: SampleSums): void {
-  sums.count *= SAMPLE_DECAY;
-  sums.sumTokens *= SAMPLE_DECAY;
-  sums.sumMs *= SAMPLE_DECAY;
-  sums.sumTokensSquared *= SAMPLE_DECAY;
-  sums.sumTokensMs *= SAMPLE_DECAY;
+function decay(sums: SampleSums, keptWeight: number): void {
+  sums.count *= keptWeight;
+  sums.sumTokens *= keptWeight;
+  sums.sumMs *= keptWeight;
+  sums.sumTokensSquared *= keptWeight;
+  sums.sumTokensMs *= keptWeight;
 }
 
 function addSample(sums: SampleSums, tokens: number, durationMs: number): void {
--- a/packages/coordination/src/core/scheduling/scheduler.ts
+++ b/packages/coordination/src/core/scheduling/scheduler.ts
@@ -6,21 +6,24 @@
  * return decisions.
  */
 import { dispatch } from './dispatch.js';
+import { beginStream, recordPrefillSpeed, recordStreamSpeed } from './engine-speeds.js';
 import { type Decision, type Job, type JobEvent, JobEventKind, RefusalReason } from './job.js';
+import { recordRouteRequest } from './job-order.js';
 import { choosePlacement } from './placement.js';
 import { recordPrompt, removeParts } from './prompt-cache.js';
 import { jobSize, jobValue, recordSize } from './ranking.js';
-import { recordPrefill } from './prefill-time.js';
 import { rateLimitRefusal } from './rate-limit-refusal.js';
-import { admissionRefusal, refuse, refuseUnservableJobs } from './load-shedding.js';
+import { admissionRefusal, refuse, refuseForLoad, refuseUnservableJobs } from './load-shedding.js';
 import { unavailableRefusal } from './unavailable-refusal.js';
 import { wasRecentlyRefused } from './refused-requests.js';
 import type { QueuedJob, Scheduler } from './scheduler-state.js';
 import { recordRequestedSize } from './size-fairness.js';
 import { recordWorkspaceRequest } from './workspace-fairness.js';
 import {
+  type Prefill,
   type TargetLoad,
   endPrefill,
+  endStream,
   recordBrokenAnswer,
   recordFailure,
   recordSuccess,
@@ -47,7 +50,10 @@
   const placement = choosePlacement(scheduler, queuedJob, nowMs);
   if (placement === null) return [refuse(scheduler, job, RefusalReason.NoTarget, 0, nowMs)];
   const refusal = admissionRefusal(scheduler, queuedJob, placement, nowMs);
-  if (refusal !== null) return [refuse(scheduler, job, refusal, placement.aheadMs, nowMs)];
+  if (refusal !== null) {
+    const work = { aheadMs: placement.aheadMs, serviceMs: placement.estimate.serviceMs };
+    return [refuseForLoad(scheduler, job, refusal, work, nowMs)];
+  }
   enqueue(scheduler, queuedJob, placement.load.entry.id);
   return dispatch(scheduler, nowMs);
 }
@@ -77,6 +83,7 @@
 function createQueuedJob(scheduler: Scheduler, job: Job, nowMs: number): QueuedJob {
   recordSize(scheduler.sizes, job);
   const isRetry = wasRecentlyRefused(scheduler.refusedRequests, job, nowMs);
+  if (!isRetry) recordRouteRequest(scheduler, job.route, nowMs);
   if (job.workspace !== null && !isRetry) {
     recordWorkspaceRequest(scheduler.workspaces, job.workspace, nowMs);
   }
@@ -96,6 +103,9 @@
 function handleJobEvent(scheduler: Scheduler, event: JobEvent, nowMs: number): void {
   const load = scheduler.targets.get(event.target);
   const hasEnded = event.kind === JobEventKind.Ended || event.kind === JobEventKind.Served;
+  if (event.kind === JobEventKind.Served && load !== undefined) {
+    recordStreamSpeed(load.speed, event.jobId, nowMs);
+  }
   if (hasEnded) removeJob(scheduler, event.jobId);
   if (load === undefined) return;
   if (event.kind === JobEventKind.Served) recordSuccess(load);
@@ -111,7 +121,8 @@
   for (const load of scheduler.targets.values()) {
     const prefill = endPrefill(load, jobId);
     if (prefill !== null) removeParts(load.cache, uncachedPartsOf(prefill));
-    load.streaming.delete(jobId);
+    endStream(load, jobId);
+    load.speed.streams.delete(jobId);
   }
 }
 
@@ -124,15 +135,26 @@
   recordSuccess(load);
   const prefill = endPrefill(load, jobId);
   if (prefill === null) return;
+  noteStreamBegins(scheduler, prefill, nowMs);
   // The decode engine keeps the parts that it fetches, just like the parts that it prefills.
   for (const other of scheduler.targets.values()) {
     if (other !== load && other.streaming.has(jobId)) recordPrompt(other.cache, prefill.parts);
   }
   const startedAtMs = Math.max(prefill.startedAtMs, load.lastPrefillEndAtMs);
   load.lastPrefillEndAtMs = nowMs;
-  recordPrefill(load.prefillTimeModel, {
-    tokens: prefill.tokens,
-    durationMs: nowMs - startedAtMs,
-    queuedMs: startedAtMs - prefill.startedAtMs,
-  });
+  const queuedMs = startedAtMs - prefill.startedAtMs;
+  const durationMs = Math.max(0, nowMs - startedAtMs - prefill.transferMs);
+  recordPrefillSpeed(load, { tokens: prefill.tokens, durationMs, queuedMs }, nowMs);
+}
+
+/** Records that the decode engine of a prefilled prompt begins with its stream. */
+function noteStreamBegins(
+  scheduler: Scheduler,
+  { jobId, outputTokens }: Prefill,
+  nowMs: number,
+): void {
+  for (const { speed, streaming, entry } of scheduler.targets.values()) {
+    if (!streaming.has(jobId)) continue;
+    beginStream(speed, jobId, outputTokens, streaming.size, entry.slots, nowMs);
+  }
 }
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -7,12 +7,16 @@
 import {
   type ClockReading,
   CrashChangeKind,
+  DEFAULT_HOP_MS,
+  SCHEDULER_OPTIONS,
   type Failure,
   createElapsedClock,
   createFleetView,
   hash32,
+  localityOptions,
   pollIntervalOptions,
   seededRandom,
+  usageCandidates,
 } from '@cassiamast/coordination';
 import {
   type CallerWire,
@@ -51,6 +55,7 @@
 import { createGatewayLog } from './gateway-log.js';
 import { createHeaderWatch } from './header-watch.js';
 import { stopGracefully } from './graceful-stop.js';
+import { logLocality } from './locality-counts.js';
 import { LOG_LIMITS, type WriteText, createLogWriter } from './log-writer.js';
 import { createMemberHandlers } from './member-handlers.js';
 import { createMetricsServer } from './metrics-server.js';
@@ -86,8 +91,6 @@
 const TARGET_KEEP_ALIVE_MS = 4000;
 /** A fixed value because gateways get no secret; only the allowed networks protect them. */
 const MEMBER_SECRET = 'gateway';
-/** The duty whose holder is chosen like the scheduler of a service. */
-const USAGE = 'usage';
 /** Grace period if the settings specify none. */
 const DEFAULT_GRACE_MS = 8000;
 
@@ -205,10 +208,12 @@
     availability.noteAnswer(target, announced);
     limits.noteAnswer(target, announced.limitPerS, { work: null, sentAtMs: elapsedMs() });
   });
+  const locality = localityOptions(DEFAULT_HOP_MS, settings.leavePriceMs);
   const schedulers = createSchedulingService({
     view,
     control,
     permits: limits.permits,
+    scheduler: { ...SCHEDULER_OPTIONS, locality },
     nowMs: monotonicMs,
     log,
     onGranted: (grant) => {
@@ -286,7 +291,7 @@
           view,
           rpc,
           recent,
-          isCandidate: () => presence.isConfirmed() && scheduling.schedulerOf(USAGE) === selfId,
+          isCandidate: () => usageCandidates([...view.gateways.values()]).includes(selfId),
           gatewayCount: () => view.gateways.size,
           random,
           elapsedMs,
@@ -352,7 +357,10 @@
       log,
       count: telemetry.count,
     }),
-    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs),
+    health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
+      locality,
+      onLocality: logLocality(log, settings.failureDomain),
+    }),
     scheduling,
     crashes,
     versions,
@@ -425,6 +433,7 @@
       createMetricsServer(settings.metrics, () => {
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
+        telemetry.gaugeByTarget('leaving_share', services.health.leavingShares());
         limits.measure();
         availability.measure();
         return telemetry.metricsText();
