--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -140,7 +140,7 @@
 
 /** Default options; the reasons are documented with the fields. */
 export const SCHEDULER_OPTIONS: SchedulerOptions = {
-  lookaheadMs: 40,
+  lookaheadMs: 30,
   maxPrefillsPerEngine: 8,
   recomputeWeight: 1,
   maxDecodePrefillTokens: 400,
@@ -163,9 +163,9 @@
   learnsSpeeds: false,
   locality: localityOptions(),
   maxRunningShare: 0.8,
-  enginePriority: Activation.WhenPrioritiesDiffer,
-  drainRateRetries: Activation.WhenPrioritiesDiffer,
-  retriesFirst: Activation.WhenPrioritiesDiffer,
-  urgencyOrder: Activation.WhenPrioritiesDiffer,
-  lateJobsWait: Activation.WhenPrioritiesDiffer,
+  enginePriority: Activation.Never,
+  drainRateRetries: Activation.Never,
+  retriesFirst: Activation.Never,
+  urgencyOrder: Activation.Never,
+  lateJobsWait: Activation.Never,
 };
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -358,7 +358,8 @@
       count: telemetry.count,
     }),
     health: createTargetHealth(view, settings.failureDomain, random, monotonicMs, {
-      locality,
+      // Only where a price is set: a target that announces a rate limit gets less of it this way.
+      locality: settings.leavePriceMs === null ? null : locality,
       onLocality: logLocality(log, settings.failureDomain),
     }),
     scheduling,
