--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -7,7 +7,7 @@
   /**
    * Predicted prefill time up to which an engine is given further jobs. An engine batches several
    * short prompts into one step, whereas prompts sent one by one each pay the start-up time. The
-   * value is the duration of a step of 1,000 to 2,000 tokens.
+   * value is the duration of a step of about 1,000 tokens; the latency of prefills comes on top.
    */
   readonly lookaheadMs: number;
   /**
@@ -163,7 +163,7 @@
   learnsSpeeds: false,
   locality: localityOptions(),
   maxRunningShare: 0.8,
-  enginePriority: Activation.Never,
+  enginePriority: Activation.WhenPrioritiesDiffer,
   drainRateRetries: Activation.Never,
   retriesFirst: Activation.Never,
   urgencyOrder: Activation.Never,
--- a/packages/daemon/test/gateway/scheduling-priorities.test.ts
+++ b/packages/daemon/test/gateway/scheduling-priorities.test.ts
@@ -2,11 +2,13 @@
 import assert from 'node:assert/strict';
 import { describe, it } from 'node:test';
 import {
+  Activation,
   DecisionKind,
   DeliveryKind,
   EnginePhase,
   FleetChangeKind,
   type Route,
+  SCHEDULER_OPTIONS,
   UNLIMITED,
   applyChanges,
   createFleetView,
@@ -74,6 +76,7 @@
     view,
     control: { readCache: () => okAsync([]) } as unknown as EngineControlPort,
     permits: UNLIMITED,
+    scheduler: { ...SCHEDULER_OPTIONS, lateJobsWait: Activation.WhenPrioritiesDiffer },
     nowMs: () => 0,
     log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
     onGranted: () => undefined,
@@ -109,8 +112,9 @@
 
 describe('a scheduler of a gateway', () => {
   // Services with one priority are served as before; the rules for several apply only to others.
-  it('lets late jobs wait only while the routes of its service differ in priority', async () => {
+  it('lets late jobs wait only while the routes of its service differ in priority', async (context) => {
     const { service, configure } = startService();
+    context.after(service.stop);
     configure(1, 0);
     const first = await service.take(SERVICE, lateJob('1'), WAIT_MS);
     assert.equal(first?.kind, DecisionKind.Run);
@@ -120,7 +124,6 @@
     assert.equal(await service.take(SERVICE, lateJob('3'), WAIT_MS), null);
     configure(3, 0);
     const refusedAgain = await service.take(SERVICE, lateJob('4'), WAIT_MS);
-    service.stop();
     assert.equal(refusedAgain?.kind, DecisionKind.Refuse);
   });
 });
