--- a/packages/coordination/src/core/scheduling/engine-speeds.ts
+++ b/packages/coordination/src/core/scheduling/engine-speeds.ts
@@ -203,9 +203,8 @@
 }
 
 /**
- * Weight of the recent busy time of an engine against the time to answer. With 0.15, the fastest of
- * engines of three speeds were 1.30 times as busy as the mean at a quarter of their capacity; a
- * larger weight has more cached parts copied.
+ * Weight of the recent busy time of an engine against the time to answer. With a smaller one,
+ * engines of three speeds are not equally busy; a larger one has more cached parts copied.
  */
 const PREFILL_BALANCE_WEIGHT = 0.2;
 /** Recent stream time, in ms, that weighs as much as one running request. */
--- a/packages/coordination/src/core/scheduling/late-jobs.ts
+++ b/packages/coordination/src/core/scheduling/late-jobs.ts
@@ -1,6 +1,6 @@
 /**
- * Lets jobs that would be late wait for capacity that no job needs to be on time. Without it, 500
- * requests per run were refused while engines were idle a moment later. A late job starts only on
+ * Lets jobs that would be late wait for capacity that no job needs to be on time. Without it,
+ * requests are refused while engines are idle a moment later. A late job starts only on
  * an engine with nothing else to do. Admission bounds the late work of an engine (`load-shedding`).
  */
 import { isActive } from './activation.js';
--- a/packages/coordination/src/core/scheduling/options.ts
+++ b/packages/coordination/src/core/scheduling/options.ts
@@ -121,14 +121,14 @@
   readonly drainRateRetries: Activation;
   /**
    * Whether retries precede new jobs of their priority and count as on time until their deadline.
-   * Otherwise 1,100 to 1,700 callers per run were refused a second time. In an overload that outlasts
+   * Otherwise many callers are refused a second time. In an overload that outlasts
    * the deadlines, new jobs of the least urgent type are then refused first and served as retries,
    * late.
    */
   readonly retriesFirst: Activation;
   /**
    * Whether jobs rank by urgency instead of by value per engine time. By value, an expensive urgent
-   * type was late most often of all: 681 late and 148 refused of 4,650.
+   * type is late most often of all.
    */
   readonly urgencyOrder: Activation;
   /**
