Show that a crashing part rules out the innocent part beside it

Four servers that crash at once on one part of a prompt rule out the first part as well, which sound requests share, and nothing clears it for 30 s.

--- a/review/lib/gateway.mjs
+++ b/review/lib/gateway.mjs
@@ -6,6 +6,10 @@
 import { get } from 'node:http';
 import { join } from 'node:path';
 
+// Ends the gateways, too, if the script is stopped.
+for (const signal of ['SIGTERM', 'SIGINT']) process.on(signal, () => process.exit(2));
+process.setMaxListeners(0);
+
 let nextPort = 20_000 + Math.floor(Math.random() * 9000);
 
 /** Returns a free port below those that the system gives to outgoing connections. */
@@ -135,6 +139,7 @@
         stdio: ['ignore', log, log],
       });
       const started = child;
+      process.once('exit', () => started.kill('SIGKILL'));
       ended = new Promise((resolve) =>
         started.once('exit', (code, signal) => resolve({ code, signal })),
       );
--- a/review/lib/server.mjs
+++ b/review/lib/server.mjs
@@ -3,6 +3,8 @@
 import { readBody, sendJson, listen, closeServer } from './http.mjs';
 
 const HEARTBEAT_MS = 1200;
+/** The store removes an entry after three intervals of silence. */
+const EXPIRY_MS = 3 * HEARTBEAT_MS;
 
 export async function startServer(store, options) {
   const {
@@ -116,6 +118,11 @@
     }
     return response.end();
   });
+  const sockets = new Set();
+  server.on('connection', (socket) => {
+    sockets.add(socket);
+    socket.once('close', () => sockets.delete(socket));
+  });
   server.keepAliveTimeout = 15_000;
   self.address = await listen(server, '127.0.0.1', 0);
   self.registered = link === null ? self.address : (self.proxy = await link(self.address)).address;
@@ -131,6 +138,16 @@
       register();
     },
     phase: () => currentPhase,
+    /** Ends as a process that crashes: its connections are reset, nothing listens; its entry expires. */
+    crash: () => {
+      if (!isListed) return false;
+      isListed = false;
+      clearTimeout(heartbeat);
+      server.close();
+      for (const socket of sockets) socket.resetAndDestroy();
+      setTimeout(() => store.remove(`servers/${id}`), EXPIRY_MS).unref();
+      return true;
+    },
     unlist: () => {
       isListed = false;
       store.remove(`servers/${id}`);
