Notice silent connections to the store before gateways are in touch again

Cause: such a connection is noticed only by a call for changes without an answer. The pause between calls (600 ms to 2 s), the wait (1,500 ms), the margin for the answer (1,000 ms) and the pause after the failure added up to more than contactMs. And the next call took whichever connection of the pool was idle, such as that of the lease renewals, which had gone silent as well.

Change: the time limits of a call follow from contactMs, so that all waits and the retry fit into it. After a call without an answer, all further calls use new connections; calls in flight keep theirs, as a slow store still answers them. The counter store_connection_renewals_total counts the renewals.

--- a/packages/coordination/test/core/forwarding/poll-interval.test.ts
+++ b/packages/coordination/test/core/forwarding/poll-interval.test.ts
@@ -6,9 +6,21 @@
   pollIntervalOptions,
   pauseAfterFailureMs,
   pauseAfterAnswerMs,
+  watchLimits,
 } from '../../../src/core/forwarding/poll-interval.js';
 
 const APPLY_WITHIN_MS = 4000;
+const CONTACT_MS = 5000;
+/** Time to establish a connection. */
+const CONNECT_MS = 4;
+/** Deployments by the time within which a change must be applied, and that of the contact. */
+const DEPLOYMENTS = [
+  { applyWithinMs: 2000, contactMs: 2500 },
+  { applyWithinMs: 2000, contactMs: 3000 },
+  { applyWithinMs: 3000, contactMs: 4000 },
+  { applyWithinMs: 4000, contactMs: 5000 },
+  { applyWithinMs: 4000, contactMs: 2000 },
+] as const;
 /** Duration of a call to a slow store: fifty times the usual duration. */
 const SLOW_CALL_MS = 200;
 /** Usual duration of a call to the store. */
@@ -16,7 +28,7 @@
 
 /** Counts the polls in a period in which each is answered at once, because targets keep writing. */
 function pollsIn(forMs: number, applyWithinMs: number): number {
-  const poll = createPollInterval(pollIntervalOptions(applyWithinMs));
+  const poll = createPollInterval(pollIntervalOptions(applyWithinMs, CONTACT_MS));
   let nowMs = 0;
   let polls = 0;
   while (nowMs < forMs) {
@@ -28,7 +40,7 @@
 
 /** Counts the polls in an outage in which each fails at once. */
 function pollsInOutage(forMs: number, random: () => number): number {
-  const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
+  const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
   let nowMs = 0;
   let polls = 0;
   while (nowMs < forMs) {
@@ -47,7 +59,7 @@
     });
 
     it('leaves time for a slow answer and a failed poll', () => {
-      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
+      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
       pauseAfterAnswerMs(poll, 0);
       const pauseMs = pauseAfterAnswerMs(poll, 60_000);
       const failedMs = pauseAfterFailureMs(poll, () => 1);
@@ -55,7 +67,7 @@
     });
 
     it('polls more often while gateways that started together find each other', () => {
-      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
+      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
       const first = pauseAfterAnswerMs(poll, 1000);
       assert.ok(first < pauseAfterAnswerMs(poll, 61_000));
     });
@@ -69,8 +81,8 @@
     });
 
     it('does not poll in step with other gateways', () => {
-      const early = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
-      const late = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
+      const early = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
+      const late = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
       assert.notEqual(
         pauseAfterFailureMs(early, () => 0),
         pauseAfterFailureMs(late, () => 1),
@@ -78,9 +90,32 @@
     });
 
     it('polls again within a quarter of the time within which a change must be applied', () => {
-      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS));
+      const poll = createPollInterval(pollIntervalOptions(APPLY_WITHIN_MS, CONTACT_MS));
       const pauses = Array.from({ length: 20 }, () => pauseAfterFailureMs(poll, () => 1));
       assert.ok(Math.max(...pauses) <= APPLY_WITHIN_MS / 4);
     });
   });
+
+  // A gateway that is in touch again must not act on a fleet from before its connection went silent.
+  describe('after a connection went silent', () => {
+    for (const { applyWithinMs, contactMs } of DEPLOYMENTS) {
+      it(`gets its next answer within ${String(contactMs)} ms, with a pause for ${String(applyWithinMs)} ms`, () => {
+        const options = pollIntervalOptions(applyWithinMs, contactMs);
+        const poll = createPollInterval(options);
+        pauseAfterAnswerMs(poll, 0);
+        const pauseMs = pauseAfterAnswerMs(poll, 60_000);
+        const { timeoutMs } = watchLimits(options);
+        const failedMs = pauseAfterFailureMs(poll, () => 1);
+        const answeredMs = pauseMs + timeoutMs + failedMs + CONNECT_MS + CALL_MS;
+        assert.ok(answeredMs + SLOW_CALL_MS <= contactMs, `${String(answeredMs)} ms`);
+      });
+    }
+
+    it('leaves a slow store time for its answer', () => {
+      for (const { applyWithinMs, contactMs } of DEPLOYMENTS) {
+        const { waitMs, timeoutMs } = watchLimits(pollIntervalOptions(applyWithinMs, contactMs));
+        assert.ok(timeoutMs - waitMs >= SLOW_CALL_MS);
+      }
+    });
+  });
 });
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -3,7 +3,7 @@
  * continues through outages, compacted watch history and a store that rejects this VM; the last
  * known state of the fleet remains in use meanwhile.
  */
-import { setImmediate as nextLoopTurn, setTimeout as sleep } from 'node:timers/promises';
+import { setImmediate as nextLoopTurn } from 'node:timers/promises';
 import {
   type Failure,
   type FleetChange,
@@ -21,12 +21,14 @@
   pauseAfterFailureMs,
   pauseAfterAnswerMs,
   removeMissingTargets,
+  watchLimits,
 } from '@cassiamast/coordination';
 import {
   type InvalidEntry,
   FLEET_HISTORY_GONE,
   type FleetPort,
   type FleetChangeBatch,
+  KEY_VALUE_REFUSED,
 } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
 import { withResolvers } from '../node/http-body.js';
@@ -34,10 +36,6 @@
 import type { BeginCall } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
-/** Longest wait of one call for changes; short, to detect a connection that no longer answers. */
-const WATCH_WAIT_MS = 1500;
-/** Time that a call for changes may exceed its wait before another call is made. */
-const ANSWER_MARGIN_MS = 1000;
 /** The wait of a call for changes up to now. */
 const NO_WAIT_MS = 1;
 const READ_NOW_TIMEOUT_MS = 1000;
@@ -58,6 +56,7 @@
   readonly pace: PollIntervalOptions;
   readonly random: Random;
   readonly nowMs: () => number;
+  readonly sleep: (delayMs: number, signal?: AbortSignal) => Promise<unknown>;
   readonly log: GatewayLog;
   readonly count: (name: string) => void;
   /**
@@ -93,8 +92,9 @@
 
 /** Creates the follower. */
 export function createFleetFollower(options: FleetFollowerOptions): FleetFollower {
-  const { fleet, view, nowMs, log, random } = options;
+  const { fleet, view, nowMs, sleep, log, random } = options;
   const pace = createPollInterval(options.pace);
+  const watch = watchLimits(options.pace);
   let stopped = true;
   let isStoreLost = false;
   let needsListing = true;
@@ -112,7 +112,7 @@
   }
 
   function noteStoreRegained(pauseMs: number): void {
-    recordStoreAnswer(view, nowMs(), pauseMs + WATCH_WAIT_MS);
+    recordStoreAnswer(view, nowMs(), pauseMs + watch.waitMs);
     if (isStoreLost) log.info('store regained', { revision: knownRevision() });
     isStoreLost = false;
   }
@@ -180,20 +180,14 @@
   function startRead(): PendingRead {
     const afterRevision = view.revision;
     const confirmRead = options.beginRead();
+    const begun = { afterRevision, confirmRead };
     return needsListing
-      ? {
-          isListing: true,
-          afterRevision,
-          timeoutMs: LISTING_TIMEOUT_MS,
-          reading: fleet.list(),
-          confirmRead,
-        }
+      ? { ...begun, isListing: true, timeoutMs: LISTING_TIMEOUT_MS, reading: fleet.list() }
       : {
+          ...begun,
           isListing: false,
-          afterRevision,
-          timeoutMs: WATCH_WAIT_MS + ANSWER_MARGIN_MS,
-          reading: fleet.changesAfter(afterRevision, WATCH_WAIT_MS),
-          confirmRead,
+          timeoutMs: watch.timeoutMs,
+          reading: fleet.changesAfter(afterRevision, watch.waitMs),
         };
   }
 
@@ -241,6 +235,7 @@
     if (answer === null && needsListing && !read.isListing) return 0;
     if (answer === null) {
       noteStoreLost(`no answer within ${String(read.timeoutMs)} ms`);
+      fleet.renewConnections();
       void applyLateReading(read);
       return pauseAfterFailureMs(pace, random);
     }
@@ -250,6 +245,7 @@
         return listingsInARow > 1 ? pauseAfterFailureMs(pace, random) : 0;
       }
       noteStoreLost(answer.error.message);
+      if (!KEY_VALUE_REFUSED.is(answer.error)) fleet.renewConnections();
       return pauseAfterFailureMs(pace, random);
     }
     const settledPauseMs = pauseAfterAnswerMs(pace, nowMs());
@@ -294,22 +290,22 @@
     },
   };
   return { child, readChanges };
-}
 
-/**
- * Resolves with the answer, or with null after the timeout. The timeout takes effect one event loop
- * turn late, so an answer that has already been received is still processed.
- */
-async function withTimeout<Answer>(
-  answer: PromiseLike<Answer>,
-  timeoutMs: number,
-): Promise<Answer | null> {
-  const timer = new AbortController();
-  const over = sleep(timeoutMs, null, { signal: timer.signal }).then(
-    () => nextLoopTurn(null),
-    () => null,
-  );
-  const first = await Promise.race([answer, over]);
-  timer.abort();
-  return first;
+  /**
+   * Resolves with the answer, or with null after the timeout. The timeout takes effect one event loop
+   * turn late, so an answer that has already been received is still processed.
+   */
+  async function withTimeout<Answer>(
+    answer: PromiseLike<Answer>,
+    timeoutMs: number,
+  ): Promise<Answer | null> {
+    const timer = new AbortController();
+    const over = sleep(timeoutMs, timer.signal).then(
+      () => nextLoopTurn(null),
+      () => null,
+    );
+    const first = await Promise.race([answer, over]);
+    timer.abort();
+    return first;
+  }
 }
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -26,6 +26,11 @@
   readonly leaseTtlMs: number;
   /** Maximum time until a change in the platform's store takes effect. */
   readonly maxUpdateDelayMs: number;
+  /**
+   * Time after an interruption of this gateway or its connections from which such a change must take
+   * effect in time again.
+   */
+  readonly contactMs: number;
   /**
    * Cost of sending work to another failure domain, as the time that it must save; null for the
    * default.
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -322,9 +322,10 @@
   const follower = createFleetFollower({
     fleet,
     view,
-    pace: pollIntervalOptions(settings.maxUpdateDelayMs),
+    pace: pollIntervalOptions(settings.maxUpdateDelayMs, settings.contactMs),
     random,
     nowMs: monotonicMs,
+    sleep: (delayMs, signal) => sleep(delayMs, null, { signal }),
     log,
     count: telemetry.count,
     beforeFirstListing: () => Promise.race([presence.firstAttempt, sleep(MAX_ANNOUNCE_WAIT_MS)]),
--- a/packages/daemon/src/gateway/store-call-counts.ts
+++ b/packages/daemon/src/gateway/store-call-counts.ts
@@ -47,6 +47,10 @@
     grantLease: (ttlMs) => counted(StoreCall.GrantLease, fleet.grantLease(ttlMs)),
     keepLeaseAlive: (leaseId) => counted(StoreCall.KeepLease, fleet.keepLeaseAlive(leaseId)),
     revokeLease: (leaseId) => counted(StoreCall.EndLease, fleet.revokeLease(leaseId)),
+    renewConnections: () => {
+      count('store_connection_renewals_total');
+      fleet.renewConnections();
+    },
     close: () => fleet.close(),
   };
 }
--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -31,6 +31,8 @@
 } from './simulation.js';
 
 const APPLY_WITHIN_MS = [2000, 3000, 4000] as const;
+/** How much longer an interruption excuses a gateway. */
+const CONTACT_EXTRA_MS = 1000;
 /** Entries that expired during an outage are back within this time. */
 const REAPPEAR_MS = 1400;
 const MAX_BACK_OFF_MS = 4000;
@@ -100,7 +102,7 @@
     targets: [],
     view: createFleetView(),
     availability: new Map(),
-    pace: createPollInterval(pollIntervalOptions(applyWithinMs)),
+    pace: createPollInterval(pollIntervalOptions(applyWithinMs, applyWithinMs + CONTACT_EXTRA_MS)),
     applyWithinMs,
     pauseMs: 0,
     sends: [],
--- a/packages/ports/src/fleet/port.ts
+++ b/packages/ports/src/fleet/port.ts
@@ -70,5 +70,7 @@
     content: RecordedVersions,
     modRevision: number,
   ) => ResultAsync<TransactionResult, Failure>;
+  /** Makes further calls on new connections only, as those of now may have gone silent. */
+  readonly renewConnections: () => void;
   readonly close: () => Promise<void>;
 }
--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -82,6 +82,11 @@
     limits: { readonly timeoutMs: number; readonly maxAnswerBytes: number },
   ) => Promise<HttpResponse | ExchangeFailure>;
   readonly stream: (request: HttpRequest, handlers: HttpStreamHandlers) => HttpStream;
+  /**
+   * Sends further requests on new connections only. A connection that went silent without a reset
+   * looks like an idle one. Exchanges in flight keep their connections until they end.
+   */
+  readonly renewConnections: () => void;
   /** Closes all connections; exchanges in flight fail. */
   readonly close: () => Promise<void>;
 }
@@ -108,20 +113,37 @@
 /** Creates a transport with its own connection pool. */
 export function createHttpTransport(options: HttpTransportOptions): HttpTransport {
   const resetWatch = createResetWatch(options.beforeUse ?? (() => null));
-  const agent = new Agent({
-    connections: options.maxConnections,
-    connect: resetWatch.wrapConnector(buildConnector({ timeout: options.connectTimeoutMs })),
-    keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
-    keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
-    // A stream can go without data for a long time, so each exchange sets its own timeout instead.
-    headersTimeout: 0,
-    bodyTimeout: 0,
-  });
+  const createAgent = (): Agent =>
+    new Agent({
+      connections: options.maxConnections,
+      connect: resetWatch.wrapConnector(buildConnector({ timeout: options.connectTimeoutMs })),
+      keepAliveTimeout: options.keepAliveMs ?? KEEP_ALIVE_MS,
+      keepAliveTimeoutThreshold: KEEP_ALIVE_MARGIN_MS,
+      // A stream can go without data for a long time, so each exchange sets its own timeout instead.
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  let agent = createAgent();
+  /** Earlier agents with exchanges in flight. */
+  const retired = new Set<Agent>();
+
+  async function retire(earlier: Agent): Promise<void> {
+    retired.add(earlier);
+    await earlier.close();
+    retired.delete(earlier);
+  }
+
   return {
     exchange: (request, limits) => exchange(agent, resetWatch, request, limits),
     stream: (request, handlers) =>
       dispatch(agent, resetWatch, request, { onSent: () => undefined, ...handlers }),
-    close: () => agent.destroy(),
+    renewConnections: () => {
+      void retire(agent);
+      agent = createAgent();
+    },
+    close: async () => {
+      await Promise.all([agent, ...retired].map((each) => each.destroy()));
+    },
   };
 }
 
--- a/packages/ports/test/http/transport.test.ts
+++ b/packages/ports/test/http/transport.test.ts
@@ -57,6 +57,54 @@
     return [outcome.kind, outcome.mayHaveRun];
   };
 
+  // An idle connection that went silent without a reset would be given to the next request.
+  describe('with renewed connections', () => {
+    const WHOLE = 'HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nok';
+
+    it('does not use those of before', async () => {
+      let connections = 0;
+      onSocket = (socket) => {
+        connections += 1;
+        respondWith(WHOLE)(socket);
+      };
+      await transport.exchange(request(), LIMITS);
+      for (const socket of sockets) socket.removeAllListeners('data');
+      transport.renewConnections();
+      const outcome = await transport.exchange(request(), { ...LIMITS, timeoutMs: 1_000 });
+      assert.ok(!isExchangeFailure(outcome));
+      assert.equal(connections, 2);
+    });
+
+    it('lets exchanges in flight end, and closes their connections then', async () => {
+      const inFlight = transport.exchange(request(), LIMITS);
+      const used = await receivedRequest();
+      transport.renewConnections();
+      const closed = once(used, 'close');
+      used.write(WHOLE);
+      assert.ok(!isExchangeFailure(await inFlight));
+      await closed;
+    });
+
+    it('closes all connections at its end', async () => {
+      const inFlight = transport.exchange(request(), LIMITS);
+      await receivedRequest();
+      transport.renewConnections();
+      await transport.close();
+      assert.ok(isExchangeFailure(await inFlight));
+    });
+
+    /** Resolves with the connection of the next request. */
+    function receivedRequest(): Promise<Socket> {
+      return new Promise((resolve) => {
+        onSocket = (socket) => {
+          socket.once('data', () => {
+            resolve(socket);
+          });
+        };
+      });
+    }
+  });
+
   // Calls must not time out because of an event loop stall in their own process. At the peak of a
   // burst the process gets no CPU time, and its late timers fire before it reads responses that have
   // already arrived. Dozens of calls at once would then report a live server as timed out.
