Renew the announcement's lease in time on silent connections

Cause: a renewal on a connection that went silent ended after 1.5 s, and the next one followed a second later, 3.5 s after the last success, with a time to live of 3 s.

Change: a renewal without an answer is lost when the next one is due. The next one is sent at once on a new connection. The number of renewals stays one in a third of the time to live.

Measured: presence.test.ts 'renews its lease on a new connection in time' fails without the change.

--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -15,7 +15,10 @@
 import type { BeginCall } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
 
-/** Renewals within the time to live of a lease; two consecutive renewals may be lost. */
+/**
+ * Renewals within the time to live of a lease; two consecutive renewals may be lost. One without an
+ * answer is lost when the next one is due.
+ */
 const RENEWALS_PER_TTL = 3;
 /** Backoff after failed calls. */
 const RETRY_BACKOFF: BackOffBounds = { initialMs: 300, maxMs: 1200 };
@@ -121,9 +124,23 @@
     confirmRenewal();
   }
 
+  /** Resolves with whether the store has answered in time. */
+  async function renewInTime(held: KeyValueLease): Promise<boolean> {
+    const timer = new AbortController();
+    const isOver = sleep(ttlMs / RENEWALS_PER_TTL, false, { signal: timer.signal });
+    const renewal = renewAnnouncement(held).then(() => true);
+    const isAnswered = await Promise.race([renewal, isOver.catch(() => true)]);
+    timer.abort();
+    return isAnswered;
+  }
+
   async function announceOrRenew(): Promise<void> {
     if (lease !== null && isAnnounced) {
-      await renewAnnouncement(lease);
+      if (!(await renewInTime(lease))) {
+        log.warn('renewal without an answer', { leaseId: lease.leaseId });
+        fleet.renewConnections();
+        return;
+      }
     } else {
       isAnnouncing = true;
       await announce();
--- a/packages/daemon/test/gateway/presence.test.ts
+++ b/packages/daemon/test/gateway/presence.test.ts
@@ -195,3 +195,39 @@
     assert.deepEqual(store.revoked, []);
   });
 });
+
+describe('a gateway whose connections to the store go silent', () => {
+  const TTL_MS = 300;
+
+  // Its announcement lapsed, and for a while the others shared its limits and its schedules.
+  it('renews its lease on a new connection in time', async () => {
+    const store = new LateStore();
+    const { keepLeaseAlive } = store.port;
+    const silent = new ResultAsync(new Promise<Result<typeof LEASE, Failure>>(() => undefined));
+    let isSilent = false;
+    const renewedAtMs: number[] = [];
+    store.entryLeaseId = '1';
+    const port: FleetPort = {
+      ...store.port,
+      keepLeaseAlive: (leaseId) => {
+        if (isSilent) return silent;
+        renewedAtMs.push(performance.now());
+        return keepLeaseAlive(leaseId);
+      },
+      renewConnections: () => {
+        isSilent = false;
+      },
+    };
+    const presence = presenceWith(port, () => false, TTL_MS);
+    await presence.child.start(() => undefined);
+    for (let silences = 1; silences <= 3; silences += 1) {
+      const { length: renewals } = renewedAtMs;
+      await waitFor(() => renewedAtMs.length > renewals);
+      isSilent = true;
+      await waitFor(() => renewedAtMs.length > renewals + 1);
+    }
+    await presence.withdraw();
+    const gapsMs = renewedAtMs.slice(1).map((atMs, index) => atMs - (renewedAtMs[index] ?? 0));
+    assert.ok(Math.max(...gapsMs) < TTL_MS, gapsMs.join(', '));
+  });
+});
