--- a/packages/coordination/src/core/model/store-revision.ts
+++ b/packages/coordination/src/core/model/store-revision.ts
@@ -7,6 +7,11 @@
 /** Far more than a store gives out in years; leaves room for thousands of eras in a safe integer. */
 const REVISIONS_PER_ERA = 2 ** 38;
 
+/** Returns whether a number can be what the store itself calls a revision. */
+export function isStoreRevision(value: number): boolean {
+  return Number.isInteger(value) && value >= 0 && value < REVISIONS_PER_ERA;
+}
+
 /** Returns the revision for what the store itself calls a revision in one of its eras. */
 export function revisionInEra(era: number, storeRevision: number): number {
   return era * REVISIONS_PER_ERA + storeRevision;
