--- a/packages/daemon/test/gateway/stream-network.ts
+++ b/packages/daemon/test/gateway/stream-network.ts
@@ -256,6 +256,8 @@
   const store = createStore(mutant, serving);
   /** Gateways that reach no other one, nor are reached. */
   const cutOff = new Set<string>();
+  /** Gateways whose calls to others arrive, while the answers are lost. */
+  const withoutAnswers = new Set<string>();
   /** Gateways that start when the announcements of all others have lapsed. */
   const startedAlone = new Set<string>();
   let timers: { readonly dueMs: number; readonly fire: (value: null) => void }[] = [];
@@ -271,7 +273,9 @@
       method === RpcMethod.StreamsFind &&
       (mutant === Mutant.NeverAsks || (mutant === Mutant.GrantsAreCertain && peer !== scheduler()));
     if (gateway === undefined || isIgnored) return away(method);
+    const isAnswerLost = caller !== peer && withoutAnswers.has(caller);
     if (method === RpcMethod.StreamsFind) {
+      if (isAnswerLost) return away(method);
       const [attempt, service, mustRead = false] = params as [string, string, boolean?];
       const known = mustRead
         ? gateway.versions.readAndFind(attempt, service)
@@ -281,7 +285,7 @@
       );
     }
     gateway.versions.receive(...(params as Parameters<StreamVersions['receive']>));
-    return okAsync(null);
+    return isAnswerLost ? away(method) : okAsync(null);
   }
 
   function start(id: string): void {
@@ -486,6 +490,10 @@
       cutOff.clear();
       for (const id of ids) cutOff.add(id);
     },
+    loseAnswersTo: (ids: readonly string[]): void => {
+      withoutAnswers.clear();
+      for (const id of ids) withoutAnswers.add(id);
+    },
     reject: (ids: readonly string[]): void => {
       store.rejected.clear();
       for (const id of ids) store.rejected.add(id);
@@ -521,8 +529,9 @@
       if (stream === undefined || gateway === undefined) return;
       const exchange = request('t', stream.attempt, null);
       const refusal = await passUntil(gateway.versions.takeUp(exchange));
+      const isAlone = cutOff.has(id) || withoutAnswers.has(id);
       const reachable = [...gateways].filter(
-        ([other]) => other === id || !(cutOff.has(id) || cutOff.has(other)),
+        ([other]) => other === id || !(isAlone || cutOff.has(other)),
       );
       const alive = reachable.map(([, each]) => each);
       const isForwarderAlive = stream.knownBy[0] !== undefined && alive.includes(stream.knownBy[0]);
--- a/packages/daemon/test/gateway/stream-versions.test.ts
+++ b/packages/daemon/test/gateway/stream-versions.test.ts
@@ -62,6 +62,11 @@
   .map((ids) => (network) => {
     network.cutOff(ids);
   });
+const loseAnswers: fc.Arbitrary<Command> = fc
+  .subarray(GATEWAYS, { maxLength: 2 })
+  .map((ids) => (network) => {
+    network.loseAnswersTo(ids);
+  });
 const rejectWrites: fc.Arbitrary<Command> = fc.boolean().map((isRejecting) => (network) => {
   network.rejectWrites(isRejecting);
 });
@@ -86,6 +91,7 @@
       { weight: 1, arbitrary: reject },
       { weight: 1, arbitrary: add },
       { weight: 1, arbitrary: cutOff },
+      { weight: 1, arbitrary: loseAnswers },
       { weight: 1, arbitrary: rejectWrites },
       { weight: 1, arbitrary: copyOrRestore },
     ),
