Renew connections to the store without an error at the end of a process

A gateway that stopped closed its transport; the pending call for changes failed, and renewing the closed connections left a rejected promise that nobody handled, which ends the process. A gateway that was stopped while a renewal of its lease had no answer read the lease that was gone by then, with the same result. And on a deployment whose bounds are no even numbers the wait for changes was a fraction, while the store takes whole milliseconds.

Change: a closed transport renews nothing, and its earlier connections may be closed twice. The follower and the presence do nothing more once they are stopped.

--- a/packages/coordination/src/core/forwarding/poll-interval.ts
+++ b/packages/coordination/src/core/forwarding/poll-interval.ts
@@ -55,7 +55,7 @@
 
 /** Time limits of a poll. */
 export interface WatchLimits {
-  /** How long the store may wait for changes before it answers without any. */
+  /** How long the store may wait for changes before it answers without any; a whole number. */
   readonly waitMs: number;
   /** Time from the call on after which the answer counts as lost. */
   readonly timeoutMs: number;
@@ -68,7 +68,7 @@
 export function watchLimits(options: PollIntervalOptions): WatchLimits {
   const { contactMs, failurePauseMs } = options;
   const availableMs = contactMs - settledPauseMs(options) - failurePauseMs - RECOVERY_MS;
-  const partMs = Math.max(MIN_WATCH_PART_MS, availableMs / 2);
+  const partMs = Math.max(MIN_WATCH_PART_MS, Math.floor(availableMs / 2));
   const waitMs = Math.min(MAX_WATCH_WAIT_MS, partMs);
   return { waitMs, timeoutMs: waitMs + Math.min(MAX_ANSWER_MS, partMs) };
 }
--- a/packages/coordination/test/core/forwarding/poll-interval.test.ts
+++ b/packages/coordination/test/core/forwarding/poll-interval.test.ts
@@ -111,6 +111,12 @@
       });
     }
 
+    // The store takes whole milliseconds only.
+    it('asks the store to wait for a whole number of milliseconds', () => {
+      const { waitMs } = watchLimits(pollIntervalOptions(2000, 2101));
+      assert.ok(Number.isInteger(waitMs), String(waitMs));
+    });
+
     it('leaves a slow store time for its answer', () => {
       for (const { applyWithinMs, contactMs } of DEPLOYMENTS) {
         const { waitMs, timeoutMs } = watchLimits(pollIntervalOptions(applyWithinMs, contactMs));
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -251,6 +251,7 @@
     };
     const inTime = withTimeout(read.reading, read.timeoutMs);
     const answer = await Promise.race([inTime, interrupted.promise]);
+    if (stopped) return 0;
     if (answer === null && needsListing && !read.isListing) return 0;
     if (answer === null) {
       noteStoreLost(read, `no answer within ${String(read.timeoutMs)} ms`);
--- a/packages/daemon/src/gateway/presence.ts
+++ b/packages/daemon/src/gateway/presence.ts
@@ -135,9 +135,11 @@
   }
 
   async function announceOrRenew(): Promise<void> {
-    if (lease !== null && isAnnounced) {
-      if (!(await renewInTime(lease))) {
-        log.warn('renewal without an answer', { leaseId: lease.leaseId });
+    const held = lease;
+    if (held !== null && isAnnounced) {
+      if (!(await renewInTime(held))) {
+        if (stopped) return;
+        log.warn('renewal without an answer', { leaseId: held.leaseId });
         fleet.renewConnections();
         return;
       }
--- a/packages/daemon/test/gateway/presence.test.ts
+++ b/packages/daemon/test/gateway/presence.test.ts
@@ -230,4 +230,34 @@
     const gapsMs = renewedAtMs.slice(1).map((atMs, index) => atMs - (renewedAtMs[index] ?? 0));
     assert.ok(Math.max(...gapsMs) < TTL_MS, gapsMs.join(', '));
   });
+
+  // The lease was gone when the renewal was given up, and the error ended the process.
+  it('can be stopped while it renews its lease', async () => {
+    const store = new LateStore();
+    const { keepLeaseAlive } = store.port;
+    const silent = new ResultAsync(new Promise<Result<typeof LEASE, Failure>>(() => undefined));
+    let isSilent = false;
+    let lostRenewals = 0;
+    const port: FleetPort = {
+      ...store.port,
+      keepLeaseAlive: (leaseId) => {
+        if (!isSilent) return keepLeaseAlive(leaseId);
+        lostRenewals += 1;
+        return silent;
+      },
+      renewConnections: () => undefined,
+    };
+    const unhandled: unknown[] = [];
+    const record = (error: unknown): void => void unhandled.push(error);
+    process.on('unhandledRejection', record);
+    const presence = presenceWith(port, () => false, TTL_MS);
+    await presence.child.start(() => undefined);
+    await waitFor(() => presence.isConfirmed());
+    isSilent = true;
+    await waitFor(() => lostRenewals > 0);
+    await presence.withdraw();
+    await new Promise((resolve) => setTimeout(resolve, TTL_MS));
+    process.off('unhandledRejection', record);
+    assert.deepEqual(unhandled, []);
+  });
 });
--- a/packages/ports/src/http/transport.ts
+++ b/packages/ports/src/http/transport.ts
@@ -127,9 +127,12 @@
   /** Earlier agents with exchanges in flight. */
   const retired = new Set<Agent>();
 
+  let isClosed = false;
+
   async function retire(earlier: Agent): Promise<void> {
     retired.add(earlier);
-    await earlier.close();
+    // Fails if the whole transport is closed meanwhile, which ends its exchanges as well.
+    await earlier.close().catch(() => undefined);
     retired.delete(earlier);
   }
 
@@ -138,10 +141,12 @@
     stream: (request, handlers) =>
       dispatch(agent, resetWatch, request, { onSent: () => undefined, ...handlers }),
     renewConnections: () => {
+      if (isClosed) return;
       void retire(agent);
       agent = createAgent();
     },
     close: async () => {
+      isClosed = true;
       await Promise.all([agent, ...retired].map((each) => each.destroy()));
     },
   };
--- a/packages/ports/test/http/transport.test.ts
+++ b/packages/ports/test/http/transport.test.ts
@@ -93,6 +93,24 @@
       assert.ok(isExchangeFailure(await inFlight));
     });
 
+    // A rejected promise that nobody handles ends the process.
+    it('stays closed, without an error, if they are renewed at its end', async () => {
+      const inFlight = transport.exchange(request(), LIMITS);
+      await receivedRequest();
+      const unhandled: unknown[] = [];
+      const record = (error: unknown): void => void unhandled.push(error);
+      process.on('unhandledRejection', record);
+      transport.renewConnections();
+      const closed = transport.close();
+      transport.renewConnections();
+      assert.ok(isExchangeFailure(await inFlight));
+      await closed;
+      transport.renewConnections();
+      await new Promise((resolve) => setTimeout(resolve, 50));
+      process.off('unhandledRejection', record);
+      assert.deepEqual(unhandled, []);
+    });
+
     /** Resolves with the connection of the next request. */
     function receivedRequest(): Promise<Socket> {
       return new Promise((resolve) => {
