Complete the version record as soon as the first start is known

Cause: at the first start of a deployment the version record is complete once the gateway knows that none ran before it. It was told so after the last reading of the store had been applied, and wrote the record with the next one, one pause later. Streams that are taken up meanwhile are refused.

Change: the first start tells when it is known, and the record is written then.

--- a/packages/daemon/src/gateway/first-start.ts
+++ b/packages/daemon/src/gateway/first-start.ts
@@ -31,6 +31,8 @@
   readonly gateways: Pick<GatewayCount, 'announcement' | 'joinFirstStart'>;
   /** Returns the revision of the store up to which the fleet was read. */
   readonly readRevision: () => number;
+  /** Called when this gateway learns that it is one of the first start. */
+  readonly onFirst: () => void;
   readonly random: Random;
   readonly log: GatewayLog;
 }
@@ -110,6 +112,7 @@
     const revision = await writeKey(FIRST_VALUE);
     if (revision === null) return;
     isFirst = true;
+    options.onFirst();
     await waitFor(() => readRevision() >= revision);
     // In another era, announcements from before the key may be lost.
     const isSameEra = eraOf(readRevision()) === eraOf(revision);
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -316,6 +316,10 @@
     store: fleet,
     gateways,
     readRevision: () => view.revision,
+    // The version record is complete then, and no change of the view may follow soon.
+    onFirst: () => {
+      versions.refresh();
+    },
     random,
     log,
   });
--- a/packages/daemon/test/gateway/first-start.test.ts
+++ b/packages/daemon/test/gateway/first-start.test.ts
@@ -25,6 +25,7 @@
   let entry: KeyValueEntry | null;
   let revision: number;
   let joined: number[];
+  let toldFirst: boolean[];
   let isAway: boolean;
   let reads: number;
   let announcement: number;
@@ -64,6 +65,9 @@
         joinFirstStart: (joining) => joined.push(joining),
       },
       readRevision: () => revision,
+      onFirst: () => {
+        toldFirst.push(firstStart.isFirst());
+      },
       random: () => 0.5,
       log: { info: () => undefined, warn: () => undefined, lifecycle: () => undefined },
     });
@@ -74,6 +78,7 @@
     entry = null;
     revision = 1;
     joined = [];
+    toldFirst = [];
     isAway = false;
     reads = 0;
     announcement = ANNOUNCEMENT;
@@ -87,6 +92,13 @@
     assert.deepEqual(joined, [ANNOUNCEMENT]);
   });
 
+  // Streams were refused until the next change of the view, as the version record was not complete.
+  it('is told when it is known, not with the next change of the fleet', async () => {
+    revision = 0;
+    await sleep(SETTLE_MS);
+    assert.deepEqual(toldFirst, [true]);
+  });
+
   // Without the key, a gateway that starts later would use a share that earlier processes have used.
   it('is recorded again when the store lost its key', async () => {
     await sleep(SETTLE_MS);
