--- a/packages/coordination/src/core/forwarding/fleet-view.ts
+++ b/packages/coordination/src/core/forwarding/fleet-view.ts
@@ -182,6 +182,8 @@
    * expired, or was lost as the store came back from an older copy.
    */
   graceUntilMs: number;
+  /** Latest end of a grace period that begins with the last answer. */
+  graceEndsByMs: number;
   /** Removal revision by name of removed targets, so that a stale change does not restore them. */
   readonly removedAtRevision: Map<string, number>;
   /** Entries by name that may come from before their targets left. */
@@ -225,6 +227,7 @@
     steadySinceMs: 0,
     outageFromMs: Infinity,
     graceUntilMs: 0,
+    graceEndsByMs: Infinity,
     removedAtRevision: new Map(),
     doubted: new Map(),
     crashes: createCrashMemory(onCrashChange),
@@ -240,16 +243,25 @@
  *
  * @param nextAnswerInMs - Time within which the next answer is expected: the gateway's own pause
  * before the next call, and the time that the call waits for changes.
+ * @param graceEndsByMs - Latest end of the grace period, from `latestGraceEndMs`.
  */
-export function recordStoreAnswer(view: FleetView, nowMs: number, nextAnswerInMs: number): void {
-  if (nowMs > view.outageFromMs) {
-    view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
-    view.steadySinceMs = nowMs;
-  }
+export function recordStoreAnswer(
+  view: FleetView,
+  nowMs: number,
+  nextAnswerInMs: number,
+  graceEndsByMs = Infinity,
+): void {
+  view.graceEndsByMs = graceEndsByMs;
+  if (nowMs > view.outageFromMs) beginGracePeriod(view, nowMs);
   view.confirmedAtMs = nowMs;
   view.outageFromMs = nowMs + nextAnswerInMs + OUTAGE_DELAY_MS;
 }
 
+function beginGracePeriod(view: FleetView, nowMs: number): void {
+  view.graceUntilMs = Math.min(nowMs + EXPIRY_GRACE_MS, view.graceEndsByMs);
+  view.steadySinceMs = nowMs;
+}
+
 /** A store that came back from an older copy. */
 export interface StoreRestore {
   /** When this gateway writes again what gateways had written since that copy. */
@@ -270,8 +282,7 @@
   restore: StoreRestore | null = null,
 ): void {
   if (restore !== null) {
-    view.graceUntilMs = nowMs + EXPIRY_GRACE_MS;
-    view.steadySinceMs = nowMs;
+    beginGracePeriod(view, nowMs);
     // Origins of later turns may have been lost before this gateway has read them.
     view.storedOrigins.clear();
   }
--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -95,6 +95,7 @@
 export * from './core/forwarding/retry-window.js';
 export * from './core/forwarding/route-table.js';
 export * from './core/forwarding/slot-counts.js';
+export * from './core/forwarding/store-contact.js';
 export * from './core/usage/acknowledgement.js';
 export * from './core/usage/candidates.js';
 export * from './core/locality/average-time.js';
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -15,8 +15,12 @@
   applyChanges,
   applyListing,
   createPollInterval,
+  createStoreContact,
   describeRevision,
   eraOf,
+  latestGraceEndMs,
+  recordCallAnswered,
+  recordCallLost,
   recordStoreAnswer,
   pauseAfterFailureMs,
   pauseAfterAnswerMs,
@@ -78,6 +82,7 @@
   readonly isListing: boolean;
   /** The revision that was known when the call was made. */
   readonly afterRevision: number;
+  readonly startedAtMs: number;
   readonly timeoutMs: number;
   readonly reading: PromiseLike<Result<FleetChangeBatch, Failure>>;
   readonly confirmRead: () => void;
@@ -95,6 +100,7 @@
   const { fleet, view, nowMs, sleep, log, random } = options;
   const pace = createPollInterval(options.pace);
   const watch = watchLimits(options.pace);
+  const contact = createStoreContact(nowMs());
   let stopped = true;
   let isStoreLost = false;
   let needsListing = true;
@@ -106,15 +112,26 @@
 
   const knownRevision = (): string => describeRevision(view.revision);
 
-  function noteStoreLost(cause: string): void {
+  function noteStoreLost({ startedAtMs }: PendingRead, cause: string): void {
     if (!isStoreLost) log.warn('store lost', { cause, revision: knownRevision() });
     isStoreLost = true;
+    recordCallLost(contact, startedAtMs);
   }
 
   function noteStoreRegained(pauseMs: number): void {
-    recordStoreAnswer(view, nowMs(), pauseMs + watch.waitMs);
-    if (isStoreLost) log.info('store regained', { revision: knownRevision() });
+    const atMs = nowMs();
+    const silentForMs = Math.round(atMs - contact.answeredAtMs);
+    recordStoreAnswer(
+      view,
+      atMs,
+      pauseMs + watch.waitMs,
+      latestGraceEndMs(contact, options.pace.contactMs),
+    );
+    recordCallAnswered(contact, atMs);
+    if (!isStoreLost) return;
     isStoreLost = false;
+    const graceMs = Math.max(0, Math.round(view.graceUntilMs - atMs));
+    log.info('store regained', { revision: knownRevision(), silentForMs, graceMs });
   }
 
   /** Returns whether the store has come back from an older copy since the last answer. */
@@ -180,7 +197,7 @@
   function startRead(): PendingRead {
     const afterRevision = view.revision;
     const confirmRead = options.beginRead();
-    const begun = { afterRevision, confirmRead };
+    const begun = { afterRevision, startedAtMs: nowMs(), confirmRead };
     return needsListing
       ? { ...begun, isListing: true, timeoutMs: LISTING_TIMEOUT_MS, reading: fleet.list() }
       : {
@@ -211,6 +228,8 @@
     }
     if (late.value.revision < view.revision) return;
     options.count('store_late_answers_total');
+    // The connection was not silent: the store was slow.
+    recordCallAnswered(contact, nowMs());
     applyReading(late.value, isListing, 0);
     confirmRead();
   }
@@ -234,7 +253,7 @@
     const answer = await Promise.race([inTime, interrupted.promise]);
     if (answer === null && needsListing && !read.isListing) return 0;
     if (answer === null) {
-      noteStoreLost(`no answer within ${String(read.timeoutMs)} ms`);
+      noteStoreLost(read, `no answer within ${String(read.timeoutMs)} ms`);
       fleet.renewConnections();
       void applyLateReading(read);
       return pauseAfterFailureMs(pace, random);
@@ -244,7 +263,7 @@
       if (relistIfHistoryGone(answer.error)) {
         return listingsInARow > 1 ? pauseAfterFailureMs(pace, random) : 0;
       }
-      noteStoreLost(answer.error.message);
+      noteStoreLost(read, answer.error.message);
       if (!KEY_VALUE_REFUSED.is(answer.error)) fleet.renewConnections();
       return pauseAfterFailureMs(pace, random);
     }
--- a/packages/fuzz/src/worlds/departures/simulation.ts
+++ b/packages/fuzz/src/worlds/departures/simulation.ts
@@ -8,7 +8,9 @@
   FleetView,
   PollInterval,
   Random,
+  StoreContact,
   applyListing,
+  latestGraceEndMs,
   recordBackOff,
 } from '@cassiamast/coordination';
 import type { FaultCounts } from '../../kit/faults.js';
@@ -23,6 +25,9 @@
   readonly applyListing: typeof applyListing;
   /** The era that the gateway takes the store's answers for. */
   readonly eraOfStore: (store: SimulatedStore) => number;
+  readonly latestGraceEndMs: typeof latestGraceEndMs;
+  /** Called when a call got no answer. */
+  readonly renewConnections: (simulation: Simulation) => void;
   /** Called after each answer of the store was recorded. */
   readonly afterStoreAnswer: (simulation: Simulation) => void;
   /** Called when the store tells that an entry was removed. */
@@ -78,6 +83,11 @@
   notify: () => void;
 }
 
+/** A connection to the store; calls on one that is silent get no answer. */
+export interface SimulatedConnection {
+  isSilent: boolean;
+}
+
 /** The whole world. */
 export interface Simulation {
   readonly scheduler: Scheduler;
@@ -91,6 +101,12 @@
   readonly pace: PollInterval;
   /** Time within which a change of the store must be applied. */
   readonly applyWithinMs: number;
+  /** Time after an interruption from which the gateway counts as in touch. */
+  readonly contactMs: number;
+  readonly contact: StoreContact;
+  connection: SimulatedConnection;
+  /** When the connection in use last went silent. */
+  silentSinceMs: number;
   /** Pause of the gateway after its last answer of the store. */
   pauseMs: number;
   /** Sends since the last check. */
--- a/packages/fuzz/src/worlds/departures/world.ts
+++ b/packages/fuzz/src/worlds/departures/world.ts
@@ -2,7 +2,8 @@
  * The departures world: a target that has left, or that asked for a back-off, receives nothing more
  * from a gateway, over the real fleet view, poll interval and announcements. Targets drain, vanish
  * from the store, announce their departure before the store shows it, and turn requests away; the
- * store fails, entries expire and come back meanwhile, and it comes back from older copies.
+ * store fails, entries expire and come back meanwhile, it comes back from older copies, and the
+ * gateway's connection to it goes silent.
  */
 import {
   EnginePhase,
@@ -11,6 +12,8 @@
   applyListing,
   createFleetView,
   createPollInterval,
+  createStoreContact,
+  latestGraceEndMs,
   pollIntervalOptions,
   recordBackOff,
   seededRandom,
@@ -48,6 +51,10 @@
   recordBackOff,
   applyListing,
   eraOfStore: ({ era }) => era,
+  latestGraceEndMs,
+  renewConnections: (simulation) => {
+    simulation.connection = { isSilent: false };
+  },
   afterStoreAnswer: () => undefined,
   afterRemoval: () => undefined,
   backOffFromMs: (_, receivedAtMs) => receivedAtMs,
@@ -65,6 +72,8 @@
       }
     },
   },
+  'whole-grace-after-silence': { ...GUARDED, latestGraceEndMs: () => Infinity },
+  'keeps-silent-connections': { ...GUARDED, renewConnections: () => undefined },
   'trusts-the-copy': {
     ...GUARDED,
     applyListing: (view, ...listing) => {
@@ -86,6 +95,7 @@
   const random = seededRandom(setup.seed);
   const applyWithinMs =
     APPLY_WITHIN_MS[Math.floor(random() * APPLY_WITHIN_MS.length)] ?? APPLY_WITHIN_MS[0];
+  const contactMs = applyWithinMs + CONTACT_EXTRA_MS;
   const simulation: Simulation = {
     scheduler: createScheduler(),
     random,
@@ -102,8 +112,12 @@
     targets: [],
     view: createFleetView(),
     availability: new Map(),
-    pace: createPollInterval(pollIntervalOptions(applyWithinMs, applyWithinMs + CONTACT_EXTRA_MS)),
+    pace: createPollInterval(pollIntervalOptions(applyWithinMs, contactMs)),
     applyWithinMs,
+    contactMs,
+    contact: createStoreContact(0),
+    connection: { isSilent: false },
+    silentSinceMs: -Infinity,
     pauseMs: 0,
     sends: [],
     startedTargets: 0,
@@ -201,6 +215,11 @@
   });
 }
 
+function silenceConnection(simulation: Simulation): void {
+  simulation.connection.isSilent = true;
+  simulation.silentSinceMs = simulation.scheduler.nowMs;
+}
+
 function nameOf(change: FleetChange): readonly string[] {
   if (change.kind === FleetChangeKind.Target) return [change.target.name];
   return change.kind === FleetChangeKind.TargetRemoved ? [change.name] : [];
@@ -259,6 +278,14 @@
     store.isDown = true;
   }),
   onTarget('finds its store again', endOutage),
+  onTarget('leaves before connections to the store go silent', (simulation, target) => {
+    leave(simulation, target, () => {
+      target.isVanished = true;
+      removeEntry(simulation, target);
+    });
+    silenceConnection(simulation);
+  }),
+  onTarget('has a gateway whose connection to the store goes silent', silenceConnection),
   onTarget('finds its store as an older copy', (simulation) => {
     if (!simulation.store.isDown) comeBackFromCopy(simulation);
   }),
--- a/packages/fuzz/test/worlds/departures.test.ts
+++ b/packages/fuzz/test/worlds/departures.test.ts
@@ -8,6 +8,8 @@
   promises: {
     'quiet-polls-extend-grace': 'nothing-after-leaving',
     'back-off-from-send': 'heeds-back-off',
+    'whole-grace-after-silence': 'nothing-after-leaving',
+    'keeps-silent-connections': 'available-targets-are-used',
     'trusts-the-copy': 'remembers-departure',
     'ignores-eras': 'available-targets-are-used',
     'forgets-with-entry': 'heeds-departure',
