Bound what all clients make a process hold

What callers saw: clients that don't behave ended a gateway's or an entry's process (out of memory), and all callers lost their requests. One request inside all limits did so too: the longest body in chunks of one byte.

Cause: nothing added up what clients make a process hold. A body was kept as one buffer a piece; the number of bodies, of requests sent ahead, of answers that are not read and of connections was not bounded; of the requests sent ahead on a connection only the one whose answer was being written learned of its end, so the others ran on until their deadlines.

Change: one budget for all ports of a process, from memoryMb and maxFds (docs/design/client-limits.md): bytes are copied into blocks; connections are charged for bodies, requests, heads and unread answers; over the budget the largest one that does not run yields, refused as not run or closed. Requests of a connection run eight at a time; from the 129th without an answer on none is kept. The route's timeout counts from the last byte of a request, so that the longest body in chunks of one byte is served at any speed of the machine.

Ruled out: a growing buffer for bodies (216 MB where blocks need 143: dropped buffers stay until a garbage collection); keeping the requests that are parsed with one read (900 connections ended the process); 48 KiB for a request, what was measured (the heap ended at 127 MB before the budget was met).

Checks that changed: none; the servers of existing tests get a guard.

--- a/packages/coordination/src/index.ts
+++ b/packages/coordination/src/index.ts
@@ -124,3 +124,5 @@
 export * from './core/scheduling/scheduler-choice.js';
 export * from './core/scheduling/scheduler-state.js';
 export * from './core/scheduling/scheduler.js';
+export * from './core/bytes/byte-store.js';
+export * from './core/client-limits/client-limits.js';
--- a/packages/daemon/src/entry/caller-server.ts
+++ b/packages/daemon/src/entry/caller-server.ts
@@ -11,6 +11,7 @@
   createGracefulServer,
 } from '../node/graceful-server.js';
 import { listenExclusively } from '../node/control-server.js';
+import type { ClientGuard, RequestHold } from '../node/client-guard.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import type { Child } from '../supervisor/supervisor.js';
 import { AnswerFormat, type ModelRequest } from './caller-request.js';
@@ -50,7 +51,7 @@
 /** Options of the caller server. */
 export interface CallerServerOptions {
   readonly address: Address;
-  readonly maxConnections: number;
+  readonly guard: ClientGuard;
   readonly configuration: () => Configuration | null;
   readonly authenticate: () => Authenticate<WorkspaceSpec>;
   /** Why new work is rejected, or null while it is accepted. */
@@ -89,14 +90,14 @@
         headersTimeout: HEADERS_TIMEOUT_MS,
         maxHeaderSize: MAX_HEADER_BYTES,
       },
-      (request, response) => {
+      options.guard,
+      (request, response, hold) => {
         // Keep-alive connections would bind callers to this entry while it leaves: callers that
         // retry as instructed would reach the same entry and be rejected again.
         if (options.isLeaving()) gracefulServer.disableKeepAlive();
-        void serve(options, request, response);
+        void serve(options, request, response, hold);
       },
     );
-    gracefulServer.server.maxConnections = options.maxConnections;
     activeServer = gracefulServer;
     return listenExclusively(gracefulServer.server, options.address);
   }
@@ -114,6 +115,7 @@
   options: CallerServerOptions,
   request: IncomingMessage,
   response: ServerResponse,
+  hold: RequestHold,
 ): Promise<void> {
   response.on('error', () => undefined);
   const path = (request.url ?? '/').split('?')[0] ?? '/';
@@ -127,11 +129,13 @@
     answerModels(admitted.configuration, response);
     return;
   }
-  const body = await readBody(request, admitted.configuration.limits.maxBodyBytes);
+  const body = await readBody(request, admitted.configuration.limits.maxBodyBytes, hold);
   if (body.isErr()) {
-    refuseBody(body.error, admitted.configuration, response);
+    const isKeyed = request.headers['idempotency-key'] !== undefined;
+    refuseBody(body.error, admitted.configuration, response, isKeyed);
     return;
   }
+  if (!(await hold.turn())) return;
   dispatch(options, request, response, admitted, body.value);
 }
 
@@ -204,6 +208,7 @@
   fault: BodyFault,
   configuration: Configuration,
   response: ServerResponse,
+  isKeyed: boolean,
 ): void {
   const { maxBodyBytes } = configuration.limits;
   if (fault === BodyFault.TooLarge) {
@@ -211,6 +216,14 @@
     sendProblem(response, refuseNotRun(REQUEST_TOO_LARGE.of({ maxBytes: maxBodyBytes }), 413));
     return;
   }
+  if (fault === BodyFault.Refused) {
+    response.setHeader('connection', 'close');
+    const failure = ENTRY_NOT_SERVING.of({
+      reason: 'its callers send more than it has memory for',
+    });
+    sendProblem(response, refuseWithoutLookup(failure, 503, OTHER_ENTRY_RETRY_AFTER_MS, isKeyed));
+    return;
+  }
   const failure = REQUEST_MALFORMED.of({ faults: ['body: ended early'] });
   sendProblem(response, refuseNotRun(failure, 400));
 }
--- a/packages/daemon/src/gateway/find-destination.ts
+++ b/packages/daemon/src/gateway/find-destination.ts
@@ -42,7 +42,10 @@
   readonly request: IncomingMessage;
   readonly response: ServerResponse;
   readonly body: Buffer;
+  /** When its head was received. */
   readonly receivedAtMs: number;
+  /** When its body was complete, on the same clock. */
+  readonly wholeAtMs: number;
 }
 
 /** Where a request goes and whom it is from. */
--- a/packages/daemon/src/gateway/fleet-follower.ts
+++ b/packages/daemon/src/gateway/fleet-follower.ts
@@ -35,7 +35,7 @@
   KEY_VALUE_REFUSED,
 } from '@cassiamast/ports';
 import type { Result } from 'neverthrow';
-import { withResolvers } from '../node/http-body.js';
+import { withResolvers } from '../node/promises.js';
 import type { Child } from '../supervisor/supervisor.js';
 import type { BeginCall } from './gateway-count.js';
 import type { GatewayLog } from './gateway-log.js';
--- a/packages/daemon/src/gateway/forwarding-services.ts
+++ b/packages/daemon/src/gateway/forwarding-services.ts
@@ -6,6 +6,7 @@
   type TargetEntry,
   servingTarget,
 } from '@cassiamast/coordination';
+import type { ClientGuard } from '../node/client-guard.js';
 import type { StallWatch } from '../node/stall-watch.js';
 import type { CallerIdentity } from './caller-identity.js';
 import type { SendServices } from './send-to-target.js';
@@ -23,6 +24,7 @@
 
 /** The services that forwarding a request depends on. */
 export interface ForwardingServices extends SendServices {
+  readonly guard: ClientGuard;
   readonly pulse: TargetActivity;
   readonly probes: TargetProbes;
   readonly standstill: StallWatch;
--- a/packages/daemon/src/gateway/front-server.ts
+++ b/packages/daemon/src/gateway/front-server.ts
@@ -19,6 +19,7 @@
   type GracefulServer,
   createGracefulServer,
 } from '../node/graceful-server.js';
+import type { RequestHold } from '../node/client-guard.js';
 import { BodyFault, readBody } from '../node/http-body.js';
 import { listenExclusively } from '../node/control-server.js';
 import type { Child } from '../supervisor/supervisor.js';
@@ -34,7 +35,7 @@
 /** Larger than any header limit that operators set; the callers' side enforces their limits. */
 const MAX_HEADER_BYTES = 65_536;
 /** Maximum body size until a configuration is known. */
-const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
+export const DEFAULT_MAX_BODY_BYTES = 4 * 1024 * 1024;
 /** Idle timeout of connections until a configuration is known. */
 const DEFAULT_IDLE_MS = 15_000;
 /** Timeout of requests that state none. */
@@ -56,6 +57,13 @@
   reason: 'the body is too large',
   retryAfterMs: null,
 };
+/** Time in which requests of other callers end, whose memory the retry may take. */
+const MEMORY_RETRY_MS = 1000;
+const OUT_OF_MEMORY: GatewayResponse = {
+  status: OwnStatus.Refused,
+  reason: 'callers send more than the gateway has memory for',
+  retryAfterMs: MEMORY_RETRY_MS,
+};
 const FAILED_REASON = 'the gateway failed';
 /** Time for a whole request; one that does not end in it is rejected as not run. */
 const REQUEST_TIMEOUT_MS = DEFAULT_CALLER_TIMEOUT_MS;
@@ -120,13 +128,13 @@
   /** The configuration that the keys of all requests in flight were last compared with. */
   let checkedTable: RouteTable | null = null;
 
-  function serve(request: IncomingMessage, response: ServerResponse): void {
+  function serve(request: IncomingMessage, response: ServerResponse, hold: RequestHold): void {
     received += 1;
     // Without a listener, a failed write to one caller would end the process.
     response.on('error', (error) => {
       services.log.warn('answer not written', { cause: error.message });
     });
-    handleRequest(request, response, services, admission).catch((error: unknown) => {
+    handleRequest({ request, response, hold }, services, admission).catch((error: unknown) => {
       services.count('request_faults_total');
       services.log.warn('request handling failed', { cause: String(error) });
       const answer = { status: OwnStatus.BadGateway, reason: FAILED_REASON, retryAfterMs: null };
@@ -145,7 +153,7 @@
     child: {
       name: 'front-server',
       start: async () => {
-        server = createGracefulServer(SERVER_OPTIONS, serve);
+        server = createGracefulServer(SERVER_OPTIONS, services.guard, serve);
         await listenExclusively(server.server, address);
       },
       stop: async () => {
@@ -216,26 +224,57 @@
   );
 }
 
+/** A request whose head was read. */
+interface BegunRequest {
+  readonly request: IncomingMessage;
+  readonly response: ServerResponse;
+  readonly hold: RequestHold;
+}
+
 async function handleRequest(
-  request: IncomingMessage,
-  response: ServerResponse,
+  begun: BegunRequest,
   services: ForwardingServices,
   admission: Admission,
 ): Promise<void> {
   const receivedAtMs = services.nowMs();
+  const { request, response, hold } = begun;
   const limits = services.view.table?.configuration.limits;
   const maxBytes = limits?.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES;
-  const body = await readRequestBody(request, response, services, admission, maxBytes);
+  const body = await readRequestBody(begun, services, admission, maxBytes);
   // The request was rejected while its body was being read.
   if (response.headersSent) return;
   if (body.isErr()) {
-    if (body.error === BodyFault.Broken) return;
-    response.shouldKeepAlive = false;
-    refuse(response, services, TOO_LARGE);
+    refuseBody(response, services, body.error);
     return;
   }
+  const wholeAtMs = services.nowMs();
+  if (!(await hold.turn())) return;
+  const received = { request, response, body: body.value, receivedAtMs, wholeAtMs };
+  try {
+    await forwardReceived(received, services, admission);
+  } finally {
+    // The answer may wait for long to be read.
+    hold.setBodyBytes(0);
+  }
+}
+
+function refuseBody(
+  response: ServerResponse,
+  services: ForwardingServices,
+  fault: BodyFault,
+): void {
+  if (fault === BodyFault.Broken) return;
+  response.shouldKeepAlive = false;
+  refuse(response, services, fault === BodyFault.TooLarge ? TOO_LARGE : OUT_OF_MEMORY);
+}
+
+async function forwardReceived(
+  received: ReceivedRequest,
+  services: ForwardingServices,
+  admission: Admission,
+): Promise<void> {
+  const { response } = received;
   services.count('requests_total');
-  const received = { request, response, body: body.value, receivedAtMs };
   const destination = await findDestination(received, services);
   if (destination === null) return;
   const exchange = createExchange(received, destination, services, admission);
@@ -255,8 +294,7 @@
 
 /** Reads a body. If the gateway stops before it is complete, the request is rejected as not run. */
 async function readRequestBody(
-  request: IncomingMessage,
-  response: ServerResponse,
+  { request, response, hold }: BegunRequest,
   services: ForwardingServices,
   admission: Admission,
   maxBytes: number,
@@ -266,7 +304,7 @@
   };
   const running: RunningRequest = { end, exchange: null };
   admission.running.add(running);
-  const body = await readBody(request, maxBytes);
+  const body = await readBody(request, maxBytes, hold);
   const hasLeft = await hasLeftMeanwhile(request);
   admission.running.delete(running);
   if (!hasLeft) return body;
@@ -287,7 +325,7 @@
 }
 
 function createExchange(
-  { request, response, body, receivedAtMs }: ReceivedRequest,
+  { request, response, body, receivedAtMs, wholeAtMs }: ReceivedRequest,
   { table, route, caller }: Destination,
   services: ForwardingServices,
   admission: Admission,
@@ -295,8 +333,9 @@
   const path = request.url ?? '/';
   const head = services.wire.readRequest(request.headers);
   const id = head.attemptId ?? randomUUID();
-  const timeoutMs = Math.min(head.remainingTimeMs ?? DEFAULT_CALLER_TIMEOUT_MS, route.timeoutMs);
-  const endsAtMs = receivedAtMs + timeoutMs;
+  const callerWaitMs = head.remainingTimeMs ?? DEFAULT_CALLER_TIMEOUT_MS;
+  // A caller waits for the system only once its request was received.
+  const endsAtMs = Math.min(receivedAtMs + callerWaitMs, wholeAtMs + route.timeoutMs);
   const abortController = new AbortController();
   const end = (): void => {
     abortController.abort(EXCHANGE_ENDED);
--- a/packages/daemon/src/gateway/log-writer.ts
+++ b/packages/daemon/src/gateway/log-writer.ts
@@ -3,7 +3,7 @@
  * when the reader is slow or the rate limit is reached, lines are dropped and counted.
  */
 import { write } from 'node:fs';
-import { withResolvers } from '../node/http-body.js';
+import { withResolvers } from '../node/promises.js';
 
 /** Limits on the volume of the log. */
 export interface LogLimits {
--- a/packages/daemon/src/gateway/open-attempts.ts
+++ b/packages/daemon/src/gateway/open-attempts.ts
@@ -15,7 +15,7 @@
   recordAttemptRead,
   recordAttemptRun,
 } from '@cassiamast/coordination';
-import { withResolvers } from '../node/http-body.js';
+import { withResolvers } from '../node/promises.js';
 
 /**
  * Shared abort reason, because the default reason of an abort signal captures a costly stack trace.
--- a/packages/daemon/src/gateway/scheduling-client.ts
+++ b/packages/daemon/src/gateway/scheduling-client.ts
@@ -15,7 +15,7 @@
   storeRevisionOf,
 } from '@cassiamast/coordination';
 import { type Result, err } from 'neverthrow';
-import { withResolvers } from '../node/http-body.js';
+import { withResolvers } from '../node/promises.js';
 import { RpcMethod } from '../protocol/methods.js';
 import type { IsReachable } from '../node/reachable.js';
 import type { RpcClient } from '../node/rpc-client.js';
--- a/packages/daemon/src/gateway/settings.ts
+++ b/packages/daemon/src/gateway/settings.ts
@@ -1,5 +1,5 @@
 /** Settings of a gateway at its start, which an adapter reads from the platform. */
-import type { Address, RetryWindowOptions } from '@cassiamast/coordination';
+import type { Address, MachineLimits, RetryWindowOptions } from '@cassiamast/coordination';
 import type { UsageSettings } from './usage-reporter.js';
 
 /** Settings of one gateway process. */
@@ -19,6 +19,8 @@
   readonly memberNetworks: readonly string[];
   /** Share of a CPU core that the process may use. */
   readonly coreShare: number;
+  /** Memory and descriptors of the process; its clients may use a part of them. */
+  readonly machine: MachineLimits;
   /** Time from the stop signal until the process is killed. */
   readonly graceMs: number;
   readonly retryWindow: RetryWindowOptions;
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -5,11 +5,13 @@
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  type ClientLimits,
   type ClockReading,
   CrashChangeKind,
   DEFAULT_HOP_MS,
   SCHEDULER_OPTIONS,
   type Failure,
+  clientLimits,
   createElapsedClock,
   createFleetView,
   eraOf,
@@ -30,6 +32,8 @@
 import type { Result } from 'neverthrow';
 import { formatAddress } from '../node/address.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { type ClientGuard, createClientGuard } from '../node/client-guard.js';
+import { logYieldingClients } from '../node/yielding-clients.js';
 import { createControlServer } from '../node/control-server.js';
 import { createLog } from '../node/logging.js';
 import { allowNetworks } from '../node/networks.js';
@@ -51,7 +55,7 @@
 import { createFirstStart } from './first-start.js';
 import { createFleetFollower } from './fleet-follower.js';
 import type { ForwardingServices } from './forwarding-services.js';
-import { createFrontServer } from './front-server.js';
+import { DEFAULT_MAX_BODY_BYTES, createFrontServer } from './front-server.js';
 import { createGatewayCount } from './gateway-count.js';
 import { createGatewayLog } from './gateway-log.js';
 import { createHeaderWatch } from './header-watch.js';
@@ -154,6 +158,16 @@
   );
   const proof = createMemberProof(MEMBER_SECRET);
   const rpc = createRpcClient(proof, timeline.clock);
+  const limitsOf = (): ClientLimits =>
+    clientLimits(
+      settings.machine,
+      view.table?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
+    );
+  const guard: ClientGuard = createClientGuard({
+    limits: limitsOf,
+    nowMs: monotonicMs,
+    onYielded: logYieldingClients(log, telemetry.count, monotonicMs),
+  });
   const standstill = createStallWatch(monotonicMs, (forMs) => {
     telemetry.count('standstills_total');
     telemetry.record('standstill_ms', forMs);
@@ -358,6 +372,7 @@
     count: telemetry.count,
   });
   const services: ForwardingServices = {
+    guard,
     view,
     wire: platform.wire,
     transport,
@@ -430,6 +445,7 @@
         address: settings.members,
         allows: allowNetworks(settings.memberNetworks),
         proof,
+        guard,
         clock: timeline.clock,
         handlers: createMemberHandlers(
           schedulers,
@@ -443,7 +459,10 @@
         streams: {},
         metricsText: telemetry.metricsText,
       }),
-      createMetricsServer(settings.metrics, () => {
+      createMetricsServer(settings.metrics, guard, () => {
+        const { heldBytes, connections } = guard.use();
+        telemetry.gauge('client_held_bytes', heldBytes);
+        telemetry.gauge('client_connections', connections);
         telemetry.gauge('log_lines_dropped', writer.dropped());
         telemetry.gauge('open_requests', front.open());
         telemetry.gaugeByTarget('leaving_share', services.health.leavingShares());
@@ -460,6 +479,7 @@
       planner,
       createReadinessServer(
         settings.readiness,
+        guard,
         platform.wire.readinessPath,
         () => isStarted && !isLeaving && view.table !== null && view.targets.size > 0,
       ),
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -17,14 +17,14 @@
 import { formatAddress } from './address.js';
 import { type GracefulServer, type CloseOptions, createGracefulServer } from './graceful-server.js';
 import { ADDRESS_TAKEN, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
+import type { ClientGuard, RequestHold } from './client-guard.js';
 import { readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
 import type { MemberProof } from './secret.js';
 import { HYBRID_TIME_HEADER, type MessageClock } from './timeline.js';
 
 /** Fits a configuration document of 1 MB that is escaped as JSON within JSON. */
-const MAX_CALL_BYTES = 8 * 1024 * 1024;
-const MAX_CONNECTIONS = 4_096;
+export const MAX_CALL_BYTES = 8 * 1024 * 1024;
 const REQUEST_TIMEOUT_MS = 10_000;
 /** Calls are answered within these times. A stream still open after them has no producer left. */
 const CLOSE: CloseOptions = { idleMs: 50, timeoutMs: 1_000 };
@@ -42,6 +42,7 @@
   readonly address: Address;
   readonly allows: AllowsAddress;
   readonly proof: MemberProof;
+  readonly guard: ClientGuard;
   /** Orders events of different processes so that a cause precedes its effects on the time line. */
   readonly clock: MessageClock;
   /** By method name. */
@@ -72,13 +73,16 @@
   return {
     name: 'control-server',
     start: async () => {
-      port = createGracefulServer({ requestTimeout: REQUEST_TIMEOUT_MS }, (request, response) => {
-        serve(options, rpc, request, response).catch((error: unknown) => {
-          refuse(response, error);
-        });
-      });
+      port = createGracefulServer(
+        { requestTimeout: REQUEST_TIMEOUT_MS },
+        options.guard,
+        (request, response, hold) => {
+          serve(options, rpc, request, response, hold).catch((error: unknown) => {
+            refuse(response, error);
+          });
+        },
+      );
       const { server } = port;
-      server.maxConnections = MAX_CONNECTIONS;
       server.on('connection', (socket) => {
         if (!options.allows(socket.remoteAddress)) socket.destroy();
       });
@@ -111,6 +115,7 @@
   rpc: JSONRPCServer,
   request: IncomingMessage,
   response: ServerResponse,
+  hold: RequestHold,
 ): Promise<void> {
   if (!options.proof.isMember(request.headers.authorization)) {
     answerJson(response, 401, NOT_A_MEMBER.of(undefined));
@@ -119,15 +124,17 @@
   options.clock.receiveTimestamp(request.headers[HYBRID_TIME_HEADER]);
   response.setHeader(HYBRID_TIME_HEADER, options.clock.now());
   if (request.method === 'GET' && request.url === METRICS_PATH) {
+    if (!(await hold.turn())) return;
     response.writeHead(200, { 'content-type': 'text/plain; version=0.0.4' });
     response.end(await options.metricsText());
     return;
   }
-  const call = await readCall(request);
+  const call = await readCall(request, hold);
   if (call === null) {
     answerJson(response, 400, MALFORMED_CALL.of({ fault: 'no JSON-RPC request' }));
     return;
   }
+  if (!(await hold.turn())) return;
   if (request.url === STREAM_PATH) openStream(options, call, response);
   else if (request.url === RPC_PATH) await answerCall(rpc, call, response);
   else answerJson(response, 404, MALFORMED_CALL.of({ fault: 'unknown path' }));
@@ -139,8 +146,11 @@
   else answerJson(response, 500, MALFORMED_CALL.of({ fault: String(error) }));
 }
 
-async function readCall(request: IncomingMessage): Promise<JSONRPCRequest | null> {
-  const body = await readBody(request, MAX_CALL_BYTES);
+async function readCall(
+  request: IncomingMessage,
+  hold: RequestHold,
+): Promise<JSONRPCRequest | null> {
+  const body = await readBody(request, MAX_CALL_BYTES, hold);
   if (body.isErr()) return null;
   try {
     const call: unknown = JSON.parse(body.value.toString('utf8'));
--- /dev/null
+++ b/packages/daemon/src/node/dropped-messages.ts
@@ -0,0 +1,90 @@
+/**
+ * Message classes of a server that stops to keep the requests of a connection from some point on. The
+ * runtime parses all that it has read at once, and keeps a request and a response for each head until
+ * the connection closes: 64 KiB of short requests would take some 4 MiB.
+ */
+import { IncomingMessage, ServerResponse } from 'node:http';
+import type { Socket } from 'node:net';
+
+/** Stands for all requests that are not kept; ignores what the runtime does with it. */
+class DroppedRequest extends IncomingMessage {
+  override push(): boolean {
+    return true;
+  }
+
+  override destroy(): this {
+    return this;
+  }
+}
+
+/** Stands for all responses to such requests; never written. */
+class DroppedResponse extends ServerResponse {
+  override on(): this {
+    return this;
+  }
+
+  override assignSocket(): void {
+    // Another response may be written to the connection.
+  }
+
+  override writeContinue(): void {
+    // The request is not served.
+  }
+
+  override destroy(): this {
+    return this;
+  }
+}
+
+/** The classes that a server creates its messages with. */
+export interface MessageClasses {
+  readonly IncomingMessage: typeof IncomingMessage;
+  readonly ServerResponse: typeof ServerResponse;
+}
+
+/** Tells which requests are dropped. */
+export interface DropRule {
+  /** Returns whether the next request of the connection is kept; once it is not, none is. */
+  readonly keepsNext: (socket: Socket) => boolean;
+  /** Called when a response is created that is kept. */
+  readonly onResponse: (socket: Socket) => void;
+}
+
+/** Creates the classes. */
+export function createMessageClasses({ keepsNext, onResponse }: DropRule): MessageClasses {
+  let droppedRequest: DroppedRequest | null = null;
+  let droppedResponse: DroppedResponse | null = null;
+
+  class KeptRequest extends IncomingMessage {
+    constructor(socket: Socket) {
+      super(socket);
+      if (keepsNext(socket)) return;
+      droppedRequest ??= new DroppedRequest(socket);
+      return droppedRequest;
+    }
+  }
+
+  class KeptResponse extends ServerResponse {
+    constructor(request: IncomingMessage, options?: object) {
+      // The options are not in the types, as they are for the runtime alone.
+      super(...([request, options] as unknown as [IncomingMessage]));
+      const { socket } = request;
+      if (!(request instanceof DroppedRequest)) {
+        onResponse(socket);
+        return;
+      }
+      droppedResponse ??= new DroppedResponse(request);
+      return droppedResponse;
+    }
+  }
+
+  return {
+    IncomingMessage: KeptRequest,
+    ServerResponse: KeptResponse as unknown as typeof ServerResponse,
+  };
+}
+
+/** Returns whether a request is one of those that are not kept. */
+export function isDropped(request: IncomingMessage): boolean {
+  return request instanceof DroppedRequest;
+}
--- a/packages/daemon/src/node/graceful-server.ts
+++ b/packages/daemon/src/node/graceful-server.ts
@@ -5,13 +5,14 @@
  * connected peer sends nothing.
  */
 import {
-  type RequestListener,
+  type IncomingMessage,
   type Server,
   type ServerOptions,
   type ServerResponse,
   createServer,
 } from 'node:http';
 import { type Socket, Server as NetServer } from 'node:net';
+import type { ClientGuard, RequestHold } from './client-guard.js';
 
 /** Time limits of a shutdown. */
 export interface CloseOptions {
@@ -35,6 +36,13 @@
   readonly close: (options: CloseOptions) => Promise<number>;
 }
 
+/** Serves one request, whose body is not read yet. */
+export type ServeRequest = (
+  request: IncomingMessage,
+  response: ServerResponse,
+  hold: RequestHold,
+) => void;
+
 /** State of one connection. */
 interface Connection {
   /** Open responses in the order of their requests, which a caller may pipeline. */
@@ -57,21 +65,24 @@
   response.shouldKeepAlive = false;
 }
 
-/** Creates a server that does not listen yet. */
+/** Creates a server that does not listen yet, whose clients are held to the limits of the guard. */
 export function createGracefulServer(
   options: ServerOptions,
-  serve: RequestListener,
+  guard: ClientGuard,
+  serve: ServeRequest,
 ): GracefulServer {
   const connections = new Map<Socket, Connection>();
   let endsKeepAlive = false;
   let idleMs: number | null = null;
 
-  const server = createServer(options, (request, response) => {
+  const server = createServer({ ...options, ...guard.messageClasses }, (request, response) => {
     const { socket } = request;
     const connection = connections.get(socket);
     if (connection === undefined) return;
     // An earlier response ends the connection, so this request could not be answered.
     if (connection.last?.headersSent === true) return;
+    const hold = guard.begin(request, response);
+    if (hold === null) return;
     connection.open.add(response);
     if (endsKeepAlive) endWith(connection, response);
     response.once('close', () => {
@@ -79,8 +90,9 @@
       connection.readBytes = socket.bytesRead;
       closeWhenIdle(socket, connection);
     });
-    serve(request, response);
+    serve(request, response, hold);
   });
+  guard.watch(server);
   server.on('timeout', (socket: Socket) => {
     // After an event loop stall, timers run before the requests that have arrived meanwhile are read.
     setImmediate(() => {
--- a/packages/daemon/src/settings/settings.ts
+++ b/packages/daemon/src/settings/settings.ts
@@ -55,6 +55,10 @@
   /** File with the members' shared secret; by default it comes from CASSIAMAST_SECRET. */
   secretFile: z.string().optional(),
   logLevel: z.enum(['silent', 'error', 'warn', 'info', 'debug']).default('info'),
+  /** Memory of the process in MiB; its clients may hold a part of it. */
+  memoryMb: z.number().min(32).default(350),
+  /** Maximum number of descriptors of the process; its clients may use a part of them. */
+  maxFds: z.number().int().min(400).default(65_536),
   /** How long a stopping process still accepts work that is in transit to it. */
   noticeMs: z.number().int().min(0).max(60_000).default(3_000),
   /** Number of events that the time line keeps. */
--- a/packages/daemon/src/wiring/process-context.ts
+++ b/packages/daemon/src/wiring/process-context.ts
@@ -2,6 +2,7 @@
 import type { Clocks, Hashing, Random } from '@cassiamast/coordination';
 import type { ConsolaInstance } from 'consola';
 import type { KeyValueClient } from '@cassiamast/ports';
+import type { ClientGuard } from '../node/client-guard.js';
 import type { RpcClient } from '../node/rpc-client.js';
 import type { MemberProof } from '../node/secret.js';
 import type { Telemetry } from '../node/telemetry.js';
@@ -16,6 +17,9 @@
   readonly hashing: Hashing;
   readonly log: ConsolaInstance;
   readonly proof: MemberProof;
+  readonly guard: ClientGuard;
+  /** Tells the guard the longest body that the configuration allows. */
+  readonly setLongestBody: (bytes: number) => void;
   readonly rpc: RpcClient;
   readonly keyValue: KeyValueClient;
   readonly telemetry: Telemetry;
--- a/packages/daemon/src/wiring/start-process.ts
+++ b/packages/daemon/src/wiring/start-process.ts
@@ -5,12 +5,14 @@
 import { randomInt } from 'node:crypto';
 import { setTimeout as sleep } from 'node:timers/promises';
 import {
+  type ClientLimits,
   DRAIN_OPTIONS,
   type DrainEffect,
   DrainEffectKind,
   EventKind,
   type Failure,
   MemberKind,
+  clientLimits,
   createDrain,
   createHashing,
   seededRandom,
@@ -19,7 +21,9 @@
 } from '@cassiamast/coordination';
 import { createKeyValueClient } from '@cassiamast/ports';
 import { formatAddress } from '../node/address.js';
+import { createClientGuard } from '../node/client-guard.js';
 import { SYSTEM_CLOCKS } from '../node/clocks.js';
+import { MAX_CALL_BYTES } from '../node/control-server.js';
 import { reportOutages } from '../node/key-value-outages.js';
 import { createLog } from '../node/logging.js';
 import { createRpcClient } from '../node/rpc-client.js';
@@ -27,6 +31,7 @@
 import { type NewHistogram, createTelemetry } from '../node/telemetry.js';
 import { createTimeline } from '../node/timeline.js';
 import { startTrafficMeter } from '../node/traffic-meter.js';
+import { logYieldingClients } from '../node/yielding-clients.js';
 import type { LoadedSettings, Settings } from '../settings/settings.js';
 import { type Child, createSupervisor, DEFAULT_RESTART_LIMIT } from '../supervisor/supervisor.js';
 import type { ProcessContext } from './process-context.js';
@@ -54,13 +59,24 @@
   const timeline = createTimeline(memberId, settings.timelineEvents, SYSTEM_CLOCKS.wallMs);
   const telemetry = createTelemetry(timeline.put, await histogramsFor(settings.kind));
   const client = createKeyValueClient({ endpoints: settings.keyValue.endpoints });
+  const log = createLog(settings.logLevel, memberId, (line) => process.stderr.write(line));
+  let longestBodyBytes = MAX_CALL_BYTES;
+  const guard = createClientGuard({
+    limits: () => limitsOf(settings, longestBodyBytes),
+    nowMs: SYSTEM_CLOCKS.monotonicMs,
+    onYielded: logYieldingClients(log, telemetry.count, SYSTEM_CLOCKS.monotonicMs),
+  });
   const context: ProcessContext = {
     memberId,
     clocks: SYSTEM_CLOCKS,
     random: seededRandom(randomInt(MAX_SEED)),
     hashing: await createHashing(),
-    log: createLog(settings.logLevel, memberId, (line) => process.stderr.write(line)),
+    log,
     proof,
+    guard,
+    setLongestBody: (bytes) => {
+      longestBodyBytes = Math.max(MAX_CALL_BYTES, bytes);
+    },
     rpc: createRpcClient(proof, timeline.clock),
     keyValue: reportOutages(client, telemetry.emit, SYSTEM_CLOCKS.monotonicMs),
     telemetry,
@@ -118,6 +134,13 @@
   readonly drainMs: () => number;
 }
 
+function limitsOf(settings: Settings, longestBodyBytes: number): ClientLimits {
+  const limits = clientLimits(settings, longestBodyBytes);
+  if (settings.kind !== MemberKind.Entry) return limits;
+  const maxConnections = Math.min(limits.maxConnections, settings.maxCallerConnections);
+  return { ...limits, maxConnections };
+}
+
 function wireParts(context: ProcessContext, settings: Settings): WiredProcess {
   if (settings.kind === MemberKind.Entry) {
     const entry = wireEntry(context, settings);
--- a/packages/daemon/src/wiring/wire-entry.ts
+++ b/packages/daemon/src/wiring/wire-entry.ts
@@ -91,6 +91,7 @@
     target: '',
     onConfigurationApplied: ({ compiled }) => {
       configuration = compiled;
+      context.setLongestBody(compiled.limits.maxBodyBytes);
       authenticate = createAuthenticate(compiled.workspaces);
       policies.refresh();
     },
@@ -279,7 +280,7 @@
 
   const callers = createCallerServer({
     address: settings.callers,
-    maxConnections: settings.maxCallerConnections,
+    guard: context.guard,
     configuration: () => configuration,
     authenticate: () => authenticate,
     notServingReason,
@@ -301,6 +302,7 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
+        guard: context.guard,
         clock: context.timeline.clock,
         handlers: {
           ...member.handlers,
--- a/packages/daemon/src/wiring/wire-sidecar.ts
+++ b/packages/daemon/src/wiring/wire-sidecar.ts
@@ -208,6 +208,7 @@
         address: settings.control,
         allows: allowNetworks(settings.controlNetworks),
         proof: context.proof,
+        guard: context.guard,
         clock: context.timeline.clock,
         handlers: {
           ...member.handlers,
--- a/packages/daemon/test/entry/caller-server.test.ts
+++ b/packages/daemon/test/entry/caller-server.test.ts
@@ -5,6 +5,7 @@
 import { type Configuration, TargetKind, type WorkspaceSpec } from '@cassiamast/coordination';
 import { freePort } from '@cassiamast/stand-ins';
 import { type CallerServer, createCallerServer } from '../../src/entry/caller-server.js';
+import { openGuard } from '../fixtures/open-guard.js';
 import { callRaw } from '../fixtures/raw-caller.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
@@ -61,7 +62,7 @@
     waiting = [];
     callers = createCallerServer({
       address: { host: HOST, port },
-      maxConnections: 100,
+      guard: openGuard(),
       configuration: () => CONFIGURATION,
       authenticate: () => () => WORKSPACE,
       notServingReason: () => null,
--- a/packages/daemon/test/gateway/presence.test.ts
+++ b/packages/daemon/test/gateway/presence.test.ts
@@ -5,7 +5,7 @@
 import { type FleetPort, KEY_VALUE_UNREACHABLE } from '@cassiamast/ports';
 import { type Result, ResultAsync, err, ok } from 'neverthrow';
 import { type Presence, type PresenceOptions, createPresence } from '../../src/gateway/presence.js';
-import { withResolvers } from '../../src/node/http-body.js';
+import { withResolvers } from '../../src/node/promises.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
 const LEASE = { leaseId: '7', ttlMs: 3000, era: 0 };
--- a/packages/daemon/test/gateway/scheduling-client.test.ts
+++ b/packages/daemon/test/gateway/scheduling-client.test.ts
@@ -13,7 +13,7 @@
 } from '@cassiamast/coordination';
 import { ResultAsync, errAsync, okAsync } from 'neverthrow';
 import { MEMBER_UNREACHABLE } from '../../src/node/failures.js';
-import { withResolvers } from '../../src/node/http-body.js';
+import { withResolvers } from '../../src/node/promises.js';
 import type { RpcClient } from '../../src/node/rpc-client.js';
 import { RpcMethod } from '../../src/protocol/methods.js';
 import {
--- a/packages/daemon/test/node/control-server.test.ts
+++ b/packages/daemon/test/node/control-server.test.ts
@@ -5,10 +5,11 @@
 import { MALFORMED_CALL } from '../../src/node/failures.js';
 import { createMemberProof } from '../../src/node/secret.js';
 import { createControlServer } from '../../src/node/control-server.js';
-import { withResolvers } from '../../src/node/http-body.js';
+import { withResolvers } from '../../src/node/promises.js';
 import { type RpcClient, createRpcClient } from '../../src/node/rpc-client.js';
 import type { Child } from '../../src/supervisor/supervisor.js';
 import { freePort } from '@cassiamast/stand-ins';
+import { openGuard } from '../fixtures/open-guard.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
 const HOST = '127.0.0.1';
@@ -34,6 +35,7 @@
       address: { host: HOST, port },
       allows: () => true,
       proof,
+      guard: openGuard(),
       clock: NO_CLOCK,
       handlers: {
         wait: () => {
--- a/packages/daemon/test/node/graceful-server.test.ts
+++ b/packages/daemon/test/node/graceful-server.test.ts
@@ -4,6 +4,7 @@
 import { type AddressInfo, type Socket, connect } from 'node:net';
 import { describe, it } from 'node:test';
 import { type GracefulServer, createGracefulServer } from '../../src/node/graceful-server.js';
+import { openGuard } from '../fixtures/open-guard.js';
 import { type RawCaller, callRaw } from '../fixtures/raw-caller.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
@@ -15,7 +16,7 @@
 const LARGE_ANSWER = Buffer.alloc(32 * 1024 * 1024, 'x');
 
 async function listen(serve: RequestListener): Promise<GracefulServer> {
-  const gracefulServer = createGracefulServer({}, serve);
+  const gracefulServer = createGracefulServer({}, openGuard(), serve);
   await new Promise<void>((resolve) => gracefulServer.server.listen(0, HOST, resolve));
   return gracefulServer;
 }
@@ -194,7 +195,7 @@
   });
 
   it('closes a server that has never listened', async () => {
-    const gracefulServer = createGracefulServer({}, () => undefined);
+    const gracefulServer = createGracefulServer({}, openGuard(), () => undefined);
     assert.equal(await gracefulServer.close({ idleMs: 0, timeoutMs: TIMEOUT_MS }), 0);
   });
 
--- a/packages/daemon/test/node/idle-stall.test.ts
+++ b/packages/daemon/test/node/idle-stall.test.ts
@@ -5,6 +5,7 @@
 import { describe, it } from 'node:test';
 import { setTimeout as sleep } from 'node:timers/promises';
 import { createGracefulServer } from '../../src/node/graceful-server.js';
+import { openGuard } from '../fixtures/open-guard.js';
 
 const IDLE_MS = 200;
 /** Node adds up to a second to the idle time. */
@@ -19,6 +20,7 @@
       let served = 0;
       const { server } = createGracefulServer(
         { keepAliveTimeout: IDLE_MS },
+        openGuard(),
         (request, response) => {
           served += 1;
           request.resume();
--- a/packages/daemon/test/sidecar/plain-backend.test.ts
+++ b/packages/daemon/test/sidecar/plain-backend.test.ts
@@ -4,7 +4,7 @@
 import { type HostEvent, HostEventKind } from '@cassiamast/coordination';
 import type { PlainResponse, PlainServiceClient } from '@cassiamast/ports';
 import { ResultAsync } from 'neverthrow';
-import { withResolvers } from '../../src/node/http-body.js';
+import { withResolvers } from '../../src/node/promises.js';
 import { PayloadKind } from '../../src/protocol/stream.js';
 import { createPlainBackend } from '../../src/sidecar/plain-backend.js';
 import { waitFor } from '../fixtures/wait-for.js';
--- a/packages/daemon/test/wiring/stop-signals.test.ts
+++ b/packages/daemon/test/wiring/stop-signals.test.ts
@@ -12,7 +12,7 @@
 import { after, before, describe, it } from 'node:test';
 import { setImmediate as nextTurn } from 'node:timers/promises';
 import { type KeyValueStandIn, freePort, startKeyValue } from '@cassiamast/stand-ins';
-import { withResolvers } from '../../src/node/http-body.js';
+import { withResolvers } from '../../src/node/promises.js';
 import { ExitCode, type ProcessOptions, runProcess } from '../../src/node/run-process.js';
 import { waitFor } from '../fixtures/wait-for.js';
 
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -17,3 +17,5 @@
 export * from './core/vm-list/vm-list.js';
 export * from './core/weight-store/weight-store.js';
 export { type PortBlock, freePort, reservePortBlock } from './core/http/free-port.js';
+export * from './core/clients/crowd.js';
+export * from './core/clients/process-peak.js';
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -37,10 +37,17 @@
   return result.status === 0;
 }
 
+const NODE_TEST = ['--enable-source-maps', '--test', '--test-reporter=spec'];
+/** Folder of tests that measure the memory of a process, which run one at a time after all others. */
+const ALONE = '/test/crowds/';
+
 const files = TEST_ROOTS.flatMap((root) => compiledTests(join(ROOT, root))).sort();
+const together = files.filter((file) => !file.includes(ALONE));
+const alone = files.filter((file) => file.includes(ALONE));
 // The soak starts the program as the users' platform does.
 let green = run([join(ROOT, 'scripts', 'bundle.mjs')]);
-green = run(['--enable-source-maps', '--test', '--test-reporter=spec', ...files]) && green;
+green = run([...NODE_TEST, ...together]) && green;
+green = run([...NODE_TEST, '--test-concurrency=1', ...alone]) && green;
 if (existsSync(FEATURES) && readdirSync(FEATURES).length > 0) {
   green = run([CUCUMBER, '--config', 'packages/promises/cucumber.json']) && green;
 }
