Keep the calm path's cost, and yield slow readers last

Change: functions that return the runtime's own messages; limits are computed when the configuration changes.

Found by reading: a refused request behind dropped ones could never be answered, so its connection stayed; where descriptors are short, the stream of a slow reader was closed before connections that await nothing.

--- a/packages/coordination/src/core/client-limits/client-limits.ts
+++ b/packages/coordination/src/core/client-limits/client-limits.ts
@@ -103,7 +103,8 @@
 
 /**
  * Returns the connection that yields because there are more than allowed, or null if none has to or
- * may: those that were never served before others, and of these the one that is inactive for longest.
+ * may: those that were never served before others, and of these the one that is inactive for longest. One
+ * whose client reads slowly comes after all that await nothing.
  */
 export function yieldsDescriptor<Use extends ConnectionUse>(
   connections: Iterable<Use>,
@@ -111,9 +112,10 @@
   { maxConnections }: ClientLimits,
 ): Use | null {
   if (count <= maxConnections) return null;
-  const mayYield = ({ phase, isRunning }: Use): boolean =>
-    phase === ConnectionPhase.Unread || (!isRunning && MAY_YIELD_DESCRIPTOR.has(phase));
-  return first(connections, mayYield, isLessActive);
+  const isSpare = ({ phase, isRunning }: Use): boolean =>
+    !isRunning && MAY_YIELD_DESCRIPTOR.has(phase);
+  const isUnread = ({ phase }: Use): boolean => phase === ConnectionPhase.Unread;
+  return first(connections, isSpare, isLessActive) ?? first(connections, isUnread, isLessActive);
 }
 
 /** Returns whether only the reserve for small requests is left. */
--- a/packages/coordination/test/core/client-limits/client-limits.test.ts
+++ b/packages/coordination/test/core/client-limits/client-limits.test.ts
@@ -90,6 +90,14 @@
     assert.equal(yieldsDescriptor([kept], 11, LIMITS), kept);
   });
 
+  // Guards against closing the stream of a slow reader while others keep silent connections.
+  it('yield one with an unread answer after all that await nothing', () => {
+    const slow = use({ phase: ConnectionPhase.Unread, isRunning: true, activeAtMs: 1 });
+    const kept = use({ phase: ConnectionPhase.Idle, hasBeenServed: true, activeAtMs: 5 });
+    assert.equal(yieldsDescriptor([slow, kept], 11, LIMITS), kept);
+    assert.equal(yieldsDescriptor([slow], 11, LIMITS), slow);
+  });
+
   it('never yield one whose answers are awaited', () => {
     fc.assert(
       fc.property(uses, (all) => {
--- a/packages/daemon/src/gateway/start-gateway.ts
+++ b/packages/daemon/src/gateway/start-gateway.ts
@@ -158,13 +158,9 @@
   );
   const proof = createMemberProof(MEMBER_SECRET);
   const rpc = createRpcClient(proof, timeline.clock);
-  const limitsOf = (): ClientLimits =>
-    clientLimits(
-      settings.machine,
-      view.table?.configuration.limits.maxBodyBytes ?? DEFAULT_MAX_BODY_BYTES,
-    );
+  let limitsOfClients: ClientLimits = clientLimits(settings.machine, DEFAULT_MAX_BODY_BYTES);
   const guard: ClientGuard = createClientGuard({
-    limits: limitsOf,
+    limits: () => limitsOfClients,
     nowMs: monotonicMs,
     onYielded: logYieldingClients(log, telemetry.count, monotonicMs),
   });
@@ -323,6 +319,10 @@
     recent.note();
     versions.refresh();
     schedulers.refresh();
+    const longestBodyBytes = view.table?.configuration.limits.maxBodyBytes;
+    if (longestBodyBytes !== undefined) {
+      limitsOfClients = clientLimits(settings.machine, longestBodyBytes);
+    }
     front.applyLimits();
     front.stopRevoked();
   };
--- a/packages/daemon/src/node/client-guard.ts
+++ b/packages/daemon/src/node/client-guard.ts
@@ -9,13 +9,25 @@
   type BlockPool,
   type ClientLimits,
   ConnectionPhase,
-  type ConnectionUse,
   createBlockPool,
   isMemoryScarce,
   yieldsBytes,
   yieldsDescriptor,
 } from '@cassiamast/coordination';
 import { type MessageClasses, createMessageClasses, isDropped } from './dropped-messages.js';
+import {
+  type Connection,
+  type GuardedRequest,
+  RequestPhase,
+  bytesOf,
+  countRunning,
+  find,
+  headBytesOf,
+  isReceiving,
+  measure,
+  newConnection,
+  phaseOf,
+} from './guarded-connection.js';
 import { withResolvers } from './promises.js';
 
 /**
@@ -27,16 +39,6 @@
 const MAX_OPEN = 128;
 /** The same while memory is scarce: one that is answered, and the one that follows it. */
 const MAX_OPEN_IF_SCARCE = 2;
-/** Memory of a connection and its parser. */
-const CONNECTION_BYTES = 4 * 1024;
-/** Memory of a request while it is forwarded, without head and body; twice that, as the heap is small. */
-const REQUEST_BYTES = 96 * 1024;
-/** Memory of a refused request until its answer is written. */
-const REFUSED_REQUEST_BYTES = 4 * 1024;
-/** Memory of a byte of a head, as text. */
-const HEAD_FACTOR = 2;
-/** What the kernel receives at most for a connection that is not read from. */
-const KERNEL_BYTES = 128 * 1024;
 /** Connections are measured this often while their clients are active, and seldom otherwise. */
 const CHECK_INTERVAL_MS = 250;
 const IDLE_CHECK_INTERVAL_MS = 1000;
@@ -105,47 +107,6 @@
   readonly use: () => ClientUse;
 }
 
-enum RequestPhase {
-  Receiving,
-  Waiting,
-  Running,
-}
-
-interface GuardedRequest {
-  readonly response: ServerResponse;
-  readonly headBytes: number;
-  phase: RequestPhase;
-  bodyBytes: number;
-  isRefused: boolean;
-  refuse: (() => void) | null;
-  /** Lets a waiting request run, or not. */
-  start: ((mayRun: boolean) => void) | null;
-}
-
-interface Connection extends ConnectionUse {
-  readonly socket: Socket;
-  readonly requests: Set<GuardedRequest>;
-  phase: ConnectionPhase;
-  bytes: number;
-  isRunning: boolean;
-  running: number;
-  hasBeenServed: boolean;
-  activeAtMs: number;
-  /** Responses that the runtime keeps, also those that it gives by itself. */
-  responses: number;
-  /** Whether reading stops with the next tick. */
-  isStopping: boolean;
-  /** When the connection began to end; null while it accepts requests. */
-  endsSinceMs: number | null;
-  /** Bytes read when the newest request was whole. */
-  wholeBytes: number;
-  /** Bytes of an unfinished head and of answers, as of the last check. */
-  measuredBytes: number;
-  /** Bytes written to the kernel, as of the last check. */
-  flushedBytes: number;
-  isUnread: boolean;
-}
-
 /** Creates a guard without connections. */
 export function createClientGuard(options: ClientGuardOptions): ClientGuard {
   const { limits, nowMs, onYielded } = options;
@@ -208,10 +169,15 @@
     request.refuse?.();
   }
 
-  /** Drops the requests that wait; they have not run, and the end of the connection tells so. */
+  /**
+   * Drops the first request that waits and all after it, which are answered in their order. They have
+   * not run, and the end of the connection tells so.
+   */
   function dropWaiting(connection: Connection): void {
+    let isDropping = false;
     for (const request of [...connection.requests]) {
-      if (request.phase !== RequestPhase.Waiting) continue;
+      isDropping ||= request.phase === RequestPhase.Waiting;
+      if (!isDropping) continue;
       connection.requests.delete(request);
       request.start?.(false);
       emitClose(request.response);
@@ -264,23 +230,7 @@
   }
 
   function accept(socket: Socket): void {
-    const connection: Connection = {
-      socket,
-      requests: new Set(),
-      phase: ConnectionPhase.Idle,
-      bytes: 0,
-      isRunning: false,
-      running: 0,
-      hasBeenServed: false,
-      activeAtMs: nowMs(),
-      responses: 0,
-      isStopping: false,
-      endsSinceMs: null,
-      wholeBytes: 0,
-      measuredBytes: 0,
-      flushedBytes: 0,
-      isUnread: false,
-    };
+    const connection = newConnection(socket, nowMs());
     connections.set(socket, connection);
     timer ??= setInterval(check, IDLE_CHECK_INTERVAL_MS).unref();
     socket.once('close', () => {
@@ -436,64 +386,6 @@
   };
 }
 
-function isReceiving({ phase }: GuardedRequest): boolean {
-  return phase === RequestPhase.Receiving;
-}
-
-function find({ requests }: Connection, phase: RequestPhase): GuardedRequest | null {
-  for (const request of requests) if (request.phase === phase) return request;
-  return null;
-}
-
-function countRunning({ requests }: Connection): number {
-  let running = 0;
-  for (const { phase } of requests) if (phase === RequestPhase.Running) running += 1;
-  return running;
-}
-
-function bytesOf({ requests, measuredBytes }: Connection): number {
-  let bytes = CONNECTION_BYTES + measuredBytes;
-  for (const { isRefused, headBytes, bodyBytes } of requests) {
-    const ownBytes = isRefused ? REFUSED_REQUEST_BYTES : REQUEST_BYTES;
-    bytes += ownBytes + headBytes + bodyBytes;
-  }
-  return bytes;
-}
-
-function phaseOf(connection: Connection): ConnectionPhase {
-  const { requests, isUnread, endsSinceMs, measuredBytes } = connection;
-  if (find(connection, RequestPhase.Receiving) !== null) return ConnectionPhase.Receiving;
-  if (find(connection, RequestPhase.Waiting) !== null) return ConnectionPhase.Waiting;
-  if (isUnread) return ConnectionPhase.Unread;
-  if (requests.size > 0) return ConnectionPhase.Running;
-  return measuredBytes > 0 && endsSinceMs === null
-    ? ConnectionPhase.Receiving
-    : ConnectionPhase.Idle;
-}
-
-function headBytesOf({ rawHeaders, url }: IncomingMessage): number {
-  let characters = url?.length ?? 0;
-  for (const text of rawHeaders) characters += text.length;
-  return characters * HEAD_FACTOR;
-}
-
-/** Measures the bytes of an unfinished head, and of answers that the client has not read. */
-function measure(connection: Connection): void {
-  const { socket, requests, wholeBytes, endsSinceMs } = connection;
-  let answerBytes = 0;
-  for (const { response } of requests) {
-    answerBytes += response.writableLength - (response.socket?.writableLength ?? 0);
-  }
-  const flushedBytes = socket.bytesWritten - socket.writableLength;
-  connection.isUnread = socket.writableLength > 0 && flushedBytes === connection.flushedBytes;
-  connection.flushedBytes = flushedBytes;
-  const isReceiving = find(connection, RequestPhase.Receiving) !== null;
-  const headBytes = isReceiving || endsSinceMs !== null ? 0 : socket.bytesRead - wholeBytes;
-  const kernelBytes = connection.isUnread || endsSinceMs !== null ? KERNEL_BYTES : 0;
-  connection.measuredBytes =
-    answerBytes + socket.writableLength + headBytes * HEAD_FACTOR + kernelBytes;
-}
-
 /** Stops to read from a connection once the bytes that were read are parsed. */
 function stopReading(connection: Connection): void {
   if (connection.isStopping) return;
--- a/packages/daemon/src/node/dropped-messages.ts
+++ b/packages/daemon/src/node/dropped-messages.ts
@@ -55,35 +55,34 @@
   let droppedRequest: DroppedRequest | null = null;
   let droppedResponse: DroppedResponse | null = null;
 
-  class KeptRequest extends IncomingMessage {
-    constructor(socket: Socket) {
-      super(socket);
-      if (keepsNext(socket)) return;
-      droppedRequest ??= new DroppedRequest(socket);
-      return droppedRequest;
-    }
+  // The runtime calls these with `new`. Classes derived from its own ones would cost more per request.
+  function createRequest(socket: Socket): IncomingMessage {
+    if (keepsNext(socket)) return new IncomingMessage(socket);
+    droppedRequest ??= new DroppedRequest(socket);
+    return droppedRequest;
   }
 
-  class KeptResponse extends ServerResponse {
-    constructor(request: IncomingMessage, options?: object) {
-      // The options are not in the types, as they are for the runtime alone.
-      super(...([request, options] as unknown as [IncomingMessage]));
-      const { socket } = request;
-      if (!(request instanceof DroppedRequest)) {
-        onResponse(socket);
-        return;
-      }
+  function createResponse(request: IncomingMessage, options?: object): ServerResponse {
+    if (request instanceof DroppedRequest) {
       droppedResponse ??= new DroppedResponse(request);
       return droppedResponse;
     }
+    onResponse(request.socket);
+    return new OptionedResponse(request, options);
   }
 
   return {
-    IncomingMessage: KeptRequest,
-    ServerResponse: KeptResponse as unknown as typeof ServerResponse,
+    IncomingMessage: createRequest as unknown as typeof IncomingMessage,
+    ServerResponse: createResponse as unknown as typeof ServerResponse,
   };
 }
 
+/** The runtime's class; its types lack the options, which the runtime gives it. */
+const OptionedResponse = ServerResponse as unknown as new (
+  request: IncomingMessage,
+  options?: object,
+) => ServerResponse;
+
 /** Returns whether a request is one of those that are not kept. */
 export function isDropped(request: IncomingMessage): boolean {
   return request instanceof DroppedRequest;
