Tell of requests that wait, and refuse calls truthfully

Each limit on clients has a counter and a bounded log line; the one on requests of a connection that run at once had none. A call between processes that is refused for memory got 400 as malformed; it gets 503 now, as not read.

--- a/packages/daemon/src/node/client-guard.ts
+++ b/packages/daemon/src/node/client-guard.ts
@@ -50,13 +50,24 @@
   Memory = 'memory',
   Connections = 'connections',
   RequestsAhead = 'requests-ahead',
+  /** Requests of one connection that run at once; further ones wait. */
+  Running = 'running',
 }
 
-/** What was done about a client over a limit. */
+/** What is done about a client over a limit. */
+export enum YieldKind {
+  /** Requests that were being received are refused. */
+  Refused = 'refused',
+  /** The connection closes, after the answers to what runs if any can be read. */
+  Closed = 'closed',
+  /** A request waits for others of its connection. */
+  Waits = 'waits',
+}
+
+/** A client over a limit. */
 export interface Yielded {
   readonly limit: ClientLimit;
-  /** Whether a request was refused; if not, the connection was closed. */
-  readonly isRefused: boolean;
+  readonly kind: YieldKind;
   /** IP address of the client. */
   readonly client: string;
   /** Bytes that its connection held. */
@@ -140,15 +151,16 @@
     }
   }
 
-  function report(connection: Connection, limit: ClientLimit, isRefused: boolean): void {
+  function report(connection: Connection, limit: ClientLimit, kind: YieldKind): void {
     const { socket, bytes } = connection;
     const use = { heldBytes, connections: connections.size };
-    onYielded({ limit, isRefused, client: socket.remoteAddress ?? '', bytes }, use);
+    onYielded({ limit, kind, client: socket.remoteAddress ?? '', bytes }, use);
   }
 
   function yieldMemory(connection: Connection): void {
     const receiving = [...connection.requests].filter(isReceiving);
-    report(connection, ClientLimit.Memory, receiving.length > 0);
+    const kind = receiving.length > 0 ? YieldKind.Refused : YieldKind.Closed;
+    report(connection, ClientLimit.Memory, kind);
     if (connection.phase === ConnectionPhase.Unread) {
       close(connection);
       return;
@@ -239,7 +251,7 @@
     update(connection);
     const yielding = yieldsDescriptor(connections.values(), connections.size, limits());
     if (yielding !== null) {
-      report(yielding, ClientLimit.Connections, false);
+      report(yielding, ClientLimit.Connections, YieldKind.Closed);
       close(yielding);
     }
     checkIfDue();
@@ -276,7 +288,7 @@
     if (connection.endsSinceMs === null) {
       const isScarce = isMemoryScarce(heldBytes + closingBytes, limits());
       if (connection.responses < (isScarce ? MAX_OPEN_IF_SCARCE : MAX_OPEN)) return true;
-      report(connection, ClientLimit.RequestsAhead, false);
+      report(connection, ClientLimit.RequestsAhead, YieldKind.Closed);
       end(connection);
     }
     stopReading(connection);
@@ -350,7 +362,9 @@
     if (request.phase !== RequestPhase.Receiving) return;
     connection.wholeBytes = connection.socket.bytesRead;
     request.refuse = null;
-    request.phase = mayRunFurther(connection) ? RequestPhase.Running : RequestPhase.Waiting;
+    const mayRun = mayRunFurther(connection);
+    request.phase = mayRun ? RequestPhase.Running : RequestPhase.Waiting;
+    if (!mayRun) report(connection, ClientLimit.Running, YieldKind.Waits);
     update(connection);
   }
 
--- a/packages/daemon/src/node/control-server.ts
+++ b/packages/daemon/src/node/control-server.ts
@@ -16,9 +16,9 @@
 import { METRICS_PATH, RPC_PATH, STREAM_PATH } from '../protocol/methods.js';
 import { formatAddress } from './address.js';
 import { type GracefulServer, type CloseOptions, createGracefulServer } from './graceful-server.js';
-import { ADDRESS_TAKEN, MALFORMED_CALL, NOT_A_MEMBER } from './failures.js';
+import { ADDRESS_TAKEN, MALFORMED_CALL, MEMBER_OVERLOADED, NOT_A_MEMBER } from './failures.js';
 import type { ClientGuard, RequestHold } from './client-guard.js';
-import { readBody } from './http-body.js';
+import { BodyFault, readBody } from './http-body.js';
 import type { AllowsAddress } from './networks.js';
 import type { MemberProof } from './secret.js';
 import { HYBRID_TIME_HEADER, type MessageClock } from './timeline.js';
@@ -129,7 +129,12 @@
     response.end(await options.metricsText());
     return;
   }
-  const call = await readCall(request, hold);
+  const body = await readBody(request, MAX_CALL_BYTES, hold);
+  if (body.isErr() && body.error === BodyFault.Refused) {
+    answerJson(response, 503, MEMBER_OVERLOADED.of(undefined));
+    return;
+  }
+  const call = body.isErr() ? null : parseCall(body.value);
   if (call === null) {
     answerJson(response, 400, MALFORMED_CALL.of({ fault: 'no JSON-RPC request' }));
     return;
@@ -146,14 +151,9 @@
   else answerJson(response, 500, MALFORMED_CALL.of({ fault: String(error) }));
 }
 
-async function readCall(
-  request: IncomingMessage,
-  hold: RequestHold,
-): Promise<JSONRPCRequest | null> {
-  const body = await readBody(request, MAX_CALL_BYTES, hold);
-  if (body.isErr()) return null;
+function parseCall(body: Buffer): JSONRPCRequest | null {
   try {
-    const call: unknown = JSON.parse(body.value.toString('utf8'));
+    const call: unknown = JSON.parse(body.toString('utf8'));
     return isJSONRPCRequest(call) ? call : null;
   } catch {
     return null;
--- a/packages/daemon/src/node/failures.ts
+++ b/packages/daemon/src/node/failures.ts
@@ -32,6 +32,15 @@
   hint: 'Both members should run the same version.',
 });
 
+/** A call was not read, as the clients of the member send more than it has memory for. */
+export const MEMBER_OVERLOADED = defineFailure({
+  name: 'member-overloaded',
+  title: 'The member has no memory for the call',
+  message: () =>
+    'The call was refused before it was read: clients send more than there is memory for.',
+  hint: 'Look for "client over a limit" in the log of the member.',
+});
+
 /** A call did not carry the members' shared secret. */
 export const NOT_A_MEMBER = defineFailure({
   name: 'not-a-member',
