--- a/packages/daemon/src/node/guarded-connection.ts
+++ b/packages/daemon/src/node/guarded-connection.ts
@@ -5,7 +5,7 @@
 
 /** Memory of a connection and its parser. */
 const CONNECTION_BYTES = 4 * 1024;
-/** Memory of a request while it is forwarded, without head and body; twice that, as the heap is small. */
+/** Memory of a request while it is forwarded, without head and body; counted twice, as it is in the heap. */
 const REQUEST_BYTES = 96 * 1024;
 /** Memory of a refused request until its answer is written. */
 const REFUSED_REQUEST_BYTES = 4 * 1024;
