--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -93,9 +93,9 @@
         dataDir: null,
         discovery: 'platform',
         heartbeatMs: 1200,
-        bounds: BOUNDS,
         platform: { address: storeAddress, form: 'kv', minTtlMs: 1000, valueBytes: 1048576 },
         ...settings,
+        bounds: { ...BOUNDS, ...settings.bounds },
       }),
     );
     const log = openSync(join(folder, `${name}.log`), 'a');
--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -9,12 +9,16 @@
 
 /** Starts an empty store on a free loopback port. */
 export async function startStore() {
-  const items = new Map();
-  const leases = new Map();
-  const changes = [];
+  let items = new Map();
+  let leases = new Map();
+  let changes = [];
   let revision = 1;
   let lastLease = 0;
   let waiting = [];
+  let era = 0;
+  let isAway = false;
+  /** What operators and servers have written, which they write again after a restore. */
+  const outsideItems = new Map();
 
   function wakeWatches() {
     const woken = waiting;
@@ -49,6 +53,7 @@
     response.writeHead(status, {
       'content-type': 'application/json',
       'content-length': Buffer.byteLength(text),
+      'store-era': String(era),
     });
     response.end(text);
   }
@@ -66,6 +71,11 @@
   function watch(query, response) {
     const prefix = query.get('pathPrefix') ?? '';
     const after = Number(query.get('after'));
+    // A revision that this store, or the copy that it came back from, does not have.
+    if (after > revision) {
+      answer(response, 410, {});
+      return;
+    }
     const send = () => {
       clearTimeout(timer);
       waiting = waiting.filter((each) => each !== send);
@@ -129,6 +139,10 @@
   }
 
   const server = createServer((request, response) => {
+    if (isAway) {
+      request.socket.destroy();
+      return;
+    }
     const parts = [];
     request.on('data', (part) => parts.push(part));
     request.on('end', () => handle(request, Buffer.concat(parts).toString(), response));
@@ -141,8 +155,37 @@
   return {
     address: `127.0.0.1:${server.address().port}`,
     /** Writes a JSON value, as operators and targets do. */
-    put: (key, value) => put(key, Buffer.from(JSON.stringify(value)).toString('base64')),
-    remove,
+    put: (key, value) => {
+      const encoded = Buffer.from(JSON.stringify(value)).toString('base64');
+      outsideItems.set(key, encoded);
+      put(key, encoded);
+    },
+    remove: (key) => {
+      outsideItems.delete(key);
+      remove(key);
+    },
+    /** Takes a copy of what the store has now. */
+    copy: () => ({
+      items: new Map(items),
+      leases: new Map([...leases].map(([id, lease]) => [id, { ...lease }])),
+      changes: [...changes],
+      revision,
+      lastLease,
+    }),
+    /** The store is away for a while and comes back from a copy; what is outside it is written again. */
+    restore: async (copy, awayMs) => {
+      isAway = true;
+      server.closeAllConnections();
+      await new Promise((resolve) => setTimeout(resolve, awayMs));
+      ({ items, leases, changes, revision, lastLease } = copy);
+      for (const lease of leases.values()) lease.endsAtMs = performance.now() + lease.ttlMs;
+      waiting = [];
+      era += 1;
+      isAway = false;
+      for (const [key, value] of outsideItems) {
+        if (items.get(key)?.value !== value) put(key, value);
+      }
+    },
     keys: (prefix) => [...items.keys()].filter((key) => key.startsWith(prefix)),
     close: () => {
       clearInterval(timer);
