--- a/review/lib-2/engine.mjs
+++ b/review/lib-2/engine.mjs
@@ -28,18 +28,19 @@
 }
 
 /**
- * Starts an engine. `options.spoil` may take over the answer to a run: it is given the socket, the
- * attempt id and the stamp, and returns whether it did. `options.onRead` is told of each prompt that it
- * reads, `options.onRun` of each run, and `options.register` of each phase.
+ * Starts an engine, which states the length of each stream. `options.breaksOff` tells whether it breaks an
+ * answer off, `options.onRun` is told of each run, and `options.register` of each phase.
  */
 export async function startEngine(id, firstPhase, options) {
-  const { register, onRead, onRun, spoil = () => false } = options;
+  const { register, onRun, breaksOff } = options;
   const sockets = new Set();
   const handles = new Set();
   let phase = firstPhase;
   let sequence = 0;
   let isBusy = false;
   let lastHandle = 0;
+  /** Runs at several engines say the same in other words. */
+  const words = 'approved '.repeat(1 + ((Number(id.split('-')[1]) + 1) % 3)).trim();
 
   function answerJson(socket, status, body, attempt = null) {
     const text = JSON.stringify(body);
@@ -72,22 +73,26 @@
     }, SWITCH_MS).unref();
   }
 
-  function stream(socket, attempt, stamp, after, events) {
-    const head = `X-Cassiamast-Attempt-Id: ${attempt}\r\nX-Cassiamast-Server-Stamp: ${stamp}`;
-    const type = 'Content-Type: text/event-stream\r\nTransfer-Encoding: chunked';
+  /** Sends the events after one, in the engine's own words. */
+  function stream(socket, attempt, after, count) {
+    const events = [];
+    for (let number = after + 1; number <= count; number += 1) {
+      events.push(`id: ${number}\ndata: ${attempt}-${number} ${words}\n\n`);
+    }
+    const head = `X-Cassiamast-Attempt-Id: ${attempt}\r\nX-Cassiamast-Server-Stamp: ${id}.${attempt}`;
+    const type = `Content-Type: text/event-stream\r\nContent-Length: ${events.join('').length}`;
     socket.write(`HTTP/1.1 200 OK\r\n${head}\r\n${type}\r\n\r\n`);
-    let sent = after;
+    const endsAfter = breaksOff(attempt, id) ? Math.floor(events.length / 2) : events.length;
+    let sent = 0;
     const timer = setInterval(() => {
-      if (socket.destroyed) {
+      if (socket.destroyed) clearInterval(timer);
+      else if (sent < endsAfter) {
+        socket.write(events[sent]);
+        sent += 1;
+      } else {
         clearInterval(timer);
-        return;
+        if (endsAfter < events.length) socket.resetAndDestroy();
       }
-      sent += 1;
-      const event = `id: ${sent}\ndata: ${attempt}-${sent}\n\n`;
-      socket.write(`${event.length.toString(16)}\r\n${event}\r\n`);
-      if (sent < events) return;
-      clearInterval(timer);
-      socket.write('0\r\n\r\n');
     }, EVENT_MS);
   }
 
@@ -115,7 +120,6 @@
     else if (isBusy) reject(socket, attempt, 503);
     else if (isRead !== (phase === 'prefill')) reject(socket, attempt, 421);
     else if (isRead) {
-      onRead(attempt, id);
       setTimeout(() => {
         lastHandle += 1;
         const handle = `${id.replace(/\W/g, '')}${lastHandle}`;
@@ -123,13 +127,11 @@
         answerJson(socket, 200, { kvHandle: handle, tokens: 1, version: 1 }, attempt);
       }, READ_MS);
     } else {
-      const stamp = `${id}.${attempt}`;
       onRun(attempt, id);
-      if (spoil(socket, attempt, stamp)) return;
       const after = Number(headers.get('last-event-id') ?? 0);
-      const events = Number(headers.get('x-cassiamast-token-count').split(',')[1]);
+      const count = Number(headers.get('x-cassiamast-token-count').split(',')[1]);
       const readMs = source === undefined ? READ_MS : 0;
-      setTimeout(() => stream(socket, attempt, stamp, after, events), readMs);
+      setTimeout(() => stream(socket, attempt, after, count), readMs);
     }
   }
 
