--- a/review/lib-2/rig.mjs
+++ b/review/lib-2/rig.mjs
@@ -70,6 +70,9 @@
     for (const child of children) child.kill('SIGKILL');
   };
   process.once('exit', killAll);
+  for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+    process.once(signal, () => process.exit(NOT_RUN));
+  }
 
   /** Starts a gateway; `settings` adds to its settings file. */
   async function startGateway(name, zone, storeAddress, settings = {}) {
